Run each file of system tests in a process of its own

Cause: system tests start processes and would run one after the other. Change: one suite a library, one a system test file, four at a time; a VENV given on the command line is used as it is, so worktrees share one.

--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,12 @@
 	cd libraries/protocol/src && $(abspath $(PYTHON)) -m grpc_tools.protoc -I . \
 		--python_out=. --pyi_out=. --grpc_python_out=. bamboopier_protocol/agent.proto
 
+# A VENV given on the command line is used as it is: it may be another worktree's.
+ifeq ($(origin VENV),file)
 $(VENV)/ready: constraints.txt $(wildcard libraries/*/pyproject.toml)
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt poetry-core
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
 		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library))
 	touch $@
+endif
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -20,10 +20,21 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SUITE_SECONDS = 900
+# Each system test starts some ten processes of its own.
+WORKERS = 4
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+) \(([\w.]+)\)", re.MULTILINE)
 _RAN = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
 
 
+@dataclass(frozen=True)
+class Suite:
+    """A folder's test files that one process runs."""
+
+    name: str
+    folder: Path
+    pattern: str
+
+
 @dataclass(frozen=True)
 class SuiteResult:
     """What one suite printed."""
@@ -37,22 +48,28 @@
     seconds: float
 
 
-def find_suites() -> list[Path]:
-    """Return the folders that hold a ``tests`` package."""
-    folders = [*sorted((ROOT / "libraries").iterdir()), ROOT]
-    return [f for f in folders if list(f.glob("tests/**/test_*.py"))]
+def find_suites(pattern: str) -> list[Suite]:
+    """Return a suite for each library and one for each file of system tests."""
+    suites = [
+        Suite(f"system.{path.stem.removeprefix('test_')}", ROOT, path.name)
+        for path in sorted(ROOT.glob(f"tests/{pattern}"))
+    ]
+    for folder in sorted((ROOT / "libraries").iterdir()):
+        if list(folder.glob(f"tests/**/{pattern}")):
+            suites.append(Suite(folder.name, folder, pattern))
+    return suites
 
 
-def run_suite(folder: Path, pattern: str) -> SuiteResult:
-    """Run one folder's tests in a process of their own."""
-    name = folder.name if folder != ROOT else "system"
+def run_suite(suite: Suite) -> SuiteResult:
+    """Run one suite in a process of its own."""
+    name = suite.name
     arguments = [sys.executable, "-X", "dev", "-m", "unittest", "discover", "-v"]
-    arguments += ["-s", "tests", "-t", ".", "-p", pattern]
+    arguments += ["-s", "tests", "-t", ".", "-p", suite.pattern]
     started = time.monotonic()
     paths = f"{ROOT / 'tools'}:{os.environ.get('PYTHONPATH', '')}"
     done = subprocess.run(
         arguments,
-        cwd=folder,
+        cwd=suite.folder,
         env={**os.environ, "PYTHONPATH": paths},
         capture_output=True,
         text=True,
@@ -77,11 +94,9 @@
 
 def main(pattern: str = "test_*.py", only: str = "") -> None:
     """Run all suites, or the one named by ``only``."""
-    suites = [s for s in find_suites() if only in ("", s.name)]
-    if only == "system":
-        suites = [ROOT]
-    with ThreadPoolExecutor(max_workers=4) as pool:
-        results = list(pool.map(lambda s: run_suite(s, pattern), suites))
+    suites = [s for s in find_suites(pattern) if s.name.startswith(only)]
+    with ThreadPoolExecutor(max_workers=WORKERS) as pool:
+        results = list(pool.map(run_suite, suites))
     known = read_known_red()
     failed = {test for result in results for test in result.failed}
     for result in results:
