Measure what each role costs per unit

Change: tools/capacity runs real daemons with stand-ins at four counts a line and fits them by least squares; make capacity writes docs/capacity.json. Ruled out: charging a gateway with the publisher's own reads (a fresh publisher reads all 70 parts); the publish alone is measured first and taken off.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,7 @@
 		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library))
 	touch $@
 endif
+
+# Slopes for docs/CAPACITY.md; takes some minutes, writes docs/capacity.json.
+capacity: $(VENV)/ready
+	cd tools && $(PYTHON) -m capacity
--- a/libraries/standins/src/bamboopier_standins/platform.py
+++ b/libraries/standins/src/bamboopier_standins/platform.py
@@ -61,12 +61,15 @@
     async def _inject_faults(self, request: web.Request, handler: Any) -> Any:
         if not request.path.startswith("/v1/"):
             return await handler(request)
-        self.calls[f"{request.method} {request.path.split('/')[2]}"] += 1
+        kind = f"{request.method} {request.path.split('/')[2]}"
+        self.calls[kind] += 1
+        self.calls[f"bytes {kind}"] += request.content_length or 0
         if self.faults.get("delay"):
             await asyncio.sleep(self.faults["delay"])
         if self.faults.get("down"):
             return web.Response(status=503)
         response = await handler(request)
+        self.calls[f"bytes {kind}"] += len(response.body or b"")
         changes = request.method in ("PUT", "DELETE")
         if changes and self.faults.get("lose_answers", 0) > 0:
             self.faults["lose_answers"] -= 1
--- /dev/null
+++ b/tools/capacity/measurements.py
@@ -0,0 +1,341 @@
+"""Each slope, measured on real daemons with stand-ins around them."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import hashlib
+import json
+import subprocess
+import sys
+import time
+import urllib.request
+from contextlib import contextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from processes import Installation, fetch
+
+from bamboopier_configuration.collection import collect, find_files
+from bamboopier_configuration.model import Configuration, Workspace
+from bamboopier_platform.generations import GenerationStore
+from bamboopier_platform.http_platform import HttpPlatform
+
+from .fit import Fit, fit_line
+from .usage import read_cpu, read_memory
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+CONNECTIONS = Path(__file__).parent / "connections.py"
+EXAMPLES = Path(__file__).resolve().parent.parent.parent / "examples"
+SETTLE_SECONDS = 1.0
+IDLE_SECONDS = 8.0
+FOSSE_KEY = "fosse-demo-key"
+CALLERS = 8
+CHANGES = 10
+# Between two changes: a gateway has read one before the next comes.
+CHANGE_SECONDS = 0.4
+
+
+@contextmanager
+def start_helper(*arguments: str) -> Iterator[tuple[subprocess.Popen[str], str]]:
+    """Run ``connections.py``; yield the process and its first line."""
+    process = subprocess.Popen(
+        [sys.executable, str(CONNECTIONS), *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stdout is not None and process.stdin is not None
+    try:
+        yield process, process.stdout.readline().strip()
+    finally:
+        process.stdin.close()
+        process.wait(30)
+
+
+def measure_gateway_channels() -> list[Fit]:
+    """Memory and idle processor time of a gateway's channels to many agents."""
+    memory, cpu = [], []
+    with start_helper("serve", "400") as (_, line):
+        ports = line.split()
+        for count in (50, 100, 200, 400):
+            with start_helper("gateway", *ports[:count]) as (process, _):
+                time.sleep(SETTLE_SECONDS)
+                memory.append((float(count), read_memory(process.pid)))
+                cpu.append((float(count), _measure_idle_cpu(process.pid)))
+    return [
+        fit_line("gateway memory per agent channel", "MB", memory),
+        fit_line("gateway idle CPU per agent channel", "core", cpu),
+    ]
+
+
+def measure_agent_connections() -> list[Fit]:
+    """Memory and idle processor time of an agent with many gateways connected."""
+    memory, cpu = [], []
+    for count in (40, 80, 160, 320):
+        with Installation() as installation:
+            _start_one_target(installation)
+            agent = installation.daemons["desk-1-agent"]
+            address = installation.vms[0]["address"]
+            with start_helper("hold", address, str(count)):
+                time.sleep(SETTLE_SECONDS)
+                memory.append((float(count), read_memory(agent.process.pid)))
+                cpu.append((float(count), _measure_idle_cpu(agent.process.pid)))
+            installation.stop_all()
+    return [
+        fit_line("agent memory per gateway connection", "MB", memory),
+        fit_line("agent idle CPU per gateway connection", "core", cpu),
+    ]
+
+
+def measure_workspaces() -> list[Fit]:
+    """What a gateway pays for the configuration and for each change of it."""
+    memory, cpu, size, calls, start_calls = [], [], [], [], []
+    for count in (400, 1600, 3200, 6300):
+        with Installation() as installation:
+            installation.start_platform()
+            base = build_configuration(count)
+            asyncio.run(_publish(installation.platform_url, [base]))
+            before = _read_calls(installation)
+            installation.start_gateway("gateway-1", "dc-east")
+            installation.wait_until_ready()
+            time.sleep(SETTLE_SECONDS)
+            started = _count_object_reads(before, _read_calls(installation))
+            gateway = installation.daemons["gateway-1"].process.pid
+            memory.append((float(count), read_memory(gateway)))
+            start_calls.append((float(count), started))
+            change = _measure_changes(installation, base, gateway)
+            cpu.append((float(count), change.cpu))
+            size.append((float(count), change.size / 1e3))
+            calls.append((float(count), change.calls))
+            installation.stop_all()
+    return [
+        fit_line("gateway memory per workspace", "MB", memory),
+        fit_line("gateway CPU per change, by workspaces", "s", cpu),
+        fit_line("gateway bytes per change, by workspaces", "KB", size),
+        fit_line("gateway calls per change, by workspaces", "calls", calls),
+        fit_line(
+            "object reads of a starting node, by workspaces", "calls", start_calls
+        ),
+    ]
+
+
+class _ChangeCost:
+    """Mean cost of one configuration change to one node."""
+
+    def __init__(self, cpu: float, size: float, calls: float) -> None:
+        self.cpu = cpu
+        self.size = size
+        self.calls = calls
+
+
+def _measure_changes(
+    installation: Installation, base: Configuration, pid: int
+) -> _ChangeCost:
+    """Publish some changes and charge the gateway's reads to them.
+
+    The publisher reads everything once, which the same publish without a gateway, made
+    first, shows; what it cost is taken off.
+    """
+    alone = _publish_changes(installation, base, [])
+    cost = _publish_changes(installation, base, list(range(1, CHANGES + 1)), pid)
+    reads = (cost.calls - alone.calls) / CHANGES
+    return _ChangeCost(cost.cpu / CHANGES, (cost.size - alone.size) / CHANGES, reads)
+
+
+def _publish_changes(
+    installation: Installation,
+    base: Configuration,
+    weights: list[int],
+    pid: int | None = None,
+) -> _ChangeCost:
+    """Return the platform's whole cost of publishing one change a weight."""
+    before = _read_calls(installation)
+    cpu = read_cpu(pid) if pid is not None else 0.0
+    steps = []
+    for weight in weights:
+        changed = list(base.workspaces)
+        changed[weight] = msgspec.structs.replace(changed[weight], weight=weight + 1.0)
+        base = msgspec.structs.replace(base, workspaces=changed)
+        steps.append(base)
+    asyncio.run(_publish(installation.platform_url, steps))
+    after = _read_calls(installation)
+    used = read_cpu(pid) - cpu if pid is not None else 0.0
+    calls = _count_object_reads(before, after) + _count(before, after, "GET watch")
+    return _ChangeCost(used, _count(before, after, "bytes GET objects"), calls)
+
+
+def measure_vm_list() -> list[Fit]:
+    """What a gateway pays for following the VM list."""
+    cpu, size = [], []
+    for count in (200, 400, 800, 1200):
+        with Installation() as installation:
+            installation.start_platform()
+            asyncio.run(_publish(installation.platform_url, [build_configuration(10)]))
+            installation.vms = [_build_vm(number) for number in range(count)]
+            installation.put_vms()
+            installation.start_gateway("gateway-1", "dc-east")
+            installation.wait_until_ready()
+            gateway = installation.daemons["gateway-1"].process.pid
+            before = _read_calls(installation)
+            cpu.append((float(count), _measure_idle_cpu(gateway)))
+            moved = _count(before, _read_calls(installation), "bytes GET vms")
+            size.append((float(count), moved / IDLE_SECONDS / 1e3))
+            installation.stop_all()
+    return [
+        fit_line("gateway idle CPU by listed VMs", "core", cpu),
+        fit_line("gateway VM list traffic by listed VMs", "KB/s", size),
+    ]
+
+
+def measure_requests() -> list[Fit]:
+    """Processor time of gateway and agent per request and per generated token."""
+    fits: list[Fit] = []
+    with Installation() as installation:
+        _start_one_target(installation, decode_rate=5000, slots=64)
+        pids = {
+            "gateway": installation.daemons["gateway-1"].process.pid,
+            "agent": installation.daemons["desk-1-agent"].process.pid,
+        }
+        ask_many(installation, 50, 1)
+        by_requests: dict[str, list[tuple[float, float]]] = {n: [] for n in pids}
+        for count in (100, 200, 400, 800):
+            for name, used in _measure_load(installation, pids, count, 1).items():
+                by_requests[name].append((float(count), used * 1e3))
+        by_tokens: dict[str, list[tuple[float, float]]] = {n: [] for n in pids}
+        for tokens in (16, 64, 128, 256):
+            for name, used in _measure_load(installation, pids, 50, tokens).items():
+                by_tokens[name].append((50.0 * tokens, used * 1e3))
+        for name in pids:
+            fits.append(fit_line(f"{name} CPU per request", "ms", by_requests[name]))
+            fits.append(fit_line(f"{name} CPU per token", "ms", by_tokens[name]))
+        installation.stop_all()
+    return fits
+
+
+def measure_claims() -> list[Fit]:
+    """Platform writes and bytes per claim of an idempotency key."""
+    writes, size = [], []
+    with Installation() as installation:
+        _start_one_target(installation)
+        installation.start_target("vans-1", "plain", "dispatch", "dc-east")
+        installation.wait_until_ready()
+        time.sleep(2.0)
+        for count in (50, 100, 200, 400):
+            before = _read_calls(installation)
+            order_many(installation, count)
+            after = _read_calls(installation)
+            writes.append((float(count), _count(before, after, "PUT objects")))
+            moved = _count(before, after, "bytes PUT objects")
+            size.append((float(count), moved / 1e3))
+        installation.stop_all()
+    return [
+        fit_line("platform writes per claim, 8 callers", "calls", writes),
+        fit_line("bytes written per claim, 8 callers", "KB", size),
+    ]
+
+
+def _measure_load(
+    installation: Installation, pids: dict[str, int], count: int, tokens: int
+) -> dict[str, float]:
+    before = {name: read_cpu(pid) for name, pid in pids.items()}
+    ask_many(installation, count, tokens)
+    return {name: read_cpu(pid) - before[name] for name, pid in pids.items()}
+
+
+def ask_many(installation: Installation, count: int, tokens: int) -> None:
+    """Send ``count`` streamed completions from a few callers at once."""
+    body = {"model": "pillar-8b", "prompt": "is it live?", "max_tokens": tokens}
+    url = installation.gateways["gateway-1"] + "/v1/completions"
+    _call_many(url, {**body, "stream": True}, count, {})
+
+
+def order_many(installation: Installation, count: int) -> None:
+    """Send ``count`` dispatches, each under a key of its own."""
+    url = installation.gateways["gateway-1"] + "/services/dispatch/vans"
+    _call_many(url, {"pillar": "M6"}, count, {"Idempotency-Key": ""})
+
+
+def _call_many(url: str, body: object, count: int, headers: dict[str, str]) -> None:
+    data = json.dumps(body).encode()
+
+    def call(number: int) -> None:
+        request = urllib.request.Request(url, data=data)
+        request.add_header("Authorization", f"Bearer {FOSSE_KEY}")
+        request.add_header("Content-Type", "application/json")
+        for name in headers:
+            request.add_header(name, f"{time.monotonic_ns()}-{number}")
+        with urllib.request.urlopen(request, timeout=60) as response:
+            response.read()
+
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        list(pool.map(call, range(count)))
+
+
+def _start_one_target(installation: Installation, **options: Any) -> None:
+    installation.start_platform()
+    options = {"block_tokens": 2000, **options}
+    installation.start_target("desk-1", "engine", "fault-desk", "dc-east", **options)
+    installation.start_gateway("gateway-1", "dc-east")
+    files = find_files([EXAMPLES / "fosse"])
+    configuration = collect(files).unwrap()
+    asyncio.run(_publish(installation.platform_url, [configuration]))
+    installation.wait_until_ready()
+    time.sleep(2.0)
+
+
+def build_configuration(workspaces: int) -> Configuration:
+    """Return Fosse's configuration with many workspaces."""
+    configuration = collect(find_files([EXAMPLES / "fosse"])).unwrap()
+    many = [_build_workspace(number) for number in range(workspaces)]
+    return msgspec.structs.replace(configuration, workspaces=many)
+
+
+def _build_workspace(number: int) -> Workspace:
+    digest = hashlib.sha256(str(number).encode()).hexdigest()
+    return Workspace(f"workspace-{number}", [digest], ["fault-desk", "dispatch"])
+
+
+def _build_vm(number: int) -> dict[str, Any]:
+    return {
+        "name": f"vm-{number}",
+        "role": "target" if number % 3 else "gateway",
+        "group": "fault-desk",
+        "data_centre": f"dc-{number % 5}",
+        "region": "midlands",
+        "address": f"10.{number % 5}.{number // 250}.{number % 250}:7001",
+        "state": "live",
+    }
+
+
+async def _publish(platform_url: str, steps: list[Configuration]) -> None:
+    """Publish each step as a generation, as one publisher that reads once."""
+    async with HttpPlatform(platform_url) as objects:
+        store = GenerationStore(objects)
+        base = (await store.read()).unwrap()
+        for step in steps:
+            name = str(time.monotonic_ns())
+            base = (await store.publish(base, step, name)).unwrap()
+            await asyncio.sleep(CHANGE_SECONDS)
+
+
+def _measure_idle_cpu(pid: int) -> float:
+    """Return the cores a process uses while nothing is asked of it."""
+    before = read_cpu(pid)
+    time.sleep(IDLE_SECONDS)
+    return (read_cpu(pid) - before) / IDLE_SECONDS
+
+
+def _read_calls(installation: Installation) -> dict[str, int]:
+    return dict(json.loads(fetch(f"{installation.platform_url}/calls")))
+
+
+def _count(before: dict[str, int], after: dict[str, int], kind: str) -> float:
+    return float(after.get(kind, 0) - before.get(kind, 0))
+
+
+def _count_object_reads(before: dict[str, int], after: dict[str, int]) -> float:
+    return _count(before, after, "GET objects")
