--- /dev/null
+++ b/tools/mutate.py
@@ -0,0 +1,74 @@
+"""Takes each safeguard out, one at a time, and sees whether its test turns red.
+
+``make mutations`` prints the table and fails if any test stays green without its
+safeguard. Every mutation works on a copy of the tree.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import fire
+from mutations import MUTATIONS
+
+if TYPE_CHECKING:
+    from mutations import Mutation
+
+ROOT = Path(__file__).resolve().parent.parent
+LEFT_OUT = shutil.ignore_patterns(".venv", ".git", ".mypy_cache", ".ruff_cache")
+TEST_SECONDS = 300
+WORKERS = 4
+
+
+def run_mutation(mutation: Mutation) -> str:
+    """Return ``red``, or what went wrong instead."""
+    with tempfile.TemporaryDirectory(prefix="mutation-") as folder:
+        copy = Path(folder) / "tree"
+        shutil.copytree(ROOT, copy, ignore=LEFT_OUT)
+        path = copy / mutation.file
+        source = path.read_text()
+        if source.count(mutation.old) != 1:
+            return f"the code to change stands {source.count(mutation.old)} times"
+        if not _passes(copy, mutation):
+            return "red before the change"
+        path.write_text(source.replace(mutation.old, mutation.new))
+        return "STAYED GREEN" if _passes(copy, mutation) else "red"
+
+
+def _passes(copy: Path, mutation: Mutation) -> bool:
+    """Run the mutation's test in the copied tree."""
+    sources = [str(p) for p in sorted(copy.glob("libraries/*/src"))]
+    paths = os.pathsep.join([*sources, str(copy / "tools")])
+    done = subprocess.run(
+        [sys.executable, "-m", "unittest", mutation.test],
+        cwd=copy / mutation.suite,
+        env={**os.environ, "PYTHONPATH": paths, "PYTHONDONTWRITEBYTECODE": "1"},
+        capture_output=True,
+        timeout=TEST_SECONDS,
+    )
+    return done.returncode == 0
+
+
+def main(only: str = "") -> None:
+    """Run every mutation whose safeguard contains ``only``."""
+    chosen = [m for m in MUTATIONS if only in m.safeguard]
+    with ThreadPoolExecutor(WORKERS) as pool:
+        outcomes = list(pool.map(run_mutation, chosen))
+    for mutation, outcome in zip(chosen, outcomes, strict=True):
+        print(f"{outcome:14} {mutation.safeguard}  [{mutation.test}]")
+    red = outcomes.count("red")
+    print(
+        f"{red} of {len(outcomes)} safeguards have a test that turns red without them"
+    )
+    sys.exit(0 if red == len(outcomes) else 1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
