--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -18,6 +18,7 @@
     "gateway_channels": measurements.measure_gateway_channels,
     "agent_connections": measurements.measure_agent_connections,
     "workspaces": measurements.measure_workspaces,
+    "propagation": measurements.measure_propagation,
     "vm_list": measurements.measure_vm_list,
     "requests": measurements.measure_requests,
     "claims": measurements.measure_claims,
--- a/tools/capacity/measurements.py
+++ b/tools/capacity/measurements.py
@@ -35,6 +35,8 @@
 FOSSE_KEY = "fosse-demo-key"
 CALLERS = 8
 CHANGES = 10
+# Changes followed by many nodes at once.
+PROPAGATED = 3
 # Between two changes: a gateway has read one before the next comes.
 CHANGE_SECONDS = 0.4
 
@@ -168,6 +170,51 @@
     return _ChangeCost(used, _count(before, after, "bytes GET objects"), calls)
 
 
+def measure_propagation() -> list[Fit]:
+    """Seconds until a change is in force at many nodes, and the platform's calls."""
+    seconds, calls = [], []
+    for count in (50, 100, 200, 400):
+        with Installation() as installation:
+            installation.start_platform()
+            base = build_configuration(400)
+            asyncio.run(_publish(installation.platform_url, [base]))
+            alone = _run_followers(installation, count, 0)
+            moved = _run_followers(installation, count, PROPAGATED)
+            worst = max(moved.seconds)
+            seconds.append((float(count), worst))
+            calls.append((float(count), (moved.calls - alone.calls) / PROPAGATED))
+            installation.stop_all()
+    return [
+        fit_line("worst seconds to all nodes, by nodes", "s", seconds),
+        fit_line("platform reads per change, by nodes", "calls", calls),
+    ]
+
+
+class _Propagation:
+    """Times of some changes and what they cost the platform."""
+
+    def __init__(self, seconds: list[float], calls: float) -> None:
+        self.seconds = seconds
+        self.calls = calls
+
+
+def _run_followers(
+    installation: Installation, count: int, changes: int
+) -> _Propagation:
+    before = _read_calls(installation)
+    arguments = [installation.platform_url, str(count), str(changes)]
+    done = subprocess.run(
+        [sys.executable, "-m", "capacity.followers", *arguments],
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=300,
+    )
+    after = _read_calls(installation)
+    reads = _count_object_reads(before, after) + _count(before, after, "GET watch")
+    return _Propagation(json.loads(done.stdout), reads)
+
+
 def measure_vm_list() -> list[Fit]:
     """What a gateway pays for following the VM list."""
     cpu, size = [], []
