Replay recorded traces against stated outcomes

Change: a library for the trace format, the player, the report and stated outcomes; the command bamboopier replay, exit 1 where an outcome does not hold; a seeded maker. Ruled out: asking that every repeat of a key be answered - one sent while the first still runs is told so truthfully, so that check would hang on the machine's speed.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-LIBRARIES := protocol configuration daemon decisions platform gateway agent cli standins
+LIBRARIES := protocol configuration daemon decisions platform gateway agent replay cli standins
 empty :=
 space := $(empty) $(empty)
 # The sources of this very checkout go first, so a second worktree may share a VENV.
--- a/libraries/cli/src/bamboopier_cli/application.py
+++ b/libraries/cli/src/bamboopier_cli/application.py
@@ -12,6 +12,7 @@
 from .commands.check import check
 from .commands.gateway import gateway
 from .commands.publish import publish
+from .commands.replay import replay
 from .commands.version import version
 from .exits import FAILURE, USAGE, CommandError
 
@@ -20,6 +21,7 @@
     "check": check,
     "gateway": gateway,
     "publish": publish,
+    "replay": replay,
     "version": version,
 }
 
--- /dev/null
+++ b/libraries/replay/src/bamboopier_replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replays a recorded trace against a gateway and checks stated outcomes."""
--- /dev/null
+++ b/libraries/replay/src/bamboopier_replay/expectations.py
@@ -0,0 +1,74 @@
+"""Stated outcomes of a trace and whether a replay met them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Literal
+
+import msgspec
+from result import Err, Ok, Result
+
+from bamboopier_configuration.errors import BamboopierError
+
+from .report import ALL
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from .report import Summary
+
+Measure = Literal[
+    "answered_share",
+    "first_byte_p50",
+    "first_byte_p95",
+    "first_byte_p99",
+    "whole_p95",
+    "recomputed_share",
+    "hinted_share",
+    "keys_with_two_answers",
+]
+
+
+class ExpectationError(BamboopierError):
+    """A file of stated outcomes that may not be used."""
+
+
+class Expectation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A bound on one measure of one tag."""
+
+    measure: Measure
+    tag: str = ALL
+    at_least: float | None = None
+    at_most: float | None = None
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """One stated outcome with what was found; ``found`` is None without requests."""
+
+    expectation: Expectation
+    found: float | None
+    holds: bool
+
+
+def read_expectations(path: Path) -> Result[list[Expectation], ExpectationError]:
+    """Read a JSON list of stated outcomes."""
+    try:
+        return Ok(msgspec.json.decode(path.read_bytes(), type=list[Expectation]))
+    except OSError as error:
+        return Err(ExpectationError(f"{path}: {error.strerror}"))
+    except msgspec.MsgspecError as error:
+        return Err(ExpectationError(f"{path}: {error}"))
+
+
+def judge(expectations: list[Expectation], summaries: list[Summary]) -> list[Verdict]:
+    """Compare each stated outcome with the replay's figures."""
+    by_tag = {summary.tag: summary for summary in summaries}
+    return [_judge_one(e, by_tag.get(e.tag)) for e in expectations]
+
+
+def _judge_one(expectation: Expectation, summary: Summary | None) -> Verdict:
+    if summary is None or summary.requests == 0:
+        return Verdict(expectation, None, holds=False)
+    found = float(getattr(summary, expectation.measure))
+    low = expectation.at_least is None or found >= expectation.at_least
+    high = expectation.at_most is None or found <= expectation.at_most
+    return Verdict(expectation, found, low and high)
--- /dev/null
+++ b/libraries/replay/src/bamboopier_replay/maker.py
@@ -0,0 +1,88 @@
+"""Makes small traces in the shape of the two users' work, from a seed."""
+
+from __future__ import annotations
+
+import random
+
+from .trace import (
+    FORMAT,
+    Header,
+    ModelRequest,
+    Part,
+    PlainRequest,
+    Trace,
+    TracedRequest,
+)
+
+# A pillar's whole maintenance history and a shop's catalogue, in words.
+HISTORY_WORDS = 6000
+CATALOGUE_WORDS = 8000
+QUESTION_WORDS = 30
+# Gaps between a caller's returns, from seconds to days, all equally likely in log.
+SHORTEST_GAP = 5.0
+LONGEST_GAP = 3 * 86_400.0
+
+
+def make_fault_desk_trace(seed: int, pillars: int, returns: int) -> Trace:
+    """Conversations about pillars that come back after long and uneven gaps."""
+    generator = random.Random(seed)
+    requests: list[TracedRequest] = []
+    for pillar in range(pillars):
+        at = generator.uniform(0, 600)
+        parts = [Part(seed=f"history-{pillar}", words=HISTORY_WORDS)]
+        for turn in range(returns):
+            parts.append(Part(seed=f"turn-{pillar}-{turn}", words=QUESTION_WORDS))
+            model = ModelRequest("pillar-8b", list(parts))
+            tag = "first" if turn == 0 else "return"
+            requests.append(TracedRequest(at, "fosse-midlands", tag, model=model))
+            at += _draw_gap(generator)
+    ordered = tuple(sorted(requests, key=lambda request: request.at))
+    header = Header(FORMAT, f"fault desk, seed {seed}, {pillars} pillars")
+    return Trace(header, ordered)
+
+
+def make_dispatch_trace(seed: int, orders: int, repeats: int) -> Trace:
+    """Van dispatches, each sent several times under its key."""
+    generator = random.Random(seed)
+    requests: list[TracedRequest] = []
+    for order in range(orders):
+        plain = PlainRequest("POST", "/services/dispatch/vans", f'{{"pillar":{order}}}')
+        at = generator.uniform(0, 10)
+        for _ in range(repeats):
+            requests.append(
+                TracedRequest(
+                    at,
+                    "fosse-midlands",
+                    "dispatch",
+                    plain=plain,
+                    idempotency_key=f"order-{seed}-{order}",
+                )
+            )
+            at += generator.uniform(0.5, 2.0)
+    ordered = tuple(sorted(requests, key=lambda request: request.at))
+    return Trace(Header(FORMAT, f"dispatches, seed {seed}"), ordered)
+
+
+def make_ordering_trace(seed: int, questions: int, catalogues: int) -> Trace:
+    """Short questions about a few long catalogues that recur all day."""
+    generator = random.Random(seed)
+    requests: list[TracedRequest] = []
+    at = 0.0
+    for question in range(questions):
+        # A few catalogues get most of the questions.
+        catalogue = min(int(generator.expovariate(1.0)), catalogues - 1)
+        parts = [
+            Part(seed=f"catalogue-{catalogue}", words=CATALOGUE_WORDS),
+            Part(seed=f"question-{question}", words=QUESTION_WORDS),
+        ]
+        model = ModelRequest("rind-3b", parts)
+        tag = f"catalogue-{catalogue}"
+        requests.append(TracedRequest(at, "gouda-counter", tag, model=model))
+        at += generator.expovariate(0.5)
+    return Trace(Header(FORMAT, f"ordering, seed {seed}"), tuple(requests))
+
+
+def _draw_gap(generator: random.Random) -> float:
+    """Return a gap in seconds, log-uniform between the shortest and the longest."""
+    exponent = generator.random()
+    return float(SHORTEST_GAP * (LONGEST_GAP / SHORTEST_GAP) ** exponent)
--- /dev/null
+++ b/libraries/replay/src/bamboopier_replay/prompts.py
@@ -0,0 +1,21 @@
+"""Makes the words of a prompt from its parts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .trace import Part
+
+
+def make_prompt(parts: Iterable[Part]) -> str:
+    """Return the prompt's text; equal parts always give equal words."""
+    return " ".join(piece for part in parts if (piece := _make_part(part)))
+
+
+def _make_part(part: Part) -> str:
+    if part.text:
+        return part.text
+    return " ".join(f"{part.seed}-{number}" for number in range(part.words))
--- /dev/null
+++ b/libraries/replay/src/bamboopier_replay/report.py
@@ -0,0 +1,93 @@
+"""Sums up what callers saw, by tag."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from .observation import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .observation import Observation
+
+# Histograms count microseconds up to an hour with three digits.
+MAX_MICROSECONDS = 3_600_000_000
+DIGITS = 3
+# The tag under which all requests are summed up together.
+ALL = "all"
+
+
+class Summary(msgspec.Struct):
+    """One tag's figures. Times are in seconds."""
+
+    tag: str
+    requests: int
+    outcomes: dict[str, int]
+    codes: dict[str, int]
+    answered_share: float
+    first_byte_p50: float
+    first_byte_p95: float
+    first_byte_p99: float
+    whole_p95: float
+    # Prompt tokens computed anew, of all prompt tokens of answered requests.
+    recomputed_share: float
+    # Share of refusals that said when to come back.
+    hinted_share: float
+    # Keys whose repeated requests got different answers.
+    keys_with_two_answers: int
+
+
+def summarize(observations: list[Observation]) -> list[Summary]:
+    """Return a summary for all requests and one for each tag."""
+    tags = sorted({o.tag for o in observations})
+    groups = [(tag, [o for o in observations if o.tag == tag]) for tag in tags]
+    return [_sum_up(tag, group) for tag, group in [(ALL, observations), *groups]]
+
+
+def _sum_up(tag: str, observations: list[Observation]) -> Summary:
+    answered = [o for o in observations if o.outcome is Outcome.ANSWERED]
+    refused = [o for o in observations if o.outcome is Outcome.REFUSED]
+    first = _count(o.first_byte for o in answered)
+    whole = _count(o.whole for o in answered)
+    prompt = sum(o.prompt_tokens for o in answered)
+    cached = sum(o.cached_tokens for o in answered)
+    hinted = sum(o.retry_after > 0 for o in refused)
+    return Summary(
+        tag=tag,
+        requests=len(observations),
+        outcomes=dict(Counter(o.outcome.value for o in observations)),
+        codes=dict(Counter(o.code for o in observations if o.code)),
+        answered_share=len(answered) / max(1, len(observations)),
+        first_byte_p50=_read(first, 50),
+        first_byte_p95=_read(first, 95),
+        first_byte_p99=_read(first, 99),
+        whole_p95=_read(whole, 95),
+        recomputed_share=(prompt - cached) / max(1, prompt),
+        hinted_share=hinted / len(refused) if refused else 1.0,
+        keys_with_two_answers=_count_split_keys(answered),
+    )
+
+
+def _count(seconds: Iterable[float]) -> HdrHistogram:
+    histogram = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+    for value in seconds:
+        histogram.record_value(max(1, int(value * 1e6)))
+    return histogram
+
+
+def _read(histogram: HdrHistogram, percentile: float) -> float:
+    return float(histogram.get_value_at_percentile(percentile)) / 1e6
+
+
+def _count_split_keys(answered: list[Observation]) -> int:
+    digests: dict[tuple[str, str], set[str]] = {}
+    for seen in answered:
+        if seen.idempotency_key:
+            key = (seen.workspace, seen.idempotency_key)
+            digests.setdefault(key, set()).add(seen.body_digest)
+    return sum(len(found) > 1 for found in digests.values())
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,63 @@
+"""A recorded trace against real processes and stated outcomes."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from collections import Counter
+from pathlib import Path
+
+from processes import Installation
+
+from bamboopier_replay.maker import make_dispatch_trace
+from bamboopier_replay.trace import write_trace
+
+from .builders import FOSSE_KEY, VANS, build_small_installation
+
+ORDERS = 20
+SENDS = 3
+
+
+class ReplayTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.installation = self.enterContext(Installation())
+        build_small_installation(self.installation, gateways=2)
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        (self.folder / "keys").write_text(json.dumps({"fosse-midlands": FOSSE_KEY}))
+        write_trace(self.folder / "trace", make_dispatch_trace(7, ORDERS, SENDS))
+
+    def replay(self, answered_share: float) -> tuple[int, str]:
+        stated = [
+            {"measure": "answered_share", "at_least": answered_share},
+            {"measure": "keys_with_two_answers", "at_most": 0},
+        ]
+        (self.folder / "outcomes").write_text(json.dumps(stated))
+        done = self.installation.run_command(
+            "replay",
+            f"--trace={self.folder / 'trace'}",
+            f"--gateways={','.join(self.installation.gateways.values())}",
+            f"--keys={self.folder / 'keys'}",
+            f"--outcomes={self.folder / 'outcomes'}",
+            "--speed=20",
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def test_repeated_dispatches_through_two_gateways_run_once_each(self) -> None:
+        # Each of 20 orders is sent three times under its key, the repeats through the
+        # other gateway; a repeat is answered like the first or, while the first still
+        # runs, told so; vans leave once.
+        status, output = self.replay(answered_share=1 / SENDS)
+        self.assertEqual(status, 0, output)
+        log = self.installation.read_target_log(VANS)
+        runs = Counter(entry["body"] for entry in log)
+        self.assertEqual(set(runs.values()), {1})
+        self.assertEqual(len(runs), ORDERS)
+
+    def test_a_missed_outcome_ends_with_one(self) -> None:
+        # One gateway is killed before the replay: its callers see cut connections,
+        # the stated share of answers is missed, and the command says so.
+        self.installation.daemons["gateway-2"].kill()
+        status, output = self.replay(answered_share=1.0)
+        self.assertEqual(status, 1, output)
+        self.assertIn("MISSED: all answered_share", output)
--- /dev/null
+++ b/tools/capacity/size.py
@@ -0,0 +1,28 @@
+"""The size to design for, as the users' first letter gives it."""
+
+from __future__ import annotations
+
+GATEWAYS = 340
+TARGETS = 730
+REQUESTS_PER_SECOND = 3100.0
+TOKENS_PER_SECOND = 1.2e6
+WORKSPACES = 6300
+PROMPTS = 1.8e6
+DATA_CENTRES = 5
+CHANGES_PER_DAY = 2300
+CHANGE_SECONDS = 18.0
+FAILURES_PER_DAY = 16
+RESTARTS_PER_DAY = 84
+
+CPU_LIMIT_PERCENT = 2.2
+MEMORY_LIMIT_MB = 256.0
+TRAFFIC_LIMIT_KB = 22.0
+
+# "About two thousand reads a second" and "several hundred writes" of the brief.
+PLATFORM_READS = 2000.0
+PLATFORM_WRITES = 300.0
+
+DAY = 86_400.0
+NODES = GATEWAYS + TARGETS
+# Store VMs are not counted by the letter; a tenth of the targets is assumed.
+LISTED_VMS = NODES + TARGETS // 10
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -14,12 +14,13 @@
     "protocol": set(),
     "configuration": set(),
     "standins": set(),
+    "replay": {"configuration"},
     "daemon": {"configuration"},
     "platform": {"configuration"},
     "gateway": {"configuration", "daemon", "decisions", "platform", "protocol"},
     "agent": {"configuration", "daemon", "decisions", "platform", "protocol"},
     "cli": {"agent", "configuration", "daemon", "decisions", "gateway", "platform"}
-    | {"protocol"},
+    | {"protocol", "replay"},
 }
 # What the decision library may use: pure computation only.
 PURE_MODULES = frozenset(
