Drive the decisions under simulated time

Cause: nothing measured what callers receive when the fleet is full.

Change: tools/bench_load runs the unchanged Router and Admission under a heap of events, with fake engines (shared prefill, a batch with a knee, a prefix cache, cold phases that fall over) and callers that obey Retry-After or ask again at once.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo demo-stay test check format types protocol mutations bench capacity
+.PHONY: demo demo-stay test check format types protocol mutations bench bench-load capacity
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
@@ -29,6 +29,10 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+# Simulated time only; the table with its baselines takes some minutes.
+bench-load: $(VENV)/ready
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.table
+
 # Only needed after editing the .proto file; its output is committed.
 protocol: $(VENV)/ready
 	cd libraries/protocol/src && $(abspath $(PYTHON)) -m grpc_tools.protoc -I . \
--- /dev/null
+++ b/tools/bench_load/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the unchanged routing and admission decisions under simulated time."""
--- /dev/null
+++ b/tools/bench_load/baselines.py
@@ -0,0 +1,111 @@
+"""What the decisions are compared with: two routers without admission control."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from bamboopier_decisions.admission.messages import (
+    Start,
+    WorkArrived,
+    WorkEnded,
+    WorkWithdrawn,
+)
+from bamboopier_decisions.routing.messages import (
+    AttemptEnded,
+    Deliver,
+    FleetChanged,
+    Ran,
+    Refuse,
+    RefuseReason,
+    RequestArrived,
+    Send,
+    SendReason,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bamboopier_decisions.admission.messages import (
+        AdmissionDecision,
+        AdmissionEvent,
+    )
+    from bamboopier_decisions.routing.messages import RoutingDecision, RoutingEvent
+
+
+class UnboundedFifo:
+    """Runs a fixed number at once; all others wait in order of arrival."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.prefill_rate = 0.0
+        self.accepting = True
+        self._queue: deque[str] = deque()
+        self._running: set[str] = set()
+
+    @property
+    def running(self) -> int:
+        """Return how many requests the target has."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    def estimate_delay(self) -> float:
+        """Return nothing: this baseline does not estimate."""
+        return 0.0
+
+    def handle(self, event: AdmissionEvent) -> list[AdmissionDecision]:
+        """Start what there is a slot for."""
+        if isinstance(event, WorkArrived):
+            self._queue.append(event.request_id)
+        elif isinstance(event, WorkEnded):
+            self._running.discard(event.request_id)
+        elif isinstance(event, WorkWithdrawn) and event.request_id in self._queue:
+            self._queue.remove(event.request_id)
+        decisions: list[AdmissionDecision] = []
+        while self._queue and len(self._running) < self.limit:
+            request_id = self._queue.popleft()
+            self._running.add(request_id)
+            decisions.append(Start(request_id))
+        return decisions
+
+
+class PlainRouter:
+    """Round robin, or the fewest unanswered requests of this gateway."""
+
+    def __init__(self, random: Random, least_loaded: bool) -> None:
+        self._random = random
+        self._least_loaded = least_loaded
+        self._open: dict[str, int] = {}
+        self._next = 0
+
+    def handle(self, event: RoutingEvent) -> RoutingDecision | None:
+        """Send once; there is no second attempt."""
+        if isinstance(event, FleetChanged):
+            self._open = {v.target: self._open.get(v.target, 0) for v in event.targets}
+        elif isinstance(event, RequestArrived):
+            target = self._choose()
+            self._open[target] += 1
+            return Send(event.request_id, target, SendReason.LEAST_DELAY, ())
+        elif isinstance(event, AttemptEnded):
+            if event.target in self._open:
+                self._open[event.target] -= 1
+            if event.ran is Ran.YES or event.delivered:
+                return Deliver(event.request_id)
+            reason = RefuseReason.TARGET_FAILED
+            return Refuse(event.request_id, reason, event.ran, 1.0)
+        return None
+
+    def abandon(self, request_id: str) -> None:
+        """Forget nothing: this baseline keeps no requests."""
+
+    def _choose(self) -> str:
+        names = list(self._open)
+        if self._least_loaded:
+            least = min(self._open.values())
+            return self._random.choice([n for n in names if self._open[n] == least])
+        self._next += 1
+        return names[self._next % len(names)]
--- /dev/null
+++ b/tools/bench_load/scenarios.py
@@ -0,0 +1,234 @@
+"""The load patterns: who asks for what and when, and what happens to the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+from .orders import Behaviour, Order
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .engine import EngineShape
+    from .simulation import Simulation
+
+# Answers a second that one warm engine of the usual shape gives to the usual mix;
+# measured by ``measure_capacity``.
+CAPACITY = 5.5
+WORKSPACES = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """A kind of order; token counts are means of an exponential, capped at fourfold."""
+
+    prompt_tokens: int = 800
+    output_tokens: int = 60
+    max_tokens: int = 256
+    # Seconds a caller waits for the whole answer.
+    patience: float = 12.0
+
+
+USUAL = Mix()
+LONG = Mix(prompt_tokens=16_000, output_tokens=240, max_tokens=960, patience=60.0)
+
+
+@dataclass(slots=True)
+class Scenario:
+    """A load pattern over a fleet."""
+
+    name: str
+    orders: list[Order]
+    targets: int
+    # Orders that arrive before this second are not judged: the fleet warms up.
+    judged_from: float = 10.0
+    seconds: float = 60.0
+    cold: bool = False
+    shape: EngineShape | None = None
+    prepare: Callable[[Simulation], None] = field(default=lambda _: None)
+
+
+class OrderMaker:
+    """Draws orders; all draws come from one seeded generator."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = Random(seed)
+        self.orders: list[Order] = []
+
+    def add(
+        self,
+        rate: float,
+        start: float,
+        end: float,
+        mix: Mix = USUAL,
+        workspace: str = "",
+        behaviour: Behaviour = Behaviour.OBEDIENT,
+        prefix: str = "",
+        shared_tokens: int = 0,
+        sources: int = WORKSPACES,
+    ) -> OrderMaker:
+        """Add Poisson arrivals; without a workspace they spread over all evenly."""
+        draw = self._random
+        now = start + draw.expovariate(rate)
+        while now < end:
+            source = workspace or f"w{draw.randrange(sources)}"
+            prompt = self._draw_tokens(mix.prompt_tokens)
+            order = Order(
+                order_id=len(self.orders),
+                workspace=source,
+                arrival=now,
+                prompt_tokens=prompt + shared_tokens,
+                output_tokens=self._draw_tokens(mix.output_tokens),
+                deadline=now + mix.patience,
+                max_tokens=mix.max_tokens,
+                prefix=prefix,
+                shared_tokens=shared_tokens,
+                behaviour=behaviour,
+            )
+            self.orders.append(order)
+            now += draw.expovariate(rate)
+        return self
+
+    def _draw_tokens(self, mean: int) -> int:
+        return 1 + int(min(4 * mean, self._random.expovariate(1 / mean)))
+
+
+def make_overload(
+    factor: float, targets: int, behaviour: Behaviour, seconds: float = 60.0
+) -> Scenario:
+    """``factor`` times the fleet's capacity, all the time."""
+    maker = OrderMaker(11)
+    rate = factor * CAPACITY * targets
+    maker.add(rate, 0.0, seconds, behaviour=behaviour)
+    name = f"overload x{factor:g} {behaviour.value}"
+    return Scenario(name, maker.orders, targets, 15.0, seconds)
+
+
+def make_burst(targets: int) -> Scenario:
+    """Half of capacity, and for three seconds six times as much."""
+    maker = OrderMaker(12)
+    capacity = CAPACITY * targets
+    maker.add(0.5 * capacity, 0.0, 50.0)
+    maker.add(6 * capacity, 20.0, 23.0)
+    return Scenario("burst", maker.orders, targets, 15.0, 50.0)
+
+
+def make_hot_caller(
+    targets: int,
+    hot: bool,
+    behaviour: Behaviour = Behaviour.OBEDIENT,
+    seconds: float = 45.0,
+) -> Scenario:
+    """Nine workspaces at 70% of their shares; the tenth at 100 times its share."""
+    maker = OrderMaker(13)
+    share = CAPACITY * targets / WORKSPACES
+    maker.add(0.7 * share * (WORKSPACES - 1), 0.0, seconds, sources=WORKSPACES - 1)
+    name = "hot caller: others without it"
+    if hot:
+        name = f"hot caller: others with it, {behaviour.value}"
+        maker.add(100 * share, 0.0, seconds, workspace="hot", behaviour=behaviour)
+    return Scenario(name, maker.orders, targets, 15.0, seconds)
+
+
+def make_hot_prefix(targets: int) -> Scenario:
+    """Half of all orders share a catalogue of 6,000 tokens: more than one carries."""
+    maker = OrderMaker(14)
+    capacity = CAPACITY * targets
+    maker.add(0.4 * capacity, 0.0, 45.0)
+    short = Mix(prompt_tokens=200, output_tokens=40, max_tokens=160)
+    hot = 0.4 * capacity
+    maker.add(hot, 0.0, 45.0, short, prefix="catalogue", shared_tokens=6000)
+    return Scenario("hot prefix", maker.orders, targets, 15.0, 45.0)
+
+
+def make_slow_target(targets: int) -> Scenario:
+    """At 60% of capacity one target falls to a tenth of its speed for half a minute."""
+    maker = OrderMaker(15)
+    maker.add(0.6 * CAPACITY * targets, 0.0, 60.0)
+
+    def prepare(simulation: Simulation) -> None:
+        engine = simulation.agents["t0"].engine
+        simulation.clock.call_at(15.0, lambda: engine.set_speed(0.1))
+        simulation.clock.call_at(45.0, lambda: engine.set_speed(1.0))
+
+    return Scenario("slow target", maker.orders, targets, 15.0, 60.0, prepare=prepare)
+
+
+def make_long_among_short(targets: int) -> Scenario:
+    """Short orders at 60% of capacity, and long ones enough to fill the rest twice."""
+    maker = OrderMaker(16)
+    maker.add(0.6 * CAPACITY * targets, 0.0, 60.0)
+    maker.add(0.08 * CAPACITY * targets, 0.0, 60.0, LONG)
+    return Scenario("long among short", maker.orders, targets, 15.0, 60.0)
+
+
+def make_cold_fleet(targets: int) -> Scenario:
+    """Every engine starts cold and meets 80% of the warm fleet's capacity at once."""
+    maker = OrderMaker(17)
+    maker.add(0.8 * CAPACITY * targets, 0.0, 60.0)
+    return Scenario("cold fleet", maker.orders, targets, 0.0, 60.0, cold=True)
+
+
+def make_sudden_cold(targets: int) -> Scenario:
+    """A third of the engines turn cold without a new start id; load 60%."""
+    maker = OrderMaker(19)
+    maker.add(0.6 * CAPACITY * targets, 0.0, 60.0)
+    chilled = [f"t{n}" for n in range(targets // 3)]
+
+    def prepare(simulation: Simulation) -> None:
+        for name in chilled:
+            simulation.clock.call_at(20.0, simulation.agents[name].engine.chill)
+
+    return Scenario("sudden cold", maker.orders, targets, 15.0, 60.0, prepare=prepare)
+
+
+def make_data_centre(targets: int) -> Scenario:
+    """A third of the fleet leaves at 20 s and returns cold at 40 s.
+
+    The load is 80% of what the remaining two thirds can carry.
+    """
+    maker = OrderMaker(18)
+    maker.add(0.8 * CAPACITY * targets * 2 / 3, 0.0, 80.0)
+    names = [f"t{n}" for n in range(targets)]
+    leaving = names[: targets // 3]
+
+    def leave(simulation: Simulation) -> None:
+        simulation.announce(names[targets // 3 :])
+        for name in leaving:
+            simulation.agents[name].stop()
+
+    def come_back(simulation: Simulation) -> None:
+        for name in leaving:
+            simulation.agents[name].start_cold()
+        simulation.announce(names)
+
+    def prepare(simulation: Simulation) -> None:
+        simulation.clock.call_at(20.0, lambda: leave(simulation))
+        simulation.clock.call_at(40.0, lambda: come_back(simulation))
+
+    return Scenario("data centre", maker.orders, targets, 15.0, 80.0, prepare=prepare)
+
+
+def list_scenarios(targets: int = 9) -> list[Scenario]:
+    """Return every load pattern of the table."""
+    obedient, eager = Behaviour.OBEDIENT, Behaviour.EAGER
+    return [
+        make_overload(1.0, targets, obedient),
+        make_overload(1.5, targets, obedient),
+        make_overload(2.0, targets, obedient),
+        make_overload(5.0, targets, obedient),
+        make_overload(1.0, targets, eager),
+        make_overload(5.0, targets, eager),
+        make_burst(targets),
+        make_hot_caller(targets, hot=False),
+        make_hot_caller(targets, hot=True),
+        make_hot_caller(targets, True, eager),
+        make_hot_prefix(targets),
+        make_slow_target(targets),
+        make_long_among_short(targets),
+        make_cold_fleet(targets),
+        make_sudden_cold(targets),
+        make_data_centre(targets),
+    ]
--- /dev/null
+++ b/tools/bench_load/simulation.py
@@ -0,0 +1,393 @@
+"""Callers, gateways and agents around the decisions, under simulated time."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING, Protocol
+
+from bamboopier_decisions.admission.messages import (
+    FirstToken,
+    Reject,
+    Start,
+    StopRequested,
+    TargetRestarted,
+    Tick,
+    WorkArrived,
+    WorkEnded,
+    WorkWithdrawn,
+)
+from bamboopier_decisions.routing.messages import (
+    AttemptEnded,
+    Distance,
+    FleetChanged,
+    Ran,
+    Refuse,
+    RequestArrived,
+    Send,
+    TargetLoad,
+    TargetReported,
+    TargetView,
+)
+
+from .clock import SimulatedClock
+from .engine import EngineShape, SimulatedEngine
+from .orders import Behaviour, Order
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from bamboopier_decisions.admission.messages import (
+        AdmissionDecision,
+        AdmissionEvent,
+    )
+    from bamboopier_decisions.routing.messages import RoutingDecision, RoutingEvent
+
+HOP_SECONDS = 0.001
+TICK_SECONDS = 0.1
+# An eager caller asks again after this, so many times.
+EAGER_SECONDS = 0.1
+EAGER_ASKS = 20
+# Callers that see a broken answer or a useless hint ask again after this.
+PLAIN_RETRY_SECONDS = 1.0
+SERVICE = "chat"
+BLOCK_TOKENS = 100
+
+
+class AdmissionFront(Protocol):
+    """What the driver needs of an agent's decisions."""
+
+    @property
+    def running(self) -> int:
+        """Return how many requests the target has."""
+        ...
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        ...
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests the target may have at once."""
+        ...
+
+    @property
+    def prefill_rate(self) -> float:
+        """Return prompt tokens a second, 0 when unknown."""
+        ...
+
+    @property
+    def accepting(self) -> bool:
+        """Say whether new work is taken at all."""
+        ...
+
+    def estimate_delay(self) -> float:
+        """Return the expected seconds until a new request would start."""
+        ...
+
+    def handle(self, event: AdmissionEvent) -> list[AdmissionDecision]:
+        """Take one event; return the decisions it calls for."""
+        ...
+
+
+class RouterFront(Protocol):
+    """What the driver needs of a gateway's decisions."""
+
+    def handle(self, event: RoutingEvent) -> RoutingDecision | None:
+        """Take one event; return the decision it calls for, if any."""
+        ...
+
+    def abandon(self, request_id: str) -> None:
+        """Forget a request whose caller has left."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Makes the decisions that a run is about."""
+
+    name: str
+    make_admission: Callable[[Random], AdmissionFront]
+    make_router: Callable[[Random], RouterFront]
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One order at one agent, with the ways back to its gateway."""
+
+    order: Order
+    ask_id: str
+    target: str
+    sent: float
+    first_byte: float = 0.0
+
+
+class SimulatedAgent:
+    """An agent: the only way to its engine."""
+
+    def __init__(self, simulation: Simulation, name: str, cold: bool) -> None:
+        self.name = name
+        self._simulation = simulation
+        self._clock = simulation.clock
+        self.engine = SimulatedEngine(simulation.clock, simulation.shape, cold)
+        self.engine.on_restart = partial(self._note_restart)
+        self.admission = simulation.make_admission()
+        self.out = False
+        self._attempts: dict[str, _Attempt] = {}
+        self._tick()
+
+    def report(self) -> TargetLoad:
+        """Return the load as it is piggybacked on answers."""
+        admission = self.admission
+        return TargetLoad(
+            running=admission.running,
+            waiting=admission.waiting,
+            limit=admission.limit,
+            prefill_rate=admission.prefill_rate,
+            queue_delay=admission.estimate_delay(),
+            accepting=admission.accepting and self.engine.up,
+            start_id=str(self.engine.starts),
+        )
+
+    def restart_agent(self) -> None:
+        """Replace the agent process: streams break, its memory is gone."""
+        for ask_id in list(self._attempts):
+            self.engine.cancel(ask_id)
+            self._fail(ask_id)
+        self.admission = self._simulation.make_admission()
+
+    def stop(self) -> None:
+        """Leave: what waits is turned away, what runs goes on."""
+        self.out = True
+        self.tell(StopRequested(self._clock.now))
+
+    def start_cold(self) -> None:
+        """Come back as a fresh VM: a new agent process and a cold engine."""
+        self.out = False
+        self.engine.chill()
+        self.engine.starts += 1
+        self.admission = self._simulation.make_admission()
+
+    def serve(self, attempt: _Attempt) -> None:
+        """Take an attempt from a gateway."""
+        order = attempt.order
+        self._attempts[attempt.ask_id] = attempt
+        if not self.engine.up:
+            self._fail(attempt.ask_id, Ran.NO)
+            return
+        work = WorkArrived(
+            now=self._clock.now,
+            request_id=attempt.ask_id,
+            workspace=order.workspace,
+            weight=1.0,
+            priority=order.priority,
+            deadline=order.deadline,
+            prompt_tokens=order.prompt_tokens,
+            max_tokens=order.max_tokens,
+        )
+        self.tell(work)
+        if order.deadline > self._clock.now:
+            self._clock.call_at(order.deadline, lambda: self._cancel(attempt.ask_id))
+
+    def tell(self, event: AdmissionEvent) -> None:
+        """Pass an event to the decisions and carry out what they answer."""
+        for decision in self.admission.handle(event):
+            if isinstance(decision, Start):
+                self._start(decision.request_id)
+            else:
+                self._reject(decision)
+
+    def _start(self, ask_id: str) -> None:
+        attempt = self._attempts.get(ask_id)
+        if attempt is None:
+            self.tell(WorkEnded(self._clock.now, ask_id, answered=False))
+            return
+        if not self.engine.up:
+            self._fail(ask_id, Ran.NO)
+            return
+        self.engine.run(
+            ask_id,
+            attempt.order,
+            lambda new: self._note_first(ask_id, new),
+            lambda: self._finish(ask_id),
+            lambda: self._fail(ask_id),
+        )
+
+    def _note_first(self, ask_id: str, new: int) -> None:
+        attempt = self._attempts[ask_id]
+        attempt.first_byte = self._clock.now - attempt.sent
+        attempt.order.first_token = self._clock.now + HOP_SECONDS
+        self.tell(FirstToken(self._clock.now, ask_id, new))
+        self._simulation.hear(self, attempt)
+
+    def _finish(self, ask_id: str) -> None:
+        attempt = self._attempts.pop(ask_id)
+        tokens = attempt.order.output_tokens
+        self.tell(WorkEnded(self._clock.now, ask_id, True, tokens))
+        self._answer(attempt, Ran.YES)
+
+    def _fail(self, ask_id: str, ran: Ran = Ran.UNKNOWN) -> None:
+        attempt = self._attempts.pop(ask_id)
+        self.tell(WorkWithdrawn(self._clock.now, ask_id))
+        self.tell(WorkEnded(self._clock.now, ask_id, answered=False))
+        self._answer(attempt, ran, broken=True)
+
+    def _reject(self, reject: Reject) -> None:
+        attempt = self._attempts.pop(reject.request_id, None)
+        if attempt is not None:
+            self._answer(attempt, Ran.NO, reject.retry_after)
+
+    def _cancel(self, ask_id: str) -> None:
+        """The caller left at its deadline."""
+        attempt = self._attempts.pop(ask_id, None)
+        if attempt is None:
+            return
+        order_id = str(attempt.order.order_id)
+        self.engine.cancel(ask_id)
+        self.tell(WorkWithdrawn(self._clock.now, ask_id))
+        self.tell(WorkEnded(self._clock.now, ask_id, answered=True))
+        self._simulation.abandon(order_id)
+
+    def _answer(
+        self, attempt: _Attempt, ran: Ran, wait: float = 0.0, broken: bool = False
+    ) -> None:
+        ended = AttemptEnded(
+            now=self._clock.now + HOP_SECONDS,
+            request_id=str(attempt.order.order_id),
+            target=self.name,
+            ran=ran,
+            retry_after=wait,
+            broken=broken,
+            delivered=attempt.first_byte > 0 and ran is not Ran.NO,
+            first_byte=attempt.first_byte,
+        )
+        load = self.report()
+        self._clock.call_later(
+            HOP_SECONDS, lambda: self._simulation.end(attempt, ended, load)
+        )
+
+    def _note_restart(self) -> None:
+        self.tell(TargetRestarted(self._clock.now))
+
+    def _tick(self) -> None:
+        self.tell(Tick(self._clock.now))
+        self._clock.call_later(TICK_SECONDS, self._tick)
+
+
+class Simulation:
+    """Some gateways and agents, and the callers' orders."""
+
+    def __init__(
+        self,
+        policy: Policy,
+        targets: int,
+        gateways: int = 3,
+        seed: int = 1,
+        shape: EngineShape | None = None,
+        cold: bool = False,
+    ) -> None:
+        self.clock = SimulatedClock()
+        self.shape = shape or EngineShape()
+        self.orders: list[Order] = []
+        self._policy = policy
+        self._random = Random(seed)
+        self._routers = [
+            policy.make_router(Random(self._random.random())) for _ in range(gateways)
+        ]
+        names = [f"t{number}" for number in range(targets)]
+        self.agents = {name: SimulatedAgent(self, name, cold) for name in names}
+        self._homes: dict[str, RouterFront] = {}
+        self.announce(names)
+
+    def make_admission(self) -> AdmissionFront:
+        """Return a fresh admission for an agent process."""
+        return self._policy.make_admission(Random(self._random.random()))
+
+    def abandon(self, order_id: str) -> None:
+        """Tell the gateway that its caller left."""
+        self._homes[order_id].abandon(order_id)
+
+    def announce(self, names: Sequence[str]) -> None:
+        """Tell every gateway which targets may be used."""
+        views = tuple(
+            TargetView(name, SERVICE, Distance.SAME_DATA_CENTRE) for name in names
+        )
+        for router in self._routers:
+            router.handle(FleetChanged(self.clock.now, views))
+
+    def submit(self, orders: Sequence[Order]) -> None:
+        """Let the callers ask at their arrival times."""
+        for order in orders:
+            self.orders.append(order)
+            self.clock.call_at(order.arrival, partial(self._ask, order))
+
+    def run(self, until: float) -> None:
+        """Run to second ``until``."""
+        self.clock.run(until)
+
+    def hear(self, agent: SimulatedAgent, attempt: _Attempt) -> None:
+        """Bring the load that came with an answer's head to its gateway."""
+        router = self._homes[str(attempt.order.order_id)]
+        event = TargetReported(self.clock.now, agent.name, agent.report())
+        router.handle(event)
+
+    def end(self, attempt: _Attempt, ended: AttemptEnded, load: TargetLoad) -> None:
+        """Bring an attempt's end to its gateway and carry out the decision."""
+        order = attempt.order
+        router = self._homes[ended.request_id]
+        router.handle(TargetReported(self.clock.now, ended.target, load))
+        self._follow(order, router.handle(ended), ended.ran)
+
+    def _ask(self, order: Order) -> None:
+        if self.clock.now >= order.deadline or order.in_time:
+            return
+        order.asks += 1
+        order.asked = self.clock.now
+        order.first_token = 0.0
+        router = self._random.choice(self._routers)
+        request_id = str(order.order_id)
+        self._homes[request_id] = router
+        keys = tuple(
+            hashlib.blake2b(f"{order.prefix}:{n}".encode(), digest_size=16).digest()
+            for n in range(order.shared_tokens // BLOCK_TOKENS)
+        )
+        event = RequestArrived(
+            now=self.clock.now,
+            request_id=request_id,
+            workspace=order.workspace,
+            service=SERVICE,
+            idempotent=order.idempotent,
+            deadline=order.deadline,
+            prompt_tokens=order.prompt_tokens,
+            block_tokens=BLOCK_TOKENS,
+            block_keys=keys,
+        )
+        self._follow(order, router.handle(event), Ran.NO)
+
+    def _follow(self, order: Order, decision: RoutingDecision | None, ran: Ran) -> None:
+        if isinstance(decision, Send):
+            order.targets.append(decision.target)
+            sent = self.clock.now
+            attempt = _Attempt(order, order.ask_id, decision.target, sent)
+            agent = self.agents[decision.target]
+            self.clock.call_later(HOP_SECONDS, lambda: agent.serve(attempt))
+        elif isinstance(decision, Refuse):
+            self._refuse(order, decision.retry_after)
+        elif ran is Ran.YES:
+            order.finished = self.clock.now
+        else:
+            order.first_token = 0.0
+            self.clock.call_later(PLAIN_RETRY_SECONDS, lambda: self._ask(order))
+
+    def _refuse(self, order: Order, retry_after: float) -> None:
+        order.refusals.append(self.clock.now - order.asked)
+        order.unhinted += retry_after <= 0
+        wait = retry_after or PLAIN_RETRY_SECONDS
+        if order.behaviour is Behaviour.EAGER:
+            wait = EAGER_SECONDS
+            if order.asks > EAGER_ASKS:
+                return
+        self.clock.call_later(wait, lambda: self._ask(order))
