--- /dev/null
+++ b/libraries/agent/src/bamboopier_agent/block_exporter.py
@@ -0,0 +1,223 @@
+"""Writes finished prompts' blocks to store VMs, off the callers' path."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import OrderedDict
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import structlog
+from result import Err, Ok
+
+from bamboopier_decisions.context.block_name import BlockName
+from bamboopier_decisions.context.blocks import derive_workspace_secret
+from bamboopier_decisions.context.envelope import seal_block
+from bamboopier_decisions.context.export_choice import (
+    ExportItem,
+    ExportQueue,
+    ReturnOdds,
+    Sightings,
+)
+
+from .context_view import find_tag
+from .store_errors import StoreFullError
+from .store_evictor import StoreEvictor
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.context.placement import StoreVm
+    from bamboopier_protocol.agent_pb2 import ServeRequest
+
+    from .metrics import AgentMetrics
+    from .store_link import StoreLink
+    from .target import TargetClient
+
+# Blocks waiting for their export; the least likely to return are dropped beyond it.
+MAX_WAITING = 1024
+MAX_STORED_KEYS = 65_536
+# An export that the link lets wait longer than this is on a short link: blocks that
+# were seen once and open no prompt are then not worth it.
+SHORT_LINK_SECONDS = 1.0
+
+log = structlog.get_logger()
+
+
+class ExportOutcome(StrEnum):
+    """What became of one block."""
+
+    WRITTEN = "written"
+    STORED_ALREADY = "stored-already"
+    NOT_IN_ENGINE = "not-in-engine"
+    LINK_SHORT = "link-short"
+    QUEUE_FULL = "queue-full"
+    STORE_FULL = "store-full"
+    STORE_FAILED = "store-failed"
+
+
+class BlockExporter:
+    """Exports queued blocks one at a time."""
+
+    def __init__(
+        self,
+        target: TargetClient,
+        link: StoreLink,
+        block_secret: bytes,
+        metrics: AgentMetrics,
+    ) -> None:
+        self._target = target
+        self._link = link
+        self._block_secret = block_secret
+        self._metrics = metrics
+        self._evictor = StoreEvictor(link)
+        self._sightings = Sightings()
+        self._queue = ExportQueue(MAX_WAITING)
+        self._arrived = asyncio.Event()
+        self._stored: OrderedDict[bytes, None] = OrderedDict()
+        # Found torn or damaged: written again even if something lies there.
+        self._damaged: set[bytes] = set()
+
+    def offer(self, request: ServeRequest) -> None:
+        """Queue a finished request's blocks that are not known to be stored."""
+        work = request.model
+        keys = tuple(work.block_keys)
+        for depth, odds in enumerate(self._sightings.note_prompt(keys)):
+            if keys[depth] in self._stored:
+                continue
+            item = ExportItem(
+                request.request_id,
+                request.workspace,
+                work.cache_salt,
+                work.weight_version,
+                keys[depth],
+                depth,
+            )
+            dropped = self._queue.push(odds, item)
+            if dropped is not None:
+                self._report(dropped, odds, ExportOutcome.QUEUE_FULL, [])
+        self._arrived.set()
+
+    def note_stored(self, key: bytes) -> None:
+        """A block was read whole from a store."""
+        self._stored[key] = None
+        self._stored.move_to_end(key)
+        if len(self._stored) > MAX_STORED_KEYS:
+            self._stored.popitem(last=False)
+
+    def note_lost(self, key: bytes, *, damaged: bool) -> None:
+        """A block that should be stored is not, or is not the block."""
+        self._stored.pop(key, None)
+        if damaged and len(self._damaged) < MAX_STORED_KEYS:
+            self._damaged.add(key)
+
+    async def run(self) -> None:
+        """Export until cancelled."""
+        while True:
+            await self._arrived.wait()
+            self._arrived.clear()
+            await self.drain()
+
+    async def drain(self) -> None:
+        """Export everything that is queued now."""
+        while (queued := self._queue.pop()) is not None:
+            odds, item = queued
+            outcome, vms = await self._export(odds, item)
+            self._report(item, odds, outcome, vms)
+
+    async def _export(
+        self, odds: ReturnOdds, item: ExportItem
+    ) -> tuple[ExportOutcome, list[StoreVm]]:
+        if item.key in self._stored:
+            return ExportOutcome.STORED_ALREADY, []
+        owners = self._list_usable_owners(item.key)
+        if not owners:
+            return ExportOutcome.STORE_FAILED, []
+        # The engine says of which weight version the block is; another than the one
+        # the prompt ran with is refused here. Without it a swap between run and export
+        # would store new blocks under the old version's key, proved and wrong.
+        payload = await self._target.export_block(item.salt, item.key, item.version)
+        if payload is None:
+            return ExportOutcome.NOT_IN_ENGINE, []
+        secret = derive_workspace_secret(self._block_secret, item.workspace)
+        sealed = seal_block(secret, item.key, item.version, payload)
+        self._link.note_size(len(sealed))
+        tag = find_tag(self._block_secret, item.workspace)
+        name = BlockName(tag, item.depth, item.key)
+        return await self._place(odds, name, sealed, owners)
+
+    def _list_usable_owners(self, key: bytes) -> list[StoreVm]:
+        now = time.monotonic()
+        health = self._link.health
+        owners = self._link.list_owners(key)
+        return [vm for vm in owners if not health.is_paused(now, vm.name)]
+
+    async def _place(
+        self, odds: ReturnOdds, name: BlockName, sealed: bytes, owners: list[StoreVm]
+    ) -> tuple[ExportOutcome, list[StoreVm]]:
+        written: list[StoreVm] = []
+        outcome = ExportOutcome.STORED_ALREADY
+        for vm in owners:
+            if await self._is_stored(vm, name, len(sealed)):
+                continue
+            if not await self._wait_for_link(odds, len(sealed)):
+                return ExportOutcome.LINK_SHORT, written
+            outcome = await self._write(vm, name, sealed)
+            if outcome is ExportOutcome.WRITTEN:
+                written.append(vm)
+        if written:
+            outcome = ExportOutcome.WRITTEN
+        if outcome in (ExportOutcome.WRITTEN, ExportOutcome.STORED_ALREADY):
+            self._damaged.discard(name.key)
+            self.note_stored(name.key)
+        return outcome, written
+
+    async def _is_stored(self, vm: StoreVm, name: BlockName, size: int) -> bool:
+        """Ask the VM, so that a restarted agent does not send everything again.
+
+        A torn write is shorter and is written again; one that a reader found damaged
+        is written again whatever its size.
+        """
+        if name.key in self._damaged:
+            return False
+        answer = await self._link.store.measure(vm.address, str(name))
+        return isinstance(answer, Ok) and answer.ok_value == size
+
+    async def _wait_for_link(self, odds: ReturnOdds, size: int) -> bool:
+        waited = 0.0
+        while (wait := self._link.budget.take_export(time.monotonic(), size)) > 0:
+            if odds is ReturnOdds.NEW and waited + wait > SHORT_LINK_SECONDS:
+                return False
+            await asyncio.sleep(wait)
+            waited += wait
+        return True
+
+    async def _write(
+        self, vm: StoreVm, name: BlockName, sealed: bytes
+    ) -> ExportOutcome:
+        answer = await self._link.write(vm, name, sealed)
+        full = isinstance(answer, Err) and isinstance(answer.err_value, StoreFullError)
+        if full and await self._evictor.make_room(vm, name):
+            answer = await self._link.write(vm, name, sealed)
+        if isinstance(answer, Ok):
+            return ExportOutcome.WRITTEN
+        if isinstance(answer.err_value, StoreFullError):
+            return ExportOutcome.STORE_FULL
+        return ExportOutcome.STORE_FAILED
+
+    def _report(
+        self,
+        item: ExportItem,
+        odds: ReturnOdds,
+        outcome: ExportOutcome,
+        vms: list[StoreVm],
+    ) -> None:
+        self._metrics.export_decisions.labels(outcome).inc()
+        log.info(
+            "block export",
+            request_id=item.request_id,
+            workspace=item.workspace,
+            depth=item.depth,
+            odds=odds.name.lower(),
+            outcome=outcome,
+            store_vms=[vm.name for vm in vms],
+        )
--- a/libraries/agent/src/bamboopier_agent/context.py
+++ b/libraries/agent/src/bamboopier_agent/context.py
@@ -2,128 +2,228 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections import OrderedDict
+import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import structlog
+from result import Err
+
+from bamboopier_decisions.context.block_name import BlockName
 from bamboopier_decisions.context.blocks import derive_workspace_secret
-from bamboopier_decisions.context.envelope import open_block, seal_block
-from bamboopier_decisions.routing.rendezvous import rank
+from bamboopier_decisions.context.fetch_choice import (
+    FetchPlan,
+    FetchQuestion,
+    FetchReason,
+    choose_fetch,
+)
+from bamboopier_decisions.context.rates import MeasuredRate
+from bamboopier_decisions.context.resident import ResidentKeys
+
+from .block_exporter import BlockExporter
+from .block_fetcher import BlockFetcher
+from .context_view import DEFAULT_BLOCK_TOKENS, ContextView, find_tag
+from .store_errors import (
+    BlockMissingError,
+    BlockUnprovedError,
+    StoreError,
+    StoreHungError,
+    StoreLateError,
+)
+from .store_link import StoreLink
 
 if TYPE_CHECKING:
+    from bamboopier_decisions.context.rates import Rate
     from bamboopier_protocol.agent_pb2 import ServeRequest
 
+    from .metrics import AgentMetrics
     from .store_client import StoreClient
     from .target import CacheEvents, TargetClient
 
-# Keys remembered as resident in the engine; at 2,000 tokens a block this covers
-# far more than an accelerator's memory holds.
-MAX_RESIDENT = 65_536
-# Finished prompts waiting for their export; beyond it the oldest is dropped, since an
-# export that is skipped costs only a recomputation.
-MAX_WAITING_EXPORTS = 64
+# Assumed until measured: tokens a second and bytes a second.
+FIRST_PREFILL_RATE = 8000.0
+FIRST_LINK_RATE = 125_000_000.0
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class ContextRates:
+    """The two speeds that the choice between fetching and recomputing compares."""
+
+    prefill: Rate
+    link: Rate
+
+
+def assume_rates() -> ContextRates:
+    """Return the rates of a target that has measured nothing yet."""
+    return ContextRates(
+        MeasuredRate(FIRST_PREFILL_RATE, FIRST_PREFILL_RATE),
+        MeasuredRate(FIRST_LINK_RATE, FIRST_LINK_RATE),
+    )
 
 
 class ContextKeeper:
     """Fetches and exports blocks for one target."""
 
     def __init__(
-        self, target: TargetClient, store: StoreClient, block_secret: bytes
+        self,
+        target: TargetClient,
+        store: StoreClient,
+        block_secret: bytes,
+        metrics: AgentMetrics,
+        rates: ContextRates,
     ) -> None:
         self._target = target
-        self._store = store
         self._block_secret = block_secret
-        # Addresses of the store VMs of this target's service.
-        self.store_vms: tuple[str, ...] = ()
-        self.replicas = 1
-        self._resident: OrderedDict[bytes, None] = OrderedDict()
-        self._stored: OrderedDict[bytes, None] = OrderedDict()
-        self._exports: asyncio.Queue[ServeRequest] = asyncio.Queue(MAX_WAITING_EXPORTS)
+        self._metrics = metrics
+        self._rates = rates
+        self._link = StoreLink(store, rates.link, metrics)
+        self._fetcher = BlockFetcher(self._link)
+        self.exporter = BlockExporter(target, self._link, block_secret, metrics)
+        self._resident = ResidentKeys()
+
+    @property
+    def store_vms(self) -> tuple[str, ...]:
+        """Return the names of the store VMs in use."""
+        return tuple(vm.name for vm in self._link.view.store_vms)
+
+    def configure(self, view: ContextView) -> None:
+        """Take store VMs, budget and weights as published now."""
+        self._link.configure(view)
 
     async def fetch(self, request: ServeRequest) -> int:
-        """Import the blocks the engine lacks; return how many were imported.
+        """Import the blocks the engine lacks and that are worth it; return how many.
 
         Stops at the first block that cannot be had: a prefix with a hole is no use.
         """
-        work = request.model
-        secret = derive_workspace_secret(self._block_secret, request.workspace)
-        imported = 0
-        for key in work.block_keys:
-            if key in self._resident:
-                continue
-            payload = await self._read_proved(secret, key, work.weight_version)
-            if payload is None:
-                break
-            if not await self._target.import_block(
-                work.cache_salt, key, work.weight_version, payload
-            ):
-                break
-            _remember(self._resident, key)
-            imported += 1
-        return imported
+        keys = tuple(request.model.block_keys)
+        if not keys:
+            return 0
+        resident = self._resident.count_prefix(time.monotonic(), keys)
+        plan = self._plan(request, len(keys) - resident)
+        fetched = 0
+        if plan.blocks:
+            wanted = range(resident, resident + plan.blocks)
+            fetched = await self._bring(request, wanted, plan)
+        self._metrics.fetch_decisions.labels(plan.reason).inc()
+        log.info(
+            "context fetch",
+            request_id=request.request_id,
+            workspace=request.workspace,
+            resident=resident,
+            missing=len(keys) - resident,
+            wanted=plan.blocks,
+            fetched=fetched,
+            recomputed=len(keys) - resident - fetched,
+            reason=plan.reason,
+            predicted_ms=round(plan.predicted * 1000),
+        )
+        return fetched
+
+    def note_answer(
+        self, request: ServeRequest, cached_tokens: int, new_tokens: int, seconds: float
+    ) -> None:
+        """Learn from a finished request and queue its blocks for export.
 
-    def keep_later(self, request: ServeRequest) -> None:
-        """Queue a finished request's blocks for export, off the caller's path."""
-        if self._exports.full():
-            self._exports.get_nowait()
-        self._exports.put_nowait(request)
+        ``seconds`` ran from sending to the first byte, for ``new_tokens`` of prefill.
+        """
+        now = time.monotonic()
+        keys = tuple(request.model.block_keys)
+        # The head of an answer that is not streamed comes after its last token, so
+        # its time says nothing about prefill.
+        streamed = request.model.stream
+        if streamed and new_tokens >= self._find_block_tokens(request):
+            self._rates.prefill.add(now, new_tokens, seconds)
+        if cached_tokens + new_tokens > 0:
+            self._resident.confirm(now, keys)
+            self.exporter.offer(request)
 
     async def run(self) -> None:
-        """Export queued requests until cancelled, one at a time."""
-        while True:
-            await self._keep(await self._exports.get())
+        """Export queued blocks until cancelled."""
+        await self.exporter.run()
 
-    async def _keep(self, request: ServeRequest) -> int:
-        """Export blocks that no store VM has yet; return how many were exported."""
-        work = request.model
-        secret = derive_workspace_secret(self._block_secret, request.workspace)
-        exported = 0
-        for key in work.block_keys:
-            _remember(self._resident, key)
-            if key in self._stored or not self.store_vms:
-                continue
-            payload = await self._target.export_block(
-                work.cache_salt, key, work.weight_version
-            )
-            if payload is None:
-                break
-            sealed = seal_block(secret, key, work.weight_version, payload)
-            if await self._write(key, sealed):
-                _remember(self._stored, key)
-                exported += 1
-        return exported
-
-    def apply_events(self, events: CacheEvents) -> None:
+    def apply_events(self, events: CacheEvents, *, gap: bool = False) -> None:
         """Take the engine's hints about what left its cache."""
+        if gap:
+            self._resident.clear()
         for event in events.events:
             if event.kind == "evicted":
-                self._resident.pop(bytes.fromhex(event.key), None)
+                self._resident.forget(bytes.fromhex(event.key))
 
     def forget_resident(self) -> None:
         """The engine started anew: its cache is empty."""
         self._resident.clear()
 
-    async def _read_proved(
-        self, secret: bytes, key: bytes, version: str
-    ) -> bytes | None:
-        for address in rank(key, self.store_vms, self.replicas + 1):
-            sealed = await self._store.read(address, key)
-            if sealed is None:
-                continue
-            payload = open_block(secret, key, version, sealed)
-            if payload is not None:
-                return payload
-        return None
-
-    async def _write(self, key: bytes, sealed: bytes) -> bool:
-        written = False
-        for address in rank(key, self.store_vms, self.replicas):
-            written |= await self._store.write(address, key, sealed)
-        return written
-
-
-def _remember(keys: OrderedDict[bytes, None], key: bytes) -> None:
-    keys[key] = None
-    keys.move_to_end(key)
-    if len(keys) > MAX_RESIDENT:
-        keys.popitem(last=False)
+    def _find_block_tokens(self, request: ServeRequest) -> int:
+        known = self._link.view.block_tokens
+        return known.get(request.model.model, DEFAULT_BLOCK_TOKENS)
+
+    def _plan(self, request: ServeRequest, missing: int) -> FetchPlan:
+        if missing == 0:
+            return FetchPlan(0, FetchReason.RESIDENT)
+        view = self._link.view
+        if not view.store_vms:
+            return FetchPlan(0, FetchReason.NO_STORE)
+        now = time.monotonic()
+        block_tokens = self._find_block_tokens(request)
+        question = FetchQuestion(
+            blocks=missing,
+            block_bytes=self._link.estimate_block_bytes(block_tokens),
+            block_tokens=block_tokens,
+            prefill_rate=self._rates.prefill.estimate(now),
+            link_rate=self._link.estimate_rate(now),
+            free_bytes=self._link.budget.read_free_bytes(now),
+            budget_rate=view.link_bytes_per_second,
+        )
+        return choose_fetch(question, view.cost_weights)
+
+    async def _bring(
+        self, request: ServeRequest, wanted: range, plan: FetchPlan
+    ) -> int:
+        work = request.model
+        secret = derive_workspace_secret(self._block_secret, request.workspace)
+        tag = find_tag(self._block_secret, request.workspace)
+        names = [BlockName(tag, n, work.block_keys[n]) for n in wanted]
+        started = time.monotonic()
+        imported = 0
+        size = 0
+        give_up_at = started + plan.give_up_after
+        failure: StoreError | None = None
+        async with self._fetcher.open(
+            names, secret, work.weight_version, give_up_at
+        ) as reader:
+            for name in names:
+                answer = await reader.read_next()
+                if isinstance(answer, Err):
+                    failure = answer.err_value
+                    break
+                if not await self._target.import_block(
+                    work.cache_salt, name.key, work.weight_version, answer.ok_value
+                ):
+                    break
+                self._resident.confirm(time.monotonic(), [name.key])
+                self.exporter.note_stored(name.key)
+                size += len(answer.ok_value)
+                imported += 1
+        self._learn(names, imported, size, time.monotonic() - started, failure)
+        return imported
+
+    def _learn(
+        self,
+        names: list[BlockName],
+        imported: int,
+        size: int,
+        seconds: float,
+        failure: StoreError | None,
+    ) -> None:
+        now = time.monotonic()
+        if isinstance(failure, StoreHungError | StoreLateError):
+            expected = self._link.estimate_block_bytes(DEFAULT_BLOCK_TOKENS)
+            self._link.note_late(now, size + expected, seconds)
+            return
+        if imported:
+            self._link.note_transfer(now, size, seconds)
+        if isinstance(failure, BlockMissingError | BlockUnprovedError):
+            damaged = isinstance(failure, BlockUnprovedError)
+            self.exporter.note_lost(names[imported].key, damaged=damaged)
--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -26,7 +26,8 @@
 from bamboopier_protocol.agent_pb2_grpc import add_AgentServicer_to_server
 
 from .claims import ClaimTable
-from .context import ContextKeeper
+from .context import ContextKeeper, assume_rates
+from .context_view import build_view
 from .gate import AdmissionGate
 from .kept_answers import KeptAnswers
 from .metrics import AgentMetrics
@@ -55,10 +56,10 @@
             Admission(settings.max_running, settings.max_waiting, generator)
         )
         secret = bytes.fromhex(settings.block_secret)
-        context = ContextKeeper(target, store, secret)
+        metrics = AgentMetrics()
+        context = ContextKeeper(target, store, secret, metrics, assume_rates())
         watch = TargetWatch(target, gate, context)
         follower = ConfigurationFollower(platform, lambda _: None, generator)
-        metrics = AgentMetrics()
         service = AgentService(
             settings,
             target,
@@ -75,7 +76,7 @@
             watch.run(),
             follower.run(),
             context.run(),
-            _follow_store_vms(platform, context, follower, settings.service),
+            _follow_store_vms(platform, context, follower, settings),
         ):
             await stack.enter_async_context(keep_running(loop))
         server = grpc.aio.server(options=GRPC_OPTIONS)
@@ -105,18 +106,15 @@
     vms: VmList,
     context: ContextKeeper,
     follower: ConfigurationFollower,
-    service_name: str,
+    settings: AgentSettings,
 ) -> None:
-    """Keep the addresses of the service's store VMs up to date."""
+    """Keep the service's store VMs, budget and shares up to date."""
+    secret = bytes.fromhex(settings.block_secret)
     await follower.loaded.wait()
     while True:
-        service = follower.directory.services.get(service_name)
         answer = await vms.list_vms()
-        if service is not None and service.store and isinstance(answer, Ok):
-            context.replicas = follower.directory.stores[service.store].replicas
-            context.store_vms = tuple(
-                vm.address
-                for vm in answer.ok_value
-                if vm.role == "store" and vm.group == service.store
-            )
+        if isinstance(answer, Ok):
+            place = (settings.service, settings.data_centre)
+            view = build_view(follower.directory, answer.ok_value, *place, secret)
+            context.configure(view)
         await asyncio.sleep(VM_LIST_SECONDS if context.store_vms else 0.5)
--- a/libraries/agent/src/bamboopier_agent/metrics.py
+++ b/libraries/agent/src/bamboopier_agent/metrics.py
@@ -36,6 +36,35 @@
             ["direction"],
             registry=self.registry,
         )
+        self.link_bytes = Counter(
+            "bamboopier_link_bytes",
+            "Bytes over the link to the store VMs",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.link_budget = Gauge(
+            "bamboopier_link_budget_bytes_per_second",
+            "Budget of the link to the store VMs, both directions together",
+            registry=self.registry,
+        )
+        self.store_failures = Counter(
+            "bamboopier_store_failures",
+            "Calls to store VMs that failed, by typed reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.fetch_decisions = Counter(
+            "bamboopier_fetch_decisions",
+            "Requests by the choice between fetching and recomputing",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.export_decisions = Counter(
+            "bamboopier_export_decisions",
+            "Blocks by what became of their export",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.running = Gauge(
             "bamboopier_agent_running",
             "Requests the target has now",
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -233,6 +233,8 @@
         started = time.monotonic()
         fetched = await self._context.fetch(request) if request.model.model else 0
         usage = UsageReader()
+        sent = time.monotonic()
+        first_byte = 0.0
         try:
             async with self._target.open(
                 request.method,
@@ -240,6 +242,7 @@
                 _list_headers(request),
                 _make_body(request),
             ) as response:
+                first_byte = time.monotonic() - sent
                 self._metrics.first_byte.observe(time.monotonic() - started)
                 version = response.headers.get("Weight-Version", "")
                 headers = _list_response_headers(response)
@@ -264,7 +267,10 @@
         counted = usage.read()
         entry.answered = True
         if request.model.model:
-            self._context.keep_later(request)
+            new_tokens = max(0, counted.prompt_tokens - counted.cached_tokens)
+            self._context.note_answer(
+                request, counted.cached_tokens, new_tokens, first_byte
+            )
         entry.output_tokens = counted.completion_tokens
         self._count_tokens(counted.prompt_tokens, counted.cached_tokens, fetched)
         self._log_end(request, "finished", counted.cached_tokens)
--- a/libraries/agent/src/bamboopier_agent/store_client.py
+++ b/libraries/agent/src/bamboopier_agent/store_client.py
@@ -1,15 +1,32 @@
-"""Calls to store VMs: blocks in their sealed form."""
+"""Calls to store VMs: sealed blocks under names."""
 
 from __future__ import annotations
 
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Self
 
 import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from .store_errors import (
+    BlockMissingError,
+    StoreAnswerError,
+    StoreError,
+    StoreFullError,
+    StoreHungError,
+    StoreLateError,
+    StoreUnreachableError,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from types import TracebackType
 
 CALL_TIMEOUT_SECONDS = 5.0
+# A longer list is cut here: some 50,000 names, oldest first.
+MAX_LIST_BYTES = 4 * 1024 * 1024
+READ_PIECE_BYTES = 256 * 1024
 
 
 class StoreClient:
@@ -32,28 +49,123 @@
         if self._session is not None:
             await self._session.close()
 
-    async def read(self, address: str, key: bytes) -> bytes | None:
-        """Return whatever the store VM has under ``key``; the caller proves it."""
-        if self._session is None:
-            return None
+    async def read(
+        self, address: str, name: str, timeout: float, limit: int
+    ) -> Result[bytes, StoreError]:
+        """Return whatever the VM has under ``name``; the caller proves it.
+
+        ``timeout`` is in seconds; more than ``limit`` bytes are no block.
+        """
+        content = bytearray()
         try:
-            async with self._session.get(_url(address, key)) as response:
-                content = await response.read()
-                return content if response.status == 200 else None
-        except (aiohttp.ClientError, TimeoutError):
-            return None
-
-    async def write(self, address: str, key: bytes, sealed: bytes) -> bool:
-        """Store a block; False when the store VM is full or gone."""
-        if self._session is None:
-            return False
+            async with self._call("GET", address, name, timeout=timeout) as response:
+                if response.status != 200:
+                    return Err(_explain(response.status))
+                # The store is not trusted with this process's memory: an endless body
+                # would otherwise grow it until the VM kills the agent.
+                await _read_up_to(response, content, limit + 1)
+        except TimeoutError:
+            # Bytes that came make it a slow link, none at all a store that hangs.
+            return Err(StoreLateError() if content else StoreHungError())
+        except aiohttp.ClientError as error:
+            return Err(StoreUnreachableError(str(error)))
+        if len(content) > limit:
+            return Err(StoreAnswerError(f"more than {limit} bytes"))
+        return Ok(bytes(content))
+
+    async def measure(self, address: str, name: str) -> Result[int, StoreError]:
+        """Return how many bytes lie under ``name``."""
+        try:
+            async with self._call("HEAD", address, name) as response:
+                if response.status != 200:
+                    return Err(_explain(response.status))
+                return Ok(int(response.headers.get("Content-Length", "-1")))
+        except TimeoutError:
+            return Err(StoreHungError())
+        except (aiohttp.ClientError, ValueError) as error:
+            return Err(StoreUnreachableError(str(error)))
+
+    async def write(
+        self, address: str, name: str, sealed: bytes
+    ) -> Result[None, StoreError]:
+        """Store a block."""
+        return await self._change("PUT", address, name, sealed)
+
+    async def delete(self, address: str, name: str) -> Result[None, StoreError]:
+        """Free a block's space; one that is gone already is no failure."""
+        return await self._change("DELETE", address, name)
+
+    async def list_names(self, address: str) -> Result[list[str], StoreError]:
+        """Return the names of stored blocks, oldest first, cut at a bound."""
         try:
-            async with self._session.put(_url(address, key), data=sealed) as response:
+            async with self._call("GET", address, "") as response:
+                if response.status != 200:
+                    return Err(_explain(response.status))
+                content = bytearray()
+                await _read_up_to(response, content, MAX_LIST_BYTES)
+        except TimeoutError:
+            return Err(StoreHungError())
+        except aiohttp.ClientError as error:
+            return Err(StoreUnreachableError(str(error)))
+        return _decode_names(bytes(content))
+
+    async def _change(
+        self, method: str, address: str, name: str, body: bytes | None = None
+    ) -> Result[None, StoreError]:
+        try:
+            async with self._call(method, address, name, body=body) as response:
                 await response.read()
-                return response.status == 200
-        except (aiohttp.ClientError, TimeoutError):
-            return False
+                if response.status != 200:
+                    return Err(_explain(response.status))
+                return Ok(None)
+        except TimeoutError:
+            return Err(StoreHungError())
+        except aiohttp.ClientError as error:
+            return Err(StoreUnreachableError(str(error)))
+
+    @asynccontextmanager
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        name: str,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+        body: bytes | None = None,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        if self._session is None:
+            raise aiohttp.ClientConnectionError("the store client is not open")
+        async with self._session.request(
+            method,
+            f"http://{address}/blocks{'/' if name else ''}{name}",
+            data=body,
+            timeout=aiohttp.ClientTimeout(total=timeout),
+            allow_redirects=False,
+        ) as response:
+            yield response
+
+
+async def _read_up_to(
+    response: aiohttp.ClientResponse, content: bytearray, limit: int
+) -> None:
+    async for piece in response.content.iter_chunked(READ_PIECE_BYTES):
+        content.extend(piece)
+        if len(content) >= limit:
+            response.close()
+            break
+
+
+def _decode_names(content: bytes) -> Result[list[str], StoreError]:
+    if len(content) >= MAX_LIST_BYTES:
+        content = content[: content.rfind(b",")] + b"]"
+    try:
+        return Ok(msgspec.json.decode(content, type=list[str]))
+    except msgspec.MsgspecError as error:
+        return Err(StoreAnswerError(str(error)))
 
 
-def _url(address: str, key: bytes) -> str:
-    return f"http://{address}/blocks/{key.hex()}"
+def _explain(status: int) -> StoreError:
+    if status == 404:
+        return BlockMissingError()
+    if status == 507:
+        return StoreFullError()
+    return StoreAnswerError(f"status {status}")
--- /dev/null
+++ b/libraries/agent/src/bamboopier_agent/store_errors.py
@@ -0,0 +1,66 @@
+"""Failures an agent meets at store VMs; each names the reason that metrics count."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import ClassVar
+
+from bamboopier_configuration.errors import BamboopierError
+
+
+class StoreFailure(StrEnum):
+    """Why a block was not had from, or not put into, a store."""
+
+    MISSING = "missing"
+    UNREACHABLE = "unreachable"
+    HUNG = "hung"
+    LATE = "late"
+    FULL = "full"
+    UNPROVED = "unproved"
+    BAD_ANSWER = "bad-answer"
+
+
+class StoreError(BamboopierError):
+    """Base of the failures of calls to store VMs."""
+
+    reason: ClassVar[StoreFailure] = StoreFailure.BAD_ANSWER
+
+
+class BlockMissingError(StoreError):
+    """No store VM that should have the block has it."""
+
+    reason = StoreFailure.MISSING
+
+
+class StoreUnreachableError(StoreError):
+    """No connection, or it broke."""
+
+    reason = StoreFailure.UNREACHABLE
+
+
+class StoreHungError(StoreError):
+    """The VM did not begin to answer in time."""
+
+    reason = StoreFailure.HUNG
+
+
+class StoreLateError(StoreError):
+    """The bytes, or the link's budget for them, came too slowly to be of use."""
+
+    reason = StoreFailure.LATE
+
+
+class StoreFullError(StoreError):
+    """The VM has no space (507)."""
+
+    reason = StoreFailure.FULL
+
+
+class BlockUnprovedError(StoreError):
+    """The bytes are not the block: torn, reused, damaged or someone else's."""
+
+    reason = StoreFailure.UNPROVED
+
+
+class StoreAnswerError(StoreError):
+    """The VM answered with a status or a body that has no meaning here."""
--- a/libraries/agent/src/bamboopier_agent/target_watch.py
+++ b/libraries/agent/src/bamboopier_agent/target_watch.py
@@ -65,5 +65,7 @@
         events = answer.ok_value
         if events.start_id != self.start_id:
             return
-        self._context.apply_events(events)
+        # Fewer events than positions: some were lost, and any block may have left.
+        gap = events.next - self._event_position != len(events.events)
+        self._context.apply_events(events, gap=gap)
         self._event_position = events.next
--- /dev/null
+++ b/libraries/agent/tests/context_builders.py
@@ -0,0 +1,171 @@
+"""An engine, store VMs and a context keeper in one event loop, for tests of context."""
+
+from __future__ import annotations
+
+import hashlib
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any, Self
+
+import aiohttp
+from aiohttp.test_utils import TestServer
+
+from bamboopier_agent.context import ContextKeeper, ContextRates
+from bamboopier_agent.context_view import ContextView, find_tag
+from bamboopier_agent.metrics import AgentMetrics
+from bamboopier_agent.store_client import StoreClient
+from bamboopier_agent.target import TargetClient
+from bamboopier_decisions.context.block_name import BlockName
+from bamboopier_decisions.context.blocks import (
+    compute_block_keys,
+    derive_workspace_secret,
+)
+from bamboopier_decisions.context.placement import StoreVm
+from bamboopier_protocol import agent_pb2 as pb
+from bamboopier_standins.engine import EngineOptions, EngineStandIn, make_block
+from bamboopier_standins.store import StoreStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+BLOCK_SECRET = b"b" * 32
+MODEL = "pillar-8b"
+BLOCK_TOKENS = 4
+# Tokens and bytes a second. A caller would wait long for either, so that a busy machine
+# does not turn a fetch into a late one.
+SLOW_PREFILL = 0.01
+SLOW_LINK = 100.0
+# The caller's patience for a fast link is the least there is.
+FAST_LINK = 1e9
+# Recomputing is quicker than this: nothing is fetched.
+STUCK_LINK = 0.001
+HISTORY = tuple(f"visit-{n}" for n in range(3 * BLOCK_TOKENS))
+
+
+def build_request(
+    words: Sequence[str] = HISTORY, workspace: str = "fosse", version: str = "v1"
+) -> pb.ServeRequest:
+    """Return an agent's request for a prompt of ``words``."""
+    secret = derive_workspace_secret(BLOCK_SECRET, workspace)
+    keys = compute_block_keys(secret, MODEL, version, "", words, BLOCK_TOKENS)
+    work = pb.ModelWork(
+        model=MODEL,
+        weight_version=version,
+        block_keys=keys,
+        prompt_tokens=len(words),
+        cache_salt=f"salt-{workspace}",
+        stream=True,
+    )
+    return pb.ServeRequest(
+        request_id="r", workspace=workspace, body=" ".join(words).encode(), model=work
+    )
+
+
+def list_names(request: pb.ServeRequest) -> list[str]:
+    """Return the names in the store of a request's blocks."""
+    tag = find_tag(BLOCK_SECRET, request.workspace)
+    return [str(BlockName(tag, n, k)) for n, k in enumerate(request.model.block_keys)]
+
+
+def list_digests(request: pb.ServeRequest, version: str = "v1") -> list[str]:
+    """Return the digests of the very blocks that belong to a request."""
+    words = request.body.decode().split()
+    ends = range(BLOCK_TOKENS, len(words) + 1, BLOCK_TOKENS)
+    blocks = [make_block(version, words[:end], BLOCK_TOKENS) for end in ends]
+    return [hashlib.sha256(block).hexdigest() for block in blocks]
+
+
+class FixedRate:
+    """A rate that no measurement changes: what is done may not depend on speed."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+
+    def add(self, now: float, amount: float, seconds: float) -> None:
+        """Ignore a measurement."""
+
+    def add_late(self, now: float, amount: float, seconds: float) -> None:
+        """Ignore a late one."""
+
+    def estimate(self, now: float) -> float:
+        return self.rate
+
+
+class ContextRig:
+    """One target with its keeper and some store VMs."""
+
+    def __init__(self, stores: int = 1, capacity: int = 1 << 20) -> None:
+        options = EngineOptions(block_tokens=BLOCK_TOKENS, prefill_rate=1e6)
+        self.engine = EngineStandIn(options)
+        self.stores = [StoreStandIn(capacity) for _ in range(stores)]
+        self.vms: tuple[StoreVm, ...] = ()
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        enter = self._stack.enter_async_context
+        engine = await enter(TestServer(self.engine.make_application()))
+        self.target = await enter(TargetClient(str(engine.make_url("/"))))
+        self.store_client = await enter(StoreClient())
+        self.session = await enter(aiohttp.ClientSession(engine.make_url("/")))
+        for number, store in enumerate(self.stores):
+            server = await enter(TestServer(store.make_application()))
+            address = f"{server.host}:{server.port}"
+            self.vms += (StoreVm(f"store-{number}", address, f"dc-{number}"),)
+        self.restart_agent()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stack.aclose()
+
+    def restart_agent(self, **view: Any) -> None:
+        """Put a new keeper in place, which remembers nothing."""
+        self.metrics = AgentMetrics()
+        self.link_rate = FixedRate(SLOW_LINK)
+        self.keeper = ContextKeeper(
+            self.target,
+            self.store_client,
+            BLOCK_SECRET,
+            self.metrics,
+            ContextRates(FixedRate(SLOW_PREFILL), self.link_rate),
+        )
+        self.configure(**view)
+
+    def configure(self, **view: Any) -> None:
+        """Publish a view; by default all store VMs, one replica."""
+        values = {"store_vms": self.vms, "block_tokens": {MODEL: BLOCK_TOKENS}, **view}
+        self.keeper.configure(ContextView(**values))
+
+    async def run(self, request: pb.ServeRequest) -> int:
+        """Run a request as the agent does; return the tokens that were cached."""
+        await self.keeper.fetch(request)
+        body = {
+            "prompt": request.body.decode(),
+            "cache_salt": request.model.cache_salt,
+            "block_keys": [key.hex() for key in request.model.block_keys],
+            "max_tokens": 1,
+        }
+        async with self.session.post("/v1/completions", json=body) as response:
+            usage = (await response.json())["usage"]
+        cached = int(usage["prompt_tokens_details"]["cached_tokens"])
+        new_tokens = usage["prompt_tokens"] - cached
+        self.keeper.note_answer(request, cached, new_tokens, 0.1)
+        return cached
+
+    async def run_and_export(self, request: pb.ServeRequest) -> int:
+        """Run a request and wait until its blocks are exported."""
+        cached = await self.run(request)
+        await self.keeper.exporter.drain()
+        return cached
+
+    def start_cold(self) -> None:
+        """A fresh engine process with a fresh agent beside it; the stores stay."""
+        self.engine.cache.clear()
+        self.engine.imports.clear()
+        self.restart_agent()
+
+    def list_imported(self) -> list[str]:
+        """Return the digests of what the engine was given, in order."""
+        return [entry["digest"] for entry in self.engine.imports]
+
+    def count_calls(self, method: str) -> int:
+        """Return how often the stores were asked with ``method``."""
+        return sum(e["method"] == method for s in self.stores for e in s.log)
--- /dev/null
+++ b/libraries/agent/tests/test_context.py
@@ -0,0 +1,260 @@
+"""Only proved blocks reach the engine, whatever the stores do.
+
+The checks read what the engine stand-in recorded as imported: a block's bytes follow
+from its weight version and words, so a wrong block has another digest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from bamboopier_agent.target import CacheEvent, CacheEvents
+
+from .context_builders import (
+    BLOCK_TOKENS,
+    FAST_LINK,
+    HISTORY,
+    STUCK_LINK,
+    ContextRig,
+    build_request,
+    list_digests,
+    list_names,
+)
+
+
+class BlockIntegrityTests(unittest.IsolatedAsyncioTestCase):
+    async def test_damaged_blocks_are_recomputed_and_written_again(self) -> None:
+        # A caller returns to a cold engine; the store flips, cuts, swaps or reuses
+        # the bytes between look-up and read. Imported, they would be another's words
+        # in the caller's answer, so the engine must be given nothing of it.
+        for fault in ("flip", "truncate", "swap", "splice"):
+            with self.subTest(fault):
+                async with ContextRig() as rig:
+                    request = build_request()
+                    await rig.run_and_export(request)
+                    rig.start_cold()
+                    rig.stores[0].faults = {fault: 1}
+                    self.assertEqual(await rig.run_and_export(request), 0)
+                    self.assertEqual(rig.list_imported(), [])
+                    rig.start_cold()
+                    self.assertEqual(await rig.run(request), len(HISTORY))
+                    self.assertEqual(rig.list_imported(), list_digests(request))
+
+    async def test_a_block_damaged_in_the_store_is_written_again(self) -> None:
+        # A bit of the stored block has turned; its length is right, so that a look at
+        # the store says "there". Unless it is written again every return recomputes.
+        async with ContextRig() as rig:
+            request = build_request()
+            await rig.run_and_export(request)
+            rig.stores[0].blocks[list_names(request)[0]][200] ^= 1
+            rig.start_cold()
+            await rig.run_and_export(request)
+            self.assertEqual(rig.list_imported(), [])
+            rig.start_cold()
+            self.assertEqual(await rig.run(request), len(HISTORY))
+
+    async def test_a_foreign_or_older_block_under_the_name_is_not_imported(
+        self,
+    ) -> None:
+        # The store answers with a whole, sealed block: another workspace's, another
+        # weight version's, or a later block of the same prompt.
+        request = build_request()
+        others = {
+            "workspace": build_request(workspace="gouda"),
+            "version": build_request(version="v0"),
+            "block": build_request(HISTORY[BLOCK_TOKENS:]),
+        }
+        for what, other in others.items():
+            with self.subTest(what):
+                async with ContextRig() as rig:
+                    rig.engine.version = other.model.weight_version
+                    await rig.run_and_export(other)
+                    rig.engine.version = "v1"
+                    blocks = rig.stores[0].blocks
+                    blocks[list_names(request)[0]] = blocks[list_names(other)[0]]
+                    rig.start_cold()
+                    self.assertEqual(await rig.run(request), 0)
+                    self.assertEqual(rig.list_imported(), [])
+
+    async def test_a_writer_killed_at_any_byte_leaves_no_block(self) -> None:
+        # The agent dies while it writes: the store keeps what arrived under the
+        # block's name. The next reader must take it for a miss, and the next writer
+        # must not take the torn block for a stored one.
+        async with ContextRig() as rig:
+            request = build_request(HISTORY[:BLOCK_TOKENS])
+            await rig.run_and_export(request)
+            whole = len(rig.stores[0].blocks[list_names(request)[0]])
+            for cut in range(0, whole, 11):
+                rig.stores[0].blocks.clear()
+                rig.start_cold()
+                rig.stores[0].faults = {"cut": cut}
+                await rig.run_and_export(request)
+                stored = rig.stores[0].blocks[list_names(request)[0]]
+                self.assertEqual(len(stored), cut)
+                rig.stores[0].faults = {}
+                rig.start_cold()
+                await rig.run_and_export(request)
+                self.assertEqual(rig.list_imported(), [], cut)
+                rig.start_cold()
+                await rig.run(request)
+                self.assertEqual(rig.list_imported(), list_digests(request), cut)
+
+    async def test_a_torn_write_is_not_taken_for_a_stored_block(self) -> None:
+        # The writer died half-way; its successor fetches nothing, because the link is
+        # slow, and asks the store only whether the block is there.
+        async with ContextRig() as rig:
+            request = build_request()
+            rig.stores[0].faults = {"cut": 200}
+            await rig.run_and_export(request)
+            rig.stores[0].faults = {}
+            rig.restart_agent()
+            rig.link_rate.rate = STUCK_LINK
+            await rig.run_and_export(request)
+            rig.start_cold()
+            await rig.run(request)
+            self.assertEqual(rig.list_imported(), list_digests(request))
+
+    async def test_a_swap_between_run_and_export_stores_nothing(self) -> None:
+        # The engine swaps weights while the agent still believes v1: the prompt runs
+        # with v2, and its block lies in the engine under v1's key. Stored, it would be
+        # served to a caller of v1, with a digest that proves it.
+        async with ContextRig() as rig:
+            rig.engine.version = "v2"
+            await rig.run_and_export(build_request(version="v1"))
+            self.assertEqual(list(rig.stores[0].blocks), [])
+
+    async def test_wrong_beliefs_about_the_cache_cost_only_a_recomputation(
+        self,
+    ) -> None:
+        # The engine drops blocks and its events are lost: the agent fetches nothing,
+        # the engine recomputes. The gap in the positions ends the belief.
+        async with ContextRig() as rig:
+            request = build_request()
+            await rig.run_and_export(request)
+            rig.engine.cache.clear()
+            self.assertEqual(await rig.run(request), 0)
+            self.assertEqual(rig.list_imported(), [])
+            rig.engine.cache.clear()
+            lost = CacheEvents("s", 9, [CacheEvent("stored", "00")])
+            rig.keeper.apply_events(lost, gap=True)
+            self.assertEqual(await rig.run(request), len(HISTORY))
+
+
+class StoreFailureTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_store_that_hangs_is_given_up_and_then_passed_over(self) -> None:
+        # The store accepts the connection and never answers, or sends the head and
+        # then nothing. The caller waits for the plan's patience, not for the store;
+        # callers after it are not made to find out again.
+        for fault in ("frozen", "drip"):
+            with self.subTest(fault):
+                async with ContextRig() as rig:
+                    request = build_request()
+                    await rig.run_and_export(request)
+                    rig.start_cold()
+                    rig.link_rate.rate = FAST_LINK
+                    rig.stores[0].faults = {fault: 99}
+                    reads = rig.count_calls("GET")
+                    for _ in range(3):
+                        self.assertEqual(await rig.run(request), 0)
+                        rig.engine.cache.clear()
+                        rig.keeper.forget_resident()
+                    asked = rig.count_calls("GET") - reads
+                    self.assertLessEqual(asked, 2 * len(request.model.block_keys))
+                    self.assertEqual(rig.list_imported(), [])
+
+    async def test_a_dead_store_falls_back_to_the_other_replica(self) -> None:
+        async with ContextRig(stores=2) as rig:
+            rig.restart_agent(replicas=2)
+            request = build_request()
+            await rig.run_and_export(request)
+            self.assertEqual([len(s.blocks) for s in rig.stores], [3, 3])
+            rig.start_cold()
+            rig.configure(replicas=2, data_centre="dc-0")
+            rig.stores[0].blocks.clear()
+            self.assertEqual(await rig.run(request), len(HISTORY))
+
+    async def test_a_full_store_fails_the_export_only(self) -> None:
+        async with ContextRig() as rig:
+            rig.stores[0].faults = {"full": 1}
+            request = build_request()
+            await rig.run_and_export(request)
+            self.assertEqual(rig.stores[0].blocks, {})
+            self.assertEqual(await rig.run(request), len(HISTORY))
+
+    async def test_after_a_change_the_former_owner_is_asked_too(self) -> None:
+        async with ContextRig(stores=2) as rig:
+            rig.restart_agent(store_vms=rig.vms[:1])
+            requests = [build_request((f"p{n}", *HISTORY)) for n in range(4)]
+            for request in requests:
+                await rig.run_and_export(request)
+            rig.engine.cache.clear()
+            rig.keeper.forget_resident()
+            rig.configure()
+            for request in requests:
+                self.assertEqual(await rig.run(request), len(HISTORY))
+
+
+class LinkUseTests(unittest.IsolatedAsyncioTestCase):
+    async def test_concurrent_requests_fetch_a_block_once(self) -> None:
+        async with ContextRig() as rig:
+            request = build_request()
+            await rig.run_and_export(request)
+            rig.start_cold()
+            reads = rig.count_calls("GET")
+            await asyncio.gather(*(rig.keeper.fetch(request) for _ in range(5)))
+            reads = rig.count_calls("GET") - reads
+            self.assertEqual(reads, len(request.model.block_keys))
+
+    async def test_a_restarted_agent_does_not_send_stored_blocks_again(self) -> None:
+        async with ContextRig() as rig:
+            request = build_request()
+            await rig.run_and_export(request)
+            writes = rig.count_calls("PUT")
+            rig.restart_agent()
+            rig.link_rate.rate = STUCK_LINK
+            await rig.run_and_export(request)
+            self.assertEqual(rig.count_calls("PUT"), writes)
+
+    async def test_a_slow_link_is_not_used_until_it_may_have_recovered(self) -> None:
+        # The link has become a thousand times slower than prefill: nothing is read.
+        async with ContextRig() as rig:
+            request = build_request()
+            await rig.run_and_export(request)
+            rig.start_cold()
+            rig.link_rate.rate = STUCK_LINK
+            reads = rig.count_calls("GET")
+            self.assertEqual(await rig.run(request), 0)
+            self.assertEqual(rig.count_calls("GET"), reads)
+
+
+class WorkspaceTests(unittest.IsolatedAsyncioTestCase):
+    async def test_the_same_prompt_in_two_workspaces_shares_nothing(self) -> None:
+        # Two workspaces send the same words. Neither the engine's cache nor the store
+        # may let one see, by speed or by content, that the other sent them.
+        async with ContextRig() as rig:
+            first, second = build_request(), build_request(workspace="gouda")
+            await rig.run_and_export(first)
+            self.assertEqual(await rig.run_and_export(second), 0)
+            self.assertFalse(set(list_names(first)) & set(list_names(second)))
+            rig.start_cold()
+            await rig.run(second)
+            salts = {entry["salt"] for entry in rig.engine.imports}
+            self.assertEqual(salts, {"salt-gouda"})
+
+    async def test_a_workspace_that_fills_the_store_evicts_only_itself(self) -> None:
+        # One workspace writes ten times what the store holds, through an agent that
+        # meets 507 again and again; the other has one prompt there, below its share.
+        async with ContextRig() as rig:
+            quiet = build_request(workspace="gouda")
+            await rig.run_and_export(quiet)
+            rig.stores[0].capacity = 4 * rig.stores[0].used
+            for number in range(40):
+                await rig.run_and_export(build_request((f"p{number}", *HISTORY)))
+            self.assertLessEqual(set(list_names(quiet)), set(rig.stores[0].blocks))
+            self.assertGreater(rig.count_calls("DELETE"), 0)
+            calls = {m: rig.count_calls(m) for m in ("HEAD", "PUT", "DELETE", "GET")}
+            # A block costs at most a look, two writes and a delete; lists are bounded.
+            self.assertLessEqual(calls["HEAD"] + calls["DELETE"], 2 * 41 * 3)
+            self.assertLessEqual(calls["PUT"], 2 * 41 * 3)
+            self.assertLessEqual(calls["GET"], 41 * 3 + 5)
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/context/block_name.py
@@ -0,0 +1,45 @@
+"""Names of blocks in a store: what an evicting agent may know without opening one.
+
+A store VM runs none of our software, so the only knowledge that all agents share about
+its content is the list of names. A name carries a tag of the workspace (a keyed hash,
+so it tells an onlooker nothing) and the block's depth in its prompt. A reader computes
+the whole name from the prompt alone; nothing has to be looked up.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+TAG_BYTES = 8
+MAX_DEPTH = 0xFFFF
+
+
+@dataclass(frozen=True, slots=True)
+class BlockName:
+    """Workspace tag, position in the prompt (0 is first) and key of a stored block."""
+
+    tag: str
+    depth: int
+    key: bytes
+
+    def __str__(self) -> str:
+        return f"{self.tag}-{min(self.depth, MAX_DEPTH):04x}-{self.key.hex()}"
+
+
+def derive_workspace_tag(block_secret: bytes, workspace: str) -> str:
+    """Return the hex tag under which a workspace's blocks are counted."""
+    return hashlib.blake2b(
+        workspace.encode(), key=block_secret, digest_size=TAG_BYTES, person=b"tag"
+    ).hexdigest()
+
+
+def parse_block_name(text: str) -> BlockName | None:
+    """Return the parts of a stored name, None for one that no agent wrote."""
+    parts = text.split("-")
+    if len(parts) != 3 or len(parts[0]) != 2 * TAG_BYTES:
+        return None
+    try:
+        return BlockName(parts[0], int(parts[1], 16), bytes.fromhex(parts[2]))
+    except ValueError:
+        return None
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/context/eviction.py
@@ -0,0 +1,92 @@
+"""Which blocks leave a full store VM, computed alike by every agent.
+
+Load pattern: many agents fill the same store VM, and one workspace writes a hundred
+times as much as the others. With oldest-first eviction that workspace pushes everyone
+else out, and their next return is recomputed. Here the workspace that holds the most
+for its weight gives way (weighted max-min), so one at or below its share loses nothing
+to another. Two agents that evict at once free a few blocks too many; since blocks
+prove themselves, that costs a recomputation at most.
+"""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from .block_name import BlockName, parse_block_name
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+# A tag that the configuration does not name: a removed workspace, or one newer than
+# this agent's generation. It may keep a tenth of a share, so that the leavings of
+# removed workspaces go first and a new workspace loses little in its first seconds.
+UNKNOWN_WEIGHT = 0.1
+# Only the oldest part of a workspace's blocks may go, deepest first: a prompt without
+# its first block is lost whole, one without its last loses a block.
+OLD_SHARE = 0.25
+
+
+def choose_evictions(
+    names: Iterable[str], weights: Mapping[str, float], writer: str, count: int
+) -> list[str]:
+    """Return up to ``count`` names to delete so that ``writer`` may add a block.
+
+    ``names`` is the store VM's list, oldest first; ``weights`` has the share of each
+    workspace tag; ``writer`` is the tag that wants the space.
+    """
+    by_tag, foreign = _group(names)
+    victims = foreign[:count]
+    queues = {tag: _order(blocks) for tag, blocks in by_tag.items()}
+    held = {tag: len(blocks) for tag, blocks in queues.items()}
+    held.setdefault(writer, 0)
+    heap = [(-_measure(held[tag], weights, tag), tag) for tag in held]
+    heapq.heapify(heap)
+    while len(victims) < count:
+        # Each place is refilled by the writer, which counts for its share at once:
+        # it may not empty the store of others with one list.
+        held[writer] += 1
+        heapq.heappush(heap, (-_measure(held[writer], weights, writer), writer))
+        tag = _pop_largest(heap, held, weights)
+        if not queues.get(tag):
+            break
+        victims.append(str(queues[tag].pop()))
+        held[tag] -= 1
+        heapq.heappush(heap, (-_measure(held[tag], weights, tag), tag))
+    return victims
+
+
+def _pop_largest(
+    heap: list[tuple[float, str]], held: dict[str, int], weights: Mapping[str, float]
+) -> str:
+    """Return the tag that holds the most for its weight, passing outdated entries."""
+    while True:
+        measure, tag = heapq.heappop(heap)
+        if -measure == _measure(held[tag], weights, tag):
+            return tag
+
+
+def _group(names: Iterable[str]) -> tuple[dict[str, list[BlockName]], list[str]]:
+    by_tag: dict[str, list[BlockName]] = {}
+    foreign: list[str] = []
+    for text in names:
+        name = parse_block_name(text)
+        if name is None or str(name) != text:
+            foreign.append(text)
+        else:
+            by_tag.setdefault(name.tag, []).append(name)
+    return by_tag, foreign
+
+
+def _order(blocks: list[BlockName]) -> list[BlockName]:
+    """Return one workspace's blocks, the first to go last."""
+    old = max(1, int(len(blocks) * OLD_SHARE))
+    oldest = blocks[:old]
+    # Among equal depths the oldest comes last, and so goes first.
+    oldest.reverse()
+    oldest.sort(key=lambda name: name.depth)
+    return [*reversed(blocks[old:]), *oldest]
+
+
+def _measure(held: int, weights: Mapping[str, float], tag: str) -> float:
+    return held / weights.get(tag, UNKNOWN_WEIGHT)
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/context/export_choice.py
@@ -0,0 +1,107 @@
+"""Which finished blocks are worth the link, and in which order they go.
+
+Load pattern: far more blocks are computed than ever return. Exporting all of them
+spends the link and the store's space on prompts nobody repeats; what does return then
+waits behind them or has been evicted for them.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import IntEnum
+
+# Leading blocks of a prompt: without them the others are no use.
+OPENING_BLOCKS = 2
+# Keys whose sightings are counted; the least recent are forgotten.
+MAX_SIGHTED = 65_536
+
+
+class ReturnOdds(IntEnum):
+    """How likely a block returns, the likeliest first."""
+
+    SHARED = 0
+    RETURNED = 1
+    OPENING = 2
+    NEW = 3
+
+
+@dataclass(frozen=True, slots=True)
+class ExportItem:
+    """One block that might be exported."""
+
+    request_id: str
+    workspace: str
+    salt: str
+    version: str
+    key: bytes
+    depth: int
+
+
+class Sightings:
+    """Counts in how many prompts each block was seen, and before which successor."""
+
+    __slots__ = ("_seen",)
+
+    def __init__(self) -> None:
+        self._seen: OrderedDict[bytes, tuple[int, bytes, bool]] = OrderedDict()
+
+    def note_prompt(self, keys: tuple[bytes, ...]) -> list[ReturnOdds]:
+        """Count one prompt; return the odds of each of its blocks."""
+        return [
+            self._note(key, depth, keys[depth + 1] if depth + 1 < len(keys) else b"")
+            for depth, key in enumerate(keys)
+        ]
+
+    def _note(self, key: bytes, depth: int, successor: bytes) -> ReturnOdds:
+        count, before, forked = self._seen.get(key, (0, b"", False))
+        # The same block before two different successors belongs to two prompts.
+        forked = forked or bool(before and successor and before != successor)
+        self._seen[key] = (count + 1, successor or before, forked)
+        self._seen.move_to_end(key)
+        if len(self._seen) > MAX_SIGHTED:
+            self._seen.popitem(last=False)
+        if forked:
+            return ReturnOdds.SHARED
+        if count:
+            return ReturnOdds.RETURNED
+        return ReturnOdds.OPENING if depth < OPENING_BLOCKS else ReturnOdds.NEW
+
+
+class ExportQueue:
+    """Blocks waiting for the link, likeliest first; the least likely are dropped."""
+
+    __slots__ = ("_heap", "_limit", "_queued", "_sequence")
+
+    def __init__(self, limit: int) -> None:
+        self._heap: list[tuple[int, int, ExportItem]] = []
+        self._queued: set[bytes] = set()
+        self._limit = limit
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def push(self, odds: ReturnOdds, item: ExportItem) -> ExportItem | None:
+        """Queue a block once; return the one dropped for it, if any."""
+        if item.key in self._queued:
+            return None
+        self._sequence += 1
+        heapq.heappush(self._heap, (odds, self._sequence, item))
+        self._queued.add(item.key)
+        if len(self._heap) <= self._limit:
+            return None
+        worst = max(self._heap)
+        self._heap.remove(worst)
+        heapq.heapify(self._heap)
+        self._queued.discard(worst[2].key)
+        return worst[2]
+
+    def pop(self) -> tuple[ReturnOdds, ExportItem] | None:
+        """Take the likeliest block."""
+        if not self._heap:
+            return None
+        odds, _, item = heapq.heappop(self._heap)
+        self._queued.discard(item.key)
+        return ReturnOdds(odds), item
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/context/fetch_choice.py
@@ -0,0 +1,101 @@
+"""Fetch a prompt's missing blocks from the store, or recompute them.
+
+Load pattern: prompts that return after hours, over links that are sometimes slow.
+Always fetching makes a caller wait for a slow link while the accelerator idles; always
+recomputing keeps accelerators busy with what the store already has. A prefix of the
+missing blocks is fetched and the rest recomputed, where the split is cheapest.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+# A fetch that takes this many times its prediction is on a link that has changed.
+LATE_FACTOR = 2.0
+# Least seconds before a fetch counts as late; below it is scheduling noise.
+MIN_PATIENCE = 0.05
+
+
+class FetchReason(StrEnum):
+    """Why blocks are fetched or recomputed."""
+
+    RESIDENT = "resident"
+    NO_STORE = "no-store"
+    FETCH = "fetch"
+    FETCH_PART = "fetch-part"
+    RECOMPUTE_IS_QUICKER = "recompute-is-quicker"
+
+
+@dataclass(frozen=True, slots=True)
+class CostWeights:
+    """What a second of each resource counts beside a second of waiting."""
+
+    recompute: float
+    link: float
+
+
+# Fosse's callers wait on a dark road: only the time to the first token counts.
+FIRST_TOKEN = CostWeights(recompute=0.0, link=0.0)
+# Kaaspost's catalogues recur all day: a second of prefill is also taken from other
+# callers and counts twice; a second of link delays other fetches and counts a quarter.
+RECOMPUTE = CostWeights(recompute=1.0, link=0.25)
+PRESETS = {"first-token": FIRST_TOKEN, "recompute": RECOMPUTE}
+
+
+@dataclass(frozen=True, slots=True)
+class FetchQuestion:
+    """What is known when a request arrives whose engine lacks blocks."""
+
+    # Missing blocks, a run of the prompt's chain.
+    blocks: int
+    block_bytes: float
+    block_tokens: int
+    # Tokens a second and bytes a second as measured now.
+    prefill_rate: float
+    link_rate: float
+    # Bytes the budget lets go at once (negative: others wait), and its rate.
+    free_bytes: float
+    budget_rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class FetchPlan:
+    """How many leading missing blocks to fetch, and when to give up on them."""
+
+    blocks: int
+    reason: FetchReason
+    # Seconds.
+    predicted: float = 0.0
+    give_up_after: float = 0.0
+
+
+def choose_fetch(question: FetchQuestion, weights: CostWeights) -> FetchPlan:
+    """Return the split with the least weighted cost, the fewest blocks on a tie."""
+    costs = [_weigh(question, weights, count) for count in range(question.blocks + 1)]
+    best = costs.index(min(costs))
+    if best == 0:
+        return FetchPlan(0, FetchReason.RECOMPUTE_IS_QUICKER)
+    predicted = expect_transfer(question, best)
+    saved = best * question.block_tokens / question.prefill_rate
+    # However late the store is, the caller waits no longer for it than recomputing
+    # the same blocks would have cost (as the preset weighs it).
+    worth = saved * (1 + weights.recompute) / (1 + weights.link)
+    patience = max(predicted * LATE_FACTOR, MIN_PATIENCE)
+    reason = FetchReason.FETCH if best == question.blocks else FetchReason.FETCH_PART
+    return FetchPlan(best, reason, predicted, min(worth, patience))
+
+
+def expect_transfer(question: FetchQuestion, blocks: int) -> float:
+    """Return the seconds that fetching ``blocks`` blocks takes on the link now."""
+    size = blocks * question.block_bytes
+    on_link = size / question.link_rate
+    in_budget = (size - question.free_bytes) / question.budget_rate
+    return max(on_link, in_budget)
+
+
+def _weigh(question: FetchQuestion, weights: CostWeights, fetched: int) -> float:
+    recomputed = (question.blocks - fetched) * question.block_tokens
+    prefill = recomputed / question.prefill_rate
+    transfer = expect_transfer(question, fetched) if fetched else 0.0
+    return transfer * (1 + weights.link) + prefill * (1 + weights.recompute)
--- a/libraries/standins/src/bamboopier_standins/engine.py
+++ b/libraries/standins/src/bamboopier_standins/engine.py
@@ -2,11 +2,14 @@
 
 Speeds are settings. The words of a prompt are its tokens. ``GET /log`` lists every
 request that was run, in order, which is what tests of "at most once" read.
+A block's bytes follow from the weight version and the words up to its end, and ``GET
+/imports`` lists what was imported with its digest, so that a wrong import shows.
 """
 
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 import uuid
 from collections import OrderedDict
@@ -39,15 +42,26 @@
     crash_word: str = "!crash!"
 
 
+@dataclass(frozen=True)
+class CachedBlock:
+    """One block of context: the version that made it and its bytes."""
+
+    version: str
+    content: bytes
+
+
 @dataclass
 class EngineStandIn:
     """One engine with its cache and its log."""
 
     options: EngineOptions
     start_id: str = field(default_factory=lambda: uuid.uuid4().hex)
-    cache: OrderedDict[tuple[str, str], str] = field(default_factory=OrderedDict)
+    cache: OrderedDict[tuple[str, str], CachedBlock] = field(
+        default_factory=OrderedDict
+    )
     events: list[dict[str, Any]] = field(default_factory=list)
     log: list[dict[str, Any]] = field(default_factory=list)
+    imports: list[dict[str, str]] = field(default_factory=list)
     fence: int = 0
     running: int = 0
 
@@ -69,6 +83,7 @@
                 web.put("/context/{key}", self.import_block),
                 web.post("/evict", self.evict),
                 web.get("/log", self.list_log),
+                web.get("/imports", self.list_imports),
             ]
         )
         return application
@@ -116,7 +131,7 @@
         cached = self._count_cached(salt, keys, version) * self.options.block_tokens
         entry["cached"] = cached
         await asyncio.sleep((tokens - cached) / self.options.prefill_rate)
-        self._remember(salt, keys, version)
+        self._remember_prompt(salt, keys, version, prompt.split())
         count = min(int(body.get("max_tokens", 16)), 4096)
         usage = {
             "prompt_tokens": tokens,
@@ -156,18 +171,29 @@
     def _count_cached(self, salt: str, keys: list[str], version: str) -> int:
         count = 0
         for key in keys:
-            if self.cache.get((salt, key)) != version:
+            block = self.cache.get((salt, key))
+            if block is None or block.version != version:
                 break
             self.cache.move_to_end((salt, key))
             count += 1
         return count
 
-    def _remember(self, salt: str, keys: list[str], version: str) -> None:
-        for key in keys:
-            if (salt, key) not in self.cache:
-                self.events.append({"kind": "stored", "key": key})
-            self.cache[salt, key] = version
-            self.cache.move_to_end((salt, key))
+    def _remember_prompt(
+        self, salt: str, keys: list[str], version: str, words: list[str]
+    ) -> None:
+        for number, key in enumerate(keys, 1):
+            block = self.cache.get((salt, key))
+            if block is None or block.version != version:
+                end = number * self.options.block_tokens
+                content = make_block(version, words[:end], self.options.block_tokens)
+                block = CachedBlock(version, content)
+            self._remember(salt, key, block)
+
+    def _remember(self, salt: str, key: str, block: CachedBlock) -> None:
+        if (salt, key) not in self.cache:
+            self.events.append({"kind": "stored", "key": key})
+        self.cache[salt, key] = block
+        self.cache.move_to_end((salt, key))
         while len(self.cache) > self.options.capacity:
             self._drop_oldest()
 
@@ -210,21 +236,22 @@
     async def export_block(self, request: web.Request) -> web.Response:
         """Answer with a block's bytes if it is in the cache."""
         identity = (request.query.get("salt", ""), request.match_info["key"])
-        version = self.cache.get(identity)
-        if version is None:
+        block = self.cache.get(identity)
+        if block is None:
             return web.Response(status=404)
-        size = self.options.block_tokens * BYTES_PER_TOKEN
-        body = (identity[1].encode() * (size // len(identity[1]) + 1))[:size]
-        return web.Response(body=body, headers={VERSION_HEADER: version})
+        return web.Response(body=block.content, headers={VERSION_HEADER: block.version})
 
     async def import_block(self, request: web.Request) -> web.Response:
         """Put a block into the cache; another weight version's is refused."""
-        await request.read()
-        if request.headers[VERSION_HEADER] != self.version:
+        content = await request.read()
+        salt, key = request.query.get("salt", ""), request.match_info["key"]
+        version = request.headers[VERSION_HEADER]
+        if version != self.version:
             return web.Response(status=409)
-        self._remember(
-            request.query.get("salt", ""), [request.match_info["key"]], self.version
-        )
+        digest = hashlib.sha256(content).hexdigest()
+        entry = {"salt": salt, "key": key, "version": version, "digest": digest}
+        self.imports.append(entry)
+        self._remember(salt, key, CachedBlock(version, content))
         return web.Response()
 
     async def evict(self, request: web.Request) -> web.Response:
@@ -237,6 +264,17 @@
         """Answer with every request and order this engine was given."""
         return web.json_response(self.log)
 
+    async def list_imports(self, request: web.Request) -> web.Response:
+        """Answer with every block this engine was given to import."""
+        return web.json_response(self.imports)
+
+
+def make_block(version: str, words: list[str], block_tokens: int) -> bytes:
+    """Return the context of a block that ends with the last of ``words``."""
+    text = " ".join([version, *words]).encode()
+    size = block_tokens * BYTES_PER_TOKEN
+    return hashlib.shake_256(text).digest(size)
+
 
 def render_prompt(body: dict[str, Any]) -> str:
     """Return the text the model would see."""
--- a/libraries/standins/src/bamboopier_standins/store.py
+++ b/libraries/standins/src/bamboopier_standins/store.py
@@ -1,11 +1,15 @@
-"""Stand-in for a store VM: bytes under a key, in limited space, with torn writes.
+"""Stand-in for a store VM: bytes under a name, in limited space, with torn writes.
 
-A write whose connection is cut leaves what arrived. ``POST /faults`` with ``flip``,
-``truncate`` or ``swap`` damages that many of the next reads.
+A write whose connection is cut leaves what arrived. ``POST /faults`` damages that many
+of the next reads: ``flip`` a bit, ``truncate``, ``swap`` for another block, ``splice``
+(space reused while it is read), ``hang``, ``drip`` (the head, then nothing). ``cut``
+ends each write after that many bytes, ``full`` refuses every write, ``frozen``
+answers nothing at all. ``GET /log`` lists what was asked, which is what tests count.
 """
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections import OrderedDict
 from typing import Any
@@ -15,47 +19,81 @@
 
 from .server import MAX_BODY_BYTES, run
 
+# Longer than any test; the caller leaves before.
+HANG_SECONDS = 60.0
+
 
 class StoreStandIn:
-    """Blocks by key, oldest first."""
+    """Blocks by name, oldest first."""
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
-        self.used = 0
         self.blocks: OrderedDict[str, bytearray] = OrderedDict()
         self.faults: dict[str, int] = {}
+        self.log: list[dict[str, Any]] = []
+
+    @property
+    def used(self) -> int:
+        """Return the bytes that all blocks take."""
+        return sum(len(block) for block in self.blocks.values())
 
     def make_application(self) -> web.Application:
         """Return the HTTP application."""
-        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._record]
+        )
         application.add_routes(
             [
-                web.get("/blocks/{key}", self.read),
-                web.put("/blocks/{key}", self.write),
-                web.delete("/blocks/{key}", self.delete),
+                web.get("/blocks/{name}", self.read),
+                web.put("/blocks/{name}", self.write),
+                web.delete("/blocks/{name}", self.delete),
                 web.get("/blocks", self.list),
                 web.get("/stats", self.report),
+                web.get("/log", self.list_log),
                 web.post("/faults", self.set_faults),
             ]
         )
         return application
 
-    async def read(self, request: web.Request) -> web.Response:
-        """Answer with whatever stands under the key."""
-        block = self.blocks.get(request.match_info["key"])
+    @web.middleware
+    async def _record(self, request: web.Request, handler: Any) -> Any:
+        if not request.path.startswith("/blocks"):
+            return await handler(request)
+        name = request.match_info.get("name", "")
+        entry = {"method": request.method, "name": name, "status": 0}
+        self.log.append(entry)
+        if self.faults.get("frozen"):
+            await asyncio.sleep(HANG_SECONDS)
+        response = await handler(request)
+        entry["status"] = response.status
+        return response
+
+    async def read(self, request: web.Request) -> web.StreamResponse:
+        """Answer with whatever stands under the name."""
+        block = self.blocks.get(request.match_info["name"])
         if block is None:
             return web.Response(status=404)
+        if request.method == "HEAD":
+            return web.Response(body=bytes(block))
+        if self._use_fault("hang"):
+            await asyncio.sleep(HANG_SECONDS)
+        if self._use_fault("drip"):
+            response = web.StreamResponse(headers={"Content-Length": str(len(block))})
+            await response.prepare(request)
+            await asyncio.sleep(HANG_SECONDS)
         return web.Response(body=self._damage(bytes(block)))
 
     def _damage(self, block: bytes) -> bytes:
+        middle = len(block) // 2
+        others = [bytes(b) for b in self.blocks.values() if bytes(b) != block]
         if self._use_fault("flip"):
-            middle = len(block) // 2
             return block[:middle] + bytes([block[middle] ^ 1]) + block[middle + 1 :]
         if self._use_fault("truncate"):
-            return block[: len(block) // 2]
+            return block[:middle]
         if self._use_fault("swap"):
-            others = [bytes(b) for b in self.blocks.values() if bytes(b) != block]
-            return others[0] if others else block
+            return others[0] if others else b""
+        if self._use_fault("splice"):
+            return block[:middle] + (others[0] if others else b"")[middle:]
         return block
 
     def _use_fault(self, name: str) -> bool:
@@ -66,30 +104,31 @@
 
     async def write(self, request: web.Request) -> web.Response:
         """Store bytes as they arrive; a full store answers 507."""
-        key = request.match_info["key"]
+        name = request.match_info["name"]
         size = request.content_length or 0
-        if self.used + size > self.capacity:
+        replaced = len(self.blocks.get(name, b""))
+        if self.faults.get("full") or self.used - replaced + size > self.capacity:
             return web.Response(status=507)
-        self._remove(key)
+        self.blocks.pop(name, None)
         block = bytearray()
-        self.blocks[key] = block
+        self.blocks[name] = block
+        cut = self.faults.get("cut")
         async for piece in request.content.iter_any():
             block.extend(piece)
-            self.used += len(piece)
+            if cut is not None and len(block) >= cut:
+                del block[cut:]
+                if request.transport is not None:
+                    request.transport.abort()
+                break
         return web.Response()
 
     async def delete(self, request: web.Request) -> web.Response:
-        """Free a key's space."""
-        self._remove(request.match_info["key"])
+        """Free a block's space."""
+        self.blocks.pop(request.match_info["name"], None)
         return web.Response()
 
-    def _remove(self, key: str) -> None:
-        block = self.blocks.pop(key, None)
-        if block is not None:
-            self.used -= len(block)
-
     async def list(self, request: web.Request) -> web.Response:
-        """Answer with the keys, oldest first."""
+        """Answer with the names, oldest first."""
         return web.json_response(list(self.blocks))
 
     async def report(self, request: web.Request) -> web.Response:
@@ -101,8 +140,12 @@
         }
         return web.json_response(body)
 
+    async def list_log(self, request: web.Request) -> web.Response:
+        """Answer with every call under ``/blocks``."""
+        return web.json_response(self.log)
+
     async def set_faults(self, request: web.Request) -> web.Response:
-        """Set the faults of the next reads (test control)."""
+        """Set the faults of the next calls (test control)."""
         self.faults = json.loads(await request.read())
         return web.Response()
 
