--- /dev/null
+++ b/libraries/decisions/tests/test_export_choice.py
@@ -0,0 +1,43 @@
+"""Blocks that are likely to return go first and are dropped last."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_decisions.context.export_choice import (
+    ExportItem,
+    ExportQueue,
+    ReturnOdds,
+    Sightings,
+)
+
+
+def build_item(key: bytes) -> ExportItem:
+    return ExportItem("r", "w", "s", "v1", key, 0)
+
+
+class ExportChoiceTests(unittest.TestCase):
+    def test_odds_follow_what_was_seen(self) -> None:
+        sightings = Sightings()
+        new, opening = ReturnOdds.NEW, ReturnOdds.OPENING
+        returned, shared = ReturnOdds.RETURNED, ReturnOdds.SHARED
+        rows = [
+            ((b"a", b"b", b"c"), [opening, opening, new]),
+            # The conversation returns, longer by a turn.
+            ((b"a", b"b", b"c", b"d"), [returned, returned, returned, new]),
+            # Another question about the same catalogue.
+            ((b"a", b"b", b"x"), [returned, shared, new]),
+        ]
+        for keys, odds in rows:
+            self.assertEqual(sightings.note_prompt(keys), odds, keys)
+
+    def test_the_likeliest_go_first_and_the_least_likely_are_dropped(self) -> None:
+        queue = ExportQueue(2)
+        queue.push(ReturnOdds.NEW, build_item(b"n"))
+        queue.push(ReturnOdds.SHARED, build_item(b"s"))
+        self.assertIsNone(queue.push(ReturnOdds.SHARED, build_item(b"s")))
+        dropped = queue.push(ReturnOdds.RETURNED, build_item(b"r"))
+        self.assertEqual(dropped, build_item(b"n"))
+        popped = [entry[1].key for entry in (queue.pop(), queue.pop()) if entry]
+        self.assertEqual(popped, [b"s", b"r"])
+        self.assertIsNone(queue.pop())
