Say what is wrong with a settings or configuration file

An operator's file is a type of its own without drains; the published form is unchanged. Settings are checked across fields.

Ruled out: a check in __post_init__, since msgspec then gives one free text without found and allowed.

--- a/libraries/configuration/src/bamboopier_configuration/collection.py
+++ b/libraries/configuration/src/bamboopier_configuration/collection.py
@@ -7,14 +7,17 @@
 from result import Err, Ok, Result
 
 from .errors import ConfigurationError
-from .model import Configuration, Drains
+from .model import Configuration, ConfigurationFile, Drains
 from .reader import read_file
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from pathlib import Path
 
+    from .model import Service, Workspace
+
 FILE_SUFFIX = ".bamboopier.json"
+SECTIONS = ("services", "workspaces", "models", "stores")
 
 
 def find_files(roots: Iterable[Path]) -> list[Path]:
@@ -29,70 +32,114 @@
 
 
 def collect(files: Iterable[Path]) -> Result[Configuration, ConfigurationError]:
-    """Join ``files`` into one configuration; the first fault found is returned."""
-    places: dict[tuple[str, str], str] = {}
-    joined = Configuration(
-        services=[], workspaces=[], models=[], stores=[], drains=Drains([], [])
-    )
+    """Join ``files`` into one configuration; the first fault found is returned.
+
+    Drains are no part of the files: the result has none, and a publisher keeps those
+    in force.
+    """
+    collection = _Collection()
     for file in files:
-        match read_file(file, Configuration):
-            case Err(error):
-                return Err(error)
-            case Ok(part):
-                duplicate = _add(joined, part, str(file), places)
-                if duplicate is not None:
-                    return Err(duplicate)
-    fault = _find_dangling(joined, places)
-    return Err(fault) if fault is not None else Ok(joined)
-
-
-def _add(
-    joined: Configuration,
-    part: Configuration,
-    file: str,
-    places: dict[tuple[str, str], str],
-) -> ConfigurationError | None:
-    for section in ("services", "workspaces", "models", "stores"):
-        for index, item in enumerate(getattr(part, section)):
-            place = places.get((section, item.name))
-            if place is not None:
-                return ConfigurationError(
-                    file,
-                    f"$.{section}[{index}].name",
-                    f"duplicate name '{item.name}'",
-                    f"a name not yet used (first used in {place})",
-                )
-            places[section, item.name] = file
-            getattr(joined, section).append(item)
-    joined.drains.data_centres.extend(part.drains.data_centres)
-    joined.drains.targets.extend(part.drains.targets)
-    return None
-
-
-def _find_dangling(
-    joined: Configuration, places: dict[tuple[str, str], str]
-) -> ConfigurationError | None:
-    """Return the first reference to a name that no file defines."""
-    services = {service.name for service in joined.services}
-    models = {model.name for model in joined.models}
-    stores = {store.name for store in joined.stores}
-    for service in joined.services:
-        file = places["services", service.name]
-        for model in service.models:
-            if model not in models:
-                return _dangling(file, f"services.{service.name}.models", model, models)
-        if service.store is not None and service.store not in stores:
-            where = f"services.{service.name}.store"
-            return _dangling(file, where, service.store, stores)
-    for workspace in joined.workspaces:
-        file = places["workspaces", workspace.name]
-        for name in workspace.services:
-            if name not in services:
-                where = f"workspaces.{workspace.name}.services"
-                return _dangling(file, where, name, services)
-    return None
-
-
-def _dangling(file: str, path: str, name: str, known: set[str]) -> ConfigurationError:
+        answer = read_file(file, ConfigurationFile)
+        if isinstance(answer, Err):
+            return answer
+        fault = collection.add(answer.ok_value, str(file))
+        if fault is not None:
+            return Err(fault)
+    fault = collection.find_dangling()
+    return Err(fault) if fault is not None else Ok(collection.joined)
+
+
+class _Collection:
+    """The files joined so far, and the place of each name in them."""
+
+    def __init__(self) -> None:
+        self.joined = Configuration(
+            services=[], workspaces=[], models=[], stores=[], drains=Drains([], [])
+        )
+        # File and JSON path where a name of a section, or a digest, first stood.
+        self._names: dict[tuple[str, str], tuple[str, str]] = {}
+        self._digests: dict[str, tuple[str, str]] = {}
+
+    def add(self, part: ConfigurationFile, file: str) -> ConfigurationError | None:
+        """Add one file; returns the first fault in it."""
+        for section in SECTIONS:
+            for index, item in enumerate(getattr(part, section)):
+                path = f"$.{section}[{index}]"
+                known = self._names.setdefault((section, item.name), (file, path))
+                if known != (file, path):
+                    found = f"duplicate name '{item.name}'"
+                    return _duplicate(file, f"{path}.name", found, "name", known)
+                getattr(self.joined, section).append(item)
+        return self._check_routes(part.services) or self._check_digests(part.workspaces)
+
+    def find_dangling(self) -> ConfigurationError | None:
+        """Return the first reference to a name that no file defines."""
+        joined = self.joined
+        services = {service.name for service in joined.services}
+        models = {model.name for model in joined.models}
+        stores = {store.name for store in joined.stores}
+        for service in joined.services:
+            place = self._names["services", service.name]
+            for index, model in enumerate(service.models):
+                if model not in models:
+                    return _dangling(place, f"models[{index}]", model, models)
+            if service.store is not None and service.store not in stores:
+                return _dangling(place, "store", service.store, stores)
+        for workspace in joined.workspaces:
+            place = self._names["workspaces", workspace.name]
+            for index, name in enumerate(workspace.services):
+                if name not in services:
+                    return _dangling(place, f"services[{index}]", name, services)
+        return None
+
+    def _check_routes(self, services: list[Service]) -> ConfigurationError | None:
+        """Refuse a route that no request could ever reach."""
+        for service in services:
+            file, place = self._names["services", service.name]
+            seen: dict[tuple[str, str], tuple[str, str]] = {}
+            for index, route in enumerate(service.routes):
+                path = f"{place}.routes[{index}]"
+                if {".", ".."} & set(route.path.split("/")):
+                    allowed = "a path without '.' and '..' segments"
+                    return ConfigurationError(
+                        file, f"{path}.path", f"'{route.path}'", allowed
+                    )
+                key = (route.method, route.path.rstrip("/"))
+                known = seen.setdefault(key, (file, path))
+                if known != (file, path):
+                    found = f"second route for {route.method} {route.path}"
+                    return _duplicate(file, path, found, "route", known)
+        return None
+
+    def _check_digests(self, workspaces: list[Workspace]) -> ConfigurationError | None:
+        """Refuse an API key that two workspaces share.
+
+        Requests under it would be answered for whichever workspace came last, with
+        that workspace's context.
+        """
+        for workspace in workspaces:
+            file, place = self._names["workspaces", workspace.name]
+            for index, digest in enumerate(workspace.api_key_digests):
+                path = f"{place}.api_key_digests[{index}]"
+                known = self._digests.setdefault(digest, (file, path))
+                if known != (file, path):
+                    found = "a digest that is already in use"
+                    return _duplicate(file, path, found, "digest", known)
+        return None
+
+
+def _duplicate(
+    file: str, path: str, found: str, kind: str, known: tuple[str, str]
+) -> ConfigurationError:
+    allowed = f"a {kind} not yet used (first used in {known[0]} at {known[1]})"
+    return ConfigurationError(file, path, found, allowed)
+
+
+def _dangling(
+    place: tuple[str, str], field: str, name: str, known: set[str]
+) -> ConfigurationError:
+    file, path = place
     allowed = ", ".join(sorted(known)) or "nothing is defined yet"
-    return ConfigurationError(file, f"$.{path}", f"unknown name '{name}'", allowed)
+    return ConfigurationError(
+        file, f"{path}.{field}", f"unknown name '{name}'", allowed
+    )
--- a/libraries/configuration/src/bamboopier_configuration/model.py
+++ b/libraries/configuration/src/bamboopier_configuration/model.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated, ClassVar, Literal
 
 import msgspec
 
@@ -14,6 +14,11 @@
     str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$", max_length=63)
 ]
 Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+# Plain segments only: a declaration with an escape or a dot segment would never match
+# the paths that callers' requests are reduced to.
+RoutePath = Annotated[
+    str, msgspec.Meta(pattern=r"^/([A-Za-z0-9._~@:-]+(/[A-Za-z0-9._~@:-]+)*/?)?$")
+]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=7 * 86_400)]
 
@@ -25,7 +30,7 @@
     """Whether calls under a path of a plain service may be repeated."""
 
     method: Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
-    path: Annotated[str, msgspec.Meta(pattern=r"^/")]
+    path: RoutePath
     idempotent: bool
 
 
@@ -84,8 +89,23 @@
     targets: list[Name] = []
 
 
+class ConfigurationFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One operator's file: what it adds to the published configuration."""
+
+    # A drain is a short-lived order of whoever is on duty. In a file it would come
+    # back with every later publish, long after the data centre was restored.
+    elsewhere: ClassVar[dict[str, str]] = {
+        "drains": "use the commands drain and restore for drains"
+    }
+
+    services: list[Service] = []
+    workspaces: list[Workspace] = []
+    models: list[Model] = []
+    stores: list[Store] = []
+
+
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One whole published state; also the form of each operator's file."""
+    """One whole published state."""
 
     services: list[Service] = []
     workspaces: list[Workspace] = []
--- /dev/null
+++ b/libraries/configuration/src/bamboopier_configuration/settings_reader.py
@@ -0,0 +1,75 @@
+"""Reads a process's own settings and checks what no single field can show."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+from typing import TYPE_CHECKING, TypeVar
+
+from result import Err, Result
+
+from .errors import ConfigurationError
+from .reader import read_file, show
+from .settings import AgentSettings, GatewaySettings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from .settings import Address
+
+S = TypeVar("S", GatewaySettings, AgentSettings)
+
+
+def read_settings(path: Path, kind: type[S]) -> Result[S, ConfigurationError]:
+    """Read the settings file of a process."""
+    answer = read_file(path, kind)
+    if isinstance(answer, Err):
+        return answer
+    settings = answer.ok_value
+    fault = (
+        _find_host_fault(settings.listen, "$.listen.host", str(path))
+        or _find_host_fault(settings.admin, "$.admin.host", str(path))
+        or _find_port_fault(settings, str(path))
+        or _find_plain_fault(settings, str(path))
+    )
+    return Err(fault) if fault is not None else answer
+
+
+def _find_host_fault(
+    address: Address, path: str, file: str
+) -> ConfigurationError | None:
+    try:
+        ip_address(address.host)
+    except ValueError:
+        allowed = "an IP number such as 127.0.0.1"
+        return ConfigurationError(file, path, show(address.host), allowed)
+    return None
+
+
+def _find_port_fault(
+    settings: GatewaySettings | AgentSettings, file: str
+) -> ConfigurationError | None:
+    """Refuse two uses of one port, which would only show when the second one fails."""
+    listen, admin = settings.listen, settings.admin
+    if admin.port == 0 or admin.port != listen.port:
+        return None
+    hosts = {ip_address(listen.host), ip_address(admin.host)}
+    if len(hosts) == 1 or any(host.is_unspecified for host in hosts):
+        allowed = f"an address other than listen ({listen})"
+        return ConfigurationError(file, "$.admin", str(admin), allowed)
+    return None
+
+
+def _find_plain_fault(
+    settings: GatewaySettings | AgentSettings, file: str
+) -> ConfigurationError | None:
+    """Refuse unprotected traffic between machines unless it is asked for in words."""
+    if settings.allow_plain:
+        return None
+    cure = 'a loopback address, certificates in "tls", or "allow_plain": true'
+    if isinstance(settings, GatewaySettings):
+        if settings.caller_tls is None and not settings.listen.is_loopback:
+            cure = cure.replace('"tls"', '"caller_tls"')
+            return ConfigurationError(file, "$.listen", str(settings.listen), cure)
+    elif settings.tls is None and not settings.listen.is_loopback:
+        return ConfigurationError(file, "$.listen", str(settings.listen), cure)
+    return None
--- a/libraries/configuration/tests/test_collection.py
+++ b/libraries/configuration/tests/test_collection.py
@@ -6,9 +6,69 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 
 from bamboopier_configuration.collection import collect, find_files
 
+from .builders import make_service, make_workspace
+
+MODEL = {"name": "pillar-8b", "version": "v1"}
+ROUTE = {"method": "POST", "path": "/vans", "idempotent": False}
+# Each row: the files' contents, the path of the fault, what was found, what is allowed.
+FAULTS: list[tuple[list[dict[str, Any]], str, str, str]] = [
+    (
+        [{"models": [MODEL]}, {"models": [MODEL]}],
+        "$.models[0].name",
+        "duplicate name 'pillar-8b'",
+        "a.bamboopier.json at $.models[0]",
+    ),
+    (
+        [{"models": [MODEL, MODEL]}],
+        "$.models[1].name",
+        "duplicate name 'pillar-8b'",
+        "a.bamboopier.json at $.models[0]",
+    ),
+    (
+        [{"services": [make_service(models=["lost"])]}],
+        "$.services[0].models[0]",
+        "unknown name 'lost'",
+        "nothing is defined yet",
+    ),
+    (
+        [{"services": [make_service(store="lost")], "stores": [{"name": "kept"}]}],
+        "$.services[0].store",
+        "unknown name 'lost'",
+        "kept",
+    ),
+    (
+        [{"workspaces": [make_workspace()]}],
+        "$.workspaces[0].services[0]",
+        "unknown name 'desk'",
+        "nothing is defined yet",
+    ),
+    (
+        [
+            {"services": [make_service()], "workspaces": [make_workspace()]},
+            {"workspaces": [make_workspace(name="other")]},
+        ],
+        "$.workspaces[0].api_key_digests[0]",
+        "a digest that is already in use",
+        "a.bamboopier.json at $.workspaces[0].api_key_digests[0]",
+    ),
+    (
+        [{"services": [make_service(routes=[ROUTE, {**ROUTE, "idempotent": True}])]}],
+        "$.services[0].routes[1]",
+        "second route for POST /vans",
+        "$.services[0].routes[0]",
+    ),
+    (
+        [{"services": [make_service(routes=[{**ROUTE, "path": "/a/../vans"}])]}],
+        "$.services[0].routes[0].path",
+        "'/a/../vans'",
+        "without '.' and '..'",
+    ),
+]
+
 
 class CollectionTests(unittest.TestCase):
     def setUp(self) -> None:
@@ -19,20 +79,17 @@
         path.write_text(json.dumps(content))
         return path
 
-    def test_the_same_name_in_two_files_is_refused(self) -> None:
-        content = {"models": [{"name": "pillar-8b", "version": "v1"}]}
-        first = self.write("a", content)
-        second = self.write("b", content)
-        error = collect([first, second]).unwrap_err()
-        self.assertEqual(error.file, str(second))
-        self.assertEqual(error.path, "$.models[0].name")
-        self.assertIn(str(first), error.allowed)
-
-    def test_a_model_that_no_file_defines_is_refused(self) -> None:
-        service = {"name": "desk", "kind": "model", "models": ["lost"]}
-        path = self.write("a", {"services": [service]})
-        error = collect([path]).unwrap_err()
-        self.assertIn("lost", error.found)
+    def test_each_fault_over_files_names_file_path_and_cure(self) -> None:
+        for contents, path, found, allowed in FAULTS:
+            with self.subTest(found):
+                files = [
+                    self.write(name, content)
+                    for name, content in zip("ab", contents, strict=False)
+                ]
+                error = collect(files).unwrap_err()
+                self.assertEqual((error.file, error.path), (str(files[-1]), path))
+                self.assertEqual(error.found, found)
+                self.assertIn(allowed, error.allowed)
 
     def test_files_are_found_below_a_folder(self) -> None:
         path = self.write("a", {})
