Project the design size from the measured slopes

Cause: the capacity page's lines must follow from measured figures and the constants in the code. Change: capacity.projection prints the table with limits and verdicts.

--- /dev/null
+++ b/tools/capacity/projection.py
@@ -0,0 +1,204 @@
+"""Works out the design size from measured slopes: ``python -m capacity.projection``.
+
+Every line names what carries it. Rates come from the constants of the code itself, so
+that a change there shows here.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+
+from bamboopier_daemon.daemon import KEEPALIVE_MS
+from bamboopier_platform.follower import WATCH_SECONDS
+from bamboopier_platform.vm_follower import POLL_SECONDS
+
+from . import size
+
+FIGURES = Path(__file__).resolve().parent.parent.parent / "docs" / "capacity.json"
+# A call's headers both ways, with those of TCP and IP.
+CALL_BYTES = 600.0
+# A keep-alive ping and its answer, with the headers of TCP and IP.
+PING_BYTES = 200.0
+# A load report asked for by itself, both ways.
+REPORT_BYTES = 500.0
+
+
+@dataclass(frozen=True)
+class Line:
+    """One projected figure with its limit (0: none was given)."""
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    limit: float
+    carried_by: str
+
+    def render(self) -> str:
+        """Return a row of the table."""
+        if self.limit <= 0:
+            return self._join("", "")
+        share = self.value / self.limit
+        verdict = f"{share:.0%} of it" if share <= 1 else f"SHORT: {share:.1f} times it"
+        return self._join(f"{self.limit:g}", verdict)
+
+    def _join(self, limit: str, verdict: str) -> str:
+        value = f"{self.value:.3g} {self.unit}"
+        cells = (self.role, self.what, value, limit, verdict, self.carried_by)
+        return "| " + " | ".join(cells) + " |"
+
+
+class Slopes:
+    """The measured fits by name."""
+
+    def __init__(self, path: Path) -> None:
+        sections = json.loads(path.read_text())
+        self._fits = {fit["name"]: fit for fits in sections.values() for fit in fits}
+
+    def slope(self, name: str) -> float:
+        """Return a fit's slope."""
+        return float(self._fits[name]["slope"])
+
+    def predict(self, name: str, count: float) -> float:
+        """Return a fit's value at ``count``."""
+        fit = self._fits[name]
+        return float(fit["intercept"]) + float(fit["slope"]) * count
+
+
+def project(slopes: Slopes) -> list[Line]:
+    """Return all lines."""
+    return [
+        *project_gateway(slopes),
+        *project_agent(slopes),
+        *project_platform(slopes),
+    ]
+
+
+def project_gateway(slopes: Slopes) -> list[Line]:
+    """Return what one gateway needs."""
+    memory = slopes.predict("gateway memory per agent channel", size.TARGETS)
+    memory += slopes.slope("gateway memory per workspace") * size.WORKSPACES
+    idle = slopes.predict("gateway idle CPU by listed VMs", size.LISTED_VMS)
+    idle += slopes.slope("gateway idle CPU per agent channel") * size.TARGETS
+    change = slopes.predict("gateway CPU per change, by workspaces", size.WORKSPACES)
+    changes = size.CHANGES_PER_DAY / size.DAY
+    traffic = slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
+    traffic += _change_traffic(slopes) + _keepalive_traffic(size.TARGETS)
+    requests = size.REQUESTS_PER_SECOND / size.GATEWAYS
+    tokens = size.TOKENS_PER_SECOND / size.GATEWAYS
+    data = requests * slopes.slope("gateway CPU per request")
+    data += tokens * slopes.slope("gateway CPU per token")
+    return [
+        _memory("gateway", memory, "one channel an agent, all workspaces in memory"),
+        _cpu("gateway", 100 * (idle + changes * change), "watch, VM list by tag"),
+        _traffic("gateway", traffic, "parts by digest, VM list by tag, rare pings"),
+        Line("gateway", "CPU for requests", data / 10, "% of a core", 0, "data path"),
+    ]
+
+
+def project_agent(slopes: Slopes) -> list[Line]:
+    """Return what one agent needs."""
+    memory = slopes.predict("agent memory per gateway connection", size.GATEWAYS)
+    memory += slopes.slope("gateway memory per workspace") * size.WORKSPACES
+    idle = slopes.predict("agent idle CPU per gateway connection", size.GATEWAYS)
+    change = slopes.predict("gateway CPU per change, by workspaces", size.WORKSPACES)
+    changes = size.CHANGES_PER_DAY / size.DAY
+    traffic = slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
+    traffic += _change_traffic(slopes) + _keepalive_traffic(size.GATEWAYS)
+    requests = size.REQUESTS_PER_SECOND / size.TARGETS
+    tokens = size.TOKENS_PER_SECOND / size.TARGETS
+    data = requests * slopes.slope("agent CPU per request")
+    data += tokens * slopes.slope("agent CPU per token")
+    return [
+        _memory("agent", memory, "one connection a gateway, all workspaces in memory"),
+        _cpu("agent", 100 * (idle + changes * change), "watch, VM list by tag"),
+        _traffic("agent", traffic, "parts by digest, VM list by tag, rare pings"),
+        Line("agent", "CPU for requests", data / 10, "% of a core", 0, "data path"),
+    ]
+
+
+def project_platform(slopes: Slopes) -> list[Line]:
+    """Return the calls a second that the platform gets."""
+    changes = size.CHANGES_PER_DAY / size.DAY
+    per_change = slopes.slope("platform reads per change, by nodes") * size.NODES
+    watches = size.NODES / WATCH_SECONDS
+    lists = size.NODES / POLL_SECONDS
+    steady = watches + lists + changes * per_change
+    start = slopes.predict("object reads of a starting node, by workspaces", 6300)
+    lost = size.NODES / size.DATA_CENTRES * start
+    reach = slopes.predict("worst seconds to all nodes, by nodes", size.NODES)
+    return [
+        _reads("reads in the steady state", steady, "watches, VM list, changes"),
+        _reads("of these for the VM list", lists, f"a poll each {POLL_SECONDS:g} s"),
+        Line("platform", "reads for one change", per_change, "calls", 0, "3 a node"),
+        Line(
+            "platform",
+            "seconds until a change is everywhere",
+            reach,
+            "s",
+            size.CHANGE_SECONDS,
+            "watch",
+        ),
+        Line(
+            "platform",
+            "reads when a data centre's nodes start together",
+            lost,
+            "calls",
+            0,
+            f"{start:.0f} parts a node",
+        ),
+        Line(
+            "platform",
+            "seconds of its whole read rate for that",
+            lost / size.PLATFORM_READS,
+            "s",
+            size.CHANGE_SECONDS,
+            "parts",
+        ),
+    ]
+
+
+def _memory(role: str, value: float, carried_by: str) -> Line:
+    return Line(role, "memory", value, "MB", size.MEMORY_LIMIT_MB, carried_by)
+
+
+def _cpu(role: str, value: float, carried_by: str) -> Line:
+    limit = size.CPU_LIMIT_PERCENT
+    return Line(role, "CPU for control", value, "% of a core", limit, carried_by)
+
+
+def _traffic(role: str, value: float, carried_by: str) -> Line:
+    limit = size.TRAFFIC_LIMIT_KB
+    return Line(role, "control traffic", value, "KB/s", limit, carried_by)
+
+
+def _reads(what: str, value: float, carried_by: str) -> Line:
+    return Line("platform", what, value, "calls/s", size.PLATFORM_READS, carried_by)
+
+
+def _change_traffic(slopes: Slopes) -> float:
+    """Return KB/s for following the configuration, with the watch's own calls."""
+    change = slopes.predict("gateway bytes per change, by workspaces", size.WORKSPACES)
+    calls = 3 * CALL_BYTES / 1e3
+    watch = CALL_BYTES / WATCH_SECONDS / 1e3
+    return size.CHANGES_PER_DAY / size.DAY * (change + calls) + watch
+
+
+def _keepalive_traffic(connections: int) -> float:
+    return connections * PING_BYTES / (KEEPALIVE_MS / 1e3) / 1e3
+
+
+def main(figures: str = str(FIGURES)) -> None:
+    """Print the table."""
+    print("| role | what | at the design size | limit | verdict | carried by |")
+    print("|---|---|---|---|---|---|")
+    for line in project(Slopes(Path(figures))):
+        print(line.render())
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
