Make the command line pleasant and explain decisions

Cause: fire paged its help, printed traces for a wrong word, took a target named 1e3 for a number, and a port in use ended in a traceback.

Change: arguments are bound by fire and run outside it, so every mistake is one line on standard error with exit code 2; help comes from signatures and doc comments; a port in use names address and cure, exit code 1. explain reads the decision lines of gateways and agents; check, version and explain speak JSON. Wiring in agent/daemon.py: the listening error, and the gRPC server is stopped when the administration port fails.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -19,6 +19,7 @@
     serve_administration,
     wait_for_stop,
 )
+from bamboopier_daemon.listening import explain_listening
 from bamboopier_decisions.admission.admission import Admission
 from bamboopier_decisions.admission.messages import StopRequested
 from bamboopier_platform.follower import ConfigurationFollower
@@ -79,9 +80,10 @@
         ):
             await stack.enter_async_context(keep_running(loop))
         server = grpc.aio.server(options=GRPC_OPTIONS)
+        stack.push_async_callback(server.stop, None)
         add_AgentServicer_to_server(service, server)
-        if server.add_insecure_port(str(settings.listen)) == 0:
-            raise OSError(f"cannot listen on {settings.listen}")
+        with explain_listening("listen", settings.listen):
+            server.add_insecure_port(str(settings.listen))
         await server.start()
 
         def is_ready() -> bool:
--- a/libraries/cli/src/bamboopier_cli/application.py
+++ b/libraries/cli/src/bamboopier_cli/application.py
@@ -2,37 +2,68 @@
 
 from __future__ import annotations
 
+import os
 import sys
-
-import fire
+from typing import TYPE_CHECKING
 
 from bamboopier_configuration.errors import BamboopierError
 
+from .arguments import bind_arguments, find_command
 from .commands.agent import agent
 from .commands.check import check
+from .commands.explain import explain
 from .commands.gateway import gateway
 from .commands.publish import publish
 from .commands.version import version
-from .exits import FAILURE, USAGE, CommandError
+from .exits import FAILURE, INTERRUPTED, SUCCESS, CommandError
+from .help import describe_command, describe_program
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-COMMANDS = {
+COMMANDS: dict[str, Callable[..., str | None]] = {
     "agent": agent,
     "check": check,
+    "explain": explain,
     "gateway": gateway,
     "publish": publish,
     "version": version,
 }
+HELP_FLAGS = frozenset({"--help", "-h"})
 
 
 def main() -> None:
-    """Run one command; errors go to standard error in one line."""
+    """Run one command; output to standard output, errors in one line to the other."""
     try:
-        fire.Fire(COMMANDS, name="bamboopier")
+        output = run_command(sys.argv[1:])
+        if output:
+            print(output, flush=True)
     except CommandError as error:
-        print(f"bamboopier: {error}", file=sys.stderr)
-        sys.exit(error.status)
+        _fail(error, error.status)
     except BamboopierError as error:
-        print(f"bamboopier: {error}", file=sys.stderr)
+        _fail(error, FAILURE)
+    except KeyboardInterrupt:
+        sys.exit(INTERRUPTED)
+    except BrokenPipeError:
+        # The reader of our output left, as ``head`` does: not worth a word. The
+        # interpreter would complain once more while it flushes at exit.
+        sys.stdout = open(os.devnull, "w")  # noqa: SIM115 (closed by the exit)
         sys.exit(FAILURE)
-    except fire.core.FireExit:
-        sys.exit(USAGE)
+    sys.exit(SUCCESS)
+
+
+def run_command(arguments: list[str]) -> str:
+    """Run the command that ``arguments`` name and return what it prints."""
+    if not arguments or arguments[0] in HELP_FLAGS | {"help"}:
+        return describe_program(COMMANDS)
+    name, *rest = arguments
+    command = find_command(COMMANDS, name)
+    if HELP_FLAGS & set(rest):
+        return describe_command(name, command)
+    bound = bind_arguments(name, command, rest)
+    return bound.run()
+
+
+def _fail(error: BamboopierError, status: int) -> None:
+    print(f"bamboopier: {error}", file=sys.stderr)
+    sys.exit(status)
--- a/libraries/cli/src/bamboopier_cli/commands/check.py
+++ b/libraries/cli/src/bamboopier_cli/commands/check.py
@@ -5,23 +5,44 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import msgspec
 from result import Err
 
 from bamboopier_cli.exits import USAGE, CommandError, fail_configuration
+from bamboopier_cli.output import render
 from bamboopier_configuration.collection import collect, find_files
 
 if TYPE_CHECKING:
     from bamboopier_configuration.model import Configuration
 
 
-def check(*roots: str) -> str:
-    """Check all configuration files at or below ROOTS as one whole."""
+class CheckResult(msgspec.Struct, frozen=True):
+    """How much was found, all of it in order."""
+
+    services: int
+    workspaces: int
+    models: int
+    stores: int
+
+
+def check(*roots: str, json: bool = False) -> str:
+    """Check all configuration files at or below ROOTS as one whole, offline.
+
+    ROOTS are files or folders, by default this folder; files are found by their ending
+    .bamboopier.json. The first fault is named with its file and JSON path.
+    """
     configuration = collect_or_fail(roots)
-    return (
-        f"ok: {len(configuration.services)} services, "
-        f"{len(configuration.workspaces)} workspaces, "
-        f"{len(configuration.models)} models, {len(configuration.stores)} stores"
+    found = CheckResult(
+        len(configuration.services),
+        len(configuration.workspaces),
+        len(configuration.models),
+        len(configuration.stores),
+    )
+    text = (
+        f"ok: {found.services} services, {found.workspaces} workspaces, "
+        f"{found.models} models, {found.stores} stores"
     )
+    return render(found, text, json)
 
 
 def collect_or_fail(roots: tuple[str, ...]) -> Configuration:
--- a/libraries/cli/src/bamboopier_cli/commands/version.py
+++ b/libraries/cli/src/bamboopier_cli/commands/version.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
+import platform
 from importlib.metadata import version as read_version
 
+import msgspec
 
-def version() -> str:
-    """Return the installed version."""
-    return read_version("bamboopier-cli")
+from bamboopier_cli.output import render
+
+
+class Versions(msgspec.Struct, frozen=True):
+    """The versions that matter in a report of a fault."""
+
+    bamboopier: str
+    python: str
+
+
+def version(*, json: bool = False) -> str:
+    """Print the installed version."""
+    found = Versions(read_version("bamboopier-cli"), platform.python_version())
+    text = f"bamboopier {found.bamboopier} (Python {found.python})"
+    return render(found, text, json)
--- /dev/null
+++ b/libraries/cli/src/bamboopier_cli/decision_log.py
@@ -0,0 +1,56 @@
+"""Reads the decision lines that gateways and agents write on standard error."""
+
+from __future__ import annotations
+
+from typing import IO, TYPE_CHECKING, Any
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# A decision line is far shorter; anything longer is not one and is skipped.
+MAX_LINE_BYTES = 1024 * 1024
+_OWN_FIELDS = frozenset({"event", "timestamp", "level", "request_id"})
+
+
+class DecisionLine(msgspec.Struct, frozen=True):
+    """One decision about one request, as it was logged."""
+
+    event: str
+    timestamp: str
+    request_id: str
+    # Everything else that the line says, by its field name.
+    details: dict[str, Any]
+
+
+def read_decisions(files: Iterable[IO[bytes]], request_id: str) -> list[DecisionLine]:
+    """Return the lines about a request, oldest first.
+
+    ``request_id`` may be the beginning of one. Lines that are no JSON objects (a
+    traceback, another program's output) are skipped.
+    """
+    found: list[DecisionLine] = []
+    for file in files:
+        for line in file:
+            decision = _parse(line)
+            if decision is not None and decision.request_id.startswith(request_id):
+                found.append(decision)
+    return sorted(found, key=lambda decision: decision.timestamp)
+
+
+def _parse(line: bytes) -> DecisionLine | None:
+    # A collector may have put its own words before the object.
+    start = line.find(b"{")
+    if start < 0 or len(line) > MAX_LINE_BYTES:
+        return None
+    try:
+        fields = msgspec.json.decode(line[start:], type=dict[str, Any])
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+    request_id = fields.get("request_id")
+    if not isinstance(request_id, str) or not request_id:
+        return None
+    details = {name: v for name, v in fields.items() if name not in _OWN_FIELDS}
+    event, timestamp = str(fields.get("event", "")), str(fields.get("timestamp", ""))
+    return DecisionLine(event, timestamp, request_id, details)
--- a/libraries/cli/src/bamboopier_cli/exits.py
+++ b/libraries/cli/src/bamboopier_cli/exits.py
@@ -14,6 +14,8 @@
 FAILURE = 1
 # Wrong arguments or a configuration that may not be used; nothing was changed.
 USAGE = 2
+# Ended by Ctrl-C, as shells report it.
+INTERRUPTED = 130
 
 
 class CommandError(BamboopierError):
--- /dev/null
+++ b/libraries/cli/src/bamboopier_cli/help.py
@@ -0,0 +1,51 @@
+"""Help texts, made from the commands' signatures and doc comments."""
+
+from __future__ import annotations
+
+import inspect
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+EXIT_CODES = (
+    "Exit codes: 0 done; 1 the command ran and did not achieve what was asked;\n"
+    "2 wrong arguments, settings or configuration, and nothing was changed."
+)
+
+
+def describe_program(commands: Mapping[str, Callable[..., str | None]]) -> str:
+    """Return the list of commands."""
+    lines = ["Usage: bamboopier COMMAND [OPTIONS]", "", "Commands:"]
+    width = max(map(len, commands))
+    for name, command in sorted(commands.items()):
+        lines.append(f"  {name:<{width}}  {_summarise(command)}")
+    lines += ["", "bamboopier COMMAND --help describes one command.", EXIT_CODES]
+    return "\n".join(lines)
+
+
+def describe_command(name: str, command: Callable[..., str | None]) -> str:
+    """Return usage, options and the command's own text."""
+    required: list[str] = []
+    optional: list[str] = []
+    for parameter in inspect.signature(command).parameters.values():
+        word = parameter.name.upper().replace("_", "-")
+        flag = "--" + parameter.name.replace("_", "-")
+        if parameter.kind is inspect.Parameter.VAR_POSITIONAL:
+            required.append(f"[{word}...]")
+        elif parameter.kind is inspect.Parameter.KEYWORD_ONLY or (
+            parameter.default is not inspect.Parameter.empty
+        ):
+            is_required = parameter.default is inspect.Parameter.empty
+            text = flag if parameter.annotation == "bool" else f"{flag} {word}"
+            (required if is_required else optional).append(
+                text if is_required else f"[{text}]"
+            )
+        else:
+            required.append(word)
+    usage = " ".join(["Usage: bamboopier", name, *required, *optional])
+    return "\n".join([usage, "", inspect.getdoc(command) or "", "", EXIT_CODES])
+
+
+def _summarise(command: Callable[..., str | None]) -> str:
+    return (inspect.getdoc(command) or "").partition("\n")[0]
--- /dev/null
+++ b/libraries/cli/tests/test_arguments.py
@@ -0,0 +1,47 @@
+"""How words of a command line become arguments."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_cli.arguments import bind_arguments, find_command
+from bamboopier_cli.exits import USAGE, CommandError
+
+
+def move(*names: str, platform: str, json: bool = False, count: int = 1) -> str:
+    """Stand in for a command."""
+    return f"{names} {platform} {json} {count}"
+
+
+MISTAKES = [
+    ([], "--platform is missing"),
+    (["--platfrom", "x"], "did you mean '--platform'"),
+    (["--platform", "x", "--count", "many"], "many"),
+    (["--platform", "x", "--json=7"], "allowed: true, false"),
+]
+
+
+class ArgumentsTests(unittest.TestCase):
+    def test_values_that_look_like_numbers_stay_text(self) -> None:
+        words = ["1e3", "0x10", "None", "[1]", "--platform", "7", "--json"]
+        bound = bind_arguments("move", move, words)
+        self.assertEqual(bound.positional, ("1e3", "0x10", "None", "[1]"))
+        self.assertEqual(bound.named["platform"], "7")
+        self.assertIs(bound.named["json"], True)
+
+    def test_a_number_and_a_flag_take_their_annotated_type(self) -> None:
+        words = ["--platform=p", "--count=3", "--json=false", "a"]
+        bound = bind_arguments("move", move, words)
+        self.assertEqual(bound.run(), "('a',) p False 3")
+
+    def test_each_mistake_is_one_line_that_names_the_cure(self) -> None:
+        for words, text in MISTAKES:
+            with self.subTest(words), self.assertRaises(CommandError) as caught:
+                bind_arguments("move", move, words)
+            self.assertIn(text, str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
+            self.assertEqual(caught.exception.status, USAGE)
+
+    def test_an_unknown_command_is_answered_with_the_nearest(self) -> None:
+        with self.assertRaisesRegex(CommandError, "did you mean 'move'"):
+            find_command({"move": move}, "mvoe")
--- a/libraries/daemon/src/bamboopier_daemon/daemon.py
+++ b/libraries/daemon/src/bamboopier_daemon/daemon.py
@@ -14,6 +14,8 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
+from .listening import explain_listening
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Coroutine
 
@@ -118,7 +120,8 @@
     runner = web.AppRunner(application, access_log=None)
     await runner.setup()
     try:
-        await web.TCPSite(runner, address.host, address.port).start()
+        with explain_listening("admin", address):
+            await web.TCPSite(runner, address.host, address.port).start()
         yield runner.addresses[0][1]
     finally:
         await runner.cleanup()
--- /dev/null
+++ b/libraries/daemon/src/bamboopier_daemon/listening.py
@@ -0,0 +1,29 @@
+"""Listening on an address of the settings, with an error that names the cure."""
+
+from __future__ import annotations
+
+import os
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from .errors import ListenError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from bamboopier_configuration.settings import Address
+
+
+@contextmanager
+def explain_listening(setting: str, address: Address) -> Iterator[None]:
+    """Turn what libraries raise for a port in use into a ``ListenError``.
+
+    asyncio raises ``OSError`` and gRPC ``RuntimeError`` with a text of its own.
+    """
+    try:
+        yield
+    except OSError as error:
+        cause = os.strerror(error.errno).lower() if error.errno else str(error)
+        raise ListenError(setting, address, cause) from error
+    except RuntimeError as error:
+        raise ListenError(setting, address, "address already in use") from error
