Limit and type everything on the callers' side

Cause: a path such as /boxes/../vans or //vans counted as another route than the target ran; the query was decoded on its way; unknown paths, bad HTTP and unexpected failures had no typed body; a caller could hold a connection with half a header, half a body or an unread answer for ever; bodies above the limit were read whole; max_connections was not enforced.

Change: a connection class with header, idle and silence limits and typed errors; a listener that refuses connections above the limit with a typed 503; bodies read within size and time; one form of a path, and routes that may not be repeated match in any letter case; OpenAI's error fields beside ran and request_id, /v1/models, prompts as a list of one, text parts, max_completion_tokens. An unexpected failure after an attempt says ran: unknown. Hop headers, also those that Connection names, are dropped both ways by one function. Wiring outside: gateway/daemon.py (listener), delivery.py and agent/service.py (headers), agent/target.py (the path as it was sent), the plain stand-in (logs raw path and headers), tools/processes.py (a gateway's options).

Ruled out: aiohttp's own keep-alive timeout alone (it does not see a header that trickles in) and asyncio timeouts for the last buffered bytes (nothing of ours waits for them; the kernel's user timeout does).

--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -10,6 +10,7 @@
 import structlog
 from result import Err
 
+from bamboopier_daemon.headers import drop_hop_headers
 from bamboopier_decisions.admission.messages import Reject, RejectReason, WorkArrived
 from bamboopier_decisions.claims.table import ClaimOutcome, Verdict
 from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
@@ -42,12 +43,6 @@
     RejectReason.DEADLINE: pb.DEADLINE,
     RejectReason.STOPPING: pb.STOPPING,
 }
-# Headers that belong to one connection and are never passed on.
-HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "trailer"}
-    | {"proxy-authenticate", "proxy-authorization", "content-length", "host"}
-)
-
 log = structlog.get_logger()
 
 
@@ -330,19 +325,11 @@
 
 
 def _list_headers(request: pb.ServeRequest) -> list[tuple[str, str]]:
-    return [
-        (header.name, header.value)
-        for header in request.headers
-        if header.name.lower() not in HOP_HEADERS
-    ]
+    return list(drop_hop_headers((h.name, h.value) for h in request.headers))
 
 
 def _list_response_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
-    return [
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    ]
+    return list(drop_hop_headers(response.headers.items()))
 
 
 def _make_body(request: pb.ServeRequest) -> bytes:
--- a/libraries/agent/src/bamboopier_agent/target.py
+++ b/libraries/agent/src/bamboopier_agent/target.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
+from yarl import URL
 
 from .errors import (
     OrderRefusedError,
@@ -87,7 +88,8 @@
         try:
             async with self._require_session().request(
                 method,
-                self._base_url + path,
+                # The caller's own spelling: decoding and quoting anew would change it.
+                URL(self._base_url + path, encoded=True),
                 headers=list(headers),
                 data=body or None,
                 allow_redirects=False,
--- a/libraries/configuration/src/bamboopier_configuration/directory.py
+++ b/libraries/configuration/src/bamboopier_configuration/directory.py
@@ -48,4 +48,5 @@
 
 def digest_api_key(api_key: str) -> str:
     """Return the form in which an API key stands in the configuration."""
-    return hashlib.sha256(api_key.encode()).hexdigest()
+    # Bytes that are no UTF-8 stand in header values as surrogates.
+    return hashlib.sha256(api_key.encode(errors="surrogateescape")).hexdigest()
--- /dev/null
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -0,0 +1,178 @@
+"""One caller's connection: time limits, and typed errors for what is no HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import uuid
+from typing import TYPE_CHECKING, Any, Protocol, cast
+
+import structlog
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from .errors import CallerError, ErrorCode
+
+if TYPE_CHECKING:
+    from bamboopier_configuration.settings import GatewaySettings
+
+# A connection that is refused stays this long, so that its caller can read why.
+REFUSAL_SECONDS = 1.0
+KEEPALIVE_PROBES = 3
+_MILLISECONDS = 1000
+
+log = structlog.get_logger()
+
+
+class ConnectionCount(Protocol):
+    """Keeps count of open connections."""
+
+    def add(self) -> None:
+        """Note a connection that opened."""
+        ...
+
+    def remove(self) -> None:
+        """Note a connection that is gone."""
+        ...
+
+
+class CallerConnection(web.RequestHandler):
+    """aiohttp's connection with this gateway's limits.
+
+    aiohttp closes an idle connection, but lets a request trickle in a byte at a time
+    for ever and so hold a place under the connection limit (slow loris). Here a request
+    has ``header_timeout_seconds`` from its first byte to its last header.
+    """
+
+    __slots__ = ("_count", "_header_timeout", "_header_timer", "_write_timeout")
+
+    def __init__(
+        self,
+        manager: web.Server,
+        settings: GatewaySettings,
+        count: ConnectionCount,
+        **options: Any,
+    ) -> None:
+        super().__init__(
+            manager,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=settings.idle_timeout_seconds,
+            **options,
+        )
+        self._count = count
+        self._header_timeout = settings.header_timeout_seconds
+        self._write_timeout = settings.write_timeout_seconds
+        self._header_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to count and to watch the connection."""
+        super().connection_made(transport)
+        self._count.add()
+        limit_silence(transport, self._write_timeout)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self._stop_header_timer()
+        self._count.remove()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; between two requests the first one starts the header timer."""
+        waiting = self._waits_for_request()
+        super().data_received(data)
+        if not self._waits_for_request():
+            self._stop_header_timer()
+        elif waiting and data and self._header_timer is None:
+            loop = asyncio.get_running_loop()
+            self._header_timer = loop.call_later(
+                self._header_timeout, self._give_up_headers
+            )
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what is no HTTP, or what no handler caught, with a typed error."""
+        request_id = uuid.uuid4().hex
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer was already begun")
+        if isinstance(exc, LineTooLong):
+            error = CallerError(ErrorCode.HEADERS_TOO_LARGE, "a header is too long")
+        elif status == ErrorCode.BAD_REQUEST.status:
+            error = CallerError(ErrorCode.BAD_REQUEST, "this is not valid HTTP")
+        else:
+            log.error("request failed", request_id=request_id, exc_info=exc)
+            error = CallerError(ErrorCode.INTERNAL, "internal error")
+        response = error.make_response(request_id)
+        response.force_close()
+        return response
+
+    def _waits_for_request(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _give_up_headers(self) -> None:
+        self._header_timer = None
+        if self._waits_for_request():
+            log.info("connection closed", reason="headers-timeout")
+            self.force_close()
+
+
+class RefusedConnection(asyncio.Protocol):
+    """Answers a connection above the limit at once, whatever it sends, and closes."""
+
+    def __init__(self) -> None:
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the refusal; reading goes on for a moment.
+
+        Closing with unread bytes in the socket would reset it, and the caller would
+        lose the refusal that is on its way.
+        """
+        open_transport = cast("asyncio.Transport", transport)
+        error = CallerError(
+            ErrorCode.TOO_MANY_CONNECTIONS,
+            "this gateway has its largest number of connections",
+            retry_after=REFUSAL_SECONDS,
+        )
+        open_transport.write(error.make_raw(uuid.uuid4().hex))
+        if open_transport.can_write_eof():
+            open_transport.write_eof()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(REFUSAL_SECONDS, open_transport.abort)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop waiting for the caller."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+def limit_silence(transport: asyncio.BaseTransport, seconds: float) -> None:
+    """Let the kernel end a connection whose peer is gone or takes nothing.
+
+    Without it a caller that vanished without a word, or that never reads the last
+    bytes of its answer, keeps its connection for hours: nothing is left to write, so no
+    timeout of ours runs. The user timeout covers bytes that are not acknowledged, the
+    probes a peer that is silent.
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return
+    limit = max(1, int(seconds))
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, limit),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, max(1, limit // KEEPALIVE_PROBES)),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * _MILLISECONDS)),
+    )
+    for level, name, value in options:
+        connection.setsockopt(level, name, value)
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -5,11 +5,10 @@
 import asyncio
 import os
 import random
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import structlog
-from aiohttp import web
 
 from bamboopier_daemon.daemon import keep_running, serve_administration, wait_for_stop
 from bamboopier_decisions.routing.router import Router
@@ -20,13 +19,12 @@
 from .application import GatewayApplication
 from .fleet import Fleet
 from .forwarder import Forwarder
+from .listener import CallerListener
 from .metrics import GatewayMetrics
 from .prompt import PromptReader, WordTokenizer
 from .reader import CallReader
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from bamboopier_configuration.settings import GatewaySettings
 
 # After not-ready shows, the balancer needs a moment to stop sending callers here.
@@ -47,12 +45,13 @@
         metrics = GatewayMetrics()
         prompts = PromptReader(bytes.fromhex(settings.block_secret), WordTokenizer())
         forwarder = Forwarder(router, fleet, agents, follower, metrics)
-        application = GatewayApplication(
-            settings, follower, CallReader(prompts), forwarder, metrics
-        )
+        reader = CallReader(prompts, settings.body_timeout_seconds)
+        application = GatewayApplication(settings, follower, reader, forwarder, metrics)
         await stack.enter_async_context(keep_running(follower.run()))
         await stack.enter_async_context(keep_running(fleet.run()))
-        await stack.enter_async_context(_serve_callers(settings, application))
+        await stack.enter_async_context(
+            CallerListener(settings, application.make_application(), metrics, None)
+        )
         await stack.enter_async_context(
             serve_administration(
                 settings.admin, metrics.registry, lambda: application.ready
@@ -69,25 +68,5 @@
         log.info("gateway stopped")
 
 
-@asynccontextmanager
-async def _serve_callers(
-    settings: GatewaySettings, application: GatewayApplication
-) -> AsyncIterator[None]:
-    runner = web.AppRunner(
-        application.make_application(),
-        access_log=None,
-        handler_cancellation=True,
-        max_line_size=8190,
-        max_field_size=8190,
-        shutdown_timeout=1.0,
-    )
-    await runner.setup()
-    try:
-        await web.TCPSite(runner, settings.listen.host, settings.listen.port).start()
-        yield
-    finally:
-        await runner.cleanup()
-
-
 def _ignore(_: object) -> None:
     """Drop a decision: a changed fleet calls for none."""
--- a/libraries/gateway/src/bamboopier_gateway/delivery.py
+++ b/libraries/gateway/src/bamboopier_gateway/delivery.py
@@ -7,13 +7,13 @@
 
 from aiohttp import web
 
+from bamboopier_daemon.headers import drop_hop_headers
+
 if TYPE_CHECKING:
     from bamboopier_protocol.agent_pb2 import ResponseHead
 
     from .errors import CallerError
 
-_SKIPPED_HEADERS = frozenset({"content-length", "connection", "transfer-encoding"})
-
 
 class SlowCallerError(Exception):
     """The caller did not take its answer in time."""
@@ -45,9 +45,8 @@
     async def begin(self, head: ResponseHead) -> None:
         """Send status and headers."""
         response = web.StreamResponse(status=head.status)
-        for header in head.headers:
-            if header.name.lower() not in _SKIPPED_HEADERS:
-                response.headers.add(header.name, header.value)
+        for name, value in drop_hop_headers((h.name, h.value) for h in head.headers):
+            response.headers.add(name, value)
         response.headers["X-Request-Id"] = self._request_id
         if head.weight_version:
             response.headers["X-Weight-Version"] = head.weight_version
--- a/libraries/gateway/src/bamboopier_gateway/errors.py
+++ b/libraries/gateway/src/bamboopier_gateway/errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from http import HTTPStatus
 from math import ceil
 from typing import TYPE_CHECKING
 
@@ -15,15 +16,24 @@
 if TYPE_CHECKING:
     from bamboopier_decisions.routing.messages import Refuse
 
+# Longest piece of a request that a message repeats.
+MAX_QUOTED = 60
+
 
 class ErrorCode(StrEnum):
-    """Stable codes; callers may rely on them."""
+    """Stable codes; callers may rely on them. Each has one HTTP status."""
 
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     BAD_REQUEST = "bad_request"
+    BAD_PATH = "bad_path"
     TOO_LARGE = "too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    UNSUPPORTED_ENCODING = "unsupported_encoding"
+    BODY_TIMEOUT = "body_timeout"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
     KEY_REUSED = "idempotency_key_reused"
     KEY_IN_PROGRESS = "idempotency_key_in_progress"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -33,14 +43,33 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
+    INTERNAL = "internal"
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return _STATUS[self]
+
+    @property
+    def kind(self) -> str:
+        """Return the error type that OpenAI's client libraries know."""
+        return _KINDS.get(self.status) or (
+            "server_error" if self.status >= 500 else "invalid_request_error"
+        )
 
 
 _STATUS = {
     ErrorCode.UNAUTHENTICATED: 401,
     ErrorCode.FORBIDDEN: 403,
     ErrorCode.NOT_FOUND: 404,
+    ErrorCode.METHOD_NOT_ALLOWED: 405,
     ErrorCode.BAD_REQUEST: 400,
+    ErrorCode.BAD_PATH: 400,
     ErrorCode.TOO_LARGE: 413,
+    ErrorCode.HEADERS_TOO_LARGE: 431,
+    ErrorCode.UNSUPPORTED_ENCODING: 415,
+    ErrorCode.BODY_TIMEOUT: 408,
+    ErrorCode.TOO_MANY_CONNECTIONS: 503,
     ErrorCode.KEY_REUSED: 422,
     ErrorCode.KEY_IN_PROGRESS: 409,
     ErrorCode.OUTCOME_UNKNOWN: 502,
@@ -50,6 +79,14 @@
     ErrorCode.CLAIM_UNAVAILABLE: 503,
     ErrorCode.STOPPING: 503,
     ErrorCode.QUARANTINED: 422,
+    ErrorCode.INTERNAL: 500,
+}
+
+_KINDS = {
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    409: "conflict_error",
 }
 
 _CODES = {
@@ -64,10 +101,13 @@
 
 
 class _ErrorDetail(msgspec.Struct):
-    code: ErrorCode
     message: str
+    type: str
+    code: ErrorCode
     ran: Ran
     request_id: str
+    # Always null; OpenAI's client libraries expect the field.
+    param: None = None
 
 
 class _ErrorBody(msgspec.Struct):
@@ -93,21 +133,38 @@
     @property
     def status(self) -> int:
         """Return the HTTP status."""
-        return _STATUS[self.code]
+        return self.code.status
 
     def make_body(self, request_id: str) -> bytes:
         """Return the JSON body."""
-        detail = _ErrorDetail(self.code, self.message, self.ran, request_id)
+        detail = _ErrorDetail(
+            self.message, self.code.kind, self.code, self.ran, request_id
+        )
         return msgspec.json.encode(_ErrorBody(detail))
 
     def make_response(self, request_id: str) -> web.Response:
         """Return the whole HTTP answer."""
+        body = self.make_body(request_id)
+        headers = self._make_headers(request_id)
+        return web.Response(status=self.status, body=body, headers=headers)
+
+    def make_raw(self, request_id: str) -> bytes:
+        """Return the answer as bytes, for a connection that has no HTTP server yet."""
+        body = self.make_body(request_id)
+        headers = {
+            **self._make_headers(request_id),
+            "Content-Length": str(len(body)),
+            "Connection": "close",
+        }
+        lines = [f"HTTP/1.1 {self.status} {HTTPStatus(self.status).phrase}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        return "\r\n".join([*lines, "", ""]).encode() + body
+
+    def _make_headers(self, request_id: str) -> dict[str, str]:
         headers = {"Content-Type": "application/json", "X-Request-Id": request_id}
         if self.retry_after > 0:
             headers["Retry-After"] = str(ceil(self.retry_after))
-        return web.Response(
-            status=self.status, body=self.make_body(request_id), headers=headers
-        )
+        return headers
 
 
 def make_refusal(refuse: Refuse) -> CallerError:
@@ -117,3 +174,8 @@
         code = ErrorCode.OUTCOME_UNKNOWN
     message = f"request given up: {refuse.reason.value}"
     return CallerError(code, message, refuse.ran, refuse.retry_after)
+
+
+def quote(text: str) -> str:
+    """Return a piece of a request as it may stand in a message: short and ASCII."""
+    return ascii(text if len(text) <= MAX_QUOTED else text[:MAX_QUOTED] + "...")
--- /dev/null
+++ b/libraries/gateway/src/bamboopier_gateway/listener.py
@@ -0,0 +1,103 @@
+"""The callers' side of the gateway: listens, and limits connections."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Self
+
+from aiohttp import web
+
+from bamboopier_daemon.listening import explain_listening
+
+from .connection import CallerConnection, RefusedConnection
+
+if TYPE_CHECKING:
+    import ssl
+    from types import TracebackType
+
+    from bamboopier_configuration.settings import GatewaySettings
+
+    from .metrics import GatewayMetrics
+
+# Longest request line and longest header, in bytes, and the number of headers.
+MAX_FIELD_BYTES = 8190
+MAX_HEADERS = 100
+# How long the rest of a refused body is read and dropped before the connection closes.
+LINGERING_SECONDS = 2.0
+BACKLOG = 1024
+
+
+class CallerListener:
+    """Listens while its context is open; above ``max_connections`` refuses at once."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        application: web.Application,
+        metrics: GatewayMetrics,
+        certificates: ssl.SSLContext | None,
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._certificates = certificates
+        self._open = 0
+        self._server: asyncio.Server | None = None
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=1.0,
+        )
+
+    async def __aenter__(self) -> Self:
+        await self._runner.setup()
+        listen = self._settings.listen
+        loop = asyncio.get_running_loop()
+        with explain_listening("listen", listen):
+            self._server = await loop.create_server(
+                self._make_connection,
+                listen.host,
+                listen.port,
+                ssl=self._certificates,
+                backlog=BACKLOG,
+            )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        await self._runner.cleanup()
+
+    def add(self) -> None:
+        """Note a connection that opened."""
+        self._open += 1
+        self._metrics.connections.set(self._open)
+
+    def remove(self) -> None:
+        """Note a connection that is gone."""
+        self._open -= 1
+        self._metrics.connections.set(self._open)
+
+    def _make_connection(self) -> asyncio.Protocol:
+        server = self._runner.server
+        if self._open >= self._settings.max_connections or server is None:
+            self._metrics.refused_connections.inc()
+            return RefusedConnection()
+        return CallerConnection(
+            server,
+            self._settings,
+            self,
+            access_log=None,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            max_headers=MAX_HEADERS,
+            lingering_time=LINGERING_SECONDS,
+            # A compressed body is passed on as it is: its size is what was sent, and
+            # a small one cannot unfold into gigabytes here.
+            auto_decompress=False,
+        )
--- a/libraries/gateway/src/bamboopier_gateway/metrics.py
+++ b/libraries/gateway/src/bamboopier_gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 FIRST_BYTE_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.68, 1.0, 2.0, 5.0, 10.0, 30.0)
 
@@ -37,3 +37,13 @@
             ["service", "source"],
             registry=self.registry,
         )
+        self.connections = Gauge(
+            "bamboopier_connections",
+            "Callers' connections open now",
+            registry=self.registry,
+        )
+        self.refused_connections = Counter(
+            "bamboopier_refused_connections",
+            "Connections refused because max_connections was reached",
+            registry=self.registry,
+        )
--- a/libraries/gateway/src/bamboopier_gateway/prompt.py
+++ b/libraries/gateway/src/bamboopier_gateway/prompt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hmac
-from typing import TYPE_CHECKING, Annotated, Protocol
+from typing import TYPE_CHECKING, Annotated, Any, Literal, Protocol
 
 import msgspec
 
@@ -13,7 +13,7 @@
 )
 
 from .call import ModelCall
-from .errors import CallerError, ErrorCode
+from .errors import CallerError, ErrorCode, quote
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -22,21 +22,34 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS = 131_072
+CHAT_PATH = "/v1/chat/completions"
+
+TokenCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)]
+
+
+class _TextPart(msgspec.Struct):
+    """A piece of a message's content; pieces of other kinds are refused."""
+
+    type: Literal["text"]
+    text: str
 
 
 class _Message(msgspec.Struct):
     role: str
-    content: str
+    # Null where the message only calls tools.
+    content: str | list[_TextPart] | None = None
 
 
 class _ModelBody(msgspec.Struct):
     """The fields that routing needs; all others pass through untouched."""
 
     model: str
-    messages: list[_Message] = []
-    prompt: str = ""
-    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] = DEFAULT_MAX_TOKENS
-    stream: bool = False
+    messages: list[_Message] | None = None
+    prompt: str | list[Any] | None = None
+    max_tokens: TokenCount | None = None
+    # The newer name of the same limit.
+    max_completion_tokens: TokenCount | None = None
+    stream: bool | None = None
 
 
 class Tokenizer(Protocol):
@@ -66,16 +79,16 @@
         self._block_secret = block_secret
         self._tokenizer = tokenizer
 
-    def read(self, body: bytes, workspace: str, directory: Directory) -> ModelCall:
+    def read(
+        self, path: str, body: bytes, workspace: str, directory: Directory
+    ) -> ModelCall:
         """Return the model call; raises ``CallerError`` for a body that is none."""
-        try:
-            parsed = msgspec.json.decode(body, type=_ModelBody)
-        except msgspec.MsgspecError as error:
-            raise CallerError(ErrorCode.BAD_REQUEST, str(error)) from error
+        parsed = _parse(body)
+        text = _render(path, parsed)
         model = directory.models.get(parsed.model)
         if model is None:
-            raise CallerError(ErrorCode.NOT_FOUND, f"no model '{parsed.model}'")
-        tokens = self._tokenizer.split(_render(parsed))
+            raise CallerError(ErrorCode.NOT_FOUND, f"no model {quote(parsed.model)}")
+        tokens = self._tokenizer.split(text)
         secret = derive_workspace_secret(self._block_secret, workspace)
         keys = compute_block_keys(
             secret, model.name, model.version, "", tokens, model.block_tokens
@@ -86,13 +99,42 @@
             block_keys=keys,
             block_tokens=model.block_tokens,
             prompt_tokens=len(tokens),
-            max_tokens=parsed.max_tokens,
+            max_tokens=_read_limit(parsed),
             cache_salt=hmac.digest(secret, b"cache salt", "sha256").hex(),
-            stream=parsed.stream,
+            stream=bool(parsed.stream),
+        )
+
+
+def _parse(body: bytes) -> _ModelBody:
+    try:
+        return msgspec.json.decode(body, type=_ModelBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        message = f"the body is no request for a model: {error}"
+        raise CallerError(ErrorCode.BAD_REQUEST, message) from error
+
+
+def _read_limit(body: _ModelBody) -> int:
+    return body.max_completion_tokens or body.max_tokens or DEFAULT_MAX_TOKENS
+
+
+def _render(path: str, body: _ModelBody) -> str:
+    """Return the text whose leading blocks are looked for; never empty."""
+    if path == CHAT_PATH:
+        if not body.messages:
+            raise CallerError(ErrorCode.BAD_REQUEST, "'messages' is missing or empty")
+        return "\n".join(f"<{m.role}> {_join(m.content)}" for m in body.messages)
+    prompt = body.prompt
+    if isinstance(prompt, list) and len(prompt) == 1:
+        prompt = prompt[0]
+    if not isinstance(prompt, str) or not prompt:
+        message = (
+            "'prompt' must be one text, or a list of one; token lists are not read"
         )
+        raise CallerError(ErrorCode.BAD_REQUEST, message)
+    return prompt
 
 
-def _render(body: _ModelBody) -> str:
-    if not body.messages:
-        return body.prompt
-    return "\n".join(f"<{m.role}> {m.content}" for m in body.messages)
+def _join(content: str | list[_TextPart] | None) -> str:
+    if isinstance(content, list):
+        return "\n".join(part.text for part in content)
+    return content or ""
--- a/libraries/gateway/src/bamboopier_gateway/reader.py
+++ b/libraries/gateway/src/bamboopier_gateway/reader.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import time
-import uuid
 from typing import TYPE_CHECKING
 
+from bamboopier_configuration.model import DEFAULT_MAX_BODY_BYTES
+
+from .body import read_body
 from .call import Call
-from .errors import CallerError, ErrorCode
+from .errors import CallerError, ErrorCode, quote
+from .headers import list_request_headers
+from .paths import check_path, check_query, is_idempotent
 
 if TYPE_CHECKING:
     from aiohttp import web
 
     from bamboopier_configuration.directory import Directory
-    from bamboopier_configuration.model import Route, Service, Workspace
+    from bamboopier_configuration.model import Service, Workspace
 
     from .prompt import PromptReader
 
@@ -23,25 +27,30 @@
 MAX_KEY_LENGTH = 255
 MAX_TIMEOUT_SECONDS = 3600.0
 PRIORITIES = range(-10, 11)
-# The caller's own credentials stay here; the target is reached as bamboopier.
-PRIVATE_HEADERS = frozenset({"authorization", "cookie", "idempotency-key"})
 
 
 class CallReader:
     """Authenticates, checks and parses requests against the configuration in force."""
 
-    def __init__(self, prompts: PromptReader) -> None:
+    def __init__(self, prompts: PromptReader, body_timeout: float) -> None:
         self._prompts = prompts
+        self._body_timeout = body_timeout
 
-    async def read_model_call(self, request: web.Request, directory: Directory) -> Call:
+    async def read_model_call(
+        self, request: web.Request, request_id: str, directory: Directory
+    ) -> Call:
         """Read a completion or chat request."""
         workspace = authenticate(request, directory)
-        body = await request.read()
-        model = self._prompts.read(body, workspace.name, directory)
+        _refuse_encoding(request)
+        # The service is known only by the model in the body, so the largest limit of
+        # the workspace's services holds until then.
+        limit = _find_largest_limit(directory, workspace)
+        body = await read_body(request, limit, self._body_timeout)
+        model = self._prompts.read(request.path, body, workspace.name, directory)
         service = _find_model_service(directory, workspace, model.model)
         _check_size(body, service)
         return Call(
-            request_id=uuid.uuid4().hex,
+            request_id=request_id,
             workspace=workspace.name,
             service=service.name,
             method="POST",
@@ -57,27 +66,31 @@
             model=model,
         )
 
-    async def read_plain_call(self, request: web.Request, directory: Directory) -> Call:
+    async def read_plain_call(
+        self, request: web.Request, request_id: str, directory: Directory
+    ) -> Call:
         """Read a call of a plain service, ``/services/NAME/PATH``."""
         workspace = authenticate(request, directory)
-        name = request.match_info["service"]
+        name, raw_path = _split_plain_path(request)
         service = directory.services.get(name)
         if service is None or service.kind != "plain":
-            raise CallerError(ErrorCode.NOT_FOUND, f"no plain service '{name}'")
+            raise CallerError(ErrorCode.NOT_FOUND, f"no plain service {quote(name)}")
         if name not in workspace.services:
-            raise CallerError(ErrorCode.FORBIDDEN, f"no access to service '{name}'")
-        path = "/" + request.match_info["path"]
-        query = f"?{request.query_string}" if request.query_string else ""
-        body = await request.read()
-        _check_size(body, service)
+            raise CallerError(
+                ErrorCode.FORBIDDEN, f"no access to service {quote(name)}"
+            )
+        path = check_path(raw_path)
+        headers = list_request_headers(request.headers.items())
+        query = check_query(request.rel_url.raw_query_string)
+        limit = service.max_body_bytes
         return Call(
-            request_id=uuid.uuid4().hex,
+            request_id=request_id,
             workspace=workspace.name,
             service=name,
             method=request.method,
-            path=path + query,
-            headers=_list_passed_headers(request),
-            body=body,
+            path=f"{raw_path}?{query}" if query else raw_path,
+            headers=headers,
+            body=await read_body(request, limit, self._body_timeout),
             deadline=_read_deadline(request, service),
             priority=_read_priority(request),
             idempotent=is_idempotent(service, request.method, path, default=False),
@@ -95,17 +108,23 @@
     return workspace
 
 
-def is_idempotent(service: Service, method: str, path: str, *, default: bool) -> bool:
-    """Return what the operator declared for the first route that matches."""
-    route: Route
-    for route in service.routes:
-        if route.method == method and _is_below(path, route.path):
-            return route.idempotent
-    return default
+def _split_plain_path(request: web.Request) -> tuple[str, str]:
+    """Return the service's name and the raw rest of ``/services/NAME/PATH``."""
+    _, _, name, *rest = request.rel_url.raw_path.split("/")
+    return name, "/" + "/".join(rest)
+
 
+def _refuse_encoding(request: web.Request) -> None:
+    encoding = request.headers.get("Content-Encoding", "identity").lower()
+    if encoding != "identity":
+        message = f"Content-Encoding: found {quote(encoding)}; allowed: identity"
+        raise CallerError(ErrorCode.UNSUPPORTED_ENCODING, message)
 
-def _is_below(path: str, prefix: str) -> bool:
-    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
+
+def _find_largest_limit(directory: Directory, workspace: Workspace) -> int:
+    services = (directory.services.get(name) for name in workspace.services)
+    limits = (s.max_body_bytes for s in services if s is not None and s.kind == "model")
+    return max(limits, default=DEFAULT_MAX_BODY_BYTES)
 
 
 def _find_model_service(
@@ -133,7 +152,7 @@
     except ValueError:
         seconds = -1.0
     if not 0 < seconds <= MAX_TIMEOUT_SECONDS:
-        message = f"{TIMEOUT_HEADER}: found '{text}'; allowed: above 0 up to 3600"
+        message = f"{TIMEOUT_HEADER}: found {quote(text)}; allowed: above 0 up to 3600"
         raise CallerError(ErrorCode.BAD_REQUEST, message)
     return time.monotonic() + seconds
 
@@ -145,22 +164,17 @@
     except ValueError:
         priority = PRIORITIES.stop
     if priority not in PRIORITIES:
-        message = f"{PRIORITY_HEADER}: found '{text}'; allowed: -10 to 10"
+        message = f"{PRIORITY_HEADER}: found {quote(text)}; allowed: -10 to 10"
         raise CallerError(ErrorCode.BAD_REQUEST, message)
     return priority
 
 
 def _read_key(request: web.Request) -> str:
-    key = request.headers.get(KEY_HEADER, "")
-    if len(key) > MAX_KEY_LENGTH:
-        message = f"{KEY_HEADER}: {len(key)} characters; allowed: {MAX_KEY_LENGTH}"
+    keys = request.headers.getall(KEY_HEADER, [""])
+    key = keys[0]
+    if len(keys) > 1 or len(key) > MAX_KEY_LENGTH or not (key + " ").isprintable():
+        found = f"{len(keys)} of {len(key)} characters"
+        allowed = f"one of up to {MAX_KEY_LENGTH} printable characters"
+        message = f"{KEY_HEADER}: found {found}; allowed: {allowed}"
         raise CallerError(ErrorCode.BAD_REQUEST, message)
     return key
-
-
-def _list_passed_headers(request: web.Request) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in PRIVATE_HEADERS
-    )
--- /dev/null
+++ b/libraries/gateway/tests/test_application.py
@@ -0,0 +1,87 @@
+"""What callers receive when the gateway itself is at fault."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from aiohttp.test_utils import TestClient, TestServer
+
+from bamboopier_gateway.application import GatewayApplication
+from bamboopier_gateway.errors import CallerError, ErrorCode
+from bamboopier_gateway.metrics import GatewayMetrics
+from bamboopier_protocol import agent_pb2 as pb
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+
+class BrokenForwarder:
+    """Fails as a programming error would, before or after the answer began."""
+
+    def __init__(self, *, begins: bool) -> None:
+        self.begins = begins
+
+    async def forward(self, call: Any, delivery: Any) -> web.StreamResponse:
+        if self.begins:
+            header = pb.Header(name="Content-Type", value="text/event-stream")
+            await delivery.begin(pb.ResponseHead(status=200, headers=[header]))
+            await delivery.write(b"data: part\n\n")
+        raise ZeroDivisionError("secret detail")
+
+
+async def read_call(*_: Any) -> Any:
+    return SimpleNamespace(request_id="r1", service="desk")
+
+
+async def fail_to_read(*_: Any) -> Any:
+    raise ZeroDivisionError("secret detail")
+
+
+class ApplicationTests(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, read: Any, *, begins: bool = False) -> tuple[int, str]:
+        settings = SimpleNamespace(write_timeout_seconds=5.0, data_centre="dc")
+        follower = SimpleNamespace(directory=None)
+        reader = SimpleNamespace(read_model_call=read, read_plain_call=read)
+        application = GatewayApplication(
+            settings,  # type: ignore[arg-type]
+            follower,  # type: ignore[arg-type]
+            reader,  # type: ignore[arg-type]
+            BrokenForwarder(begins=begins),  # type: ignore[arg-type]
+            GatewayMetrics(),
+        )
+        server = TestServer(application.make_application())
+        with mock.patch("bamboopier_gateway.application.log"):
+            async with TestClient(server) as client:
+                answer = await client.post("/v1/completions", data=b"{}")
+                return answer.status, await answer.text()
+
+    async def test_a_fault_before_any_attempt_says_not_run(self) -> None:
+        status, text = await self.ask(fail_to_read)
+        error = json.loads(text)["error"]
+        self.assertEqual((status, error["code"]), (500, "internal"))
+        self.assertEqual(error["ran"], "no")
+        self.assertNotIn("secret detail", text)
+
+    async def test_a_fault_after_an_attempt_says_unknown(self) -> None:
+        status, text = await self.ask(read_call)
+        error = json.loads(text)["error"]
+        self.assertEqual((status, error["code"]), (500, "internal"))
+        self.assertEqual((error["ran"], error["request_id"]), ("unknown", "r1"))
+        self.assertNotIn("secret detail", text)
+
+    async def test_a_fault_within_a_stream_ends_it_with_an_error_event(self) -> None:
+        status, text = await self.ask(read_call, begins=True)
+        self.assertEqual(status, 200)
+        self.assertIn("event: error", text)
+        self.assertNotIn("secret detail", text)
+
+    def test_every_code_has_a_status_and_a_type(self) -> None:
+        for code in ErrorCode:
+            error = CallerError(code, "m", retry_after=0.2)
+            self.assertGreaterEqual(error.status, 400)
+            self.assertTrue(code.kind.endswith("_error"))
+            self.assertIn(b"Retry-After: 1\r\n", error.make_raw("r"))
--- a/libraries/standins/src/bamboopier_standins/plain.py
+++ b/libraries/standins/src/bamboopier_standins/plain.py
@@ -34,7 +34,13 @@
     async def call(self, request: web.Request) -> web.Response:
         """Log the call, wait the set time and echo what was asked."""
         body = (await request.read()).decode(errors="replace")
-        entry = {"method": request.method, "path": request.path, "body": body}
+        entry = {
+            "method": request.method,
+            "path": request.path,
+            "raw_path": request.raw_path,
+            "headers": [list(header) for header in request.headers.items()],
+            "body": body,
+        }
         self.log.append(entry)
         await asyncio.sleep(self.delay)
         answer = {"call": len(self.log), **entry}
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,274 @@
+"""The callers' side of a gateway: shapes, limits and errors, seen by callers only."""
+
+from __future__ import annotations
+
+import json
+import time
+import unittest
+from typing import Any
+
+from processes import Installation
+
+from .builders import DESK, VANS, build_small_installation, call
+from .raw_calls import (
+    PATIENCE_SECONDS,
+    connect,
+    exchange,
+    make_head,
+    read_answer,
+    read_to_end,
+)
+
+MODEL = "pillar-8b"
+CHAT = "/v1/chat/completions"
+TEXT = "/v1/completions"
+USER = {"role": "user"}
+TIGHT = {
+    "header_timeout_seconds": 0.5,
+    "body_timeout_seconds": 0.5,
+    "write_timeout_seconds": 1.0,
+    "idle_timeout_seconds": 2.0,
+    "max_connections": 3,
+}
+# Each row: method, path, body, headers, status, code.
+ERRORS: list[tuple[str, str, Any, dict[str, str], int, str]] = [
+    ("GET", "/nowhere", None, {}, 404, "not_found"),
+    ("GET", "/v1/completions/", None, {}, 404, "not_found"),
+    ("GET", TEXT, None, {}, 405, "method_not_allowed"),
+    ("POST", TEXT, None, {}, 400, "bad_request"),
+    ("POST", TEXT, {"prompt": "a"}, {}, 400, "bad_request"),
+    ("POST", TEXT, {"model": MODEL}, {}, 400, "bad_request"),
+    ("POST", TEXT, {"model": MODEL, "prompt": ["a", "b"]}, {}, 400, "bad_request"),
+    ("POST", TEXT, {"model": MODEL, "prompt": [[1, 2]]}, {}, 400, "bad_request"),
+    ("POST", TEXT, {"model": MODEL, "prompt": "a", "max_tokens": 0}, {}, 400, "bad_r"),
+    ("POST", TEXT, {"model": "none", "prompt": "a"}, {}, 404, "not_found"),
+    ("POST", CHAT, {"model": MODEL, "prompt": "a"}, {}, 400, "bad_request"),
+    ("POST", CHAT, {"model": MODEL, "messages": [{}]}, {}, 400, "bad_request"),
+    ("POST", TEXT, {}, {"Content-Encoding": "gzip"}, 415, "unsupported_encoding"),
+    ("POST", TEXT, {}, {"Authorization": "Basic x"}, 401, "unauthenticated"),
+    ("POST", TEXT, {}, {"Authorization": "Bearer \xe9"}, 401, "unauthenticated"),
+    ("GET", "/v1/models", None, {"Authorization": "x"}, 401, "unauthenticated"),
+    ("GET", "/services/none/a", None, {}, 404, "not_found"),
+    ("GET", "/services/fault-desk/a", None, {}, 404, "not_found"),
+    ("GET", "/services/dispatch/a", None, {"X-Priority": "99"}, 400, "bad_request"),
+    ("GET", "/services/dispatch/a", None, {"X-Timeout-Seconds": "nan"}, 400, "bad_r"),
+    ("GET", "/services/dispatch/a", None, {"Idempotency-Key": "\xe9\x01"}, 400, "bad"),
+    ("GET", "/services/dispatch/a", None, {"X-A": "\xe9"}, 400, "bad_request"),
+    ("GET", "/services/dispatch/a", None, {"X-HTTP-Method-Override": "PUT"}, 400, "b"),
+]
+# Each row: bytes, status, code. None of them is a request of HTTP as it should be.
+GARBAGE: list[tuple[bytes, int, str]] = [
+    (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400, "bad_request"),
+    (b"GET / HTTP/9.9\r\n\r\n", 400, "bad_request"),
+    (make_head("GET", "/", "X: " + "a" * 9000), 431, "headers_too_large"),
+    (make_head("GET", "/" + "a" * 9000), 431, "headers_too_large"),
+    (make_head("GET", "/", *[f"X-{n}: a" for n in range(200)]), 400, "bad_request"),
+    (make_head("GET", "/", *[f"X-{n}: " + "a" * 8000 for n in range(5)]), 431, "h"),
+    (
+        make_head("POST", TEXT, "Transfer-Encoding: chunked") + b"zz\r\n",
+        400,
+        "bad_request",
+    ),
+    (make_head("POST", TEXT, "Content-Length: 99999999"), 413, "too_large"),
+    (
+        make_head("POST", "/services/dispatch/a", "Content-Length: 99999999"),
+        413,
+        "too_large",
+    ),
+]
+# Spellings of one order that must not pass as the idempotent /boxes or run twice.
+DODGES = [
+    "/boxes/../vans",
+    "/boxes/%2e%2e/vans",
+    "/boxes/..%2fvans",
+    "/boxes/..;/vans",
+    "/boxes%2f..%2fvans",
+    "/boxes/./../vans",
+    "/boxes%5c..%5cvans",
+    "//vans",
+    "/%2fvans",
+    "/vans%00",
+    "/%2576ans",
+    "/vans%zz",
+]
+SPELLINGS = ["/vans", "/vans/", "/VANS", "/%76ans", "/Vans/now", "/vans?a=/boxes"]
+
+
+class CallerTests(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.installation = cls.enterClassContext(Installation())
+        build_small_installation(cls.installation)
+        cls.installation.start_gateway("tight", "dc-east", **TIGHT)
+        cls.installation.wait_until_ready()
+        cls.url = cls.installation.gateways["gateway-1"]
+        cls.tight_url = cls.installation.gateways["tight"]
+
+    def test_each_refused_request_gets_a_typed_error(self) -> None:
+        for method, path, body, headers, status, code in ERRORS:
+            with self.subTest(path=path, body=body, headers=headers):
+                answer = call(self.url, method, path, body, headers)
+                self.assertEqual(answer.status, status, answer.body)
+                self.assertTrue(answer.error["code"].startswith(code), answer.body)
+                self.assertEqual(answer.error["ran"], "no")
+                self.assertTrue(answer.error["message"])
+                self.assertTrue(answer.error["type"].endswith("_error"))
+                request_id = answer.headers["X-Request-Id"]
+                self.assertEqual(answer.error["request_id"], request_id)
+
+    def test_what_is_no_http_gets_a_typed_error_and_no_trace(self) -> None:
+        for sent, status, code in GARBAGE:
+            with self.subTest(sent[:40]):
+                received = exchange(self.url, sent)
+                found, error = read_answer(received)
+                self.assertEqual((found, error["ran"]), (status, "no"))
+                self.assertTrue(error["code"].startswith(code), error)
+                self.assertNotIn(b"Traceback", received)
+
+    def test_bodies_that_are_no_json_get_a_typed_error(self) -> None:
+        for body in (b"{", b'{"model": "\xff"}', b"[" * 50_000, b'{"model": 1}'):
+            with self.subTest(body[:20]):
+                size = f"Content-Length: {len(body)}"
+                head = make_head("POST", TEXT, size, "Connection: close")
+                status, error = read_answer(exchange(self.url, head + body))
+                self.assertEqual((status, error["code"]), (400, "bad_request"))
+
+    def test_garbage_after_a_good_request_spoils_neither(self) -> None:
+        # The garbage arrives while the first answer is on its way, or in one piece
+        # with the first request: then neither is run, and the answer says so.
+        good = make_head("GET", "/v1/models")
+        with connect(self.url) as connection:
+            connection.sendall(good)
+            first = connection.recv(65_536)
+            connection.sendall(b"\x00\x01garbage\r\n\r\n")
+            second = read_to_end(connection)
+        self.assertIn(MODEL.encode(), first)
+        self.assertEqual(read_answer(second)[1]["code"], "bad_request")
+        order = make_head("DELETE", "/services/dispatch/vans/piped")
+        status, error = read_answer(exchange(self.url, order + b"\x00garbage\r\n\r\n"))
+        self.assertEqual((status, error["ran"]), (400, "no"))
+        self.assertNotIn("piped", str(self.installation.read_target_log(VANS)))
+
+    def test_a_chunked_body_above_the_limit_is_refused_early(self) -> None:
+        # The limit is 4 MiB; the caller never gets to its end of the body.
+        chunk = b"100000\r\n" + b"a" * 0x100000 + b"\r\n"
+        head = make_head(
+            "POST", "/services/dispatch/vans", "Transfer-Encoding: chunked"
+        )
+        received = exchange(self.url, head + chunk * 5)
+        status, error = read_answer(received)
+        self.assertEqual((status, error["code"]), (413, "too_large"))
+        self.assertNotIn("a" * 100, str(self.installation.read_target_log(VANS)))
+
+    def test_headers_that_trickle_in_lose_their_connection(self) -> None:
+        # A caller opens a connection, sends half a header and keeps it open: without a
+        # limit a few such callers would hold every connection the gateway has.
+        self.assertEqual(exchange(self.tight_url, b"GET / HTTP/1.1\r\nHost: "), b"")
+
+    def test_a_body_that_trickles_in_is_refused(self) -> None:
+        head = make_head("POST", "/services/dispatch/vans", "Content-Length: 100")
+        status, error = read_answer(exchange(self.tight_url, head + b"half"))
+        self.assertEqual((status, error["code"]), (408, "body_timeout"))
+        self.assertEqual(error["ran"], "no")
+
+    def test_an_idle_connection_is_closed(self) -> None:
+        self.assertEqual(exchange(self.tight_url, b""), b"")
+
+    def test_a_connection_above_the_limit_is_refused_at_once(self) -> None:
+        held = [connect(self.tight_url) for _ in range(TIGHT["max_connections"])]
+        try:
+            status, error = read_answer(exchange(self.tight_url, make_head("GET", "/")))
+        finally:
+            for connection in held:
+                connection.close()
+        self.assertEqual((status, error["code"]), (503, "too_many_connections"))
+        self.assertEqual(error["ran"], "no")
+
+    def test_a_caller_that_takes_nothing_loses_its_connection(self) -> None:
+        # The caller asks for a large answer and reads none of it. Without a limit the
+        # answer, its target and its memory would wait for that caller for ever.
+        order = b'"' * 3_500_000
+        size = f"Content-Length: {len(order)}"
+        head = make_head("POST", "/services/dispatch/echo", size)
+        with connect(self.tight_url, receive_buffer=4096) as connection:
+            connection.sendall(head + order)
+            self.wait_for_log("tight", "caller too slow")
+            received = read_to_end(connection)
+        self.assertIn(b"201 Created", received)
+        self.assertLess(len(received), len(order))
+
+    def test_no_spelling_of_a_path_dodges_its_route(self) -> None:
+        # A caller sends one order twice under one key, each time spelt in a way that a
+        # text comparison takes for something idempotent and the target for /vans.
+        for number, path in enumerate([*DODGES, *SPELLINGS]):
+            with self.subTest(path):
+                mark = f"order-{number}."
+                headers = {"Idempotency-Key": mark}
+                full = "/services/dispatch" + path
+                answers = [
+                    call(self.url, "POST", full, {"for": mark}, headers)
+                    for _ in range(2)
+                ]
+                log = self.installation.read_target_log(VANS)
+                runs = [entry for entry in log if mark in entry["body"]]
+                if path in DODGES:
+                    self.assertEqual(answers[0].error["code"], "bad_path")
+                    self.assertEqual(runs, [])
+                else:
+                    self.assertEqual([a.status for a in answers], [201, 201])
+                    self.assertEqual(len(runs), 1)
+
+    def test_method_path_query_headers_body_and_status_pass_through(self) -> None:
+        path = "/boxes/a%20b%C3%A9?x=1%262&y=a+b&y=%20"
+        headers = {
+            "X-Own": "kept",
+            "X-Named": "dropped",
+            "Connection": "keep-alive, X-Named",
+            "Cookie": "session=1",
+            "X-Request-Id": "callers-own",
+        }
+        for method in ("GET", "PUT", "PATCH", "DELETE", "OPTIONS", "HEAD"):
+            with self.subTest(method):
+                body = {"at": method} if method in ("PUT", "PATCH") else None
+                full = "/services/dispatch" + path
+                answer = call(self.url, method, full, body, headers)
+                self.assertEqual(answer.status, 201 if body else 200)
+                self.assertNotEqual(answer.headers["X-Request-Id"], "callers-own")
+                entry = self.installation.read_target_log(VANS)[-1]
+                self.assertEqual((entry["method"], entry["raw_path"]), (method, path))
+                self.assertEqual(entry["body"], json.dumps(body) if body else "")
+                names = {name.lower(): value for name, value in entry["headers"]}
+                self.assertEqual(names["x-own"], "kept")
+                for name in ("x-named", "cookie", "authorization"):
+                    self.assertNotIn(name, names)
+
+    def test_the_shapes_of_openai_clients_are_understood(self) -> None:
+        part = [{"type": "text", "text": "is the box"}, {"type": "text", "text": "up"}]
+        bodies: list[tuple[str, dict[str, Any]]] = [
+            (TEXT, {"prompt": ["one text"], "max_tokens": 2, "n": 1, "stop": ["x"]}),
+            (CHAT, {"messages": [{**USER, "content": part}], "stream": None}),
+            (
+                CHAT,
+                {"messages": [{**USER, "content": "a"}], "max_completion_tokens": 2},
+            ),
+        ]
+        for path, body in bodies:
+            with self.subTest(body):
+                answer = call(self.url, "POST", path, {"model": MODEL, **body})
+                self.assertEqual(answer.status, 200, answer.body)
+        self.assertTrue(self.installation.read_target_log(DESK))
+
+    def test_the_models_of_the_workspace_are_listed(self) -> None:
+        answer = call(self.url, "GET", "/v1/models")
+        listed = json.loads(answer.body)
+        self.assertEqual([model["id"] for model in listed["data"]], [MODEL])
+        self.assertEqual(listed["object"], "list")
+
+    def wait_for_log(self, name: str, event: str) -> None:
+        limit = time.monotonic() + PATIENCE_SECONDS
+        while time.monotonic() < limit:
+            log = self.installation.daemons[name].read_log()
+            if any(line["event"] == event for line in log):
+                return
+            time.sleep(0.05)
+        self.fail(f"{name} never logged '{event}'")
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -124,11 +124,11 @@
         self.vms = [vm for vm in self.vms if vm["name"] != name]
         self.list_vm(name, "target", service, data_centre, address)
 
-    def start_gateway(self, name: str, data_centre: str) -> None:
-        """Start a gateway and list it."""
+    def start_gateway(self, name: str, data_centre: str, **options: Any) -> None:
+        """Start a gateway, with ``options`` in its settings, and list it."""
         listen, admin = find_port(), find_port()
         settings = _describe_place(name, data_centre, listen, admin, self.platform_url)
-        self.start_daemon(name, "gateway", settings)
+        self.start_daemon(name, "gateway", settings | options)
         self.gateways[name] = f"http://{HOST}:{listen}"
         self.admin[name] = f"http://{HOST}:{admin}"
         self.list_vm(name, "gateway", "", data_centre, f"{HOST}:{listen}")
