--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-LIBRARIES := protocol configuration daemon decisions platform gateway agent cli standins
+LIBRARIES := protocol configuration daemon decisions platform gateway agent replay cli standins
 empty :=
 space := $(empty) $(empty)
 # The sources of this very checkout go first, so a second worktree may share a VENV.
@@ -8,7 +8,7 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo demo-stay test check format types protocol mutations bench capacity
+.PHONY: demo demo-stay test check format types protocol mutations bench bench-load capacity
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
@@ -29,6 +29,10 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+# Simulated time only; the table with its baselines takes some minutes.
+bench-load: $(VENV)/ready
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.table
+
 # Only needed after editing the .proto file; its output is committed.
 protocol: $(VENV)/ready
 	cd libraries/protocol/src && $(abspath $(PYTHON)) -m grpc_tools.protoc -I . \
@@ -43,3 +47,11 @@
 		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library))
 	touch $@
 endif
+
+# Slopes for docs/CAPACITY.md; takes some minutes, writes docs/capacity.json.
+capacity: $(VENV)/ready
+	cd tools && $(PYTHON) -m capacity
+
+# Takes each safeguard out and sees its test turn red.
+mutations: $(VENV)/ready
+	$(PYTHON) tools/mutate.py
--- a/libraries/cli/src/bamboopier_cli/application.py
+++ b/libraries/cli/src/bamboopier_cli/application.py
@@ -14,6 +14,7 @@
 from .commands.explain import explain
 from .commands.gateway import gateway
 from .commands.publish import publish
+from .commands.replay import replay
 from .commands.version import version
 from .exits import FAILURE, INTERRUPTED, SUCCESS, CommandError
 from .help import describe_command, describe_program
@@ -27,6 +28,7 @@
     "explain": explain,
     "gateway": gateway,
     "publish": publish,
+    "replay": replay,
     "version": version,
 }
 HELP_FLAGS = frozenset({"--help", "-h"})
--- a/libraries/standins/src/bamboopier_standins/platform.py
+++ b/libraries/standins/src/bamboopier_standins/platform.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+import hashlib
 import json
 from collections import Counter
 from typing import Any
@@ -61,12 +62,15 @@
     async def _inject_faults(self, request: web.Request, handler: Any) -> Any:
         if not request.path.startswith("/v1/"):
             return await handler(request)
-        self.calls[f"{request.method} {request.path.split('/')[2]}"] += 1
+        kind = f"{request.method} {request.path.split('/')[2]}"
+        self.calls[kind] += 1
+        self.calls[f"bytes {kind}"] += request.content_length or 0
         if self.faults.get("delay"):
             await asyncio.sleep(self.faults["delay"])
         if self.faults.get("down"):
             return web.Response(status=503)
         response = await handler(request)
+        self.calls[f"bytes {kind}"] += len(response.body or b"")
         changes = request.method in ("PUT", "DELETE")
         if changes and self.faults.get("lose_answers", 0) > 0:
             self.faults["lose_answers"] -= 1
@@ -153,8 +157,13 @@
         return web.json_response(body)
 
     async def list_vms(self, request: web.Request) -> web.Response:
-        """Answer with the VM list."""
-        return web.json_response(self.vms)
+        """Answer with the VM list, or 304 to a caller that has it already."""
+        body = json.dumps(self.vms).encode()
+        tag = f'"{hashlib.sha256(body).hexdigest()[:16]}"'
+        headers = {"ETag": tag, "Content-Type": "application/json"}
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers=headers)
+        return web.Response(body=body, headers=headers)
 
     async def set_vms(self, request: web.Request) -> web.Response:
         """Replace the VM list (test control)."""
