--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/membership/fleet_view.py
@@ -0,0 +1,59 @@
+"""Which listed targets may be sent new work.
+
+Load pattern: operators pull a data centre or a target while the VM list still shows it
+as live, and VMs leave that no operator has named. A target must be out as soon as
+either says so and back only when neither does.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .leaving import LeavingVms
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """A target as the VM list shows it."""
+
+    name: str
+    data_centre: str
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DrainedPlaces:
+    """What operators have taken out of service."""
+
+    data_centres: frozenset[str] = frozenset()
+    targets: frozenset[str] = frozenset()
+
+    def hold(self, target: str, data_centre: str) -> bool:
+        """Say whether the target is out."""
+        return target in self.targets or data_centre in self.data_centres
+
+
+class FleetView:
+    """Joins successive VM lists with the operators' drains."""
+
+    __slots__ = ("_leaving",)
+
+    def __init__(self) -> None:
+        self._leaving = LeavingVms()
+
+    def select(
+        self, now: float, listed: Iterable[ListedTarget], drained: DrainedPlaces
+    ) -> frozenset[str]:
+        """Return the names of the targets that may be sent new work."""
+        targets = list(listed)
+        leaving = self._leaving.update(now, {t.name: t.leaving for t in targets})
+        return frozenset(
+            target.name
+            for target in targets
+            if target.name not in leaving
+            and not drained.hold(target.name, target.data_centre)
+        )
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/membership/lease.py
@@ -0,0 +1,164 @@
+"""A lease on one platform object: who may act, under which fencing number, until when.
+
+Load pattern: two processes believe that they are in charge of one target, or one wakes
+after a pause and goes on as if it still were. Without the lease the older one's order
+comes last and puts an old weight version back.
+
+No clock is compared between machines. A holder counts its lease from before it sent
+the write; everybody else counts from after they first saw that write, which is later,
+and takes over no sooner than a whole lease after that. The write that takes over is
+conditional on the version that was watched, so a renewal not yet seen makes it fail.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+# Clocks that count a second may differ by this share between machines; a holder ends
+# its lease that much earlier.
+CLOCK_RATE_ERROR = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """What the lease's object holds."""
+
+    holder: str
+    # Where the holder's process listens; only one process at a time can.
+    place: str
+    fence: int
+    # Seconds from a write until others may take over.
+    duration: float
+    # Number of the holder's write, to know which of several has taken effect.
+    serial: int
+    released: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SeenLease:
+    """A record as it was read, with the object's version; 0 when there is none."""
+
+    version: int
+    record: LeaseRecord | None
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLease:
+    """Write ``record`` if the object still has ``expected_version``."""
+
+    record: LeaseRecord
+    expected_version: int
+
+
+class TakeOver(StrEnum):
+    """When another holder's lease may be taken."""
+
+    AFTER_WAIT = "after-wait"
+    # The target refuses the former holder's orders by their fencing number.
+    AT_ONCE = "at-once"
+
+
+class Lease:
+    """One process's view of one lease. Times are seconds on its own steady clock."""
+
+    __slots__ = (
+        "_holder",
+        "_place",
+        "_seen",
+        "_seen_since",
+        "_had",
+        "_sent",
+        "_serial",
+        "duration",
+        "take_over",
+    )
+
+    def __init__(
+        self,
+        holder: str,
+        place: str,
+        duration: float,
+        take_over: TakeOver = TakeOver.AFTER_WAIT,
+    ) -> None:
+        self._holder = holder
+        self._place = place
+        self.duration = duration
+        self.take_over = take_over
+        self._seen = SeenLease(0, None)
+        # When this version was first seen here.
+        self._seen_since = float("-inf")
+        self._serial = 0
+        # Whether this process has ever held it.
+        self._had = False
+        # When each of this process's writes was sent, by serial.
+        self._sent: dict[int, float] = {}
+
+    @property
+    def fence(self) -> int:
+        """Return the fencing number of the record last seen."""
+        return self._seen.record.fence if self._seen.record is not None else 0
+
+    def is_held(self, now: float) -> bool:
+        """Say whether orders may be given at ``now``; ask immediately before each.
+
+        A holder that was paused finds here that its time has passed, since the steady
+        clock ran on.
+        """
+        record = self._seen.record
+        if record is None or record.holder != self._holder or record.released:
+            return False
+        sent = self._sent.get(record.serial)
+        return sent is not None and now < sent + record.duration * (
+            1 - CLOCK_RATE_ERROR
+        )
+
+    def see(self, now: float, seen: SeenLease) -> None:
+        """Take what a read showed; ``now`` is after the read's answer.
+
+        A lower version than one already seen comes from a replica that lags.
+        """
+        if seen.version > self._seen.version:
+            self._seen = seen
+            self._seen_since = now
+            own = seen.record is not None and seen.record.holder == self._holder
+            self._had |= own
+            kept = seen.record.serial if own and seen.record is not None else 0
+            self._sent = {s: at for s, at in self._sent.items() if s >= kept}
+
+    def find_wait(self, now: float) -> float:
+        """Return the seconds until the lease may be taken or renewed; 0 is now."""
+        record = self._seen.record
+        if record is None or record.released or record.holder == self._holder:
+            return 0.0
+        if record.place == self._place:
+            # Only one process can listen there: the former holder has ended.
+            return 0.0
+        if self.take_over is TakeOver.AT_ONCE and not self._had:
+            # The newest process wins; the one it replaced waits, or the two would take
+            # the lease from each other for ever.
+            return 0.0
+        return max(0.0, self._seen_since + record.duration - now)
+
+    def claim(self, now: float) -> WriteLease:
+        """Return the write that takes or renews the lease; send it after ``now``.
+
+        The fencing number grows whenever others could have held the lease in between.
+        """
+        fence = self.fence if self.is_held(now) else self.fence + 1
+        record = LeaseRecord(
+            self._holder, self._place, fence, self.duration, self._next(now)
+        )
+        return WriteLease(record, self._seen.version)
+
+    def release(self, now: float) -> WriteLease | None:
+        """Return the write that gives the lease up, or None when it is not held."""
+        if not self.is_held(now) or self._seen.record is None:
+            return None
+        record = replace(self._seen.record, released=True, serial=self._next(now))
+        return WriteLease(record, self._seen.version)
+
+    def _next(self, now: float) -> int:
+        self._serial += 1
+        self._sent[self._serial] = now
+        return self._serial
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/membership/leaving.py
@@ -0,0 +1,45 @@
+"""Remembers which VMs are leaving although the list that says so lags and wavers.
+
+Load pattern: the platform's replicas answer the VM list with different lags, so that a
+VM is listed as leaving, then live, then leaving again. Without the memory new work
+reaches a leaving target at each wrong answer and is cut when its VM goes.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# A VM counts as live again once it has been listed so for this long without a break;
+# several times the lag of a few seconds that the brief gives the list.
+LIVE_AGAIN_SECONDS = 30.0
+
+
+class LeavingVms:
+    """The VMs that are leaving, from successive lists."""
+
+    __slots__ = ("_live_since",)
+
+    def __init__(self) -> None:
+        # Since when each leaving VM has been listed as live; None while it is not.
+        self._live_since: dict[str, float | None] = {}
+
+    def update(self, now: float, leaving: Mapping[str, bool]) -> frozenset[str]:
+        """Take a list (VM name to whether it leaves); return those that are leaving."""
+        for name in set(self._live_since) - set(leaving):
+            del self._live_since[name]
+        for name, leaves in leaving.items():
+            if leaves:
+                self._live_since[name] = None
+            elif name in self._live_since:
+                self._note_live(now, name)
+        return frozenset(self._live_since)
+
+    def _note_live(self, now: float, name: str) -> None:
+        since = self._live_since[name]
+        if since is None:
+            self._live_since[name] = now
+        elif now - since >= LIVE_AGAIN_SECONDS:
+            del self._live_since[name]
--- /dev/null
+++ b/libraries/decisions/tests/membership/test_fleet_view.py
@@ -0,0 +1,73 @@
+"""What may be sent new work while lists lag and operators drain."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bamboopier_decisions.membership.fleet_view import (
+    DrainedPlaces,
+    FleetView,
+    ListedTarget,
+)
+from bamboopier_decisions.membership.load_slots import count_slots
+from bamboopier_decisions.membership.versions import ROLL_OUT_SECONDS, ModelVersions
+
+
+class FleetViewTests(unittest.TestCase):
+    def select(self, view: FleetView, now: float, leaving: bool) -> bool:
+        listed = [ListedTarget("desk-1", "dc-east", leaving)]
+        return bool(view.select(now, listed, DrainedPlaces()))
+
+    def test_a_leaving_vm_stays_out_while_the_list_wavers(self) -> None:
+        """Replicas of the VM list answer in turn: leaving, live, leaving.
+
+        Each wrong answer would let requests in that are cut when the VM goes.
+        """
+        view = FleetView()
+        self.assertTrue(self.select(view, 0.0, leaving=False))
+        self.assertFalse(self.select(view, 1.0, leaving=True))
+        self.assertFalse(self.select(view, 2.0, leaving=False))
+        self.assertFalse(self.select(view, 20.0, leaving=True))
+        self.assertFalse(self.select(view, 21.0, leaving=False))
+        self.assertFalse(self.select(view, 50.0, leaving=False))
+        self.assertTrue(self.select(view, 51.0, leaving=False))
+
+    def test_drained_places_are_out_and_come_back(self) -> None:
+        view = FleetView()
+        listed = [
+            ListedTarget("desk-1", "dc-east", False),
+            ListedTarget("desk-2", "dc-west", False),
+        ]
+        cases = [
+            (DrainedPlaces(), {"desk-1", "desk-2"}),
+            (DrainedPlaces(frozenset({"dc-east"})), {"desk-2"}),
+            (DrainedPlaces(targets=frozenset({"desk-2"})), {"desk-1"}),
+            (DrainedPlaces(), {"desk-1", "desk-2"}),
+        ]
+        for drained, expected in cases:
+            self.assertEqual(view.select(0.0, listed, drained), expected)
+
+
+class RollOutTests(unittest.TestCase):
+    def test_requests_follow_the_targets_through_a_roll_out(self) -> None:
+        """Ten targets take v2 two at a time; then one never gets it."""
+        versions = ModelVersions("v1")
+        versions.configure(0.0, "v2")
+        generator = random.Random(3)
+
+        def count_new(now: float, new: int, old: int) -> int:
+            reported = ["v2"] * new + ["v1"] * old
+            chosen = [versions.choose(now, reported, 2, generator) for _ in range(1000)]
+            return chosen.count("v2")
+
+        self.assertEqual(count_new(1.0, 0, 10), 0)
+        self.assertEqual(count_new(1.5, 0, 2), 0)
+        self.assertTrue(150 < count_new(2.0, 2, 8) < 250)
+        self.assertEqual(count_new(9.0, 8, 2), 1000)
+        self.assertEqual(count_new(ROLL_OUT_SECONDS, 2, 8), 1000)
+
+    def test_one_target_goes_on_serving(self) -> None:
+        cases = [(2, 40, 2), (2, 2, 1), (3, 3, 2), (2, 1, 1), (2, 0, 1)]
+        for limit, targets, expected in cases:
+            self.assertEqual(count_slots(limit, targets), expected)
--- /dev/null
+++ b/libraries/decisions/tests/membership/test_lease.py
@@ -0,0 +1,162 @@
+"""The lease under pauses, lost and delayed writes and lagging reads."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from bamboopier_decisions.membership.lease import (
+    Lease,
+    LeaseRecord,
+    SeenLease,
+    TakeOver,
+    WriteLease,
+)
+
+DURATION = 60.0
+HOLDERS = 3
+holders = st.integers(0, HOLDERS - 1)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three processes want one lease of a target that ignores fencing numbers.
+
+    Their clocks start anywhere and run up to 1% apart, writes are lost, held back and
+    land late, reads lag. Two that could give orders at one moment would let an old
+    order put an old weight version back.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = 0.0
+        self.past: list[SeenLease] = [SeenLease(0, None)]
+        self.held_writes: list[WriteLease] = []
+        self.leases = [
+            Lease(f"agent-{n}", f"place-{n}", DURATION) for n in range(HOLDERS)
+        ]
+        # Offset and rate of each process's clock against true time.
+        self.clocks = [(1000.0, 1.0), (5.0, 1.0099), (77_000.0, 1.0)]
+
+    def read_clock(self, holder: int) -> float:
+        offset, rate = self.clocks[holder]
+        return offset + self.time * rate
+
+    def apply(self, write: WriteLease) -> bool:
+        if write.expected_version != self.past[-1].version:
+            return False
+        self.past.append(SeenLease(self.past[-1].version + 1, write.record))
+        return True
+
+    @rule(seconds=st.sampled_from([0.1, 29.8, 59.2, 61.0]))
+    def let_time_pass(self, seconds: float) -> None:
+        self.time += seconds
+
+    @rule(holder=holders, lag=st.integers(0, 2))
+    def read(self, holder: int, lag: int) -> None:
+        seen = self.past[max(0, len(self.past) - 1 - lag)]
+        self.leases[holder].see(self.read_clock(holder), seen)
+
+    @rule(
+        holder=holders,
+        looks=st.booleans(),
+        fault=st.sampled_from(["", "", "lose", "drop", "hold"]),
+    )
+    def claim(self, holder: int, looks: bool, fault: str) -> None:
+        if looks:
+            self.read(holder, 0)
+        lease = self.leases[holder]
+        now = self.read_clock(holder)
+        if lease.find_wait(now) > 0:
+            return
+        write = lease.claim(now)
+        if fault == "hold":
+            self.held_writes.append(write)
+        elif fault != "drop" and self.apply(write) and not fault:
+            lease.see(self.read_clock(holder), self.past[-1])
+
+    @rule(holder=holders)
+    def release(self, holder: int) -> None:
+        lease = self.leases[holder]
+        write = lease.release(self.read_clock(holder))
+        if write is not None and self.apply(write):
+            lease.see(self.read_clock(holder), self.past[-1])
+
+    @rule()
+    def land_delayed_writes(self) -> None:
+        for write in self.held_writes:
+            self.apply(write)
+        self.held_writes.clear()
+
+    @invariant()
+    def one_at_most_may_give_orders(self) -> None:
+        held = [
+            lease.fence
+            for number, lease in enumerate(self.leases)
+            if lease.is_held(self.read_clock(number))
+        ]
+        assert len(held) <= 1, held
+
+    @invariant()
+    def fencing_numbers_never_fall_and_differ_between_holders(self) -> None:
+        records = [seen.record for seen in self.past if seen.record is not None]
+        fences = [record.fence for record in records]
+        assert fences == sorted(fences)
+        by_fence: dict[int, str] = {}
+        for record in records:
+            assert by_fence.setdefault(record.fence, record.holder) == record.holder
+
+
+LeaseMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=30, derandomize=True, deadline=None
+)
+LeaseMachineTests = LeaseMachine.TestCase
+
+
+class LeaseTests(unittest.TestCase):
+    def see_holder(self, lease: Lease, place: str = "elsewhere") -> None:
+        record = LeaseRecord("other", place, 7, DURATION, 1)
+        lease.see(100.0, SeenLease(3, record))
+
+    def test_a_predecessor_is_waited_out_from_its_last_sign(self) -> None:
+        lease = Lease("me", "here", DURATION)
+        self.see_holder(lease)
+        self.assertEqual(lease.find_wait(130.0), 30.0)
+        lease.see(150.0, SeenLease(4, LeaseRecord("other", "there", 7, DURATION, 2)))
+        # A replica that lags shows the earlier renewal again.
+        lease.see(155.0, SeenLease(3, LeaseRecord("other", "there", 7, DURATION, 1)))
+        self.assertEqual(lease.find_wait(160.0), 50.0)
+        self.assertEqual(lease.find_wait(210.0), 0.0)
+
+    def test_no_wait_where_the_predecessor_cannot_harm(self) -> None:
+        fenced = Lease("me", "here", DURATION, TakeOver.AT_ONCE)
+        self.see_holder(fenced)
+        restarted = Lease("me", "here", DURATION)
+        self.see_holder(restarted, place="here")
+        for lease in (fenced, restarted):
+            self.assertEqual(lease.find_wait(100.0), 0.0)
+            self.assertEqual(lease.claim(100.0).record.fence, 8)
+
+    def test_a_holder_ends_before_a_faster_clock_lets_another_begin(self) -> None:
+        """Both count 60 s from the same write, one of them on a clock 1% fast."""
+        holder = Lease("me", "here", DURATION)
+        write = holder.claim(0.0)
+        holder.see(0.0, SeenLease(1, write.record))
+        other = Lease("other", "there", DURATION)
+        other.see(0.0, SeenLease(1, write.record))
+        begins = DURATION / 1.01
+        self.assertEqual(other.find_wait(begins * 1.01), 0.0)
+        self.assertFalse(holder.is_held(begins))
+
+    def test_a_renewal_that_landed_late_counts_from_when_it_was_sent(self) -> None:
+        """The first renewal is delayed and lands, the second is lost on its way.
+
+        Counted from the second, the holder would go on after others may take over.
+        """
+        lease = Lease("me", "here", DURATION)
+        first = lease.claim(0.0)
+        lease.claim(50.0)
+        lease.see(51.0, SeenLease(1, first.record))
+        self.assertTrue(lease.is_held(59.0))
+        self.assertFalse(lease.is_held(60.0))
