--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -17,20 +17,22 @@
     keep_running,
     serve_administration,
 )
+from bamboopier_daemon.listening import explain_listening
 from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.admission.admission import Admission
 from bamboopier_decisions.membership.lease import Lease
 from bamboopier_platform.follower import ConfigurationFollower
 from bamboopier_platform.http_platform import HttpPlatform
 from bamboopier_platform.peers import PeerClient, PeerService
-from bamboopier_platform.vms import VmBoard
+from bamboopier_platform.vm_board import VmBoard
 from bamboopier_protocol.agent_pb2_grpc import (
     add_AgentServicer_to_server,
     add_PeerServicer_to_server,
 )
 
 from .claims import ClaimTable
-from .context import ContextKeeper
+from .context import ContextKeeper, assume_rates
+from .context_view import build_view
 from .gate import AdmissionGate
 from .kept_answers import KeptAnswers
 from .lease import TARGET_LEASE_SECONDS, LeaseKeeper
@@ -64,7 +66,8 @@
             Admission(settings.max_running, settings.max_waiting, generator)
         )
         secret = bytes.fromhex(settings.block_secret)
-        context = ContextKeeper(target, store, secret)
+        metrics = AgentMetrics()
+        context = ContextKeeper(target, store, secret, metrics, assume_rates())
         watch = TargetWatch(target, gate, context)
         standing = TargetStanding(settings, gate)
         vms = VmBoard(generator)
@@ -95,7 +98,6 @@
             lambda: _count_targets(vms, follower, settings.service),
             generator,
         )
-        metrics = AgentMetrics()
         service = AgentService(
             settings,
             target,
@@ -113,14 +115,15 @@
             follower.run(),
             context.run(),
             vms.run(platform),
-            _follow_store_vms(vms, context, follower, settings.service),
+            _follow_store_vms(vms, context, follower, settings),
         ):
             await stack.enter_async_context(keep_running(loop))
         server = grpc.aio.server(options=GRPC_OPTIONS)
+        stack.push_async_callback(server.stop, None)
         add_AgentServicer_to_server(service, server)
         add_PeerServicer_to_server(PeerService(follower.store, vms), server)
-        if server.add_insecure_port(str(settings.listen)) == 0:
-            raise OSError(f"cannot listen on {settings.listen}")
+        with explain_listening("listen", settings.listen):
+            server.add_insecure_port(str(settings.listen))
         await server.start()
         # Only now is the place proved to be this process's own.
         orders = _give_orders(lease, weights, generator)
@@ -188,17 +191,13 @@
     vms: VmBoard,
     context: ContextKeeper,
     follower: ConfigurationFollower,
-    service_name: str,
+    settings: AgentSettings,
 ) -> None:
-    """Keep the addresses of the service's store VMs up to date."""
+    """Keep the service's store VMs, budget and shares up to date."""
+    secret = bytes.fromhex(settings.block_secret)
     await follower.loaded.wait()
     while True:
-        service = follower.directory.services.get(service_name)
-        if service is not None and service.store:
-            context.replicas = follower.directory.stores[service.store].replicas
-            context.store_vms = tuple(
-                vm.address
-                for vm in vms.vms
-                if vm.role == "store" and vm.group == service.store
-            )
+        place = (settings.service, settings.data_centre)
+        view = build_view(follower.directory, vms.vms, *place, secret)
+        context.configure(view)
         await asyncio.sleep(STORE_VMS_SECONDS if context.store_vms else 0.5)
--- a/libraries/gateway/src/bamboopier_gateway/fleet.py
+++ b/libraries/gateway/src/bamboopier_gateway/fleet.py
@@ -20,7 +20,8 @@
     from bamboopier_configuration.directory import Directory
     from bamboopier_configuration.model import Model
     from bamboopier_configuration.settings import GatewaySettings
-    from bamboopier_platform.vms import Vm, VmBoard
+    from bamboopier_platform.vm_board import VmBoard
+    from bamboopier_platform.vms import Vm
     from bamboopier_protocol import agent_pb2 as pb
 
     from .agents import Agents
--- a/libraries/platform/src/bamboopier_platform/peers.py
+++ b/libraries/platform/src/bamboopier_platform/peers.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable, Sequence
 
     from .generations import Generation, GenerationStore
-    from .vms import VmBoard
+    from .vm_board import VmBoard
 
 # Peers asked in one round, drawn at random: one that is up suffices.
 PEERS_ASKED = 3
--- a/libraries/platform/tests/builders.py
+++ b/libraries/platform/tests/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -21,6 +22,7 @@
 from bamboopier_platform.objects import Change, StoredObject, WatchBatch
 from bamboopier_platform.parts import HEAD_KEY, Head
 from bamboopier_platform.publisher import Publisher
+from bamboopier_platform.vms import Vm, VmAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -29,6 +31,7 @@
     from bamboopier_platform.generations import Generation, GenerationStore
 
 KEPT_GENERATIONS = 2
+BYTES_PER_VM = 145
 
 
 class MemoryObjects:
@@ -207,3 +210,34 @@
     except StopIteration as stop:
         return stop.value
     raise AssertionError("the coroutine waits")
+
+
+def build_vm(name: str, state: str = "live") -> Vm:
+    """Return a target VM."""
+    return Vm(name, "target", "dc-1", "north", "10.0.0.1:7001", state)  # type: ignore[arg-type]
+
+
+class VmListFake:
+    """A list that can change, go away and withhold its entity tags."""
+
+    def __init__(self, *vms: Vm) -> None:
+        self.vms = vms
+        self.down = False
+        self.tags = True
+        self.sizes: list[int] = []
+
+    async def list_vms(self) -> Result[list[Vm], PlatformError]:
+        return Ok(list(self.vms))
+
+    async def list_vms_since(self, tag: str) -> Result[VmAnswer, PlatformError]:
+        if self.down:
+            return Err(PlatformUnavailableError("down"))
+        current = hashlib.sha256(repr(self.vms).encode()).hexdigest()
+        if not self.tags:
+            current = ""
+        if tag and tag == current:
+            self.sizes.append(0)
+            return Ok(VmAnswer(None, tag, 0))
+        size = BYTES_PER_VM * len(self.vms)
+        self.sizes.append(size)
+        return Ok(VmAnswer(self.vms, current, size))
