--- a/libraries/configuration/src/bamboopier_configuration/settings.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings.py
@@ -58,6 +58,8 @@
     platform_url: Url
     # Key, in hex, from which the workspaces' block secrets are derived.
     block_secret: Secret
+    # Agents (host:port) to ask for the configuration while the platform is away.
+    peers: list[str] = []
     max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 10_000
     # A request's headers and its body must have arrived after this time.
     header_timeout_seconds: Seconds = 10.0
@@ -89,6 +91,8 @@
     target_url: Url
     platform_url: Url
     block_secret: Secret
+    # Agents (host:port) to ask for the configuration while the platform is away.
+    peers: list[str] = []
     # Requests the target runs at once when it is warm; the limit starts below.
     max_running: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 32
     max_waiting: Annotated[int, msgspec.Meta(ge=0, le=65_536)] = 64
--- a/libraries/gateway/src/bamboopier_gateway/application.py
+++ b/libraries/gateway/src/bamboopier_gateway/application.py
@@ -16,6 +16,7 @@
 from .errors import CallerError, ErrorCode, quote
 from .prompt import CHAT_PATH
 from .reader import authenticate
+from .status import GatewayStatus
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -36,6 +37,8 @@
 
 # The largest body any service may allow; the service's own limit is checked later.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# For the last answers of requests that are cut when the process ends.
+CUT_SECONDS = 2.0
 MAX_HEADER_BYTES = 32 * 1024
 # Bytes of answers that may wait for a caller before its next request is read.
 MAX_UNREAD_BYTES = 256 * 1024
@@ -86,6 +89,8 @@
         self._open = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._tasks: set[asyncio.Task[object]] = set()
+        self._cutting = False
 
     def make_application(self) -> web.Application:
         """Return the aiohttp application."""
@@ -97,6 +102,7 @@
                 web.post("/v1/completions", self._serve_model),
                 web.post(CHAT_PATH, self._serve_model),
                 web.get("/v1/models", self._list_models),
+                web.get("/v1/status", self._report_status),
                 web.route("*", "/services/{service}/{path:.*}", self._serve_plain),
             ]
         )
@@ -124,6 +130,21 @@
         """Return once every request has its final answer."""
         await self._idle.wait()
 
+    async def cut_short(self) -> None:
+        """End every open request now with an answer that says what is known."""
+        self._cutting = True
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=CUT_SECONDS)
+
+    async def _report_status(self, _: web.Request) -> web.Response:
+        generation = self._follower.directory.generation
+        found = GatewayStatus(generation, self.ready, self._open)
+        return web.Response(
+            body=msgspec.json.encode(found), content_type="application/json"
+        )
+
     async def _serve_model(self, request: web.Request) -> web.StreamResponse:
         return await self._serve(request, self._reader.read_model_call)
 
@@ -145,9 +166,14 @@
             raise CallerError(ErrorCode.STOPPING, "shutting down", retry_after=1.0)
         self._open += 1
         self._idle.clear()
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
         try:
             return await self._answer(request, read_call)
         finally:
+            if task is not None:
+                self._tasks.discard(task)
             self._open -= 1
             if self._open == 0:
                 self._idle.set()
@@ -169,6 +195,12 @@
             response = await self._forwarder.forward(call, delivery)
         except CallerError as error:
             return await self._fail(call, delivery, error)
+        except asyncio.CancelledError:
+            if not self._cutting:
+                raise
+            message = "cut by the end of this process"
+            cut = CallerError(ErrorCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
+            return await self._fail(call, delivery, cut)
         except SlowCallerError:
             log.info("caller too slow", request_id=call.request_id)
             self._metrics.answers.labels(call.service, "slow-caller").inc()
