Prove drains, leaving targets and unaware gateways on real processes

Cause: nothing showed that a drained place gets no new work when the platform takes 1 s a call, when a gateway slept through the drain, or that a target which vanishes from the VM list keeps its streams. Change: tests/test_drain.py with fleet builders; the engine stand-in logs start times and versions, finishes what runs when stopped, reports versions late and fails loads on request.

--- a/libraries/standins/src/bamboopier_standins/engine.py
+++ b/libraries/standins/src/bamboopier_standins/engine.py
@@ -11,6 +11,7 @@
 import asyncio
 import hashlib
 import json
+import time
 import uuid
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -21,6 +22,8 @@
 
 from .server import MAX_BODY_BYTES, run
 
+# A stopping engine takes no new connection and finishes what runs.
+STOP_SECONDS = 10.0
 VERSION_HEADER = "Weight-Version"
 # Bytes of exported context a token takes; real engines need some hundred times more.
 BYTES_PER_TOKEN = 64
@@ -38,6 +41,10 @@
     version: str = "v1"
     checks_fencing: bool = True
     load_seconds: float = 0.2
+    # Seconds after a load in which the state still shows the old version.
+    report_lag: float = 0.0
+    # Orders to load that fail from now on.
+    failing_loads: int = 0
     # Requests whose prompt contains this word end the process's service.
     crash_word: str = "!crash!"
 
@@ -65,6 +72,10 @@
     fence: int = 0
     running: int = 0
 
+    # Until when the state shows the version before the last load.
+    reported: str = ""
+    reported_until: float = 0.0
+
     def __post_init__(self) -> None:
         self.slots = asyncio.Semaphore(self.options.slots)
         self.version = self.options.version
@@ -82,6 +93,7 @@
                 web.get("/context/{key}", self.export_block),
                 web.put("/context/{key}", self.import_block),
                 web.post("/evict", self.evict),
+                web.post("/options", self.set_options),
                 web.get("/log", self.list_log),
                 web.get("/imports", self.list_imports),
             ]
@@ -93,12 +105,14 @@
         body = await request.json()
         prompt = render_prompt(body)
         entry = {"request_id": body.get("request_id", ""), "ended": "", "cached": 0}
+        entry |= {"started": time.monotonic(), "version": self.version}
         self.log.append(entry)
         if self.options.crash_word in prompt.split():
             self._crash(request)
-        version = self.version
         try:
             async with self.slots:
+                version = self.version
+                entry["version"] = version
                 self.running += 1
                 try:
                     response = await self._run(request, body, prompt, version, entry)
@@ -205,12 +219,22 @@
         """Answer with start id, weight version and load."""
         state = {
             "start_id": self.start_id,
-            "version": self.version,
+            "version": self._report_version(),
             "running": self.running,
             "block_tokens": self.options.block_tokens,
         }
         return web.json_response(state)
 
+    def _report_version(self) -> str:
+        late = time.monotonic() < self.reported_until
+        return self.reported if late else self.version
+
+    async def set_options(self, request: web.Request) -> web.Response:
+        """Change options by name (test control)."""
+        for name, value in (await request.json()).items():
+            setattr(self.options, name, value)
+        return web.Response()
+
     async def list_events(self, request: web.Request) -> web.Response:
         """Answer with the cache events after a position."""
         after = int(request.query.get("after", "0"))
@@ -228,8 +252,16 @@
         if self.options.checks_fencing and fence < self.fence:
             return web.json_response({"fence": self.fence}, status=409)
         self.fence = max(fence, self.fence)
-        self.log.append({"order": "load", "version": order["version"], "fence": fence})
+        entry = {"order": "load", "version": order["version"], "fence": fence}
+        entry["started"] = time.monotonic()
+        self.log.append(entry)
         await asyncio.sleep(self.options.load_seconds)
+        entry["ended"] = time.monotonic()
+        if self.options.failing_loads > 0:
+            self.options.failing_loads -= 1
+            return web.json_response({"version": self.version}, status=500)
+        self.reported = self.version
+        self.reported_until = time.monotonic() + self.options.report_lag
         self.version = order["version"]
         return web.json_response({"version": self.version})
 
@@ -300,7 +332,7 @@
     async def make_application() -> web.Application:
         return EngineStandIn(EngineOptions(**options)).make_application()
 
-    run(make_application, port)
+    run(make_application, port, STOP_SECONDS)
 
 
 if __name__ == "__main__":
--- a/libraries/standins/src/bamboopier_standins/server.py
+++ b/libraries/standins/src/bamboopier_standins/server.py
@@ -15,19 +15,28 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
-def run(make_application: Callable[[], Awaitable[web.Application]], port: int) -> None:
-    """Serve the application on a loopback port; print the port once it listens."""
-    asyncio.run(_serve(make_application, port))
+def run(
+    make_application: Callable[[], Awaitable[web.Application]],
+    port: int,
+    stop_seconds: float = 0.1,
+) -> None:
+    """Serve the application on a loopback port; print the port once it listens.
+
+    Requests that run when the process is stopped have ``stop_seconds`` to finish.
+    """
+    asyncio.run(_serve(make_application, port, stop_seconds))
 
 
 async def _serve(
-    make_application: Callable[[], Awaitable[web.Application]], port: int
+    make_application: Callable[[], Awaitable[web.Application]],
+    port: int,
+    stop_seconds: float,
 ) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    runner = web.AppRunner(await make_application(), shutdown_timeout=0.1)
+    runner = web.AppRunner(await make_application(), shutdown_timeout=stop_seconds)
     await runner.setup()
     site = web.TCPSite(runner, HOST, port)
     await site.start()
--- /dev/null
+++ b/tests/fleet_builders.py
@@ -0,0 +1,200 @@
+"""Builds fleets over two data centres, traffic through them and their configuration."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Self
+from urllib.parse import urlsplit
+
+from processes import fetch
+
+from .builders import EXAMPLES, FOSSE_KEY, Answer, call
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+    from types import TracebackType
+
+    from processes import Installation
+
+# A condition that is never met fails the test after this long; none is met by luck.
+LIMIT_SECONDS = 40.0
+FAULT_DESK = "fault-desk"
+
+
+def build_fleet(
+    installation: Installation,
+    engines: dict[str, str],
+    gateways: dict[str, str],
+    agent: dict[str, Any] | None = None,
+    **options: Any,
+) -> None:
+    """Start engines and gateways by name and data centre, with Fosse's files."""
+    installation.start_platform()
+    for name, data_centre in engines.items():
+        engine = {"block_tokens": 2000, "capacity": 16, **options}
+        installation.start_target(
+            name, "engine", FAULT_DESK, data_centre, agent, **engine
+        )
+    for name, data_centre in gateways.items():
+        installation.start_gateway(name, data_centre)
+    publish(installation, write_configuration(installation))
+    installation.wait_until_ready()
+
+
+def write_configuration(
+    installation: Installation, version: str = "v1", **service: Any
+) -> Path:
+    """Write Fosse's files with another weight version; return their folder."""
+    source = EXAMPLES / "fosse" / "fault-desk.bamboopier.json"
+    configuration = json.loads(source.read_text())
+    configuration["models"][0]["version"] = version
+    configuration["services"][0] |= service
+    folder = installation.directory / f"files-{version}"
+    folder.mkdir(exist_ok=True)
+    path = folder / "fault-desk.bamboopier.json"
+    path.write_text(json.dumps(configuration))
+    return folder
+
+
+def publish(installation: Installation, folder: Path, *options: str) -> str:
+    """Publish a folder's files; return what the command printed."""
+    return run(installation, "publish", str(folder), *options)
+
+
+def run(installation: Installation, *arguments: str) -> str:
+    """Run a command against the platform and expect success."""
+    done = installation.run_command(*arguments, "--platform", installation.platform_url)
+    assert done.returncode == 0, done.stderr
+    return done.stdout
+
+
+def read_status(installation: Installation) -> dict[str, Any]:
+    """Return what ``bamboopier status --json`` prints."""
+    return dict(json.loads(run(installation, "status", "--json")))
+
+
+def read_generation(url: str) -> int:
+    """Return the generation that a gateway has in force."""
+    return int(json.loads(fetch(f"{url}/v1/status"))["generation"])
+
+
+def wait_until(reached: Callable[[], bool], what: str) -> None:
+    """Return once ``reached`` holds; fail naming ``what`` if it never does."""
+    limit = time.monotonic() + LIMIT_SECONDS
+    while not reached():
+        if time.monotonic() > limit:
+            raise AssertionError(f"never reached: {what}")
+        time.sleep(0.05)
+
+
+def complete(url: str, prompt: str, max_tokens: int = 2) -> Answer:
+    """Ask for a completion and wait for all of it."""
+    body = {"model": "pillar-8b", "prompt": prompt, "max_tokens": max_tokens}
+    return call(url, "POST", "/v1/completions", body)
+
+
+@dataclass
+class LongStream:
+    """A streamed completion that runs in a thread of its own."""
+
+    url: str
+    prompt: str
+    max_tokens: int
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    begun: threading.Event = field(default_factory=threading.Event)
+
+    def __post_init__(self) -> None:
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+        if not self.begun.wait(LIMIT_SECONDS):
+            raise AssertionError(f"{self.prompt}: no first byte")
+
+    @property
+    def request_id(self) -> str:
+        return self.headers["X-Request-Id"]
+
+    @property
+    def whole(self) -> bool:
+        """Say whether the last word and the end mark arrived."""
+        last = f"{self.prompt.split()[-1]}.{self.max_tokens - 1}".encode()
+        return last in self.body and self.body.endswith(b"data: [DONE]\n\n")
+
+    def join(self) -> None:
+        """Wait for the end, good or bad."""
+        self._thread.join(LIMIT_SECONDS)
+        assert not self._thread.is_alive(), f"{self.prompt}: no end"
+
+    def _run(self) -> None:
+        connection = http.client.HTTPConnection(urlsplit(self.url).netloc, timeout=60)
+        body = {"model": "pillar-8b", "prompt": self.prompt, "stream": True}
+        body["max_tokens"] = self.max_tokens
+        headers = {"Authorization": f"Bearer {FOSSE_KEY}"}
+        try:
+            connection.request("POST", "/v1/completions", json.dumps(body), headers)
+            response = connection.getresponse()
+            self.status, self.headers = response.status, dict(response.headers)
+            self.begun.set()
+            while chunk := response.read1(65_536):
+                self.body += chunk
+        except (OSError, http.client.HTTPException) as error:
+            self.body += f"cut: {error}".encode()
+        finally:
+            self.begun.set()
+            connection.close()
+
+
+@dataclass
+class Traffic:
+    """Short completions through gateways in turn, one after another, in a thread."""
+
+    urls: list[str]
+    answers: list[Answer] = field(default_factory=list)
+    _stopped: threading.Event = field(default_factory=threading.Event)
+
+    def __enter__(self) -> Self:
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stopped.set()
+        self._thread.join(LIMIT_SECONDS)
+
+    @property
+    def statuses(self) -> set[int]:
+        return {answer.status for answer in self.answers}
+
+    def wait_for_more(self, count: int) -> None:
+        """Return once ``count`` further requests have been answered."""
+        wanted = len(self.answers) + count
+        wait_until(lambda: len(self.answers) >= wanted, f"{count} more answers")
+
+    def _run(self) -> None:
+        number = 0
+        while not self._stopped.is_set():
+            url = self.urls[number % len(self.urls)]
+            self.answers.append(complete(url, f"is box {number} live?"))
+            number += 1
+
+
+def list_started(
+    installation: Installation, target: str, since: float
+) -> list[dict[str, Any]]:
+    """Return the requests that a target's own log shows as started after ``since``.
+
+    All stand-ins and this process read the same machine's monotonic clock.
+    """
+    log = installation.read_target_log(target)
+    return [e for e in log if "request_id" in e and e["started"] > since]
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,146 @@
+"""Data centres and targets taken out and brought back, judged by the targets' logs."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+import unittest
+import urllib.error
+from concurrent.futures import ThreadPoolExecutor
+
+from processes import Installation, fetch
+
+from .fleet_builders import (
+    LongStream,
+    Traffic,
+    build_fleet,
+    complete,
+    list_started,
+    read_generation,
+    read_status,
+    run,
+    wait_until,
+)
+
+EAST, WEST = "desk-east", "desk-west"
+
+
+class DrainTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.installation = self.enterContext(Installation())
+        engines = {EAST: "dc-east", WEST: "dc-west"}
+        gateways = {"gateway-east": "dc-east", "gateway-west": "dc-west"}
+        build_fleet(self.installation, engines, gateways)
+        self.urls = list(self.installation.gateways.values())
+
+    def is_ready(self, name: str) -> bool:
+        try:
+            fetch(f"{self.installation.admin[name]}/readyz")
+        except urllib.error.HTTPError:
+            return False
+        return True
+
+    def set_vm_state(self, name: str, state: str) -> None:
+        for vm in self.installation.vms:
+            if vm["name"] == name:
+                vm["state"] = state
+        self.installation.put_vms()
+
+    def test_a_data_centre_out_and_back_while_the_platform_is_slow(self) -> None:
+        """Operators pull a data centre at 1 s a platform call; streams run on there.
+
+        Nothing new starts there once the command says that the drain is in force, the
+        stream that runs ends whole, no caller is refused, the gateway inside tells the
+        balancer to leave it out, and all of it comes back.
+        """
+        installation = self.installation
+        with Traffic(self.urls) as traffic:
+            streams = [
+                LongStream(url, f"history {number}", 600)
+                for number, url in enumerate(self.urls * 3)
+            ]
+            installation.set_faults({"delay": 1.0})
+            run(installation, "drain", "data-centre", "dc-east", "--wait")
+            in_force = time.monotonic()
+            traffic.wait_for_more(20)
+            self.assertEqual(list_started(installation, EAST, in_force), [])
+            self.assertFalse(self.is_ready("gateway-east"))
+            self.assertTrue(self.is_ready("gateway-west"))
+            run(installation, "restore", "data-centre", "dc-east", "--wait")
+            installation.set_faults({})
+            wait_until(
+                lambda: bool(list_started(installation, EAST, in_force)),
+                "work at the restored data centre",
+            )
+            self.assertTrue(self.is_ready("gateway-east"))
+            for stream in streams:
+                stream.join()
+        self.assertTrue(all(stream.whole for stream in streams))
+        self.assertEqual(traffic.statuses, {200})
+
+    def test_the_agent_refuses_what_an_unaware_gateway_sends(self) -> None:
+        """A gateway is paused while a target is drained, then the platform goes down.
+
+        Awake again, the gateway still takes the target for usable. The target's agent
+        turns the work away and names the generation, which the gateway then has from
+        the agent itself; the caller notices nothing.
+        """
+        installation = self.installation
+        gateway = installation.daemons["gateway-east"]
+        gateway.send(signal.SIGSTOP)
+        try:
+            run(installation, "drain", "target", EAST)
+            wait_until(lambda: not self.is_ready(f"{EAST}-agent"), "agent closed")
+            installation.set_faults({"down": True})
+            drained = time.monotonic()
+        finally:
+            gateway.send(signal.SIGCONT)
+        url = installation.gateways["gateway-east"]
+        answers = [complete(url, f"box {number}") for number in range(12)]
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual(list_started(installation, EAST, drained), [])
+        wait_until(lambda: read_generation(url) == 2, "generation 2 from a peer")
+
+    def test_a_leaving_target_finishes_and_vanishes_without_a_cut(self) -> None:
+        """The VM list says leaving, then no longer names the VM, while a stream runs.
+
+        A gateway that closed its connection with the entry would cut the stream.
+        """
+        installation = self.installation
+        with Traffic(self.urls) as traffic:
+            streams = [
+                LongStream(url, f"history {number}", 1600)
+                for number, url in enumerate(self.urls * 3)
+            ]
+            self.set_vm_state(EAST, "leaving")
+            wait_until(lambda: not self.is_ready(f"{EAST}-agent"), "agent closed")
+            closed = time.monotonic()
+            traffic.wait_for_more(10)
+            self.assertEqual(list_started(installation, EAST, closed), [])
+            installation.vms = [vm for vm in installation.vms if vm["name"] != EAST]
+            installation.put_vms()
+            for stream in streams:
+                stream.join()
+        self.assertTrue(all(stream.whole for stream in streams))
+        self.assertEqual(traffic.statuses, {200})
+        ran_east = {entry["request_id"] for entry in installation.read_target_log(EAST)}
+        self.assertTrue(any(stream.request_id in ran_east for stream in streams))
+
+    def test_drains_compose_and_unknown_names_are_explained(self) -> None:
+        """Two operators drain different places in the same moment; a third mistypes."""
+        installation = self.installation
+        places = [("target", EAST), ("target", WEST), ("data-centre", "dc-west")]
+        with ThreadPoolExecutor(3) as pool:
+            list(pool.map(lambda place: run(installation, "drain", *place), places))
+        status = read_status(installation)
+        self.assertEqual(status["generation"], 4)
+        self.assertEqual(status["drained_targets"], [EAST, WEST])
+        self.assertEqual(status["drained_data_centres"], ["dc-west"])
+        arguments = ("drain", "data-centre", "dc-wset", "--platform")
+        done = installation.run_command(*arguments, installation.platform_url)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("known: dc-east, dc-west", done.stderr)
+        self.assertEqual(read_status(installation)["generation"], 4)
+        calls = json.loads(fetch(f"{installation.platform_url}/calls"))
+        self.assertLess(calls["PUT objects"], 40)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -102,14 +102,25 @@
         self.list_vm(name, "store", group, data_centre, f"{HOST}:{port}")
 
     def start_target(
-        self, name: str, kind: str, service: str, data_centre: str, **options: Any
+        self,
+        name: str,
+        kind: str,
+        service: str,
+        data_centre: str,
+        agent: dict[str, Any] | None = None,
+        **options: Any,
     ) -> None:
-        """Start a target stand-in (``engine`` or ``plain``) and the agent beside it."""
+        """Start a target stand-in (``engine`` or ``plain``) and the agent beside it.
+
+        ``agent`` holds further settings of the agent, ``options`` the stand-in's own.
+        """
         port = self._start_stand_in(f"{name}-target", kind, options)
         self.targets[name] = f"http://{HOST}:{port}"
-        self.start_agent(name, service, data_centre)
+        self.start_agent(name, service, data_centre, **(agent or {}))
 
-    def start_agent(self, name: str, service: str, data_centre: str) -> None:
+    def start_agent(
+        self, name: str, service: str, data_centre: str, **options: Any
+    ) -> None:
         """Start (or start anew) the agent beside a running target."""
         listen, admin = find_port(), find_port()
         settings = {
@@ -117,6 +128,7 @@
             "target": name,
             "service": service,
             "target_url": self.targets[name],
+            **options,
         }
         self.start_daemon(f"{name}-agent", "agent", settings)
         self.admin[f"{name}-agent"] = f"http://{HOST}:{admin}"
