Prove configuration and shutdown on real processes

Cause: no test showed racing publishers with lost answers, a gateway that starts in an outage, a woken gateway before a lagging replica, or what callers see when gateway, agent and target are stopped with streams open. Noted: a publisher whose base came from a lagging replica is told that another came first; nothing of it is in force, which is true.

--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,146 @@
+"""Configuration through real processes: races, lost answers, outages, lag."""
+
+from __future__ import annotations
+
+import json
+import signal
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+from processes import Installation, fetch
+
+from .fleet_builders import (
+    build_fleet,
+    complete,
+    publish,
+    read_generation,
+    read_status,
+    run,
+    wait_until,
+    write_configuration,
+)
+
+if TYPE_CHECKING:
+    import subprocess
+
+DESK = "desk-1"
+PUBLISHERS = 6
+
+
+class ConfigurationTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.installation = self.enterContext(Installation())
+        gateways = {"gateway-1": "dc-east", "gateway-2": "dc-west"}
+        build_fleet(self.installation, {DESK: "dc-east"}, gateways)
+        self.urls = list(self.installation.gateways.values())
+
+    def publish_limit(self, seconds: int) -> subprocess.CompletedProcess[str]:
+        """Publish files that differ by a timeout; return how it went."""
+        folder = write_configuration(
+            self.installation, f"v1-{seconds}", default_timeout_seconds=seconds
+        )
+        path = folder / "fault-desk.bamboopier.json"
+        path.write_text(path.read_text().replace(f"v1-{seconds}", "v1"))
+        arguments = ("publish", str(folder), "--platform")
+        return self.installation.run_command(*arguments, self.installation.platform_url)
+
+    def test_racing_publishers_are_each_told_the_truth(self) -> None:
+        """Six operators publish different files at once, and answers are lost too.
+
+        Each success is one generation; each loser is told that nothing of his is in
+        force, and so knows that he has to look and publish again.
+        """
+        self.installation.set_faults({"lose_answers": 4})
+        with ThreadPoolExecutor(PUBLISHERS) as pool:
+            done = list(pool.map(self.publish_limit, range(30, 30 + PUBLISHERS)))
+        won = [d for d in done if d.returncode == 0]
+        lost = [d for d in done if d.returncode == 1]
+        self.assertEqual(len(won) + len(lost), PUBLISHERS)
+        self.assertGreaterEqual(len(won), 1)
+        for loser in lost:
+            self.assertIn("another publisher came first", loser.stderr)
+        generations = sorted(int(d.stdout.split()[-1]) for d in won)
+        self.assertEqual(generations, list(range(2, 2 + len(won))))
+        self.assertEqual(read_status(self.installation)["generation"], 1 + len(won))
+
+    def test_a_gateway_started_in_an_outage_serves(self) -> None:
+        """The platform is down; a VM is replaced and its gateway knows one agent.
+
+        Without the agent's copy it would know no key and no target and refuse all.
+        """
+        agent = next(vm for vm in self.installation.vms if vm["name"] == DESK)
+        self.installation.set_faults({"down": True})
+        self.installation.start_gateway(
+            "gateway-3", "dc-east", peers=[agent["address"]]
+        )
+        self.installation.wait_until_ready()
+        answer = complete(self.installation.gateways["gateway-3"], "is the box live?")
+        self.assertEqual(answer.status, 200)
+
+    def test_no_node_goes_back_when_a_replica_answers_with_the_past(self) -> None:
+        """A generation is in force; reads then show the head before it for a while.
+
+        A node paused since before wakes into that and still reaches the newest one.
+        """
+        paused = self.installation.daemons["gateway-2"]
+        paused.send(signal.SIGSTOP)
+        try:
+            self.assertEqual(self.publish_limit(41).returncode, 0)
+            wait_until(lambda: read_generation(self.urls[0]) == 2, "generation 2")
+            self.installation.set_faults({"lag": 12})
+        finally:
+            paused.send(signal.SIGCONT)
+        seen: list[int] = []
+
+        def is_reached() -> bool:
+            seen.append(read_generation(self.urls[0]))
+            return read_generation(self.urls[1]) == 2
+
+        wait_until(is_reached, "generation 2 at the gateway that woke")
+        self.assertEqual(set(seen), {2})
+        self.installation.set_faults({})
+        self.assertEqual(self.publish_limit(42).returncode, 0)
+        for url in self.urls:
+            wait_until(lambda url=url: read_generation(url) == 3, "generation 3")
+
+    def test_what_publish_and_status_tell(self) -> None:
+        folder = write_configuration(self.installation, "v2", loads_at_once=1)
+        shown = publish(self.installation, folder, "--dry-run")
+        self.assertEqual(
+            shown.splitlines(),
+            [
+                "~ services fault-desk",
+                "~ models pillar-8b",
+                "would publish generation 2",
+            ],
+        )
+        self.assertEqual(read_status(self.installation)["generation"], 1)
+        publish(self.installation, folder, "--diff", "--wait")
+        status = read_status(self.installation)
+        self.assertEqual(status["generation"], 2)
+        self.assertEqual({node["generation"] for node in status["nodes"]}, {2})
+        self.assertIn("says the same", publish(self.installation, folder))
+        text = run(self.installation, "status")
+        self.assertIn("generation 2, in force at 3 of 3 nodes", text)
+        before = json.loads(fetch(f"{self.installation.platform_url}/calls"))
+        read_status(self.installation)
+        after = json.loads(fetch(f"{self.installation.platform_url}/calls"))
+        # Asking the nodes writes nothing.
+        self.assertEqual(before["PUT objects"], after["PUT objects"])
+
+    def test_a_node_that_cannot_be_reached_fails_the_wait(self) -> None:
+        """A gateway hangs: nobody can say what it does, so the operator is told."""
+        hung = self.installation.daemons["gateway-2"]
+        hung.send(signal.SIGSTOP)
+        try:
+            folder = write_configuration(self.installation, "v1", loads_at_once=1)
+            done = self.installation.run_command(
+                *("publish", str(folder), "--wait", "--timeout", "2", "--platform"),
+                self.installation.platform_url,
+            )
+        finally:
+            hung.send(signal.SIGCONT)
+        self.assertEqual(done.returncode, 1)
+        self.assertIn("generation 2 is accepted", done.stderr)
+        self.assertIn("gateway-2", done.stderr)
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,157 @@
+"""Graceful and forced ends of gateway, agent and target, judged by the callers."""
+
+from __future__ import annotations
+
+import signal
+import time
+import unittest
+
+from processes import Installation
+
+from .builders import call
+from .fleet_builders import (
+    LongStream,
+    Traffic,
+    build_fleet,
+    complete,
+    list_started,
+    wait_until,
+)
+
+EAST, WEST = "desk-east", "desk-west"
+STREAMS = 6
+
+
+class GracefulTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.installation = self.enterContext(Installation())
+        engines = {EAST: "dc-east", WEST: "dc-west"}
+        gateways = {"gateway-1": "dc-east", "gateway-2": "dc-west"}
+        build_fleet(self.installation, engines, gateways)
+        self.urls = list(self.installation.gateways.values())
+
+    def start_streams(self) -> list[LongStream]:
+        return [
+            LongStream(self.urls[0], f"history {number}", 500)
+            for number in range(STREAMS)
+        ]
+
+    def check_whole(self, streams: list[LongStream]) -> None:
+        for stream in streams:
+            stream.join()
+            self.assertEqual((stream.status, stream.whole), (200, True))
+
+    def count_at(self, target: str, streams: list[LongStream]) -> int:
+        log = self.installation.read_target_log(target)
+        ran = {entry.get("request_id") for entry in log}
+        return sum(stream.request_id in ran for stream in streams)
+
+    def test_a_gateway_finishes_streams_and_refuses_new_requests(self) -> None:
+        """SIGTERM comes with streams open; a caller whose balancer lags still arrives.
+
+        The streams end whole, the late caller gets a typed refusal that says "not run"
+        and when to come back, and the process ends with 0.
+        """
+        streams = self.start_streams()
+        gateway = self.installation.daemons["gateway-1"]
+        gateway.send(signal.SIGTERM)
+        wait_until(
+            lambda: complete(self.urls[0], "late?").status == 503, "late caller refused"
+        )
+        answer = complete(self.urls[0], "late?")
+        self.assertEqual(answer.error["code"], "stopping")
+        self.assertEqual(answer.error["ran"], "no")
+        self.assertIn("Retry-After", answer.headers)
+        self.check_whole(streams)
+        self.assertEqual(gateway.process.wait(20), 0)
+
+    def test_an_agent_finishes_streams_while_new_work_goes_elsewhere(self) -> None:
+        """SIGTERM reaches an agent with streams open and callers arriving all along."""
+        with Traffic(self.urls) as traffic:
+            streams = self.start_streams()
+            self.assertGreater(self.count_at(EAST, streams), 0)
+            agent = self.installation.daemons[f"{EAST}-agent"]
+            agent.send(signal.SIGTERM)
+            self.check_whole(streams)
+            self.assertEqual(agent.process.wait(20), 0)
+            stopped = time.monotonic()
+            traffic.wait_for_more(10)
+        self.assertEqual(list_started(self.installation, EAST, stopped), [])
+        self.assertEqual(traffic.statuses, {200})
+
+    def test_a_target_finishes_streams_while_new_work_goes_elsewhere(self) -> None:
+        """An engine that is stopped takes no new connection and ends what it runs."""
+        with Traffic(self.urls) as traffic:
+            streams = self.start_streams()
+            self.assertGreater(self.count_at(EAST, streams), 0)
+            target = self.installation.daemons[f"{EAST}-target"]
+            target.send(signal.SIGTERM)
+            self.check_whole(streams)
+            self.assertEqual(target.process.wait(20), 0)
+            traffic.wait_for_more(10)
+        self.assertEqual(traffic.statuses, {200})
+
+
+class ForcedTests(unittest.TestCase):
+    """One target, so that nothing can be sent elsewhere."""
+
+    def setUp(self) -> None:
+        self.installation = self.enterContext(Installation())
+
+    def build(self, **agent: object) -> str:
+        gateways = {"gateway-1": "dc-east"}
+        build_fleet(self.installation, {EAST: "dc-east"}, gateways, agent)
+        return self.installation.gateways["gateway-1"]
+
+    def check_told(self, stream: LongStream) -> None:
+        """The stream says that it is not whole and that the outcome is unknown."""
+        stream.join()
+        self.assertFalse(stream.whole)
+        self.assertIn(b'"code":"outcome_unknown"', stream.body)
+        self.assertIn(b'"ran":"unknown"', stream.body)
+
+    def check_end(self, name: str, reason: str) -> None:
+        """The process ended with 0 and says why it cut requests."""
+        daemon = self.installation.daemons[name]
+        self.assertEqual(daemon.process.wait(20), 0)
+        cut = [line for line in daemon.read_log() if line["event"] == "requests cut"]
+        self.assertEqual([line["reason"] for line in cut], [reason])
+
+    def test_an_agent_whose_time_is_over_ends_in_order(self) -> None:
+        """A stream outlasts the shutdown timeout; its caller learns that it was cut."""
+        url = self.build(shutdown_timeout_seconds=0.5)
+        stream = LongStream(url, "history", 2000)
+        self.installation.daemons[f"{EAST}-agent"].send(signal.SIGTERM)
+        self.check_told(stream)
+        self.check_end(f"{EAST}-agent", "timeout")
+
+    def test_a_second_signal_ends_an_agent_at_once(self) -> None:
+        url = self.build()
+        stream = LongStream(url, "history", 2000)
+        agent = self.installation.daemons[f"{EAST}-agent"]
+        agent.send(signal.SIGTERM)
+        wait_until(
+            lambda: any(line["event"] == "agent stopping" for line in agent.read_log()),
+            "agent stopping",
+        )
+        agent.send(signal.SIGTERM)
+        self.check_told(stream)
+        self.check_end(f"{EAST}-agent", "second-signal")
+
+    def test_a_second_signal_ends_a_gateway_at_once(self) -> None:
+        """A stream is open at the gateway; its caller learns that it was cut."""
+        url = self.build()
+        stream = LongStream(url, "history", 2000)
+        gateway = self.installation.daemons["gateway-1"]
+        gateway.send(signal.SIGTERM)
+        wait_until(
+            lambda: any(
+                line["event"] == "gateway stopping" for line in gateway.read_log()
+            ),
+            "gateway stopping",
+        )
+        gateway.send(signal.SIGTERM)
+        self.check_told(stream)
+        self.check_end("gateway-1", "second-signal")
+        with self.assertRaises(OSError):
+            call(url, "GET", "/v1/status")
