Prove orders to load weights under pauses, deaths and late reports

Cause: nothing showed that a paused agent gives no order when it wakes, that no more targets load at once than allowed, or that work stays out until the engine reports the new version.

--- /dev/null
+++ b/libraries/agent/tests/test_weights.py
@@ -0,0 +1,193 @@
+"""Orders to load weights under pauses, deaths, refusals and late reports.
+
+Judged by the orders that the engines recorded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from bamboopier_agent.load_slots import SLOT_LEASE_SECONDS
+from bamboopier_agent.weights import LoadOutcome
+from bamboopier_decisions.membership.standing import Obstacle
+
+from .order_builders import DURATION, Agent, Clock, Engine, Objects
+
+
+class WeightsTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = Clock()
+        for module in ("lease", "load_slots"):
+            name = f"bamboopier_agent.{module}.read_clock"
+            self.enterContext(mock.patch(name, self.clock))
+        poll = mock.patch("bamboopier_agent.weights.READ_BACK_POLL_SECONDS", 0.001)
+        self.enterContext(poll)
+        self.objects = Objects()
+
+    async def load(self, agent: Agent) -> LoadOutcome:
+        """Let one load run to its end."""
+        agent.engine.finish.set()
+        return await agent.weights.reconcile()
+
+    async def start_loading(self, agent: Agent) -> asyncio.Task[LoadOutcome]:
+        """Return once the engine has the order."""
+        task = asyncio.create_task(agent.weights.reconcile())
+        async with asyncio.timeout(10):
+            await agent.engine.started.wait()
+        return task
+
+    async def test_no_more_loads_at_once_than_allowed(self) -> None:
+        """Six targets of a service see a new version in the same moment.
+
+        Loading all together would overrun the weight store and leave nobody to serve.
+        """
+        agents = [Agent(self.objects, Engine(), f"desk-{n}") for n in range(6)]
+        for agent in agents:
+            await agent.take_lease()
+        while any(agent.engine.version != "v2" for agent in agents):
+            tasks = [asyncio.create_task(a.weights.reconcile()) for a in agents]
+            for _ in range(100):
+                await asyncio.sleep(0)
+            loading = [agent for agent in agents if agent.engine.loading]
+            self.assertEqual(len(loading), 2)
+            for agent in loading:
+                agent.engine.finish.set()
+            await asyncio.gather(*tasks)
+        self.assertEqual([len(agent.engine.orders) for agent in agents], [1] * 6)
+
+    async def test_the_last_serving_target_waits(self) -> None:
+        """Two targets, two loads allowed: one goes on serving."""
+        agents = [
+            Agent(self.objects, Engine(), f"desk-{n}", targets=2) for n in range(2)
+        ]
+        for agent in agents:
+            await agent.take_lease()
+        first = await self.start_loading(agents[0])
+        self.assertIs(await agents[1].weights.reconcile(), LoadOutcome.NO_SLOT)
+        agents[0].engine.finish.set()
+        await first
+
+    async def test_a_slot_of_a_killed_agent_comes_back_after_its_lease(self) -> None:
+        """An agent dies while its engine loads; the engine goes on loading.
+
+        Given away at once, the slot would let one more load run beside it.
+        """
+        killed = Agent(self.objects, Engine(), "desk-1", loads_at_once=1)
+        other = Agent(self.objects, Engine(), "desk-2", loads_at_once=1)
+        for agent in (killed, other):
+            await agent.take_lease()
+        task = await self.start_loading(killed)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertIs(await self.load(other), LoadOutcome.NO_SLOT)
+        self.clock.now += SLOT_LEASE_SECONDS - 1
+        await other.take_lease()
+        self.assertIs(await self.load(other), LoadOutcome.NO_SLOT)
+        self.clock.now += 1
+        self.assertIs(await self.load(other), LoadOutcome.LOADED)
+
+    async def test_a_paused_holder_that_wakes_gives_no_order(self) -> None:
+        """An agent is frozen with a slot; another agent of the target takes over.
+
+        It wakes and goes on where it was. Its order would put v1 back over v2.
+        """
+        for checks_fencing in (True, False):
+            objects = Objects()
+            engine = Engine(checks_fencing, version="v0", reported="v0")
+            paused = Agent(objects, engine, vm="old", version="v1")
+            successor = Agent(objects, engine, vm="new", version="v2")
+            await paused.take_lease()
+            await successor.lease.observe()
+
+            async def pass_on(successor: Agent = successor) -> None:
+                self.clock.now += DURATION
+                await successor.take_lease()
+                await self.load(successor)
+
+            objects.after_write["loads"] = pass_on
+            self.assertIs(await self.load(paused), LoadOutcome.NO_LEASE)
+            self.assertEqual([version for version, _ in engine.orders], ["v2"])
+
+    async def test_a_holder_frozen_just_before_the_order_notices(self) -> None:
+        """The machine stands still between the last renewal and the order.
+
+        Its steady clock ran on, so the agent sees that its lease has passed.
+        """
+        engine = Engine(checks_fencing=False)
+        agent = Agent(self.objects, engine)
+        await agent.take_lease()
+
+        async def freeze() -> None:
+            self.clock.now += DURATION
+
+        self.objects.after_write["targets"] = freeze
+        self.assertIs(await self.load(agent), LoadOutcome.NO_LEASE)
+        self.assertEqual(engine.orders, [])
+
+    async def test_a_second_agent_waits_out_the_first(self) -> None:
+        """Two agents for one target whose engine ignores fencing numbers."""
+        engine = Engine(checks_fencing=False)
+        first = Agent(self.objects, engine, vm="first")
+        second = Agent(self.objects, engine, vm="second")
+        self.assertTrue(await first.take_lease())
+        self.assertFalse(await second.take_lease())
+        self.clock.now += DURATION - 1
+        self.assertFalse(await second.take_lease())
+        self.clock.now += 1
+        self.assertTrue(await second.take_lease())
+        self.assertGreater(second.lease.lease.fence, first.lease.lease.fence)
+
+    async def test_an_engine_that_checks_refuses_the_older_number(self) -> None:
+        """The older agent's machine stands still, clock and all, before its order.
+
+        The newer agent takes over at once, as the engine checks numbers. The older one
+        cannot notice; the engine refuses its order.
+        """
+        engine = Engine(version="v0", reported="v0")
+        older = Agent(self.objects, engine, vm="older", version="v1")
+        newer = Agent(self.objects, engine, vm="newer", version="v2")
+        await older.take_lease()
+
+        async def pass_on() -> None:
+            await newer.take_lease()
+            await self.load(newer)
+
+        self.objects.after_write["targets"] = pass_on
+        self.assertIs(await self.load(older), LoadOutcome.REFUSED)
+        self.assertEqual([version for version, _ in engine.orders], ["v2"])
+
+    async def test_without_the_platform_no_order_and_serving_goes_on(self) -> None:
+        agent = Agent(self.objects, Engine())
+        await agent.take_lease()
+        self.objects.down = True
+        self.clock.now += DURATION
+        self.assertIs(await self.load(agent), LoadOutcome.NO_LEASE)
+        self.assertEqual(agent.engine.orders, [])
+        self.assertTrue(agent.gate.admission.accepting)
+
+    async def test_nothing_is_let_in_until_the_engine_reports_the_version(self) -> None:
+        """The engine has v2 and reports v1 a few times more.
+
+        A request made for v1 would be let in on that report and run on v2.
+        """
+        agent = Agent(self.objects, Engine(late_reports=3))
+        await agent.take_lease()
+        task = await self.start_loading(agent)
+        self.assertIs(agent.standing.obstacle, Obstacle.LOADING)
+        agent.engine.finish.set()
+        await agent.watch.refreshed.wait()
+        self.assertEqual((agent.engine.version, agent.watch.version), ("v2", "v1"))
+        self.assertFalse(agent.gate.admission.accepting)
+        self.assertIs(await task, LoadOutcome.LOADED)
+        self.assertTrue(agent.gate.admission.accepting)
+
+    async def test_a_load_that_failed_gives_slot_and_work_back(self) -> None:
+        failed = Agent(self.objects, Engine(failing=True), "desk-1", loads_at_once=1)
+        other = Agent(self.objects, Engine(), "desk-2", loads_at_once=1)
+        for agent in (failed, other):
+            await agent.take_lease()
+        self.assertIs(await self.load(failed), LoadOutcome.FAILED)
+        self.assertTrue(failed.gate.admission.accepting)
+        self.assertIs(await self.load(other), LoadOutcome.LOADED)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -107,12 +107,12 @@
         kind: str,
         service: str,
         data_centre: str,
-        agent: dict[str, Any] | None = None,
+        agent: Any = None,
         **options: Any,
     ) -> None:
         """Start a target stand-in (``engine`` or ``plain``) and the agent beside it.
 
-        ``agent`` holds further settings of the agent, ``options`` the stand-in's own.
+        ``agent`` is a dict of further settings of the agent, ``options`` the stand-in's own.
         """
         port = self._start_stand_in(f"{name}-target", kind, options)
         self.targets[name] = f"http://{HOST}:{port}"
