TLS towards callers and mutual TLS between processes

Cause: settings could name no certificates; any process that reached an agent's port could order work, and plain traffic between machines was never a decision.

Change: 'tls' and 'caller_tls' in the settings, tried when the process starts with a one-line error; plain only on loopback or with allow_plain. An agent lets in peers of the named authority only and, for its service, only a certificate with the gateways' name; a gateway checks the IP number it dialled. The connection limit is now decided when a connection stands, so that failed handshakes leave no count behind.

Run: tests/test_tls.py 6 tests pass; with the name check taken out its 'misnamed' case is red (the request ran). With client authentication taken out it stays green: the name check alone refuses those peers. tests/test_callers.py had failed once in a full run (the limit test still held its connections at the next test's gateway): the limit has a gateway of its own now; 20 tests of both files pass together.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -13,6 +13,7 @@
 import structlog
 from result import Ok
 
+from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import (
     GRPC_OPTIONS,
     keep_running,
@@ -20,6 +21,7 @@
     wait_for_stop,
 )
 from bamboopier_daemon.listening import explain_listening
+from bamboopier_daemon.peer_check import PeerCheck
 from bamboopier_decisions.admission.admission import Admission
 from bamboopier_decisions.admission.messages import StopRequested
 from bamboopier_platform.follower import ConfigurationFollower
@@ -50,8 +52,14 @@
     """Run until SIGTERM or SIGINT, then let what runs finish."""
     generator = random.Random(f"{settings.vm}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(HttpPlatform(settings.platform_url))
-        target = await stack.enter_async_context(TargetClient(settings.target_url))
+        certificates = Certificates(settings.tls)
+        context_out = certificates.make_client_context()
+        platform = await stack.enter_async_context(
+            HttpPlatform(settings.platform_url, context_out)
+        )
+        target = await stack.enter_async_context(
+            TargetClient(settings.target_url, context_out)
+        )
         store = await stack.enter_async_context(StoreClient())
         gate = AdmissionGate(
             Admission(settings.max_running, settings.max_waiting, generator)
@@ -73,6 +81,7 @@
             metrics,
         )
         for loop in (
+            certificates.follow(),
             gate.run(),
             watch.run(),
             follower.run(),
@@ -80,11 +89,12 @@
             _follow_store_vms(platform, context, follower, settings),
         ):
             await stack.enter_async_context(keep_running(loop))
-        server = grpc.aio.server(options=GRPC_OPTIONS)
+        checks = [PeerCheck(settings.gateway_name)] if settings.tls else []
+        server = grpc.aio.server(interceptors=checks, options=GRPC_OPTIONS)
         stack.push_async_callback(server.stop, None)
         add_AgentServicer_to_server(service, server)
         with explain_listening("listen", settings.listen):
-            server.add_insecure_port(str(settings.listen))
+            certificates.add_port(server, str(settings.listen))
         await server.start()
 
         def is_ready() -> bool:
--- a/libraries/agent/src/bamboopier_agent/target.py
+++ b/libraries/agent/src/bamboopier_agent/target.py
@@ -18,6 +18,7 @@
 )
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import AsyncIterator, Sequence
     from types import TracebackType
 
@@ -54,7 +55,10 @@
 class TargetClient:
     """Calls the target at ``base_url``; close it by leaving the context."""
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self, base_url: str, certificates: ssl.SSLContext | None = None
+    ) -> None:
+        self._certificates = certificates or True
         self._base_url = base_url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
 
@@ -62,7 +66,7 @@
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = aiohttp.TCPConnector(limit=0, ssl=self._certificates)
         self._session = aiohttp.ClientSession(
             timeout=timeout, connector=connector, auto_decompress=False
         )
--- a/libraries/configuration/src/bamboopier_configuration/settings.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings.py
@@ -95,6 +95,8 @@
     shutdown_timeout_seconds: Seconds = 600.0
     # Memory for answers kept for repeated idempotency keys.
     kept_answer_bytes: Annotated[int, msgspec.Meta(ge=0)] = 32 * 1024 * 1024
+    # DNS name that a gateway's certificate holds.
+    gateway_name: Annotated[str, msgspec.Meta(min_length=1)] = "gateway.bamboopier"
     # Mutual TLS between our processes and towards platform and target.
     tls: Tls | None = None
     # Without certificates, only loopback addresses are used unless this is set.
--- a/libraries/configuration/src/bamboopier_configuration/settings_reader.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings_reader.py
@@ -4,9 +4,11 @@
 
 from ipaddress import ip_address
 from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import urlsplit
 
 from result import Err, Result
 
+from .certificate_check import find_certificate_fault
 from .errors import ConfigurationError
 from .reader import read_file, show
 from .settings import AgentSettings, GatewaySettings
@@ -16,6 +18,7 @@
 
     from .settings import Address
 
+_IN_WORDS = '"allow_plain": true'
 S = TypeVar("S", GatewaySettings, AgentSettings)
 
 
@@ -30,7 +33,10 @@
         or _find_host_fault(settings.admin, "$.admin.host", str(path))
         or _find_port_fault(settings, str(path))
         or _find_plain_fault(settings, str(path))
+        or find_certificate_fault(settings.tls, "$.tls", str(path))
     )
+    if fault is None and isinstance(settings, GatewaySettings):
+        fault = find_certificate_fault(settings.caller_tls, "$.caller_tls", str(path))
     return Err(fault) if fault is not None else answer
 
 
@@ -65,11 +71,25 @@
     """Refuse unprotected traffic between machines unless it is asked for in words."""
     if settings.allow_plain:
         return None
-    cure = 'a loopback address, certificates in "tls", or "allow_plain": true'
+    urls = {"$.platform_url": settings.platform_url}
     if isinstance(settings, GatewaySettings):
-        if settings.caller_tls is None and not settings.listen.is_loopback:
-            cure = cure.replace('"tls"', '"caller_tls"')
-            return ConfigurationError(file, "$.listen", str(settings.listen), cure)
-    elif settings.tls is None and not settings.listen.is_loopback:
+        section, listens_plain = "caller_tls", settings.caller_tls is None
+    else:
+        section, listens_plain = "tls", settings.tls is None
+        urls["$.target_url"] = settings.target_url
+    if listens_plain and not settings.listen.is_loopback:
+        cure = f'a loopback address, certificates in "{section}", or {_IN_WORDS}'
         return ConfigurationError(file, "$.listen", str(settings.listen), cure)
+    for path, url in urls.items():
+        if url.startswith("http:") and not _is_loopback_url(url):
+            cure = f"https, a loopback address, or {_IN_WORDS}"
+            return ConfigurationError(file, path, show(url), cure)
     return None
+
+
+def _is_loopback_url(url: str) -> bool:
+    host = urlsplit(url).hostname or ""
+    try:
+        return ip_address(host).is_loopback
+    except ValueError:
+        return False
--- a/libraries/configuration/tests/test_settings_reader.py
+++ b/libraries/configuration/tests/test_settings_reader.py
@@ -14,11 +14,16 @@
 from .builders import make_settings
 
 ANYWHERE = {"host": "0.0.0.0", "port": 8080}
+CALLERS = {"certificate": "none.pem", "key": "none.key"}
+SECTION = {**CALLERS, "authority": "none.pem"}
 FAULTS: list[tuple[dict[str, Any], str, str]] = [
     ({"admin": {"host": "127.0.0.1", "port": 8080}}, "$.admin", "other than listen"),
     ({"admin": ANYWHERE}, "$.admin", "other than listen"),
     ({"listen": {"host": "localhost", "port": 1}}, "$.listen.host", "IP number"),
     ({"listen": ANYWHERE}, "$.listen", '"allow_plain": true'),
+    ({"platform_url": "http://10.0.0.9:7000"}, "$.platform_url", "https, a loopback"),
+    ({"tls": SECTION}, "$.tls.certificate", "a readable PEM file"),
+    ({"caller_tls": CALLERS}, "$.caller_tls.certificate", "a readable PEM file"),
     ({"platform_url": "platform:7000"}, "$.platform_url", "https?://"),
     ({"block_secret": "short"}, "$.block_secret", "matching regex"),
     ({"max_connections": 0}, "$.max_connections", "int >= 1"),
--- /dev/null
+++ b/libraries/daemon/src/bamboopier_daemon/certificates.py
@@ -0,0 +1,171 @@
+"""The certificates of one process: made into credentials, and read again when replaced.
+
+Between our processes both sides show a certificate of the named authority. An agent
+lets only gateways order work, by a name in their certificate; a gateway accepts an
+agent whose certificate holds the IP number that it dialled. docs/design/tls.md weighs
+the alternatives.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import grpc
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from bamboopier_configuration.settings import CallerTls, Tls
+
+# Replaced files are in use after this time, for new connections.
+CHECK_SECONDS = 5.0
+
+log = structlog.get_logger()
+
+
+class Certificates:
+    """Credentials from the files of ``tls``; without ``tls`` everything is plain."""
+
+    def __init__(self, tls: Tls | None) -> None:
+        self._tls = tls
+        self._pem = _Pem.read(tls) if tls is not None else None
+        self._contexts: list[tuple[ssl.SSLContext, CallerTls | Tls]] = []
+        self._listeners: list[Callable[[], None]] = []
+        self._stamps: dict[str, _Stamp] = {}
+
+    def tell(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after files were replaced."""
+        self._listeners.append(listener)
+
+    def open_channel(
+        self, address: str, options: Sequence[tuple[str, int]]
+    ) -> grpc.aio.Channel:
+        """Return a channel to another process of the system."""
+        if self._pem is None:
+            return grpc.aio.insecure_channel(address, options=options)
+        pem = self._pem
+        credentials = grpc.ssl_channel_credentials(
+            pem.authority, pem.key, pem.certificate
+        )
+        return grpc.aio.secure_channel(address, credentials, options=options)
+
+    def add_port(self, server: grpc.aio.Server, address: str) -> None:
+        """Let a gRPC server listen; peers must show a certificate."""
+        if self._pem is None:
+            server.add_insecure_port(address)
+            return
+        credentials = grpc.dynamic_ssl_server_credentials(
+            self._make_server_configuration(),
+            self._make_server_configuration,
+            require_client_authentication=True,
+        )
+        server.add_secure_port(address, credentials)
+
+    def make_client_context(self) -> ssl.SSLContext | None:
+        """Return the context for HTTP to platform and target, None when plain."""
+        if self._tls is None:
+            return None
+        context = ssl.create_default_context(cafile=self._tls.authority)
+        self._load(context, self._tls)
+        return context
+
+    def make_caller_context(self, tls: CallerTls | None) -> ssl.SSLContext | None:
+        """Return the context of the callers' side, None when plain."""
+        if tls is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        self._load(context, tls)
+        return context
+
+    async def follow(self) -> None:
+        """Read replaced files again until cancelled.
+
+        A file that is half written or does not fit its key is left for the next look;
+        connections go on with the certificate that worked.
+        """
+        self._find_changes()
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            if self._find_changes():
+                self.reload()
+
+    def reload(self) -> None:
+        """Use what the files hold now for every connection from now on."""
+        try:
+            for context, tls in self._contexts:
+                context.load_cert_chain(tls.certificate, tls.key)
+            if self._tls is not None:
+                self._pem = _Pem.read(self._tls)
+        except (OSError, ssl.SSLError) as error:
+            self._stamps.clear()
+            log.error("certificates not replaced", error=str(error))
+            return
+        log.info("certificates replaced")
+        for listener in self._listeners:
+            listener()
+
+    def _make_server_configuration(self) -> grpc.ServerCertificateConfiguration:
+        pem = self._pem
+        assert pem is not None
+        return grpc.ssl_server_certificate_configuration(
+            [(pem.key, pem.certificate)], pem.authority
+        )
+
+    def _load(self, context: ssl.SSLContext, tls: CallerTls | Tls) -> None:
+        context.load_cert_chain(tls.certificate, tls.key)
+        self._contexts.append((context, tls))
+
+    def _find_changes(self) -> bool:
+        """Note the files' stamps; True when one differs from the last look."""
+        found = {name: _Stamp.read(name) for name in self._list_files()}
+        changed = found != self._stamps
+        self._stamps = found
+        return changed
+
+    def _list_files(self) -> list[str]:
+        sections = [tls for _, tls in self._contexts]
+        if self._tls is not None:
+            sections.append(self._tls)
+        return [
+            getattr(tls, field) for tls in sections for field in tls.__struct_fields__
+        ]
+
+
+class _Pem:
+    """The content of the files, as gRPC wants it."""
+
+    __slots__ = ("authority", "certificate", "key")
+
+    def __init__(self, certificate: bytes, key: bytes, authority: bytes) -> None:
+        self.certificate = certificate
+        self.key = key
+        self.authority = authority
+
+    @classmethod
+    def read(cls, tls: Tls) -> _Pem:
+        """Read the files of a section."""
+        return cls(
+            Path(tls.certificate).read_bytes(),
+            Path(tls.key).read_bytes(),
+            Path(tls.authority).read_bytes(),
+        )
+
+
+class _Stamp(tuple[int, int]):
+    """Change time and size of a file; equal stamps mean an unchanged file."""
+
+    __slots__ = ()
+
+    @classmethod
+    def read(cls, name: str) -> _Stamp:
+        """Return the stamp of a file; a missing one has a stamp of its own."""
+        try:
+            status = Path(name).stat()
+        except OSError:
+            return cls((0, 0))
+        return cls((status.st_mtime_ns, status.st_size))
--- /dev/null
+++ b/libraries/daemon/src/bamboopier_daemon/peer_check.py
@@ -0,0 +1,70 @@
+"""Lets only certain processes call a gRPC service, by a name in their certificate."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import grpc
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+SAN_FIELD = "x509_subject_alternative_name"
+AGENT_SERVICE = "/bamboopier.v1.Agent/"
+
+log = structlog.get_logger()
+
+
+class PeerCheck(grpc.aio.ServerInterceptor):  # type: ignore[type-arg]
+    """Refuses calls of the agent's service from peers that are no gateway.
+
+    Every agent holds a certificate of the same authority. Without this check one
+    captured target VM could order work from all others.
+    """
+
+    def __init__(self, gateway_name: str) -> None:
+        self._gateway_name = gateway_name.encode()
+
+    async def intercept_service(
+        self,
+        continuation: Callable[[Any], Awaitable[Any]],
+        handler_call_details: Any,
+    ) -> Any:
+        """Wrap the handlers of the agent's service."""
+        handler = await continuation(handler_call_details)
+        if handler is None or not handler_call_details.method.startswith(AGENT_SERVICE):
+            return handler
+        if handler.unary_stream is not None:
+            return grpc.unary_stream_rpc_method_handler(
+                self._guard_stream(handler.unary_stream),
+                handler.request_deserializer,
+                handler.response_serializer,
+            )
+        return grpc.unary_unary_rpc_method_handler(
+            self._guard_call(handler.unary_unary),
+            handler.request_deserializer,
+            handler.response_serializer,
+        )
+
+    def _guard_stream(self, serve: Any) -> Any:
+        async def guarded(request: Any, context: Any) -> AsyncIterator[Any]:
+            await self._check(context)
+            async for answer in serve(request, context):
+                yield answer
+
+        return guarded
+
+    def _guard_call(self, serve: Any) -> Any:
+        async def guarded(request: Any, context: Any) -> Any:
+            await self._check(context)
+            return await serve(request, context)
+
+        return guarded
+
+    async def _check(self, context: Any) -> None:
+        names = context.auth_context().get(SAN_FIELD, ())
+        if self._gateway_name not in names:
+            log.warning("peer refused", peer=context.peer())
+            text = f"the certificate does not hold {self._gateway_name.decode()}"
+            await context.abort(grpc.StatusCode.PERMISSION_DENIED, text)
--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -161,4 +161,9 @@
         gRPC reports a connection that was never made and one that broke with the
         request under way by the same status, so UNAVAILABLE proves nothing.
         """
-        return self._break(f"{error.code().name}: {error.details()}")
+        broken = self._break(f"{error.code().name}: {error.details()}")
+        if error.code() is grpc.StatusCode.PERMISSION_DENIED:
+            # Only the agent's check of this gateway's certificate answers so, and it
+            # comes before anything else.
+            broken.ran = Ran.NO
+        return broken
--- a/libraries/gateway/src/bamboopier_gateway/connection.py
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -27,8 +27,8 @@
 class ConnectionCount(Protocol):
     """Keeps count of open connections."""
 
-    def add(self) -> None:
-        """Note a connection that opened."""
+    def add(self) -> bool:
+        """Note a connection that opened; False when there are too many."""
         ...
 
     def remove(self) -> None:
@@ -65,10 +65,14 @@
         self._header_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin to count and to watch the connection."""
-        super().connection_made(transport)
-        self._count.add()
+        """Begin to watch the connection, or refuse it."""
         limit_silence(transport, self._write_timeout)
+        if self._count.add():
+            super().connection_made(transport)
+            return
+        refused = RefusedConnection()
+        cast("asyncio.Transport", transport).set_protocol(refused)
+        refused.connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import keep_running, serve_administration, wait_for_stop
 from bamboopier_decisions.routing.router import Router
 from bamboopier_platform.follower import ConfigurationFollower
@@ -37,8 +38,12 @@
     """Run until SIGTERM or SIGINT, then let every request finish."""
     generator = random.Random(f"{settings.vm}:{settings.seed}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(HttpPlatform(settings.platform_url))
-        agents = await stack.enter_async_context(Agents())
+        certificates = Certificates(settings.tls)
+        caller_context = certificates.make_caller_context(settings.caller_tls)
+        platform = await stack.enter_async_context(
+            HttpPlatform(settings.platform_url, certificates.make_client_context())
+        )
+        agents = await stack.enter_async_context(Agents(certificates))
         router = Router(generator)
         fleet = Fleet(settings, platform, lambda event: _ignore(router.handle(event)))
         follower = ConfigurationFollower(platform, fleet.apply_configuration, generator)
@@ -49,8 +54,11 @@
         application = GatewayApplication(settings, follower, reader, forwarder, metrics)
         await stack.enter_async_context(keep_running(follower.run()))
         await stack.enter_async_context(keep_running(fleet.run()))
+        await stack.enter_async_context(keep_running(certificates.follow()))
         await stack.enter_async_context(
-            CallerListener(settings, application.make_application(), metrics, None)
+            CallerListener(
+                settings, application.make_application(), metrics, caller_context
+            )
         )
         await stack.enter_async_context(
             serve_administration(
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -80,7 +80,13 @@
     async def _attempt(
         self, call: Call, send: Send, delivery: Delivery
     ) -> AttemptResult:
-        stub = self._agents.find(self._fleet.find_address(send.target))
+        left = call.deadline - time.monotonic()
+        address = self._fleet.find_address(send.target)
+        stub = await self._agents.reach(address, left)
+        if stub is None:
+            return AttemptResult(
+                Ran.NO, pb.CONNECTION_LOST, "no connection to the agent", broken=True
+            )
         attempt = Attempt(call, stub, self._follower.directory.generation)
         result = await attempt.run(delivery)
         if result.load is not None:
--- a/libraries/gateway/src/bamboopier_gateway/listener.py
+++ b/libraries/gateway/src/bamboopier_gateway/listener.py
@@ -9,7 +9,7 @@
 
 from bamboopier_daemon.listening import explain_listening
 
-from .connection import CallerConnection, RefusedConnection
+from .connection import CallerConnection
 
 if TYPE_CHECKING:
     import ssl
@@ -59,6 +59,7 @@
                 listen.host,
                 listen.port,
                 ssl=self._certificates,
+                ssl_handshake_timeout=self._choose_handshake_timeout(),
                 backlog=BACKLOG,
             )
         return self
@@ -73,21 +74,29 @@
             self._server.close()
         await self._runner.cleanup()
 
-    def add(self) -> None:
-        """Note a connection that opened."""
+    def add(self) -> bool:
+        """Note a connection that opened; False when there are too many."""
+        if self._open >= self._settings.max_connections:
+            self._metrics.refused_connections.inc()
+            return False
         self._open += 1
         self._metrics.connections.set(self._open)
+        return True
 
     def remove(self) -> None:
         """Note a connection that is gone."""
         self._open -= 1
         self._metrics.connections.set(self._open)
 
+    def _choose_handshake_timeout(self) -> float | None:
+        if self._certificates is None:
+            return None
+        return self._settings.header_timeout_seconds
+
     def _make_connection(self) -> asyncio.Protocol:
         server = self._runner.server
-        if self._open >= self._settings.max_connections or server is None:
-            self._metrics.refused_connections.inc()
-            return RefusedConnection()
+        if server is None:
+            raise RuntimeError("the listener is not open")
         return CallerConnection(
             server,
             self._settings,
--- a/libraries/platform/src/bamboopier_platform/http_platform.py
+++ b/libraries/platform/src/bamboopier_platform/http_platform.py
@@ -22,6 +22,7 @@
 from .vms import Vm, VmAnswer
 
 if TYPE_CHECKING:
+    import ssl
     from types import TracebackType
 
 T = TypeVar("T")
@@ -50,13 +51,17 @@
 class HttpPlatform:
     """Calls the platform at ``base_url``; close it by leaving the context."""
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self, base_url: str, certificates: ssl.SSLContext | None = None
+    ) -> None:
+        self._certificates = certificates
         self._base_url = base_url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        connector = aiohttp.TCPConnector(ssl=self._certificates or True)
+        self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
         return self
 
     async def __aexit__(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -28,8 +28,8 @@
     "body_timeout_seconds": 0.5,
     "write_timeout_seconds": 1.0,
     "idle_timeout_seconds": 2.0,
-    "max_connections": 3,
 }
+MAX_CONNECTIONS = 3
 # Each row: method, path, body, headers, status, code.
 ERRORS: list[tuple[str, str, Any, dict[str, str], int, str]] = [
     ("GET", "/nowhere", None, {}, 404, "not_found"),
@@ -100,6 +100,9 @@
         cls.installation = cls.enterClassContext(Installation())
         build_small_installation(cls.installation)
         cls.installation.start_gateway("tight", "dc-east", **TIGHT)
+        cls.installation.start_gateway(
+            "few", "dc-east", max_connections=MAX_CONNECTIONS
+        )
         cls.installation.wait_until_ready()
         cls.url = cls.installation.gateways["gateway-1"]
         cls.tight_url = cls.installation.gateways["tight"]
@@ -175,9 +178,10 @@
         self.assertEqual(exchange(self.tight_url, b""), b"")
 
     def test_a_connection_above_the_limit_is_refused_at_once(self) -> None:
-        held = [connect(self.tight_url) for _ in range(TIGHT["max_connections"])]
+        url = self.installation.gateways["few"]
+        held = [connect(url) for _ in range(MAX_CONNECTIONS)]
         try:
-            status, error = read_answer(exchange(self.tight_url, make_head("GET", "/")))
+            status, error = read_answer(exchange(url, make_head("GET", "/")))
         finally:
             for connection in held:
                 connection.close()
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,149 @@
+"""TLS towards callers and mutual TLS between gateway and agent, on real processes."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import ssl
+import time
+import unittest
+from urllib.parse import urlsplit
+
+import trustme
+from processes import Installation
+
+from .builders import DESK, FOSSE_KEY, Answer, publish_examples
+from .raw_calls import PATIENCE_SECONDS, exchange, make_head
+from .tls_files import AGENT_NAME, GATEWAY_NAME, HOST, TlsFiles, without_authority
+
+ORDER = {"model": "pillar-8b", "prompt": "is the box live?", "max_tokens": 2}
+
+
+class TlsTests(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.installation = cls.enterClassContext(Installation())
+        cls.files = TlsFiles(cls.installation.directory)
+        gateway = cls.files.issue("gateway", GATEWAY_NAME, HOST)
+        agent = cls.files.issue("agent", AGENT_NAME, HOST)
+        cls.installation.settings = {
+            "gateway": {"tls": gateway, "caller_tls": without_authority(gateway)},
+            "agent": {"tls": agent},
+        }
+        cls.installation.start_platform()
+        cls.installation.start_store("store-1", "fault-desk-context", "dc-east")
+        cls.installation.start_target(DESK, "engine", "fault-desk", "dc-east")
+        cls.installation.start_gateway("good", "dc-east")
+        publish_examples(cls.installation)
+        cls.installation.wait_until_ready()
+
+    def ask(self, gateway: str, authority: trustme.CA | None = None) -> Answer:
+        context = ssl.create_default_context()
+        (authority or self.files.authority).configure_trust(context)
+        address = urlsplit(self.installation.gateways[gateway])
+        connection = http.client.HTTPSConnection(
+            address.hostname or "", address.port, context=context, timeout=30
+        )
+        headers = {"Authorization": f"Bearer {FOSSE_KEY}"}
+        try:
+            connection.request("POST", "/v1/completions", json.dumps(ORDER), headers)
+            response = connection.getresponse()
+            return Answer(response.status, dict(response.headers), response.read())
+        finally:
+            connection.close()
+
+    def count_runs(self) -> int:
+        return len(self.installation.read_target_log(DESK))
+
+    def test_a_completion_runs_over_tls_on_both_sides(self) -> None:
+        self.assertEqual(self.ask("good").status, 200)
+
+    def test_plain_http_gets_nothing_from_a_tls_port(self) -> None:
+        url = self.installation.gateways["good"]
+        self.assertNotIn(b"200 OK", exchange(url, make_head("GET", "/v1/models")))
+
+    def test_a_caller_that_does_not_trust_the_gateway_sends_nothing(self) -> None:
+        before = self.count_runs()
+        with self.assertRaises(ssl.SSLCertVerificationError):
+            self.ask("good", authority=trustme.CA())
+        self.assertEqual(self.count_runs(), before)
+
+    def test_a_gateway_that_agents_do_not_accept_says_not_run(self) -> None:
+        # The gateway reaches the agent, which turns it away in the handshake or, when
+        # only the name is wrong, with the first call. Nothing gets to the target, and
+        # the caller may send its request again elsewhere.
+        foreign = trustme.CA()
+        sections = {
+            "untrusted": self.files.issue(
+                "untrusted", GATEWAY_NAME, HOST, authority=foreign
+            ),
+            "expired": self.files.issue("expired", GATEWAY_NAME, HOST, expired=True),
+            "misnamed": self.files.issue("misnamed", AGENT_NAME, HOST),
+        }
+        good = self.installation.settings["gateway"]
+        self.addCleanup(self.installation.settings.__setitem__, "gateway", good)
+        for name, section in sections.items():
+            with self.subTest(name):
+                self.installation.settings["gateway"] = good | {"tls": section}
+                self.installation.start_gateway(name, "dc-east")
+                self.installation.wait_until_ready()
+                before = self.count_runs()
+                answer = self.ask(name)
+                self.assertEqual(answer.error["ran"], "no", answer.body)
+                self.assertEqual(self.count_runs(), before)
+
+    def test_a_replaced_certificate_is_used_without_a_restart(self) -> None:
+        # An operator's tool replaces both files; callers that connect from then on see
+        # the new certificate, and the process goes on.
+        path = self.installation.directory / "gateway.pem"
+        before = self.read_served_certificate()
+        self.files.issue("gateway", GATEWAY_NAME, HOST)
+        wanted = ssl.PEM_cert_to_DER_cert(path.read_text())
+        self.assertNotEqual(before, wanted)
+        limit = time.monotonic() + PATIENCE_SECONDS
+        while self.read_served_certificate() != wanted:
+            self.assertLess(time.monotonic(), limit, "never replaced")
+            time.sleep(0.2)
+        self.assertEqual(self.ask("good").status, 200)
+
+    def read_served_certificate(self) -> bytes:
+        address = urlsplit(self.installation.gateways["good"])
+        place = (address.hostname or "", address.port or 0)
+        return ssl.PEM_cert_to_DER_cert(ssl.get_server_certificate(place))
+
+    def test_an_agent_that_a_gateway_does_not_accept_gets_no_request(self) -> None:
+        # Something else answers at the agent's address: with a certificate of another
+        # authority, of another machine, or one that has expired.
+        foreign = trustme.CA()
+        sections = {
+            "untrusted": self.files.issue("a1", AGENT_NAME, HOST, authority=foreign),
+            "expired": self.files.issue("a2", AGENT_NAME, HOST, expired=True),
+            "elsewhere": self.files.issue("a3", AGENT_NAME, "10.9.8.7"),
+        }
+        good = self.installation.settings["agent"]["tls"]
+        self.addCleanup(self.wait_until_served, "good")
+        self.addCleanup(self.restart_agent, good)
+        for name, section in sections.items():
+            with self.subTest(name):
+                self.restart_agent(section)
+                before = self.count_runs()
+                answer = self.ask("good")
+                self.assertEqual(answer.error["ran"], "no", answer.body)
+                self.assertEqual(self.count_runs(), before)
+
+    def restart_agent(self, section: dict[str, str]) -> None:
+        """Start the agent anew at the same address with another certificate."""
+        name = f"{DESK}-agent"
+        self.installation.daemons[name].stop()
+        path = self.installation.directory / f"{name}.json"
+        settings = json.loads(path.read_text()) | {"tls": section}
+        path.write_text(json.dumps(settings))
+        arguments = ["-m", "bamboopier_cli", "agent", "--settings", str(path)]
+        self.installation.start_process(name, arguments)
+        self.installation.wait_until_ready()
+
+    def wait_until_served(self, gateway: str) -> None:
+        limit = time.monotonic() + PATIENCE_SECONDS
+        while self.ask(gateway).status != 200:
+            self.assertLess(time.monotonic(), limit, "never served again")
+            time.sleep(0.1)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -77,6 +77,8 @@
     gateways: dict[str, str] = field(default_factory=dict)
     admin: dict[str, str] = field(default_factory=dict)
     targets: dict[str, str] = field(default_factory=dict)
+    # Further settings of every process that a command starts, by the command.
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     def __enter__(self) -> Self:
         return self
@@ -129,13 +131,16 @@
         listen, admin = find_port(), find_port()
         settings = _describe_place(name, data_centre, listen, admin, self.platform_url)
         self.start_daemon(name, "gateway", settings | options)
-        self.gateways[name] = f"http://{HOST}:{listen}"
+        secure = "caller_tls" in self.settings.get("gateway", {})
+        scheme = "https" if secure else "http"
+        self.gateways[name] = f"{scheme}://{HOST}:{listen}"
         self.admin[name] = f"http://{HOST}:{admin}"
         self.list_vm(name, "gateway", "", data_centre, f"{HOST}:{listen}")
 
     def start_daemon(self, name: str, command: str, settings: dict[str, Any]) -> Daemon:
         """Start a product process with its settings in a file."""
         path = self.directory / f"{name}.json"
+        settings = settings | self.settings.get(command, {})
         path.write_text(json.dumps(settings, indent=2))
         arguments = ["-m", "bamboopier_cli", command, "--settings", str(path)]
         return self.start_process(name, arguments)
