Count the four measures, and make the configuration reference from the types

Change: time to first token from a request's arrival, open requests, and on both daemons who and where the process is, readiness and generation in force, so that service while a data centre leaves can be read from the metrics. tools/reference.py writes docs/configuration.md from the types and the comments above their fields; make check compares. Wiring outside: one call in each daemon.py, the time of the first piece in delivery.py.

Run: test_the_measures_are_counted_on_both_daemons passes; it was red before (no such metrics).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo demo-stay test check format types protocol mutations bench bench-load capacity
+.PHONY: reference demo demo-stay test check format types protocol mutations bench bench-load capacity
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
@@ -23,6 +23,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PYTHON) tools/imports.py
+	$(PYTHON) tools/reference.py --check
 	$(VENV)/bin/mypy $(foreach library,$(LIBRARIES),libraries/$(library)/src) tools
 
 format: $(VENV)/ready
@@ -33,6 +34,10 @@
 bench-load: $(VENV)/ready
 	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.table
 
+# Writes docs/configuration.md from the checked types; its output is committed.
+reference: $(VENV)/ready
+	$(PYTHON) tools/reference.py
+
 # Only needed after editing the .proto file; its output is committed.
 protocol: $(VENV)/ready
 	cd libraries/protocol/src && $(abspath $(PYTHON)) -m grpc_tools.protoc -I . \
--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -22,6 +22,7 @@
 )
 from bamboopier_daemon.listening import explain_listening
 from bamboopier_daemon.peer_check import PeerCheck
+from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_decisions.admission.admission import Admission
 from bamboopier_decisions.admission.messages import StopRequested
 from bamboopier_platform.follower import ConfigurationFollower
@@ -100,6 +101,13 @@
         def is_ready() -> bool:
             return watch.reachable and gate.admission.accepting
 
+        add_process_metrics(
+            metrics.registry,
+            "agent",
+            settings,
+            is_ready,
+            lambda: follower.directory.generation,
+        )
         await stack.enter_async_context(
             serve_administration(settings.admin, metrics.registry, is_ready)
         )
--- a/libraries/configuration/src/bamboopier_configuration/settings.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings.py
@@ -50,23 +50,31 @@
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one gateway process."""
 
+    # Name of the VM in the platform's list.
     vm: Name
     data_centre: Name
     region: Name
+    # Where callers (at a gateway) or gateways (at an agent) connect.
     listen: Address
+    # Where /healthz, /readyz and /metrics are served, always in plain HTTP.
     admin: Address
     platform_url: Url
-    # Key, in hex, from which the workspaces' block secrets are derived.
+    # Key, in hex, from which the workspaces' block secrets are derived; the same in
+    # all gateways and agents.
     block_secret: Secret
+    # Callers' connections; one more is refused at once.
     max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 10_000
-    # A request's headers and its body must have arrived after this time.
+    # A request's headers must have arrived this long after their first byte.
     header_timeout_seconds: Seconds = 10.0
+    # The body must have arrived this long after the headers.
     body_timeout_seconds: Seconds = 60.0
     # A connection without a request is closed after this time.
     idle_timeout_seconds: Seconds = 75.0
     # A caller that takes no byte of its answer for this time is given up.
     write_timeout_seconds: Seconds = 30.0
+    # Requests still open this long after SIGTERM are cut.
     shutdown_timeout_seconds: Seconds = 600.0
+    # Fixed start of the random choices, for tests.
     seed: int = 0
     # TLS on the callers' side; without it callers speak plain HTTP.
     caller_tls: CallerTls | None = None
@@ -79,19 +87,29 @@
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of one agent process and the target beside it."""
 
+    # Name of the VM in the platform's list.
     vm: Name
+    # Name of the target in logs, drains and leases.
     target: Name
+    # Service that the target belongs to.
     service: Name
     data_centre: Name
     region: Name
+    # Where callers (at a gateway) or gateways (at an agent) connect.
     listen: Address
+    # Where /healthz, /readyz and /metrics are served, always in plain HTTP.
     admin: Address
+    # The target that this agent alone reaches.
     target_url: Url
     platform_url: Url
+    # Key, in hex, from which the workspaces' block secrets are derived; the same in
+    # all gateways and agents.
     block_secret: Secret
     # Requests the target runs at once when it is warm; the limit starts below.
     max_running: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 32
+    # Requests that may wait here for their turn.
     max_waiting: Annotated[int, msgspec.Meta(ge=0, le=65_536)] = 64
+    # Requests still open this long after SIGTERM are cut.
     shutdown_timeout_seconds: Seconds = 600.0
     # Memory for answers kept for repeated idempotency keys.
     kept_answer_bytes: Annotated[int, msgspec.Meta(ge=0)] = 32 * 1024 * 1024
--- a/libraries/gateway/src/bamboopier_gateway/application.py
+++ b/libraries/gateway/src/bamboopier_gateway/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import uuid
 from typing import TYPE_CHECKING
 
@@ -144,17 +145,20 @@
         if self._stopping:
             raise CallerError(ErrorCode.STOPPING, "shutting down", retry_after=1.0)
         self._open += 1
+        self._metrics.open_requests.set(self._open)
         self._idle.clear()
         try:
             return await self._answer(request, read_call)
         finally:
             self._open -= 1
+            self._metrics.open_requests.set(self._open)
             if self._open == 0:
                 self._idle.set()
 
     async def _answer(
         self, request: web.Request, read_call: ReadCall
     ) -> web.StreamResponse:
+        arrived = time.monotonic()
         try:
             call = await read_call(
                 request, request[REQUEST_ID], self._follower.directory
@@ -183,6 +187,9 @@
             unknown = CallerError(ErrorCode.INTERNAL, "internal error", Ran.UNKNOWN)
             return await self._fail(call, delivery, unknown)
         self._metrics.answers.labels(call.service, str(response.status)).inc()
+        if call.model is not None and delivery.first_written:
+            first_token = self._metrics.first_token.labels(call.service)
+            first_token.observe(delivery.first_written - arrived)
         return response
 
     async def _fail(
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -12,6 +12,7 @@
 
 from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import keep_running, serve_administration, wait_for_stop
+from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_decisions.routing.router import Router
 from bamboopier_platform.follower import ConfigurationFollower
 from bamboopier_platform.http_platform import HttpPlatform
@@ -60,6 +61,13 @@
                 settings, application.make_application(), metrics, caller_context
             )
         )
+        add_process_metrics(
+            metrics.registry,
+            "gateway",
+            settings,
+            lambda: application.ready,
+            lambda: follower.directory.generation,
+        )
         await stack.enter_async_context(
             serve_administration(
                 settings.admin, metrics.registry, lambda: application.ready
--- a/libraries/gateway/src/bamboopier_gateway/delivery.py
+++ b/libraries/gateway/src/bamboopier_gateway/delivery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -29,6 +30,8 @@
         self._request_id = request_id
         self._write_timeout = write_timeout
         self._response: web.StreamResponse | None = None
+        # Monotonic time of the first piece of the body; 0 before it.
+        self.first_written = 0.0
 
     @property
     def begun(self) -> bool:
@@ -60,6 +63,7 @@
         try:
             async with asyncio.timeout(self._write_timeout):
                 await self.response.write(chunk)
+                self.first_written = self.first_written or time.monotonic()
         except TimeoutError as error:
             raise SlowCallerError(self._request_id) from error
 
--- a/libraries/gateway/src/bamboopier_gateway/metrics.py
+++ b/libraries/gateway/src/bamboopier_gateway/metrics.py
@@ -20,11 +20,23 @@
         )
         self.first_byte = Histogram(
             "bamboopier_first_byte_seconds",
-            "Seconds from a caller's request to the first byte of its answer",
+            "Seconds from sending an attempt to the head of its answer",
             ["service"],
             buckets=FIRST_BYTE_BUCKETS,
             registry=self.registry,
         )
+        self.first_token = Histogram(
+            "bamboopier_time_to_first_token_seconds",
+            "Seconds from a model request's arrival to the first byte of its text",
+            ["service"],
+            buckets=FIRST_BYTE_BUCKETS,
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            "bamboopier_open_requests",
+            "Requests without a final answer now",
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "bamboopier_attempts",
             "Attempts by service and reason of the choice",
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,7 +7,7 @@
 import unittest
 from typing import Any
 
-from processes import Installation
+from processes import Installation, fetch
 
 from .builders import DESK, VANS, build_small_installation, call
 from .raw_calls import (
@@ -268,6 +268,22 @@
         self.assertEqual([model["id"] for model in listed["data"]], [MODEL])
         self.assertEqual(listed["object"], "list")
 
+    def test_the_measures_are_counted_on_both_daemons(self) -> None:
+        body = {"model": MODEL, "prompt": "count this", "max_tokens": 2}
+        call(self.url, "POST", TEXT, body)
+        gateway = fetch(self.installation.admin["gateway-1"] + "/metrics").decode()
+        agent = fetch(self.installation.admin[f"{DESK}-agent"] + "/metrics").decode()
+        service = '{service="fault-desk"'
+        first_token = "bamboopier_time_to_first_token_seconds_count"
+        self.assertRegex(gateway, rf"{first_token}{service}\}} [1-9]")
+        tokens = "bamboopier_caller_prompt_tokens_total"
+        self.assertRegex(gateway, rf'{tokens}{service},source="recomputed"\}} [1-9]')
+        self.assertRegex(agent, r'bamboopier_prompt_tokens_total\{source="reused"\}')
+        self.assertIn('bamboopier_process{data_centre="dc-east"', gateway)
+        for text in (gateway, agent):
+            self.assertIn("bamboopier_ready 1.0", text)
+            self.assertIn("bamboopier_configuration_generation 1.0", text)
+
     def wait_for_log(self, name: str, event: str) -> None:
         limit = time.monotonic() + PATIENCE_SECONDS
         while time.monotonic() < limit:
