--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -5,46 +5,55 @@
 import asyncio
 import os
 import random
-import time
+import uuid
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import grpc
 import structlog
-from result import Ok
 
 from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import (
     GRPC_OPTIONS,
     keep_running,
     serve_administration,
-    wait_for_stop,
 )
 from bamboopier_daemon.listening import explain_listening
 from bamboopier_daemon.peer_check import PeerCheck
 from bamboopier_daemon.process_metrics import add_process_metrics
+from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.admission.admission import Admission
-from bamboopier_decisions.admission.messages import StopRequested
+from bamboopier_decisions.membership.lease import Lease
 from bamboopier_platform.follower import ConfigurationFollower
 from bamboopier_platform.http_platform import HttpPlatform
-from bamboopier_protocol.agent_pb2_grpc import add_AgentServicer_to_server
+from bamboopier_platform.peers import PeerClient, PeerService
+from bamboopier_platform.vm_board import VmBoard
+from bamboopier_protocol.agent_pb2_grpc import (
+    add_AgentServicer_to_server,
+    add_PeerServicer_to_server,
+)
 
 from .claims import ClaimTable
 from .context import ContextKeeper, assume_rates
 from .context_view import build_view
 from .gate import AdmissionGate
 from .kept_answers import KeptAnswers
+from .lease import TARGET_LEASE_SECONDS, LeaseKeeper
+from .load_slots import LoadSlots
 from .metrics import AgentMetrics
 from .service import AgentService
+from .standing import TargetStanding
 from .store_client import StoreClient
 from .target import TargetClient
 from .target_watch import TargetWatch
+from .weights import WeightsKeeper
 
 if TYPE_CHECKING:
     from bamboopier_configuration.settings import AgentSettings
-    from bamboopier_platform.vms import VmList
 
-VM_LIST_SECONDS = 10.0
+STORE_VMS_SECONDS = 10.0
+# For answers that have left the target and not yet reached their gateway.
+FLUSH_SECONDS = 30.0
 
 log = structlog.get_logger()
 
@@ -69,7 +78,35 @@
         metrics = AgentMetrics()
         context = ContextKeeper(target, store, secret, metrics, assume_rates())
         watch = TargetWatch(target, gate, context)
-        follower = ConfigurationFollower(platform, lambda _: None, generator)
+        standing = TargetStanding(settings, gate)
+        vms = VmBoard(generator)
+        vms.tell(standing.apply_vms)
+        peers = PeerClient(settings.peers, vms, certificates.open_channel, generator)
+        follower = ConfigurationFollower(
+            platform,
+            standing.apply_configuration,
+            generator,
+            peers,
+            lambda: vms.nodes,
+        )
+        holder = f"{settings.vm}:{uuid.uuid4().hex}"
+        place = f"{settings.vm}:{settings.listen}"
+        lease = LeaseKeeper(
+            platform,
+            f"leases/targets/{settings.target}",
+            Lease(holder, place, TARGET_LEASE_SECONDS),
+        )
+        weights = WeightsKeeper(
+            settings.service,
+            target,
+            watch,
+            standing,
+            follower,
+            lease,
+            LoadSlots(platform, settings.service, holder, place, generator),
+            lambda: _count_targets(vms, follower, settings.service),
+            generator,
+        )
         service = AgentService(
             settings,
             target,
@@ -87,16 +124,21 @@
             watch.run(),
             follower.run(),
             context.run(),
-            _follow_store_vms(platform, context, follower, settings),
+            vms.run(platform),
+            _follow_store_vms(vms, context, follower, settings),
         ):
             await stack.enter_async_context(keep_running(loop))
         checks = [PeerCheck(settings.gateway_name)] if settings.tls else []
         server = grpc.aio.server(interceptors=checks, options=GRPC_OPTIONS)
         stack.push_async_callback(server.stop, None)
         add_AgentServicer_to_server(service, server)
+        add_PeerServicer_to_server(PeerService(follower.store, vms), server)
         with explain_listening("listen", settings.listen):
             certificates.add_port(server, str(settings.listen))
         await server.start()
+        # Only now is the place proved to be this process's own.
+        orders = _give_orders(lease, weights, generator)
+        await stack.enter_async_context(keep_running(orders))
 
         def is_ready() -> bool:
             return watch.reachable and gate.admission.accepting
@@ -112,18 +154,54 @@
             serve_administration(settings.admin, metrics.registry, is_ready)
         )
         log.info("agent started", target=settings.target, listen=str(settings.listen))
-        await wait_for_stop()
-        gate.tell(StopRequested(time.monotonic()))
-        log.info("agent stopping", running=gate.admission.running)
-        await asyncio.wait_for(
-            gate.wait_until_idle(), settings.shutdown_timeout_seconds
-        )
-        await server.stop(grace=1.0)
-        log.info("agent stopped")
+        with StopSignals() as signals:
+            await signals.wait_for_first()
+            standing.shut_down()
+            log.info("agent stopping", running=gate.admission.running)
+            timeout = settings.shutdown_timeout_seconds
+            end = await signals.wait_until(_finish(gate, server), timeout)
+            if end is not StopEnd.IDLE:
+                # Gateways see these streams break off and tell their callers that the
+                # outcome is unknown, which it is.
+                log.warning(
+                    "requests cut", reason=end.value, running=gate.admission.running
+                )
+                await server.stop(grace=None)
+            await lease.release()
+            log.info("agent stopped")
+
+
+async def _finish(gate: AdmissionGate, server: grpc.aio.Server) -> None:
+    """Return once nothing runs and every answer has been taken over by its gateway."""
+    await gate.wait_until_idle()
+    await server.stop(grace=FLUSH_SECONDS)
+
+
+async def _give_orders(
+    lease: LeaseKeeper, weights: WeightsKeeper, generator: random.Random
+) -> None:
+    """Hold the target's lease and bring its weights up to date."""
+    async with keep_running(lease.keep(weights.needs_lease, generator)):
+        await weights.run()
+
+
+def _count_targets(
+    vms: VmBoard, follower: ConfigurationFollower, service_name: str
+) -> int:
+    """Return how many targets of the service may serve."""
+    drains = follower.directory.configuration.drains
+    return sum(
+        vm.role == "target"
+        and vm.group == service_name
+        and vm.state == "live"
+        and vm.name not in drains.targets
+        and vm.data_centre not in drains.data_centres
+        for vm in vms.vms
+    )
 
 
 async def _follow_store_vms(
-    vms: VmList,
+    vms: VmBoard,
     context: ContextKeeper,
     follower: ConfigurationFollower,
     settings: AgentSettings,
@@ -132,9 +210,7 @@
     secret = bytes.fromhex(settings.block_secret)
     await follower.loaded.wait()
     while True:
-        answer = await vms.list_vms()
-        if isinstance(answer, Ok):
-            place = (settings.service, settings.data_centre)
-            view = build_view(follower.directory, answer.ok_value, *place, secret)
-            context.configure(view)
-        await asyncio.sleep(VM_LIST_SECONDS if context.store_vms else 0.5)
+        place = (settings.service, settings.data_centre)
+        view = build_view(follower.directory, vms.vms, *place, secret)
+        context.configure(view)
+        await asyncio.sleep(STORE_VMS_SECONDS if context.store_vms else 0.5)
--- a/libraries/configuration/src/bamboopier_configuration/settings.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings.py
@@ -62,6 +62,8 @@
     # Key, in hex, from which the workspaces' block secrets are derived; the same in
     # all gateways and agents.
     block_secret: Secret
+    # Agents (host:port) to ask for the configuration while the platform is away.
+    peers: list[str] = []
     # Callers' connections; one more is refused at once.
     max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 10_000
     # A request's headers must have arrived this long after their first byte.
@@ -105,6 +107,8 @@
     # Key, in hex, from which the workspaces' block secrets are derived; the same in
     # all gateways and agents.
     block_secret: Secret
+    # Agents (host:port) to ask for the configuration while the platform is away.
+    peers: list[str] = []
     # Requests the target runs at once when it is warm; the limit starts below.
     max_running: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 32
     # Requests that may wait here for their turn.
--- a/libraries/daemon/src/bamboopier_daemon/certificates.py
+++ b/libraries/daemon/src/bamboopier_daemon/certificates.py
@@ -16,6 +16,8 @@
 import grpc
 import structlog
 
+from .daemon import GRPC_OPTIONS
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
@@ -42,7 +44,7 @@
         self._listeners.append(listener)
 
     def open_channel(
-        self, address: str, options: Sequence[tuple[str, int]]
+        self, address: str, options: Sequence[tuple[str, int]] = GRPC_OPTIONS
     ) -> grpc.aio.Channel:
         """Return a channel to another process of the system."""
         if self._pem is None:
--- a/libraries/gateway/src/bamboopier_gateway/agents.py
+++ b/libraries/gateway/src/bamboopier_gateway/agents.py
@@ -15,9 +15,6 @@
     from types import TracebackType
 
 CONNECT_SECONDS = 1.0
-# A stream on a channel with a replaced certificate may go on for this long: a week,
-# which is the longest timeout a service may have.
-RENEWAL_GRACE_SECONDS = 7 * 86_400.0
 OPTIONS = [
     *GRPC_OPTIONS,
     # gRPC would send a call again by itself when a connection breaks early; whether a
@@ -29,6 +26,10 @@
     ("grpc.max_reconnect_backoff_ms", 1000),
 ]
 
+# A stream may outlast its target's place in the VM list, or its channel's certificate,
+# by this long: a week, which is the longest timeout a service may have.
+CLOSE_GRACE_SECONDS = 7 * 86_400.0
+
 
 class Agents:
     """Hands out stubs by address; closes what it opened."""
@@ -36,9 +37,8 @@
     def __init__(self, certificates: Certificates | None = None) -> None:
         self._certificates = certificates or Certificates(None)
         self._certificates.tell(self._renew)
-        # Channels with an earlier certificate; their streams go on to their end.
-        self._replaced: set[asyncio.Task[None]] = set()
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
         return self
@@ -49,7 +49,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        for task in self._replaced:
+        for task in self._closing:
             task.cancel()
         for channel in self._channels.values():
             await channel.close(None)
@@ -83,19 +83,28 @@
             self._channels[address] = channel
         return channel
 
-    async def keep_only(self, addresses: set[str]) -> None:
-        """Close the channels of agents that are gone."""
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the channels of agents that are gone, each once its streams have ended.
+
+        The VM list may drop a target while it still answers; cutting its streams would
+        leave callers with half an answer. Never closing would keep a connection for
+        each of the 84 VMs replaced a day.
+        """
         for address in set(self._channels) - addresses:
-            await self._channels.pop(address).close(None)
+            self._retire(self._channels.pop(address))
 
     def _renew(self) -> None:
         """Connect anew with the replaced certificate at the next call of each agent."""
         for channel in self._channels.values():
-            task = asyncio.create_task(channel.close(RENEWAL_GRACE_SECONDS))
-            self._replaced.add(task)
-            task.add_done_callback(self._replaced.discard)
+            self._retire(channel)
         self._channels.clear()
 
+    def _retire(self, channel: grpc.aio.Channel) -> None:
+        """Close a channel once its streams have ended."""
+        task = asyncio.create_task(channel.close(CLOSE_GRACE_SECONDS))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
 
 async def _is_ready(channel: grpc.aio.Channel) -> bool:
     """Wait while the channel connects; False at the first failure."""
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -11,11 +11,14 @@
 import structlog
 
 from bamboopier_daemon.certificates import Certificates
-from bamboopier_daemon.daemon import keep_running, serve_administration, wait_for_stop
+from bamboopier_daemon.daemon import keep_running, serve_administration
 from bamboopier_daemon.process_metrics import add_process_metrics
+from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.routing.router import Router
 from bamboopier_platform.follower import ConfigurationFollower
 from bamboopier_platform.http_platform import HttpPlatform
+from bamboopier_platform.peers import PeerClient
+from bamboopier_platform.vm_board import VmBoard
 
 from .agents import Agents
 from .application import GatewayApplication
@@ -25,6 +28,7 @@
 from .metrics import GatewayMetrics
 from .prompt import PromptReader, WordTokenizer
 from .reader import CallReader
+from .target_poll import TargetPoll
 
 if TYPE_CHECKING:
     from bamboopier_configuration.settings import GatewaySettings
@@ -46,15 +50,33 @@
         )
         agents = await stack.enter_async_context(Agents(certificates))
         router = Router(generator)
-        fleet = Fleet(settings, platform, lambda event: _ignore(router.handle(event)))
-        follower = ConfigurationFollower(platform, fleet.apply_configuration, generator)
+        vms = VmBoard(generator)
+        fleet = Fleet(
+            settings,
+            vms,
+            agents,
+            lambda event: _ignore(router.handle(event)),
+            generator,
+        )
+        peers = PeerClient(settings.peers, vms, certificates.open_channel, generator)
+        follower = ConfigurationFollower(
+            platform,
+            fleet.apply_configuration,
+            generator,
+            peers,
+            lambda: vms.nodes,
+        )
         metrics = GatewayMetrics()
-        prompts = PromptReader(bytes.fromhex(settings.block_secret), WordTokenizer())
+        prompts = PromptReader(
+            bytes.fromhex(settings.block_secret), WordTokenizer(), fleet.choose_version
+        )
         forwarder = Forwarder(router, fleet, agents, follower, metrics)
         reader = CallReader(prompts, settings.body_timeout_seconds)
         application = GatewayApplication(settings, follower, reader, forwarder, metrics)
         await stack.enter_async_context(keep_running(follower.run()))
-        await stack.enter_async_context(keep_running(fleet.run()))
+        await stack.enter_async_context(keep_running(vms.run(platform)))
+        poll = TargetPoll(fleet, agents, follower, router)
+        await stack.enter_async_context(keep_running(poll.run()))
         await stack.enter_async_context(keep_running(certificates.follow()))
         await stack.enter_async_context(
             CallerListener(
@@ -74,14 +96,21 @@
             )
         )
         log.info("gateway started", vm=settings.vm, listen=str(settings.listen))
-        await wait_for_stop()
-        application.stop()
-        log.info("gateway stopping", open_requests=application.open_requests)
-        await asyncio.sleep(STOP_DELAY_SECONDS)
-        await asyncio.wait_for(
-            application.wait_until_idle(), settings.shutdown_timeout_seconds
-        )
-        log.info("gateway stopped")
+        with StopSignals() as signals:
+            await signals.wait_for_first()
+            application.stop()
+            log.info("gateway stopping", open_requests=application.open_requests)
+            await asyncio.sleep(STOP_DELAY_SECONDS)
+            timeout = settings.shutdown_timeout_seconds
+            end = await signals.wait_until(application.wait_until_idle(), timeout)
+            if end is not StopEnd.IDLE:
+                log.warning(
+                    "requests cut",
+                    reason=end.value,
+                    open_requests=application.open_requests,
+                )
+                await application.cut_short()
+            log.info("gateway stopped")
 
 
 def _ignore(_: object) -> None:
--- /dev/null
+++ b/libraries/platform/src/bamboopier_platform/vm_board.py
@@ -0,0 +1,75 @@
+"""The last VM list that a process has seen."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .vm_follower import VmListFollower
+from .vms import Vm
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from .vms import VmList
+
+# Readers that weigh how long a VM has been listed in a state are told this often even
+# when the list has not changed.
+TELL_SECONDS = 5.0
+
+
+class VmBoard:
+    """Shows the last list, from the platform or, before that, from a peer."""
+
+    def __init__(self, random: random.Random) -> None:
+        self._random = random
+        self._readers: list[Callable[[VmBoard], None]] = []
+        self._read = False
+        self.vms: tuple[Vm, ...] = ()
+
+    @property
+    def nodes(self) -> int:
+        """Return how many processes follow the configuration and this list."""
+        return max(1, sum(vm.role != "store" for vm in self.vms))
+
+    def tell(self, reader: Callable[[VmBoard], None]) -> None:
+        """Call ``reader`` with each list, and again while it stays the same."""
+        self._readers.append(reader)
+
+    def find(self, name: str) -> Vm | None:
+        """Return the VM of this name, or None when it is not listed."""
+        return next((vm for vm in self.vms if vm.name == name), None)
+
+    def list_agents(self) -> list[str]:
+        """Return the addresses of the agents listed."""
+        return [vm.address for vm in self.vms if vm.role == "target"]
+
+    def encode(self) -> bytes:
+        """Return the list for a peer, empty when none was seen."""
+        return msgspec.json.encode(self.vms) if self.vms else b""
+
+    def learn(self, encoded: bytes) -> None:
+        """Take a peer's list while the platform has not answered this process yet."""
+        if encoded and not self._read:
+            self._show(tuple(msgspec.json.decode(encoded, type=list[Vm])))
+
+    async def run(self, source: VmList) -> None:
+        """Follow the platform's list until cancelled."""
+        follower = VmListFollower(source, self._take, self._random)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(follower.run())
+            while True:
+                await asyncio.sleep(TELL_SECONDS)
+                self._show(self.vms)
+
+    def _take(self, vms: tuple[Vm, ...]) -> None:
+        self._read = True
+        self._show(vms)
+
+    def _show(self, vms: tuple[Vm, ...]) -> None:
+        self.vms = vms
+        for reader in self._readers:
+            reader(self)
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -16,7 +16,7 @@
     "standins": set(),
     "replay": {"configuration"},
     "daemon": {"configuration"},
-    "platform": {"configuration"},
+    "platform": {"configuration", "protocol"},
     "gateway": {"configuration", "daemon", "decisions", "platform", "protocol"},
     "agent": {"configuration", "daemon", "decisions", "platform", "protocol"},
     "cli": {"agent", "configuration", "daemon", "decisions", "gateway", "platform"}
