--- /dev/null
+++ b/tests/pages.py
@@ -0,0 +1,46 @@
+"""Finds the fenced blocks of the pages and says how each is to be checked."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGES = [
+    "README.md",
+    "CONTRIBUTING.md",
+    "docs/architecture.md",
+    "docs/callers.md",
+    "docs/operators.md",
+    "docs/style.md",
+]
+NOT_RUN = "sh not-run:"
+_FENCE = re.compile(
+    r"^```(?P<info>[^\n]*)\n(?P<body>.*?)^```$", re.MULTILINE | re.DOTALL
+)
+
+
+@dataclass(frozen=True)
+class Block:
+    """One fenced block of a page."""
+
+    page: str
+    line: int
+    # What stands after the opening fence.
+    info: str
+    body: str
+
+    def __str__(self) -> str:
+        return f"{self.page}:{self.line} ({self.info})"
+
+
+def list_blocks(info: str = "") -> list[Block]:
+    """Return the blocks of all pages, or those with just this ``info``."""
+    found: list[Block] = []
+    for page in PAGES:
+        text = (ROOT / page).read_text()
+        for match in _FENCE.finditer(text):
+            line = text.count("\n", 0, match.start()) + 1
+            found.append(Block(page, line, match["info"], match["body"]))
+    return [block for block in found if info in ("", block.info)]
