--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -12,12 +12,15 @@
 import grpc
 import structlog
 
+from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import (
     GRPC_OPTIONS,
     keep_running,
     serve_administration,
 )
 from bamboopier_daemon.listening import explain_listening
+from bamboopier_daemon.peer_check import PeerCheck
+from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.admission.admission import Admission
 from bamboopier_decisions.membership.lease import Lease
@@ -59,8 +62,14 @@
     """Run until SIGTERM or SIGINT, then let what runs finish."""
     generator = random.Random(f"{settings.vm}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(HttpPlatform(settings.platform_url))
-        target = await stack.enter_async_context(TargetClient(settings.target_url))
+        certificates = Certificates(settings.tls)
+        context_out = certificates.make_client_context()
+        platform = await stack.enter_async_context(
+            HttpPlatform(settings.platform_url, context_out)
+        )
+        target = await stack.enter_async_context(
+            TargetClient(settings.target_url, context_out)
+        )
         store = await stack.enter_async_context(StoreClient())
         gate = AdmissionGate(
             Admission(settings.max_running, settings.max_waiting, generator)
@@ -72,7 +81,7 @@
         standing = TargetStanding(settings, gate)
         vms = VmBoard(generator)
         vms.tell(standing.apply_vms)
-        peers = PeerClient(settings.peers, vms, open_channel, generator)
+        peers = PeerClient(settings.peers, vms, certificates.open_channel, generator)
         follower = ConfigurationFollower(
             platform,
             standing.apply_configuration,
@@ -110,6 +119,7 @@
             metrics,
         )
         for loop in (
+            certificates.follow(),
             gate.run(),
             watch.run(),
             follower.run(),
@@ -118,12 +128,13 @@
             _follow_store_vms(vms, context, follower, settings),
         ):
             await stack.enter_async_context(keep_running(loop))
-        server = grpc.aio.server(options=GRPC_OPTIONS)
+        checks = [PeerCheck(settings.gateway_name)] if settings.tls else []
+        server = grpc.aio.server(interceptors=checks, options=GRPC_OPTIONS)
         stack.push_async_callback(server.stop, None)
         add_AgentServicer_to_server(service, server)
         add_PeerServicer_to_server(PeerService(follower.store, vms), server)
         with explain_listening("listen", settings.listen):
-            server.add_insecure_port(str(settings.listen))
+            certificates.add_port(server, str(settings.listen))
         await server.start()
         # Only now is the place proved to be this process's own.
         orders = _give_orders(lease, weights, generator)
@@ -132,6 +143,13 @@
         def is_ready() -> bool:
             return watch.reachable and gate.admission.accepting
 
+        add_process_metrics(
+            metrics.registry,
+            "agent",
+            settings,
+            is_ready,
+            lambda: follower.directory.generation,
+        )
         await stack.enter_async_context(
             serve_administration(settings.admin, metrics.registry, is_ready)
         )
@@ -182,11 +200,6 @@
     )
 
 
-def open_channel(address: str) -> grpc.aio.Channel:
-    """Return a channel to another agent."""
-    return grpc.aio.insecure_channel(address, options=GRPC_OPTIONS)
-
-
 async def _follow_store_vms(
     vms: VmBoard,
     context: ContextKeeper,
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -10,7 +10,9 @@
 
 import structlog
 
+from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import keep_running, serve_administration
+from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.routing.router import Router
 from bamboopier_platform.follower import ConfigurationFollower
@@ -18,7 +20,7 @@
 from bamboopier_platform.peers import PeerClient
 from bamboopier_platform.vm_board import VmBoard
 
-from .agents import Agents, open_channel
+from .agents import Agents
 from .application import GatewayApplication
 from .fleet import Fleet
 from .forwarder import Forwarder
@@ -41,8 +43,12 @@
     """Run until SIGTERM or SIGINT, then let every request finish."""
     generator = random.Random(f"{settings.vm}:{settings.seed}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(HttpPlatform(settings.platform_url))
-        agents = await stack.enter_async_context(Agents())
+        certificates = Certificates(settings.tls)
+        caller_context = certificates.make_caller_context(settings.caller_tls)
+        platform = await stack.enter_async_context(
+            HttpPlatform(settings.platform_url, certificates.make_client_context())
+        )
+        agents = await stack.enter_async_context(Agents(certificates))
         router = Router(generator)
         vms = VmBoard(generator)
         fleet = Fleet(
@@ -52,7 +58,7 @@
             lambda event: _ignore(router.handle(event)),
             generator,
         )
-        peers = PeerClient(settings.peers, vms, open_channel, generator)
+        peers = PeerClient(settings.peers, vms, certificates.open_channel, generator)
         follower = ConfigurationFollower(
             platform,
             fleet.apply_configuration,
@@ -71,8 +77,18 @@
         await stack.enter_async_context(keep_running(vms.run(platform)))
         poll = TargetPoll(fleet, agents, follower, router)
         await stack.enter_async_context(keep_running(poll.run()))
+        await stack.enter_async_context(keep_running(certificates.follow()))
         await stack.enter_async_context(
-            CallerListener(settings, application.make_application(), metrics, None)
+            CallerListener(
+                settings, application.make_application(), metrics, caller_context
+            )
+        )
+        add_process_metrics(
+            metrics.registry,
+            "gateway",
+            settings,
+            lambda: application.ready,
+            lambda: follower.directory.generation,
         )
         await stack.enter_async_context(
             serve_administration(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,7 +7,7 @@
 import unittest
 from typing import Any
 
-from processes import Installation
+from processes import Installation, fetch
 
 from .builders import DESK, VANS, build_small_installation, call
 from .raw_calls import (
@@ -28,8 +28,8 @@
     "body_timeout_seconds": 0.5,
     "write_timeout_seconds": 1.0,
     "idle_timeout_seconds": 2.0,
-    "max_connections": 3,
 }
+MAX_CONNECTIONS = 3
 # Each row: method, path, body, headers, status, code.
 ERRORS: list[tuple[str, str, Any, dict[str, str], int, str]] = [
     ("GET", "/nowhere", None, {}, 404, "not_found"),
@@ -100,6 +100,9 @@
         cls.installation = cls.enterClassContext(Installation())
         build_small_installation(cls.installation)
         cls.installation.start_gateway("tight", "dc-east", **TIGHT)
+        cls.installation.start_gateway(
+            "few", "dc-east", max_connections=MAX_CONNECTIONS
+        )
         cls.installation.wait_until_ready()
         cls.url = cls.installation.gateways["gateway-1"]
         cls.tight_url = cls.installation.gateways["tight"]
@@ -175,10 +178,10 @@
         self.assertEqual(exchange(self.tight_url, b""), b"")
 
     def test_a_connection_above_the_limit_is_refused_at_once(self) -> None:
-        held = [connect(self.tight_url) for _ in range(TIGHT["max_connections"])]
-        self.addCleanup(self.wait_for_room)
+        url = self.installation.gateways["few"]
+        held = [connect(url) for _ in range(MAX_CONNECTIONS)]
         try:
-            status, error = read_answer(exchange(self.tight_url, make_head("GET", "/")))
+            status, error = read_answer(exchange(url, make_head("GET", "/")))
         finally:
             for connection in held:
                 connection.close()
@@ -265,15 +268,21 @@
         self.assertEqual([model["id"] for model in listed["data"]], [MODEL])
         self.assertEqual(listed["object"], "list")
 
-    def wait_for_room(self) -> None:
-        """Wait until the tight gateway has noticed that its connections closed."""
-        limit = time.monotonic() + PATIENCE_SECONDS
-        while time.monotonic() < limit:
-            status, _ = read_answer(exchange(self.tight_url, make_head("GET", "/")))
-            if status != 503:
-                return
-            time.sleep(0.05)
-        self.fail("no connection was released")
+    def test_the_measures_are_counted_on_both_daemons(self) -> None:
+        body = {"model": MODEL, "prompt": "count this", "max_tokens": 2}
+        call(self.url, "POST", TEXT, body)
+        gateway = fetch(self.installation.admin["gateway-1"] + "/metrics").decode()
+        agent = fetch(self.installation.admin[f"{DESK}-agent"] + "/metrics").decode()
+        service = '{service="fault-desk"'
+        first_token = "bamboopier_time_to_first_token_seconds_count"
+        self.assertRegex(gateway, rf"{first_token}{service}\}} [1-9]")
+        tokens = "bamboopier_caller_prompt_tokens_total"
+        self.assertRegex(gateway, rf'{tokens}{service},source="recomputed"\}} [1-9]')
+        self.assertRegex(agent, r'bamboopier_prompt_tokens_total\{source="reused"\}')
+        self.assertIn('bamboopier_process{data_centre="dc-east"', gateway)
+        for text in (gateway, agent):
+            self.assertIn("bamboopier_ready 1.0", text)
+            self.assertIn("bamboopier_configuration_generation 1.0", text)
 
     def wait_for_log(self, name: str, event: str) -> None:
         limit = time.monotonic() + PATIENCE_SECONDS
