Do not take an old connection failure for an answer

Cause: test_shutdown got 'overloaded, ran: no' from an idle installation: the gateway had asked the agent before it listened, and 0.3 ms after the choice the channel still showed that failure (seen in the gateway's log). The 17 of 20 orders of test_replay and the stream of test_drain fit the same cause. Ruled out: admission - the agent's log shows no attempt. Change: a channel found in failure gets one fresh try of at most 0.3 s, with gRPC's backoff held at 0.2 s. Tried first: waiting for the CONNECTING state and then a failure; a refused loopback connection passes through it unseen, so a dead agent cost 1 s a try.

--- a/libraries/gateway/src/bamboopier_gateway/agents.py
+++ b/libraries/gateway/src/bamboopier_gateway/agents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING, Self
 
 import grpc
@@ -15,6 +16,11 @@
     from types import TracebackType
 
 CONNECT_SECONDS = 1.0
+# gRPC waits this long at the most, give or take a fifth, before it tries again.
+MAX_BACKOFF_MS = 200
+# Long enough for a fresh try after a failure that was there before: a refused
+# connection then costs a caller this once, and the router passes the target over.
+FRESH_TRY_SECONDS = 0.3
 OPTIONS = [
     *GRPC_OPTIONS,
     # gRPC would send a call again by itself when a connection breaks early; whether a
@@ -23,7 +29,7 @@
     # An agent that was replaced is reached again within a second.
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_reconnect_backoff_ms", MAX_BACKOFF_MS),
 ]
 
 # A stream may outlast its target's place in the VM list, or its channel's certificate,
@@ -107,9 +113,27 @@
 
 
 async def _is_ready(channel: grpc.aio.Channel) -> bool:
-    """Wait while the channel connects; False at the first failure."""
+    """Wait while the channel connects; False at the first failure from now on.
+
+    A failure that lies in the past says nothing: the agent may have come up since, and
+    gRPC is only waiting out its backoff. Taken for an answer it refuses a request as
+    overloaded although its only target is idle.
+    """
+    if channel.get_state() is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FRESH_TRY_SECONDS):
+                return await _become_ready(channel, until_failure=False)
+        return False
+    return await _become_ready(channel, until_failure=True)
+
+
+async def _become_ready(channel: grpc.aio.Channel, *, until_failure: bool) -> bool:
+    """Follow the channel's states to a connection, or to a failure if that counts."""
     state = channel.get_state(try_to_connect=True)
-    while state in (grpc.ChannelConnectivity.IDLE, grpc.ChannelConnectivity.CONNECTING):
+    while state is not grpc.ChannelConnectivity.READY:
+        failed = state is grpc.ChannelConnectivity.TRANSIENT_FAILURE
+        if (failed and until_failure) or state is grpc.ChannelConnectivity.SHUTDOWN:
+            return False
         await channel.wait_for_state_change(state)
         state = channel.get_state(try_to_connect=True)
-    return bool(state is grpc.ChannelConnectivity.READY)
+    return True
--- /dev/null
+++ b/libraries/gateway/tests/test_agents.py
@@ -0,0 +1,42 @@
+"""Connections to agents that come and go."""
+
+from __future__ import annotations
+
+import unittest
+
+import grpc
+
+from bamboopier_gateway.agents import Agents
+from bamboopier_protocol.agent_pb2_grpc import (
+    AgentServicer,
+    add_AgentServicer_to_server,
+)
+
+
+async def start_agent(address: str) -> tuple[grpc.aio.Server, int]:
+    """Return an agent's server and the port it listens on."""
+    server = grpc.aio.server()
+    add_AgentServicer_to_server(AgentServicer(), server)
+    port = server.add_insecure_port(address)
+    await server.start()
+    return server, port
+
+
+class AgentsTests(unittest.IsolatedAsyncioTestCase):
+    async def test_an_agent_that_came_up_since_the_last_failure_is_reached(
+        self,
+    ) -> None:
+        # A gateway asks an agent that is not up yet; the agent starts; a request comes.
+        # While gRPC waits out its backoff the channel still shows the old failure, and
+        # the caller was told "overloaded" with its only target idle.
+        server, port = await start_agent("127.0.0.1:0")
+        await server.stop(None)
+        address = f"127.0.0.1:{port}"
+        async with Agents() as agents:
+            for _ in range(5):
+                self.assertIsNone(await agents.reach(address))
+            server, _ = await start_agent(address)
+            try:
+                self.assertIsNotNone(await agents.reach(address))
+            finally:
+                await server.stop(None)
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -126,6 +126,10 @@
         last = f"{self.prompt.split()[-1]}.{self.max_tokens - 1}".encode()
         return last in self.body and self.body.endswith(b"data: [DONE]\n\n")
 
+    def describe(self) -> str:
+        """Return what arrived, for a failure's message."""
+        return f"{self.prompt}: status {self.status}, ends {self.body[-300:]!r}"
+
     def join(self) -> None:
         """Wait for the end, good or bad."""
         self._thread.join(LIMIT_SECONDS)
