Route by aged reports, refusal hints, warmth and slowness

Cause: reports come only with answers, so what a gateway had sent never aged, and a target that once said that it takes no work was never asked again; a refused request whose earlier attempt had an unknown outcome was told "not run"; refusals by leaving targets spent the retry budget; a full target got every next request; a returning data centre got its whole share at once; each request walked and hashed all targets.

Change: hash ring and lists per service, built on FleetChanged, random draws instead of lists; reports and sent work age with now; hints per target and workspace with a probe every half second; a memory of warm prefixes; slow targets set aside by first-byte time (a third at most, three good probes to return); new targets ramp over 10 s; FirstByteCame brings time and load with an answer's head (wired in attempt and forwarder); agents no longer report what a held-back workspace has waiting as delay to others.

Tried: setting aside after 5 samples with single probes set aside healthy targets and took back the slow one after one very short prompt; now 8 samples, each capped, and three probes.

--- a/libraries/decisions/src/bamboopier_decisions/admission/admission.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/admission.py
@@ -108,8 +108,14 @@
         return not self._stopping
 
     def estimate_delay(self) -> float:
-        """Return the expected seconds until a request behind all others would start."""
-        return self._estimate_start(self._queue.work)
+        """Return the expected seconds until a new workspace's request would start.
+
+        What a workspace far above its share has waiting is no delay to the others;
+        gateways that counted it would crowd the targets where it has the least.
+        """
+        if len(self._running) < self._limit.value:
+            return 0.0
+        return self._estimate_start(self._queue.estimate_ahead("", 1.0))
 
     def handle(self, event: AdmissionEvent) -> list[AdmissionDecision]:
         """Take one event; return the decisions it calls for, in order."""
@@ -155,8 +161,10 @@
             event.deadline,
             work,
         )
-        ahead = self._queue.estimate_ahead(event.workspace, event.weight)
-        if event.now + WAIT_MARGIN * self._estimate_start(ahead) > waiting.latest_start:
+        if (
+            event.now + WAIT_MARGIN * self._estimate_wait(waiting)
+            > waiting.latest_start
+        ):
             return [self._reject(waiting, event.now, RejectReason.DEADLINE)]
         decisions: list[AdmissionDecision] = []
         if len(self._running) >= self.limit and self._is_full(event.now):
@@ -273,7 +281,9 @@
         return [self._reject(entry, now, RejectReason.STOPPING) for entry in waiting]
 
     def _tick(self, now: float) -> list[AdmissionDecision]:
-        standing = len(self._queue) > 0
+        # Slots that are kept free say nothing of how fast the target works.
+        full = len(self._running) >= self._limit.value
+        standing = full and len(self._queue) > 0
         self._drain.tick(now, standing, self._limit.value)
         late = self._queue.take_late(now)
         late += self._take_hopeless(now)
@@ -300,13 +310,24 @@
             hopeless.append(newest)
         return hopeless
 
+    def _estimate_wait(self, waiting: Waiting) -> float:
+        """Return the expected seconds until a newly arrived request starts."""
+        if self._is_free(waiting):
+            return 0.0
+        workspace, weight = waiting.workspace, waiting.weight
+        return self._estimate_start(self._queue.estimate_ahead(workspace, weight))
+
+    def _is_free(self, waiting: Waiting) -> bool:
+        """Say whether a slot is free for the workspace: others that wait are held."""
+        if len(self._running) >= self._limit.value:
+            return False
+        return self._may_start(waiting, waiting.arrival)
+
     def _estimate_start(self, ahead: float) -> float:
         """Return the expected seconds until work behind ``ahead`` seconds starts."""
-        free = self._limit.value - len(self._running)
-        if free > len(self._queue):
-            return 0.0
         # One slot falls free after a service time over their number on average.
-        taken = max(0, 1 - free) * self._estimates.service_seconds
+        over = len(self._running) - self._limit.value
+        taken = max(0, 1 + over) * self._estimates.service_seconds
         return (ahead + taken) / max(1, self._limit.value) / self._drain.share
 
     def _reject(self, waiting: Waiting, now: float, reason: RejectReason) -> Reject:
--- a/libraries/decisions/src/bamboopier_decisions/admission/lending.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/lending.py
@@ -20,6 +20,10 @@
 LENT_SHARE = 0.25
 # Chance bunches of a caller within its share stay below this.
 FAR_ABOVE = 3.0
+# A workspace stays marked until it asks for no more than its share: gateways that were
+# told that a target is full for it hold back all but probes, so it seems to ask for
+# less than it does.
+WITHIN = 1.0
 # A workspace that asked within this time has a share, and what it asks for is averaged
 # over it: several service times.
 ACTIVE_SECONDS = 10.0
@@ -32,6 +36,7 @@
     weight: float
     seen: float
     rate: float = 0.0
+    far_above: bool = False
 
     def add(self, now: float, work: float) -> None:
         self.rate = self.rate_at(now) + work / ACTIVE_SECONDS
@@ -83,4 +88,6 @@
         if share > 1 / FAR_ABOVE:
             return False
         usual = share * max(float(limit), self._total.rate_at(now))
-        return demand.rate_at(now) > FAR_ABOVE * usual
+        bound = WITHIN if demand.far_above else FAR_ABOVE
+        demand.far_above = demand.rate_at(now) > bound * usual
+        return demand.far_above
--- a/libraries/decisions/src/bamboopier_decisions/routing/choice.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/choice.py
@@ -10,13 +10,15 @@
 from typing import TYPE_CHECKING
 
 from .messages import Candidate, SendReason
-from .rendezvous import rank
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Set
 
+    from .messages import RequestArrived
+    from .service_targets import ServiceTargets
     from .target_state import TargetState
+    from .warm_prefixes import WarmPrefixes
 
 # Owners weighed for a prefix; the second and third take a hot prefix's overflow.
 OWNERS = 3
@@ -44,48 +46,72 @@
         self.candidates = candidates
 
 
+def find_affinity(block_keys: tuple[bytes, ...]) -> bytes:
+    """Return the key that names a prompt's owners; empty when it has none."""
+    if not block_keys:
+        return b""
+    return block_keys[min(len(block_keys), AFFINITY_BLOCKS) - 1]
+
+
 def choose_target(
-    usable: Sequence[TargetState],
-    block_keys: tuple[bytes, ...],
-    prompt_tokens: int,
-    block_tokens: int,
+    now: float,
+    targets: ServiceTargets,
+    request: RequestArrived,
+    tried: Set[str],
+    warm: WarmPrefixes,
     random: random.Random,
 ) -> Choice | None:
     """Pick the target with the least expected time to the first byte."""
-    if not usable:
+    if len(targets) == 0:
         return None
-    by_name = {state.view.target: state for state in usable}
-    owners = _rank_owners(by_name, block_keys)
-    others = [state for state in usable if state.view.target not in owners]
-    drawn = random.sample(others, min(RANDOM_OTHERS, len(others)))
-    warm_tokens = min(prompt_tokens, len(block_keys) * block_tokens)
-    candidates: list[Candidate] = []
-    for position, name in enumerate(owners):
-        warm = warm_tokens if position == 0 else 0
-        expected = by_name[name].expect_first_byte(prompt_tokens - warm)
-        candidates.append(Candidate(name, expected))
-    for state in drawn:
-        expected = state.expect_first_byte(prompt_tokens)
-        candidates.append(Candidate(state.view.target, expected))
-    best = min(candidates, key=lambda candidate: candidate.expected)
-    reason = _explain(best.target, owners, len(candidates))
-    return Choice(by_name[best.target], reason, tuple(candidates))
-
-
-def _rank_owners(
-    by_name: dict[str, TargetState], block_keys: tuple[bytes, ...]
-) -> list[str]:
-    if not block_keys:
-        return []
-    key = block_keys[min(len(block_keys), AFFINITY_BLOCKS) - 1]
-    return rank(key, by_name, OWNERS)
-
 
-def _explain(target: str, owners: list[str], candidates: int) -> SendReason:
-    if candidates == 1:
+    def is_usable(state: TargetState) -> bool:
+        if state.view.target in tried or not state.is_usable(now, request.workspace):
+            return False
+        chance = state.find_chance(now)
+        return chance >= 1.0 or random.random() < chance
+
+    def is_untried(state: TargetState) -> bool:
+        untried = state.view.target not in tried
+        return untried and state.is_usable(now, request.workspace)
+
+    key = find_affinity(request.block_keys)
+    owners = targets.find_owners(key, OWNERS, is_usable) if key else []
+    weighed = list(owners)
+    for state in targets.draw(RANDOM_OTHERS, is_usable, random):
+        if state not in weighed:
+            weighed.append(state)
+    weighed = weighed or targets.scan(is_untried, random)
+    if not weighed:
+        return None
+    names = warm.find(key)
+    expected: list[float] = []
+    for position, state in enumerate(weighed):
+        # Nobody knows better at first than that the first owner is warm.
+        is_warm = state.view.target in names or (position == 0 and bool(owners))
+        new_tokens = _count_new(request, is_warm)
+        expected.append(state.expect_first_byte(now, new_tokens))
+    best = min(range(len(weighed)), key=expected.__getitem__)
+    reason = _explain(best, len(owners), len(weighed))
+    candidates = tuple(
+        Candidate(state.view.target, seconds)
+        for state, seconds in zip(weighed, expected, strict=True)
+    )
+    return Choice(weighed[best], reason, candidates)
+
+
+def _count_new(request: RequestArrived, is_warm: bool) -> int:
+    if not is_warm:
+        return request.prompt_tokens
+    cached = len(request.block_keys) * request.block_tokens
+    return max(0, request.prompt_tokens - cached)
+
+
+def _explain(position: int, owners: int, weighed: int) -> SendReason:
+    if weighed == 1:
         return SendReason.ONLY_CANDIDATE
-    if owners and target == owners[0]:
+    if owners and position == 0:
         return SendReason.PREFIX
-    if target in owners:
+    if position < owners:
         return SendReason.PREFIX_SPREAD
     return SendReason.LEAST_DELAY
--- a/libraries/decisions/src/bamboopier_decisions/routing/messages.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/messages.py
@@ -95,6 +95,16 @@
     load: TargetLoad
 
 
+@dataclass(frozen=True, slots=True)
+class FirstByteCame:
+    """An attempt's answer began ``seconds`` after it was sent."""
+
+    now: float
+    request_id: str
+    target: str
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """One attempt is over. ``ran`` is the truth as far as it is known."""
@@ -156,5 +166,7 @@
     request_id: str
 
 
-RoutingEvent = RequestArrived | TargetReported | AttemptEnded | FleetChanged
+RoutingEvent = (
+    RequestArrived | TargetReported | FirstByteCame | AttemptEnded | FleetChanged
+)
 RoutingDecision = Send | Refuse | Deliver
--- a/libraries/decisions/src/bamboopier_decisions/routing/router.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/router.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from .choice import choose_target
+from .choice import choose_target, find_affinity
+from .hash_ring import compute_points
 from .messages import (
     AttemptEnded,
     Deliver,
+    FirstByteCame,
     FleetChanged,
     Ran,
     Refuse,
@@ -20,25 +22,39 @@
     TargetReported,
 )
 from .retry_budget import RetryBudget
+from .service_targets import ServiceTargets
 from .target_state import TargetState
+from .warm_prefixes import WarmPrefixes
 
 if TYPE_CHECKING:
     import random
 
 MAX_ATTEMPTS = 3
+# Attempts in all, with those that a leaving target turned away.
+MAX_SENT = 8
 # Retry-After when no target can say how long its queue is.
 DEFAULT_RETRY_AFTER = 2.0
+# A hint given to one is passed on to others of its workspace up to this many times
+# later, so that they do not return together.
+HINT_SPREAD = 2.0
+# Before every fleet change: targets of the first one are not new, the gateway is.
+LONG_AGO = float("-inf")
+
+
+_NO_TARGETS = ServiceTargets((), ())
 
 
 class _Pending:
     """A request between its arrival and its final answer."""
 
-    __slots__ = ("attempts", "request", "shortest_wait", "tried")
+    __slots__ = ("attempts", "may_have_run", "request", "shortest_wait", "tried")
 
     def __init__(self, request: RequestArrived) -> None:
         self.request = request
         self.attempts = 0
         self.tried: set[str] = set()
+        # An earlier attempt's outcome is unknown, so "not run" would not be true.
+        self.may_have_run = False
         # Least retry_after among the targets that refused.
         self.shortest_wait = 0.0
 
@@ -49,7 +65,10 @@
     def __init__(self, random: random.Random) -> None:
         self._random = random
         self._targets: dict[str, TargetState] = {}
-        self._by_service: dict[str, list[TargetState]] = {}
+        self._services: dict[str, ServiceTargets] = {}
+        # Each target's places on the hash rings.
+        self._points: dict[str, tuple[int, ...]] = {}
+        self._warm = WarmPrefixes()
         self._pending: dict[str, _Pending] = {}
         self._budget = RetryBudget()
 
@@ -68,7 +87,9 @@
             case TargetReported():
                 state = self._targets.get(event.target)
                 if state is not None:
-                    state.report(event.load)
+                    state.report(event.now, event.load)
+            case FirstByteCame():
+                self._note_first_byte(event)
             case FleetChanged():
                 self._change_fleet(event)
         return None
@@ -80,35 +101,52 @@
     def _start(self, request: RequestArrived) -> RoutingDecision:
         pending = _Pending(request)
         self._pending[request.request_id] = pending
-        return self._send(pending, request.now, Ran.NO)
+        return self._send(pending, request.now)
 
-    def _send(self, pending: _Pending, now: float, ran: Ran) -> RoutingDecision:
+    def _send(self, pending: _Pending, now: float) -> RoutingDecision:
         request = pending.request
         if now >= request.deadline:
-            return self._refuse(pending, RefuseReason.DEADLINE, ran)
-        states = self._by_service.get(request.service, [])
-        usable = [
-            state
-            for state in states
-            if state.view.target not in pending.tried and state.is_usable(now)
-        ]
+            return self._refuse(pending, RefuseReason.DEADLINE)
+        targets = self._services.get(request.service, _NO_TARGETS)
         choice = choose_target(
-            usable,
-            request.block_keys,
-            request.prompt_tokens,
-            request.block_tokens,
-            self._random,
+            now, targets, request, pending.tried, self._warm, self._random
         )
         if choice is None:
-            if pending.tried:
-                return self._refuse(pending, RefuseReason.OVERLOADED, ran)
-            return self._refuse(pending, RefuseReason.NO_TARGET, ran)
+            return self._give_up(pending, now, targets)
         pending.attempts += 1
-        target = choice.state.view.target
-        pending.tried.add(target)
-        choice.state.add_sent(request.prompt_tokens)
-        reason = choice.reason if pending.attempts == 1 else SendReason.RETRY
-        return Send(request.request_id, target, reason, choice.candidates)
+        first = not pending.tried
+        state = choice.state
+        pending.tried.add(state.view.target)
+        state.add_sent(now, request.prompt_tokens)
+        state.refusals.note_sent(now, request.workspace)
+        state.slowness.note_sent(now)
+        reason = choice.reason if first else SendReason.RETRY
+        return Send(request.request_id, state.view.target, reason, choice.candidates)
+
+    def _give_up(
+        self, pending: _Pending, now: float, targets: ServiceTargets
+    ) -> Refuse:
+        wait = targets.find_wait(now, pending.request.workspace)
+        if wait > 0 and not pending.shortest_wait:
+            pending.shortest_wait = wait * self._random.uniform(1, HINT_SPREAD)
+        if pending.tried or wait > 0:
+            return self._refuse(pending, RefuseReason.OVERLOADED)
+        return self._refuse(pending, RefuseReason.NO_TARGET)
+
+    def _note_first_byte(self, event: FirstByteCame) -> None:
+        pending = self._pending.get(event.request_id)
+        state = self._targets.get(event.target)
+        if pending is None or state is None:
+            return
+        request = pending.request
+        key = find_affinity(request.block_keys)
+        if key:
+            self._warm.add(key, event.target)
+        targets = self._services.get(request.service)
+        if targets is not None:
+            targets.add_first_byte(
+                event.now, state, event.seconds, request.prompt_tokens
+            )
 
     def _end(self, event: AttemptEnded) -> RoutingDecision | None:
         pending = self._pending.get(event.request_id)
@@ -120,43 +158,64 @@
                 state.add_answer()
         if pending is None:
             return None
+        workspace = pending.request.workspace
+        if state is not None and event.retry_after > 0:
+            state.refusals.add(event.now, workspace, event.retry_after)
+        elif state is not None and event.ran is Ran.YES:
+            state.refusals.forget(workspace)
         if event.ran is Ran.YES or event.delivered:
             self._budget.add_success()
             del self._pending[event.request_id]
             return Deliver(event.request_id)
         if event.ran is Ran.UNKNOWN and not pending.request.idempotent:
             # Another attempt could run it twice; the caller is told the truth.
-            return self._refuse(pending, RefuseReason.TARGET_FAILED, Ran.UNKNOWN)
+            pending.may_have_run = True
+            return self._refuse(pending, RefuseReason.TARGET_FAILED)
         return self._retry(pending, event)
 
     def _retry(self, pending: _Pending, event: AttemptEnded) -> RoutingDecision:
-        # A request that may be repeated and whose outcome is unknown stays unknown
-        # even when the next target refuses it.
+        if event.ran is Ran.UNKNOWN:
+            pending.may_have_run = True
         if event.retry_after > 0:
             waits = (pending.shortest_wait or event.retry_after, event.retry_after)
             pending.shortest_wait = min(waits)
-        ran = event.ran
-        if pending.attempts >= MAX_ATTEMPTS:
-            return self._refuse(pending, RefuseReason.ATTEMPTS, ran)
-        if not self._budget.take():
-            return self._refuse(pending, RefuseReason.RETRY_BUDGET, ran)
-        return self._send(pending, event.now, ran)
-
-    def _refuse(self, pending: _Pending, reason: RefuseReason, ran: Ran) -> Refuse:
+        if event.ran is Ran.NO and not event.broken and event.retry_after <= 0:
+            # A leaving or drained target turned it away before it could run. That is
+            # no load, and it happens to whole data centres at once: paid from the
+            # budget it would refuse most of what they had waiting.
+            pending.attempts -= 1
+        elif pending.attempts >= MAX_ATTEMPTS:
+            return self._refuse(pending, RefuseReason.ATTEMPTS)
+        elif not self._budget.take():
+            return self._refuse(pending, RefuseReason.RETRY_BUDGET)
+        if len(pending.tried) >= MAX_SENT:
+            return self._refuse(pending, RefuseReason.ATTEMPTS)
+        return self._send(pending, event.now)
+
+    def _refuse(self, pending: _Pending, reason: RefuseReason) -> Refuse:
         request_id = pending.request.request_id
         del self._pending[request_id]
         wait = pending.shortest_wait or DEFAULT_RETRY_AFTER
+        ran = Ran.UNKNOWN if pending.may_have_run else Ran.NO
         return Refuse(request_id, reason, ran, wait)
 
     def _change_fleet(self, event: FleetChanged) -> None:
+        since = event.now if self._targets else LONG_AGO
         kept: dict[str, TargetState] = {}
         by_service: dict[str, list[TargetState]] = {}
         for view in event.targets:
             state = self._targets.get(view.target)
             if state is None:
-                state = TargetState(view)
+                state = TargetState(view, since)
             state.view = view
             kept[view.target] = state
             by_service.setdefault(view.service, []).append(state)
+        names = kept.keys()
+        self._points = {n: self._points.get(n) or compute_points(n) for n in names}
         self._targets = kept
-        self._by_service = by_service
+        self._services = {
+            service: ServiceTargets(
+                states, [self._points[state.view.target] for state in states]
+            )
+            for service, states in by_service.items()
+        }
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/routing/service_targets.py
@@ -0,0 +1,105 @@
+"""One service's targets, arranged when the fleet changes so that a choice is cheap.
+
+Load pattern: thousands of requests a second over hundreds of targets. Without it each
+request would walk them all. A choice looks at a few owners and a few random others,
+whatever the number of targets.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .hash_ring import HashRing
+from .messages import Distance
+from .slowness import set_aside_slow
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from .target_state import TargetState
+
+# Draws for each random candidate that is wanted, before giving up on it.
+DRAWS = 3
+# Targets looked at when neither owner nor draw was usable.
+MAX_SCANNED = 64
+# Distinct targets passed on the ring in search of usable owners.
+MAX_WALKED = 12
+# Slowness moves over several answers; judging it once a second is soon enough.
+JUDGE_SECONDS = 1.0
+
+
+class ServiceTargets:
+    """The targets that may serve one service."""
+
+    def __init__(
+        self, states: Sequence[TargetState], points: Sequence[tuple[int, ...]]
+    ) -> None:
+        self._states = states
+        near = [s for s in states if s.view.distance is not Distance.OTHER_REGION]
+        self._near = near or states
+        self._ring = HashRing(points)
+        self._judged = 0.0
+        self._median = 0.0
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def find_owners(
+        self, key: bytes, count: int, is_usable: Callable[[TargetState], bool]
+    ) -> list[TargetState]:
+        """Return the first ``count`` usable owners of ``key``."""
+        seen: set[int] = set()
+        owners: list[TargetState] = []
+        for index in self._ring.walk(key):
+            if index in seen:
+                continue
+            seen.add(index)
+            if is_usable(self._states[index]):
+                owners.append(self._states[index])
+            if len(owners) == count or len(seen) == MAX_WALKED:
+                break
+        return owners
+
+    def draw(
+        self,
+        count: int,
+        is_usable: Callable[[TargetState], bool],
+        random: random.Random,
+    ) -> list[TargetState]:
+        """Return up to ``count`` distinct usable targets, at random."""
+        drawn: list[TargetState] = []
+        for _ in range(DRAWS * count):
+            state = self._near[int(random.random() * len(self._near))]
+            if state not in drawn and is_usable(state):
+                drawn.append(state)
+            if len(drawn) == count:
+                break
+        return drawn
+
+    def scan(
+        self, is_usable: Callable[[TargetState], bool], random: random.Random
+    ) -> list[TargetState]:
+        """Return a usable target found by looking at up to ``MAX_SCANNED``."""
+        start = int(random.random() * len(self._states))
+        for offset in range(min(MAX_SCANNED, len(self._states))):
+            state = self._states[(start + offset) % len(self._states)]
+            if is_usable(state):
+                return [state]
+        return []
+
+    def find_wait(self, now: float, workspace: str) -> float:
+        """Return the least wait that the first targets told ``workspace``."""
+        some = self._states[:MAX_SCANNED]
+        waits = [state.refusals.find_wait(now, workspace) for state in some]
+        return min((wait for wait in waits if wait > 0), default=0.0)
+
+    def add_first_byte(
+        self, now: float, state: TargetState, seconds: float, tokens: int
+    ) -> None:
+        """Learn how fast ``state`` is and set the slowest aside where due."""
+        state.slowness.add(now, seconds, tokens, self._median)
+        if now - self._judged < JUDGE_SECONDS:
+            return
+        self._judged = now
+        self._median = set_aside_slow(now, [s.slowness for s in self._states])
--- a/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from .messages import Distance, TargetLoad, TargetView
+from .refusals import Refusals
+from .slowness import Slowness
 
 # Seconds a hop costs: the brief gives about 1 ms between data centres of a region;
 # between regions 30 ms is assumed until measured.
@@ -17,32 +19,75 @@
 # break up to the maximum. Without it every request would try the dead target first.
 FIRST_PAUSE = 1.0
 MAX_PAUSE = 30.0
+# A target that said it takes no work is asked again after this. Reports come only with
+# answers, so without it a target that was down for a moment would stay unused forever.
+NOT_ACCEPTING_SECONDS = 2.0
+# What was sent and not yet reported is forgotten evenly over this time: it has been
+# answered or shows in the next report. Without it a target that got the last requests
+# of a busy minute would look loaded until somebody sent to it again.
+STALE_SECONDS = 2.0
+# Seconds that a full batch adds to a first token: prompts share the prefill.
+BATCH_SECONDS = 0.05
+# Time for a slot to fall free until a queue has shown it.
+FIRST_SLOT_SECONDS = 0.1
+# A target that is new or cold is considered with a chance that grows over this time
+# to one. Without it all gateways send a returning data centre its whole share, and
+# long queues form before its agents' limits have grown: they double once per service
+# time, some two to three seconds, from two to a full batch of sixteen.
+RAMP_SECONDS = 10.0
+LEAST_CHANCE = 0.05
 
 
 class TargetState:
     """Reported load plus what this gateway has sent since that report."""
 
-    __slots__ = ("_pause", "_paused_until", "load", "sent_tokens", "sent", "view")
+    __slots__ = (
+        "_pause",
+        "_paused_until",
+        "_reported",
+        "_sent_at",
+        "_slot_seconds",
+        "fresh_since",
+        "load",
+        "refusals",
+        "sent",
+        "sent_tokens",
+        "slowness",
+        "view",
+    )
 
-    def __init__(self, view: TargetView) -> None:
+    def __init__(self, view: TargetView, fresh_since: float) -> None:
         self.view = view
         self.load = TargetLoad()
+        # When it appeared or turned cold.
+        self.fresh_since = fresh_since
         # Requests and prompt tokens sent since the last report: the report lags.
         self.sent = 0
         self.sent_tokens = 0
+        self.refusals = Refusals()
+        self.slowness = Slowness()
+        self._sent_at = 0.0
+        self._reported = 0.0
+        self._slot_seconds = FIRST_SLOT_SECONDS
         self._pause = 0.0
         self._paused_until = 0.0
 
-    def report(self, load: TargetLoad) -> None:
+    def report(self, now: float, load: TargetLoad) -> None:
         """Take a fresh report."""
+        if self.load.start_id and load.start_id != self.load.start_id:
+            self.fresh_since = now
         self.load = load
         self.sent = 0
         self.sent_tokens = 0
+        self._reported = now
+        if load.queue_delay > 0:
+            self._slot_seconds = load.queue_delay / (load.waiting + 1)
 
-    def add_sent(self, tokens: int) -> None:
+    def add_sent(self, now: float, tokens: int) -> None:
         """Count a request on its way that no report shows yet."""
         self.sent += 1
         self.sent_tokens += tokens
+        self._sent_at = now
 
     def add_break(self, now: float) -> None:
         """Pass the target over for a while after a broken attempt."""
@@ -54,15 +99,33 @@
         self._pause = 0.0
         self._paused_until = 0.0
 
-    def is_usable(self, now: float) -> bool:
-        """Say whether new work may go here."""
-        return self.load.accepting and now >= self._paused_until
+    def is_usable(self, now: float, workspace: str) -> bool:
+        """Say whether new work of ``workspace`` may go here."""
+        if now < self._paused_until or not self.slowness.may_try(now):
+            return False
+        silent = now - self._reported >= NOT_ACCEPTING_SECONDS
+        if not self.load.accepting and not silent:
+            return False
+        return self.refusals.may_try(now, workspace)
 
-    def expect_first_byte(self, new_tokens: int) -> float:
+    def find_chance(self, now: float) -> float:
+        """Return the chance with which this target is considered."""
+        return min(1.0, max(LEAST_CHANCE, (now - self.fresh_since) / RAMP_SECONDS))
+
+    def expect_first_byte(self, now: float, new_tokens: int) -> float:
         """Return the expected seconds to the first byte with ``new_tokens`` to prefill.
 
-        What was sent since the last report counts in full, as if it were still queued.
+        What was sent since the last report counts as if it were still queued, less
+        what has been done since.
         """
-        rate = self.load.prefill_rate or DEFAULT_PREFILL_RATE
-        prefill = (new_tokens + self.sent_tokens) / rate
-        return HOP_SECONDS[self.view.distance] + self.load.queue_delay + prefill
+        load = self.load
+        sent = self.sent * max(0.0, 1 - (now - self._sent_at) / STALE_SECONDS)
+        age = now - self._reported
+        running = load.running * max(0.0, 1 - age / (10 * STALE_SECONDS)) + sent
+        rate = load.prefill_rate or DEFAULT_PREFILL_RATE
+        queued = max(0.0, self.sent_tokens - rate * (now - self._sent_at))
+        wait = max(0.0, load.queue_delay - age)
+        wait += min(sent, max(0.0, running - load.limit)) * self._slot_seconds
+        batch = BATCH_SECONDS * min(1.0, running / max(1, load.limit))
+        hop = HOP_SECONDS[self.view.distance]
+        return hop + wait + batch + (new_tokens + queued) / rate
--- /dev/null
+++ b/libraries/decisions/tests/test_router.py
@@ -0,0 +1,157 @@
+"""What a gateway decides after refusals, breaks and silence."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_decisions.routing.messages import (
+    Ran,
+    Refuse,
+    RefuseReason,
+    Send,
+    TargetLoad,
+    TargetReported,
+)
+
+from .routing_builders import make_end, make_fleet, make_request, make_router
+
+
+class TruthTests(unittest.TestCase):
+    def test_unknown_stays_unknown_when_the_next_target_refuses(self) -> None:
+        """The caller of an idempotent request is told "not run" though it may have run.
+
+        The first target breaks off with the request in hand, the second refuses it
+        for load. The second's "not run" is true of itself alone.
+        """
+        router = make_router(2)
+        first = router.handle(make_request("r"))
+        self.assertIsInstance(first, Send)
+        second = router.handle(make_end("r", first.target, Ran.UNKNOWN, broken=True))
+        self.assertIsInstance(second, Send)
+        end = make_end("r", second.target, Ran.NO, retry_after=1.0)
+        refusal = router.handle(end)
+        self.assertIsInstance(refusal, Refuse)
+        self.assertIs(refusal.ran, Ran.UNKNOWN)
+
+    def test_an_unknown_outcome_of_a_non_idempotent_request_is_final(self) -> None:
+        router = make_router(2)
+        request = make_request("r", idempotent=False)
+        sent = router.handle(request)
+        refusal = router.handle(make_end("r", sent.target, Ran.UNKNOWN, broken=True))
+        self.assertIsInstance(refusal, Refuse)
+        self.assertIs(refusal.ran, Ran.UNKNOWN)
+
+
+class LeavingTests(unittest.TestCase):
+    def test_what_leaving_targets_turn_away_is_not_paid_from_the_budget(self) -> None:
+        """A data centre leaves and its waiting requests are refused to their callers.
+
+        Its targets turn away all that waits, before running any of it. Fifty requests
+        need another target at once, five times the budget's reserve, with no overload.
+        """
+        router = make_router(4)
+        sent = [router.handle(make_request(f"r{n}")) for n in range(50)]
+        for number, first in enumerate(sent):
+            again = router.handle(make_end(f"r{number}", first.target, Ran.NO))
+            self.assertIsInstance(again, Send, number)
+            self.assertNotEqual(again.target, first.target)
+
+    def test_refusals_for_load_are_paid_from_the_budget(self) -> None:
+        """With every target full, retries stay a small part of what is sent."""
+        router = make_router(40)
+        extra = 0
+        for number in range(200):
+            decision = router.handle(make_request(f"r{number}", workspace=f"w{number}"))
+            while isinstance(decision, Send):
+                end = make_end(f"r{number}", decision.target, Ran.NO, retry_after=1.0)
+                decision = router.handle(end)
+                extra += isinstance(decision, Send)
+        self.assertLessEqual(extra, 10)
+
+    def test_a_leaving_fleet_is_given_up_after_bounded_attempts(self) -> None:
+        router = make_router(100)
+        decision = router.handle(make_request("r"))
+        sends = 0
+        while isinstance(decision, Send):
+            sends += 1
+            decision = router.handle(make_end("r", decision.target, Ran.NO))
+        self.assertEqual(sends, 8)
+        self.assertIs(decision.reason, RefuseReason.ATTEMPTS)
+
+
+class SilenceTests(unittest.TestCase):
+    def test_a_target_that_took_no_work_is_asked_again(self) -> None:
+        """Callers get no-target forever though the target has long been back.
+
+        An engine restarts; its agent's report with the last answer says that it takes
+        no work. Reports come only with answers, so no later one corrects it.
+        """
+        router = make_router(1)
+        load = TargetLoad(accepting=False)
+        router.handle(TargetReported(1.0, "t0", load))
+        at_once = router.handle(make_request("r1", now=1.1))
+        self.assertIsInstance(at_once, Refuse)
+        later = router.handle(make_request("r2", now=4.0))
+        self.assertIsInstance(later, Send)
+
+    def test_an_idle_gateway_forgets_what_it_sent(self) -> None:
+        """After a busy minute a prompt's own target is passed over for no reason.
+
+        The gateway sent it many prompts and heard nothing since; all were served by
+        others' accounts long ago.
+        """
+        router = make_router(9)
+        keys = (b"a" * 16, b"b" * 16)
+        owner = router.handle(make_request("r", keys=keys)).target
+        for number in range(40):
+            router.handle(make_request(f"r{number}", now=1.0, keys=keys))
+        later = router.handle(make_request("later", now=30.0, keys=keys))
+        self.assertEqual(later.target, owner)
+
+
+class FullTargetTests(unittest.TestCase):
+    def test_a_full_target_gets_only_probes_from_the_workspace_it_refused(self) -> None:
+        """A caller that asks again at once has each ask carried to a full target.
+
+        Only a probe in half a second may go until the hint has passed; the rest is
+        answered by the gateway at once, with the time that is left.
+        """
+        router = make_router(1)
+        sends = 0
+        for number in range(100):
+            now = number * 0.05
+            decision = router.handle(make_request(f"r{number}", now=now))
+            if isinstance(decision, Send):
+                sends += 1
+                end = make_end(f"r{number}", "t0", Ran.NO, now, retry_after=10.0 - now)
+                decision = router.handle(end)
+            self.assertIsInstance(decision, Refuse)
+            self.assertGreater(decision.retry_after, 0)
+        self.assertLessEqual(sends, 11)
+        self.assertGreaterEqual(sends, 9)
+
+    def test_the_refusal_of_one_workspace_does_not_hold_for_another(self) -> None:
+        router = make_router(1)
+        router.handle(make_request("r1", workspace="hot"))
+        router.handle(make_end("r1", "t0", Ran.NO, retry_after=10.0))
+        decision = router.handle(make_request("r2", workspace="other"))
+        self.assertIsInstance(decision, Send)
+
+
+class ReturningTests(unittest.TestCase):
+    def test_new_targets_get_their_share_little_by_little(self) -> None:
+        """A data centre that returns cold is sent its whole share in the first second.
+
+        Four targets serve; four more appear. Half of the requests would go there at
+        once; the share must grow over the ramp.
+        """
+        router = make_router(4)
+        router.handle(make_fleet(8, now=100.0))
+        new = {"t4", "t5", "t6", "t7"}
+
+        def measure_share(now: float) -> float:
+            sent = [router.handle(make_request(f"{now}.{n}", now)) for n in range(400)]
+            return sum(decision.target in new for decision in sent) / len(sent)
+
+        self.assertLess(measure_share(100.5), 0.15)
+        self.assertGreater(measure_share(111.0), 0.4)
--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -13,6 +13,8 @@
 from bamboopier_protocol import agent_pb2 as pb
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bamboopier_protocol.agent_pb2_grpc import AgentStub
 
     from .call import Call
@@ -45,6 +47,9 @@
     call: Call
     stub: AgentStub
     generation: int
+    # Told of the load and the seconds that came with the answer's head: a long answer
+    # would otherwise bring them only at its end.
+    note_head: Callable[[pb.LoadReport, float], None] = lambda _load, _seconds: None
     attempt_id: str = field(default_factory=lambda: uuid.uuid4().hex)
     _result: AttemptResult = field(default_factory=lambda: AttemptResult(Ran.UNKNOWN))
     _expected_sequence: int = 0
@@ -62,6 +67,7 @@
                     self._result.load = event.load
                 if event.HasField("head"):
                     self._result.first_byte = time.monotonic() - started
+                    self.note_head(event.load, self._result.first_byte)
                 if await self._take(event, delivery):
                     return self._result
         except grpc.aio.AioRpcError as error:
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -9,6 +9,7 @@
 
 from bamboopier_decisions.routing.messages import (
     AttemptEnded,
+    FirstByteCame,
     Ran,
     Refuse,
     RequestArrived,
@@ -81,7 +82,14 @@
         self, call: Call, send: Send, delivery: Delivery
     ) -> AttemptResult:
         stub = self._agents.find(self._fleet.find_address(send.target))
-        attempt = Attempt(call, stub, self._follower.directory.generation)
+
+        def note_head(load: pb.LoadReport, seconds: float) -> None:
+            now = time.monotonic()
+            self._router.handle(TargetReported(now, send.target, _read_load(load)))
+            came = FirstByteCame(now, call.request_id, send.target, seconds)
+            self._router.handle(came)
+
+        attempt = Attempt(call, stub, self._follower.directory.generation, note_head)
         result = await attempt.run(delivery)
         if result.load is not None:
             self._follower.hear(result.load.generation)
--- a/tools/bench_load/simulation.py
+++ b/tools/bench_load/simulation.py
@@ -22,6 +22,7 @@
 from bamboopier_decisions.routing.messages import (
     AttemptEnded,
     Distance,
+    FirstByteCame,
     FleetChanged,
     Ran,
     Refuse,
@@ -331,8 +332,9 @@
     def hear(self, agent: SimulatedAgent, attempt: _Attempt) -> None:
         """Bring the load that came with an answer's head to its gateway."""
         router = self._homes[str(attempt.order.order_id)]
-        event = TargetReported(self.clock.now, agent.name, agent.report())
-        router.handle(event)
+        now, request_id = self.clock.now, str(attempt.order.order_id)
+        router.handle(TargetReported(now, agent.name, agent.report()))
+        router.handle(FirstByteCame(now, request_id, agent.name, attempt.first_byte))
 
     def end(self, attempt: _Attempt, ended: AttemptEnded, load: TargetLoad) -> None:
         """Bring an attempt's end to its gateway and carry out the decision."""
