--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-LIBRARIES := protocol configuration daemon decisions platform gateway agent cli standins
+LIBRARIES := protocol configuration daemon decisions platform gateway agent replay cli standins
 empty :=
 space := $(empty) $(empty)
 # The sources of this very checkout go first, so a second worktree may share a VENV.
@@ -8,7 +8,7 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo demo-stay test check format types protocol mutations bench bench-load capacity
+.PHONY: reference demo demo-stay test check format types protocol mutations bench bench-load capacity
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
@@ -23,6 +23,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PYTHON) tools/imports.py
+	$(PYTHON) tools/reference.py --check
 	$(VENV)/bin/mypy $(foreach library,$(LIBRARIES),libraries/$(library)/src) tools
 
 format: $(VENV)/ready
@@ -33,6 +34,10 @@
 bench-load: $(VENV)/ready
 	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.table
 
+# Writes docs/configuration.md from the checked types; its output is committed.
+reference: $(VENV)/ready
+	$(PYTHON) tools/reference.py
+
 # Only needed after editing the .proto file; its output is committed.
 protocol: $(VENV)/ready
 	cd libraries/protocol/src && $(abspath $(PYTHON)) -m grpc_tools.protoc -I . \
@@ -47,3 +52,11 @@
 		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library))
 	touch $@
 endif
+
+# Slopes for docs/CAPACITY.md; takes some minutes, writes docs/capacity.json.
+capacity: $(VENV)/ready
+	cd tools && $(PYTHON) -m capacity
+
+# Takes each safeguard out and sees its test turn red.
+mutations: $(VENV)/ready
+	$(PYTHON) tools/mutate.py
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -10,6 +10,7 @@
 import structlog
 from result import Err
 
+from bamboopier_daemon.headers import drop_hop_headers
 from bamboopier_decisions.admission.messages import Reject, RejectReason, WorkArrived
 from bamboopier_decisions.claims.table import ClaimOutcome, Verdict
 from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
@@ -42,12 +43,6 @@
     RejectReason.DEADLINE: pb.DEADLINE,
     RejectReason.STOPPING: pb.STOPPING,
 }
-# Headers that belong to one connection and are never passed on.
-HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "trailer"}
-    | {"proxy-authenticate", "proxy-authorization", "content-length", "host"}
-)
-
 log = structlog.get_logger()
 
 
@@ -232,6 +227,8 @@
         started = time.monotonic()
         fetched = await self._context.fetch(request) if request.model.model else 0
         usage = UsageReader()
+        sent = time.monotonic()
+        first_byte = 0.0
         try:
             async with self._target.open(
                 request.method,
@@ -239,6 +236,7 @@
                 _list_headers(request),
                 _make_body(request),
             ) as response:
+                first_byte = time.monotonic() - sent
                 self._metrics.first_byte.observe(time.monotonic() - started)
                 version = response.headers.get("Weight-Version", "")
                 headers = _list_response_headers(response)
@@ -265,7 +263,10 @@
         counted = usage.read()
         entry.answered = True
         if request.model.model:
-            self._context.keep_later(request)
+            new_tokens = max(0, counted.prompt_tokens - counted.cached_tokens)
+            self._context.note_answer(
+                request, counted.cached_tokens, new_tokens, first_byte
+            )
         entry.output_tokens = counted.completion_tokens
         entry.new_tokens = max(0, counted.prompt_tokens - counted.cached_tokens)
         self._count_tokens(counted.prompt_tokens, counted.cached_tokens, fetched)
@@ -332,19 +333,11 @@
 
 
 def _list_headers(request: pb.ServeRequest) -> list[tuple[str, str]]:
-    return [
-        (header.name, header.value)
-        for header in request.headers
-        if header.name.lower() not in HOP_HEADERS
-    ]
+    return list(drop_hop_headers((h.name, h.value) for h in request.headers))
 
 
 def _list_response_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
-    return [
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    ]
+    return list(drop_hop_headers(response.headers.items()))
 
 
 def _make_body(request: pb.ServeRequest) -> bytes:
--- a/libraries/decisions/src/bamboopier_decisions/admission/admission.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/admission.py
@@ -25,6 +25,7 @@
     FirstToken,
     Reject,
     RejectReason,
+    ResumeRequested,
     Start,
     StopRequested,
     TargetRestarted,
@@ -144,6 +145,9 @@
                 return []
             case StopRequested():
                 return self._stop(event.now)
+            case ResumeRequested():
+                self._stopping = False
+                return []
             case Tick():
                 return self._tick(event.now)
 
--- a/libraries/decisions/src/bamboopier_decisions/routing/choice.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/choice.py
@@ -65,15 +65,15 @@
     if len(targets) == 0:
         return None
 
-    def is_usable(state: TargetState) -> bool:
-        if state.view.target in tried or not state.is_usable(now, request.workspace):
+    def is_untried(state: TargetState) -> bool:
+        if state.view.target in tried:
             return False
-        chance = state.find_chance(now)
-        return chance >= 1.0 or random.random() < chance
+        serves = state.serves(now, request.weight_version)
+        return serves and state.is_usable(now, request.workspace)
 
-    def is_untried(state: TargetState) -> bool:
-        untried = state.view.target not in tried
-        return untried and state.is_usable(now, request.workspace)
+    def is_usable(state: TargetState) -> bool:
+        chance = state.find_chance(now)
+        return is_untried(state) and (chance >= 1.0 or random.random() < chance)
 
     key = find_affinity(request.block_keys)
     owners = targets.find_owners(key, OWNERS, is_usable) if key else []
--- a/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
@@ -112,6 +112,15 @@
         """Return the chance with which this target is considered."""
         return min(1.0, max(LEAST_CHANCE, (now - self.fresh_since) / RAMP_SECONDS))
 
+    def serves(self, now: float, version: str) -> bool:
+        """Say whether the target may serve a request made for a weight version.
+
+        What it said a while ago is not held against it: it may have loaded since.
+        """
+        if not version or self.load.weight_version in ("", version):
+            return True
+        return now - self._reported >= NOT_ACCEPTING_SECONDS
+
     def expect_first_byte(self, now: float, new_tokens: int) -> float:
         """Return the expected seconds to the first byte with ``new_tokens`` to prefill.
 
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -5,28 +5,32 @@
 import asyncio
 import os
 import random
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import structlog
-from aiohttp import web
 
-from bamboopier_daemon.daemon import keep_running, serve_administration, wait_for_stop
+from bamboopier_daemon.certificates import Certificates
+from bamboopier_daemon.daemon import keep_running, serve_administration
+from bamboopier_daemon.process_metrics import add_process_metrics
+from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.routing.router import Router
 from bamboopier_platform.follower import ConfigurationFollower
 from bamboopier_platform.http_platform import HttpPlatform
+from bamboopier_platform.peers import PeerClient
+from bamboopier_platform.vm_board import VmBoard
 
 from .agents import Agents
 from .application import GatewayApplication
 from .fleet import Fleet
 from .forwarder import Forwarder
+from .listener import CallerListener
 from .metrics import GatewayMetrics
 from .prompt import PromptReader, WordTokenizer
 from .reader import CallReader
+from .target_poll import TargetPoll
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from bamboopier_configuration.settings import GatewaySettings
 
 # After not-ready shows, the balancer needs a moment to stop sending callers here.
@@ -39,54 +43,74 @@
     """Run until SIGTERM or SIGINT, then let every request finish."""
     generator = random.Random(f"{settings.vm}:{settings.seed}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        platform = await stack.enter_async_context(HttpPlatform(settings.platform_url))
-        agents = await stack.enter_async_context(Agents())
+        certificates = Certificates(settings.tls)
+        caller_context = certificates.make_caller_context(settings.caller_tls)
+        platform = await stack.enter_async_context(
+            HttpPlatform(settings.platform_url, certificates.make_client_context())
+        )
+        agents = await stack.enter_async_context(Agents(certificates))
         router = Router(generator)
-        fleet = Fleet(settings, platform, lambda event: _ignore(router.handle(event)))
-        follower = ConfigurationFollower(platform, fleet.apply_configuration, generator)
+        vms = VmBoard(generator)
+        fleet = Fleet(
+            settings,
+            vms,
+            agents,
+            lambda event: _ignore(router.handle(event)),
+            generator,
+        )
+        peers = PeerClient(settings.peers, vms, certificates.open_channel, generator)
+        follower = ConfigurationFollower(
+            platform,
+            fleet.apply_configuration,
+            generator,
+            peers,
+            lambda: vms.nodes,
+        )
         metrics = GatewayMetrics()
-        prompts = PromptReader(bytes.fromhex(settings.block_secret), WordTokenizer())
-        forwarder = Forwarder(router, fleet, agents, follower, metrics)
-        application = GatewayApplication(
-            settings, follower, CallReader(prompts), forwarder, metrics
+        prompts = PromptReader(
+            bytes.fromhex(settings.block_secret), WordTokenizer(), fleet.choose_version
         )
+        forwarder = Forwarder(router, fleet, agents, follower, metrics)
+        reader = CallReader(prompts, settings.body_timeout_seconds)
+        application = GatewayApplication(settings, follower, reader, forwarder, metrics)
         await stack.enter_async_context(keep_running(follower.run()))
-        await stack.enter_async_context(keep_running(fleet.run()))
-        await stack.enter_async_context(_serve_callers(settings, application))
+        await stack.enter_async_context(keep_running(vms.run(platform)))
+        poll = TargetPoll(fleet, agents, follower, router)
+        await stack.enter_async_context(keep_running(poll.run()))
+        await stack.enter_async_context(keep_running(certificates.follow()))
+        await stack.enter_async_context(
+            CallerListener(
+                settings, application.make_application(), metrics, caller_context
+            )
+        )
+        add_process_metrics(
+            metrics.registry,
+            "gateway",
+            settings,
+            lambda: application.ready,
+            lambda: follower.directory.generation,
+        )
         await stack.enter_async_context(
             serve_administration(
                 settings.admin, metrics.registry, lambda: application.ready
             )
         )
         log.info("gateway started", vm=settings.vm, listen=str(settings.listen))
-        await wait_for_stop()
-        application.stop()
-        log.info("gateway stopping", open_requests=application.open_requests)
-        await asyncio.sleep(STOP_DELAY_SECONDS)
-        await asyncio.wait_for(
-            application.wait_until_idle(), settings.shutdown_timeout_seconds
-        )
-        log.info("gateway stopped")
-
-
-@asynccontextmanager
-async def _serve_callers(
-    settings: GatewaySettings, application: GatewayApplication
-) -> AsyncIterator[None]:
-    runner = web.AppRunner(
-        application.make_application(),
-        access_log=None,
-        handler_cancellation=True,
-        max_line_size=8190,
-        max_field_size=8190,
-        shutdown_timeout=1.0,
-    )
-    await runner.setup()
-    try:
-        await web.TCPSite(runner, settings.listen.host, settings.listen.port).start()
-        yield
-    finally:
-        await runner.cleanup()
+        with StopSignals() as signals:
+            await signals.wait_for_first()
+            application.stop()
+            log.info("gateway stopping", open_requests=application.open_requests)
+            await asyncio.sleep(STOP_DELAY_SECONDS)
+            timeout = settings.shutdown_timeout_seconds
+            end = await signals.wait_until(application.wait_until_idle(), timeout)
+            if end is not StopEnd.IDLE:
+                log.warning(
+                    "requests cut",
+                    reason=end.value,
+                    open_requests=application.open_requests,
+                )
+                await application.cut_short()
+            log.info("gateway stopped")
 
 
 def _ignore(_: object) -> None:
--- a/libraries/gateway/src/bamboopier_gateway/delivery.py
+++ b/libraries/gateway/src/bamboopier_gateway/delivery.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from bamboopier_daemon.headers import drop_hop_headers
+
 if TYPE_CHECKING:
     from bamboopier_protocol.agent_pb2 import ResponseHead
 
     from .errors import CallerError
 
-_SKIPPED_HEADERS = frozenset({"content-length", "connection", "transfer-encoding"})
-
 
 class SlowCallerError(Exception):
     """The caller did not take its answer in time."""
@@ -29,6 +30,8 @@
         self._request_id = request_id
         self._write_timeout = write_timeout
         self._response: web.StreamResponse | None = None
+        # Monotonic time of the first piece of the body; 0 before it.
+        self.first_written = 0.0
 
     @property
     def begun(self) -> bool:
@@ -45,9 +48,8 @@
     async def begin(self, head: ResponseHead) -> None:
         """Send status and headers."""
         response = web.StreamResponse(status=head.status)
-        for header in head.headers:
-            if header.name.lower() not in _SKIPPED_HEADERS:
-                response.headers.add(header.name, header.value)
+        for name, value in drop_hop_headers((h.name, h.value) for h in head.headers):
+            response.headers.add(name, value)
         response.headers["X-Request-Id"] = self._request_id
         if head.weight_version:
             response.headers["X-Weight-Version"] = head.weight_version
@@ -61,6 +63,7 @@
         try:
             async with asyncio.timeout(self._write_timeout):
                 await self.response.write(chunk)
+                self.first_written = self.first_written or time.monotonic()
         except TimeoutError as error:
             raise SlowCallerError(self._request_id) from error
 
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -81,11 +81,17 @@
     async def _attempt(
         self, call: Call, send: Send, delivery: Delivery
     ) -> AttemptResult:
-        stub = self._agents.find(self._fleet.find_address(send.target))
+        left = call.deadline - time.monotonic()
+        address = self._fleet.find_address(send.target)
+        stub = await self._agents.reach(address, left)
+        if stub is None:
+            return AttemptResult(
+                Ran.NO, pb.CONNECTION_LOST, "no connection to the agent", broken=True
+            )
 
         def note_head(load: pb.LoadReport, seconds: float) -> None:
             now = time.monotonic()
-            self._router.handle(TargetReported(now, send.target, _read_load(load)))
+            self._router.handle(TargetReported(now, send.target, read_load(load)))
             came = FirstByteCame(now, call.request_id, send.target, seconds)
             self._router.handle(came)
 
@@ -93,7 +99,8 @@
         result = await attempt.run(delivery)
         if result.load is not None:
             self._follower.hear(result.load.generation)
-            load = _read_load(result.load)
+            self._fleet.note(send.target, result.load)
+            load = read_load(result.load)
             self._router.handle(TargetReported(time.monotonic(), send.target, load))
         return result
 
@@ -198,10 +205,12 @@
         block_tokens=model.block_tokens if model else 0,
         block_keys=model.block_keys if model else (),
         fingerprint=call.fingerprint,
+        weight_version=model.weight_version if model else "",
     )
 
 
-def _read_load(report: pb.LoadReport) -> TargetLoad:
+def read_load(report: pb.LoadReport) -> TargetLoad:
+    """Return a report as the router takes it."""
     return TargetLoad(
         running=report.running,
         waiting=report.waiting,
@@ -211,4 +220,5 @@
         queue_delay=report.queue_delay,
         accepting=report.accepting,
         start_id=report.start_id,
+        weight_version=report.weight_version,
     )
--- a/libraries/gateway/src/bamboopier_gateway/metrics.py
+++ b/libraries/gateway/src/bamboopier_gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 FIRST_BYTE_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.68, 1.0, 2.0, 5.0, 10.0, 30.0)
 
@@ -20,11 +20,23 @@
         )
         self.first_byte = Histogram(
             "bamboopier_first_byte_seconds",
-            "Seconds from a caller's request to the first byte of its answer",
+            "Seconds from sending an attempt to the head of its answer",
             ["service"],
             buckets=FIRST_BYTE_BUCKETS,
             registry=self.registry,
         )
+        self.first_token = Histogram(
+            "bamboopier_time_to_first_token_seconds",
+            "Seconds from a model request's arrival to the first byte of its text",
+            ["service"],
+            buckets=FIRST_BYTE_BUCKETS,
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            "bamboopier_open_requests",
+            "Requests without a final answer now",
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "bamboopier_attempts",
             "Attempts by service and reason of the choice",
@@ -37,3 +49,13 @@
             ["service", "source"],
             registry=self.registry,
         )
+        self.connections = Gauge(
+            "bamboopier_connections",
+            "Callers' connections open now",
+            registry=self.registry,
+        )
+        self.refused_connections = Counter(
+            "bamboopier_refused_connections",
+            "Connections refused because max_connections was reached",
+            registry=self.registry,
+        )
--- a/libraries/platform/src/bamboopier_platform/http_platform.py
+++ b/libraries/platform/src/bamboopier_platform/http_platform.py
@@ -19,9 +19,10 @@
     WatchGapError,
 )
 from .objects import MAX_VALUE_BYTES, Change, StoredObject, WatchBatch
-from .vms import Vm
+from .vms import Vm, VmAnswer
 
 if TYPE_CHECKING:
+    import ssl
     from types import TracebackType
 
 T = TypeVar("T")
@@ -50,13 +51,17 @@
 class HttpPlatform:
     """Calls the platform at ``base_url``; close it by leaving the context."""
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self, base_url: str, certificates: ssl.SSLContext | None = None
+    ) -> None:
+        self._certificates = certificates
         self._base_url = base_url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        connector = aiohttp.TCPConnector(ssl=self._certificates or True)
+        self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
         return self
 
     async def __aexit__(
@@ -137,10 +142,24 @@
 
     async def list_vms(self) -> Result[list[Vm], PlatformError]:
         """Return all VMs the platform lists now."""
-        answer = await self._call("GET", f"{self._base_url}/v1/vms")
+        answer = await self.list_vms_since("")
+        if isinstance(answer, Err):
+            return answer
+        return Ok(list(answer.ok_value.vms or ()))
+
+    async def list_vms_since(self, tag: str) -> Result[VmAnswer, PlatformError]:
+        """Return the VMs unless the list still has the entity tag ``tag``."""
+        headers = {"If-None-Match": tag} if tag else None
+        answer = await self._call("GET", f"{self._base_url}/v1/vms", headers=headers)
         if isinstance(answer, Err):
             return answer
-        return _decode(answer.ok_value, list[Vm])
+        reply = answer.ok_value
+        if reply.status == 304:
+            return Ok(VmAnswer(None, tag, 0))
+        decoded = _decode(reply, list[Vm])
+        if isinstance(decoded, Err):
+            return decoded
+        return Ok(VmAnswer(tuple(decoded.ok_value), reply.tag, len(reply.body)))
 
     def _object_url(self, key: str) -> str:
         return f"{self._base_url}/v1/objects/{quote(key)}"
@@ -163,7 +182,8 @@
             ) as response:
                 content = await response.read()
                 version = int(response.headers.get(VERSION_HEADER, "0"))
-                return Ok(_Reply(response.status, version, content))
+                tag = response.headers.get("ETag", "")
+                return Ok(_Reply(response.status, version, content, tag))
         except aiohttp.ClientConnectorError as error:
             return Err(PlatformUnavailableError(f"{method} {url}: {error}"))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
@@ -176,12 +196,13 @@
 class _Reply:
     """A platform answer that arrived whole."""
 
-    __slots__ = ("body", "status", "version")
+    __slots__ = ("body", "status", "tag", "version")
 
-    def __init__(self, status: int, version: int, body: bytes) -> None:
+    def __init__(self, status: int, version: int, body: bytes, tag: str) -> None:
         self.status = status
         self.version = version
         self.body = body
+        self.tag = tag
 
 
 def _find_write_fault(key: str, expected: int, reply: _Reply) -> PlatformError | None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -77,6 +77,8 @@
     gateways: dict[str, str] = field(default_factory=dict)
     admin: dict[str, str] = field(default_factory=dict)
     targets: dict[str, str] = field(default_factory=dict)
+    # Further settings of every process that a command starts, by the command.
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     def __enter__(self) -> Self:
         return self
@@ -102,14 +104,25 @@
         self.list_vm(name, "store", group, data_centre, f"{HOST}:{port}")
 
     def start_target(
-        self, name: str, kind: str, service: str, data_centre: str, **options: Any
+        self,
+        name: str,
+        kind: str,
+        service: str,
+        data_centre: str,
+        agent: Any = None,
+        **options: Any,
     ) -> None:
-        """Start a target stand-in (``engine`` or ``plain``) and the agent beside it."""
+        """Start a target stand-in (``engine`` or ``plain``) and the agent beside it.
+
+        ``agent`` holds further settings of the agent, ``options`` the stand-in's own.
+        """
         port = self._start_stand_in(f"{name}-target", kind, options)
         self.targets[name] = f"http://{HOST}:{port}"
-        self.start_agent(name, service, data_centre)
+        self.start_agent(name, service, data_centre, **(agent or {}))
 
-    def start_agent(self, name: str, service: str, data_centre: str) -> None:
+    def start_agent(
+        self, name: str, service: str, data_centre: str, **options: Any
+    ) -> None:
         """Start (or start anew) the agent beside a running target."""
         listen, admin = find_port(), find_port()
         settings = {
@@ -117,6 +130,7 @@
             "target": name,
             "service": service,
             "target_url": self.targets[name],
+            **options,
         }
         self.start_daemon(f"{name}-agent", "agent", settings)
         self.admin[f"{name}-agent"] = f"http://{HOST}:{admin}"
@@ -124,18 +138,21 @@
         self.vms = [vm for vm in self.vms if vm["name"] != name]
         self.list_vm(name, "target", service, data_centre, address)
 
-    def start_gateway(self, name: str, data_centre: str) -> None:
-        """Start a gateway and list it."""
+    def start_gateway(self, name: str, data_centre: str, **options: Any) -> None:
+        """Start a gateway, with ``options`` in its settings, and list it."""
         listen, admin = find_port(), find_port()
         settings = _describe_place(name, data_centre, listen, admin, self.platform_url)
-        self.start_daemon(name, "gateway", settings)
-        self.gateways[name] = f"http://{HOST}:{listen}"
+        self.start_daemon(name, "gateway", settings | options)
+        secure = "caller_tls" in self.settings.get("gateway", {})
+        scheme = "https" if secure else "http"
+        self.gateways[name] = f"{scheme}://{HOST}:{listen}"
         self.admin[name] = f"http://{HOST}:{admin}"
         self.list_vm(name, "gateway", "", data_centre, f"{HOST}:{listen}")
 
     def start_daemon(self, name: str, command: str, settings: dict[str, Any]) -> Daemon:
         """Start a product process with its settings in a file."""
         path = self.directory / f"{name}.json"
+        settings = settings | self.settings.get(command, {})
         path.write_text(json.dumps(settings, indent=2))
         arguments = ["-m", "bamboopier_cli", command, "--settings", str(path)]
         return self.start_process(name, arguments)
