--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: reference demo demo-stay test check format types protocol mutations bench bench-load capacity
+.PHONY: reference demo demo-stay test check format types protocol mutations bench bench-load capacity bench-context
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
@@ -38,6 +38,9 @@
 reference: $(VENV)/ready
 	$(PYTHON) tools/reference.py
 
+bench-context: $(VENV)/ready
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_context
+
 # Only needed after editing the .proto file; its output is committed.
 protocol: $(VENV)/ready
 	cd libraries/protocol/src && $(abspath $(PYTHON)) -m grpc_tools.protoc -I . \
