--- a/libraries/gateway/src/bamboopier_gateway/agents.py
+++ b/libraries/gateway/src/bamboopier_gateway/agents.py
@@ -7,27 +7,36 @@
 
 import grpc
 
+from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import GRPC_OPTIONS
 from bamboopier_protocol import agent_pb2_grpc
 
 if TYPE_CHECKING:
     from types import TracebackType
 
-
-# A stream may outlast its target's place in the VM list by this long: a week, which is
-# the longest timeout a service may have.
+CONNECT_SECONDS = 1.0
+OPTIONS = [
+    *GRPC_OPTIONS,
+    # gRPC would send a call again by itself when a connection breaks early; whether a
+    # request may be repeated is the router's decision.
+    ("grpc.enable_retries", 0),
+    # An agent that was replaced is reached again within a second.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+]
+
+# A stream may outlast its target's place in the VM list, or its channel's certificate,
+# by this long: a week, which is the longest timeout a service may have.
 CLOSE_GRACE_SECONDS = 7 * 86_400.0
 
 
-def open_channel(address: str) -> grpc.aio.Channel:
-    """Return a channel to the agent at ``address``; it connects at first use."""
-    return grpc.aio.insecure_channel(address, options=GRPC_OPTIONS)
-
-
 class Agents:
     """Hands out stubs by address; closes what it opened."""
 
-    def __init__(self) -> None:
+    def __init__(self, certificates: Certificates | None = None) -> None:
+        self._certificates = certificates or Certificates(None)
+        self._certificates.tell(self._renew)
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -47,11 +56,32 @@
 
     def find(self, address: str) -> agent_pb2_grpc.AgentStub:
         """Return a stub for the agent at ``address``."""
+        return agent_pb2_grpc.AgentStub(self._find_channel(address))
+
+    async def reach(
+        self, address: str, timeout: float = CONNECT_SECONDS
+    ) -> agent_pb2_grpc.AgentStub | None:
+        """Return a stub once its connection stands; None when nothing can be sent.
+
+        gRPC gives one status for a connection that was never made and for one that
+        broke with the request under way. Waiting for the connection first tells them
+        apart: without it a dead agent makes every non-idempotent call end "unknown".
+        """
+        channel = self._find_channel(address)
+        try:
+            async with asyncio.timeout(min(timeout, CONNECT_SECONDS)):
+                if not await _is_ready(channel):
+                    return None
+        except TimeoutError:
+            return None
+        return agent_pb2_grpc.AgentStub(channel)
+
+    def _find_channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channels.get(address)
         if channel is None:
-            channel = open_channel(address)
+            channel = self._certificates.open_channel(address, OPTIONS)
             self._channels[address] = channel
-        return agent_pb2_grpc.AgentStub(channel)
+        return channel
 
     def keep_only(self, addresses: set[str]) -> None:
         """Close the channels of agents that are gone, each once its streams have ended.
@@ -61,7 +91,25 @@
         each of the 84 VMs replaced a day.
         """
         for address in set(self._channels) - addresses:
-            channel = self._channels.pop(address)
-            task = asyncio.create_task(channel.close(CLOSE_GRACE_SECONDS))
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            self._retire(self._channels.pop(address))
+
+    def _renew(self) -> None:
+        """Connect anew with the replaced certificate at the next call of each agent."""
+        for channel in self._channels.values():
+            self._retire(channel)
+        self._channels.clear()
+
+    def _retire(self, channel: grpc.aio.Channel) -> None:
+        """Close a channel once its streams have ended."""
+        task = asyncio.create_task(channel.close(CLOSE_GRACE_SECONDS))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+async def _is_ready(channel: grpc.aio.Channel) -> bool:
+    """Wait while the channel connects; False at the first failure."""
+    state = channel.get_state(try_to_connect=True)
+    while state in (grpc.ChannelConnectivity.IDLE, grpc.ChannelConnectivity.CONNECTING):
+        await channel.wait_for_state_change(state)
+        state = channel.get_state(try_to_connect=True)
+    return bool(state is grpc.ChannelConnectivity.READY)
