Let operators' commands use certificates; reach an agent that came back

Change: BAMBOOPIER_TLS names the operator's certificate; only Serve and Recall ask for the gateways' name; a plain channel to another VM needs allow_plain; patterns end with \Z; reach waits for the next try of a channel in backoff.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -62,7 +62,7 @@
     """Run until SIGTERM or SIGINT, then let what runs finish."""
     generator = random.Random(f"{settings.vm}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        certificates = Certificates(settings.tls)
+        certificates = Certificates(settings.tls, allow_plain=settings.allow_plain)
         context_out = certificates.make_client_context()
         platform = await stack.enter_async_context(
             HttpPlatform(settings.platform_url, context_out)
--- a/libraries/cli/src/bamboopier_cli/commands/drain.py
+++ b/libraries/cli/src/bamboopier_cli/commands/drain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from bamboopier_cli.credentials import open_platform
 from bamboopier_cli.output import render
 from bamboopier_cli.publishing import (
     ChangeResult,
@@ -11,7 +12,6 @@
     fail_behind,
     wait_everywhere,
 )
-from bamboopier_platform.http_platform import HttpPlatform
 
 
 def drain(
@@ -42,6 +42,6 @@
 async def _drain(
     place: str, name: str, url: str, wait: bool, timeout: float
 ) -> ChangeResult:
-    async with HttpPlatform(url) as platform:
+    async with open_platform(url) as platform:
         result = await change_drains(platform, place, name, drained=True)
         return await wait_everywhere(platform, result, timeout) if wait else result
--- a/libraries/cli/src/bamboopier_cli/commands/publish.py
+++ b/libraries/cli/src/bamboopier_cli/commands/publish.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err
 
+from bamboopier_cli.credentials import open_platform
 from bamboopier_cli.difference import Difference, compare, describe
 from bamboopier_cli.exits import CommandError
 from bamboopier_cli.output import render
@@ -19,7 +20,6 @@
     wait_everywhere,
 )
 from bamboopier_platform.errors import VersionConflictError
-from bamboopier_platform.http_platform import HttpPlatform
 from bamboopier_platform.publisher import Publisher
 
 from .check import collect_or_fail
@@ -68,7 +68,7 @@
 async def _publish(
     configuration: Configuration, url: str, wait: bool, dry_run: bool, timeout: float
 ) -> PublishResult:
-    async with HttpPlatform(url) as platform:
+    async with open_platform(url) as platform:
         publisher = Publisher(platform)
         base = await read_current(publisher)
         wanted = msgspec.structs.replace(
--- a/libraries/cli/src/bamboopier_cli/commands/status.py
+++ b/libraries/cli/src/bamboopier_cli/commands/status.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
+from bamboopier_cli.credentials import open_platform
 from bamboopier_cli.output import render
 from bamboopier_cli.publishing import read_current
 from bamboopier_cli.survey import NodeStatus, ask_nodes, list_nodes
-from bamboopier_platform.http_platform import HttpPlatform
 from bamboopier_platform.publisher import Publisher
 
 if TYPE_CHECKING:
@@ -42,7 +42,7 @@
 
 
 async def _status(url: str) -> FleetStatus:
-    async with HttpPlatform(url) as platform:
+    async with open_platform(url) as platform:
         current = await read_current(Publisher(platform))
         nodes = await ask_nodes(await list_nodes(platform))
         drains = current.configuration.drains
--- a/libraries/cli/src/bamboopier_cli/survey.py
+++ b/libraries/cli/src/bamboopier_cli/survey.py
@@ -19,6 +19,7 @@
 from bamboopier_gateway.status import GatewayStatus
 from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
 
+from .credentials import read_certificates
 from .exits import CommandError
 
 if TYPE_CHECKING:
@@ -61,7 +62,10 @@
     """Return the status of each node in the order given."""
     gate = asyncio.Semaphore(ASKED_AT_ONCE)
     timeout = aiohttp.ClientTimeout(total=ANSWER_SECONDS)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    connector = aiohttp.TCPConnector(
+        ssl=read_certificates().make_client_context() or True
+    )
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
 
         async def ask(vm: Vm) -> NodeStatus:
             async with gate:
@@ -105,7 +109,8 @@
 async def _ask_gateway(session: aiohttp.ClientSession, vm: Vm) -> NodeStatus:
     status = _start_status(vm)
     try:
-        async with session.get(f"http://{vm.address}/v1/status") as response:
+        scheme = "https" if read_certificates().are_used else "http"
+        async with session.get(f"{scheme}://{vm.address}/v1/status") as response:
             found = msgspec.json.decode(await response.read(), type=GatewayStatus)
     except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
         return status
@@ -120,7 +125,7 @@
 
 async def _ask_agent(vm: Vm) -> NodeStatus:
     status = _start_status(vm)
-    async with grpc.aio.insecure_channel(vm.address) as channel:
+    async with read_certificates().open_channel(vm.address) as channel:
         stub = agent_pb2_grpc.AgentStub(channel)
         try:
             report = await stub.Report(pb.ReportRequest(), timeout=ANSWER_SECONDS)
--- a/libraries/configuration/src/bamboopier_configuration/model.py
+++ b/libraries/configuration/src/bamboopier_configuration/model.py
@@ -11,13 +11,13 @@
 import msgspec
 
 Name = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$", max_length=63)
+    str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?\Z", max_length=63)
 ]
-Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 # Plain segments only: a declaration with an escape or a dot segment would never match
 # the paths that callers' requests are reduced to.
 RoutePath = Annotated[
-    str, msgspec.Meta(pattern=r"^/([A-Za-z0-9._~@:-]+(/[A-Za-z0-9._~@:-]+)*/?)?$")
+    str, msgspec.Meta(pattern=r"^/([A-Za-z0-9._~@:-]+(/[A-Za-z0-9._~@:-]+)*/?)?\Z")
 ]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=7 * 86_400)]
--- a/libraries/configuration/src/bamboopier_configuration/settings.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings.py
@@ -10,8 +10,8 @@
 from .model import Name, Seconds
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
-Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^/?#@\s]+/?$")]
-Secret = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^/?#@\s]+/?\Z")]
+Secret = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 FilePath = Annotated[str, msgspec.Meta(min_length=1)]
 
 
--- a/libraries/daemon/src/bamboopier_daemon/certificates.py
+++ b/libraries/daemon/src/bamboopier_daemon/certificates.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import ssl
+from ipaddress import ip_address
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -30,15 +31,25 @@
 
 
 class Certificates:
-    """Credentials from the files of ``tls``; without ``tls`` everything is plain."""
+    """Credentials from the files of ``tls``.
 
-    def __init__(self, tls: Tls | None) -> None:
+    Without ``tls`` connections are plain: to loopback addresses, and elsewhere only if
+    ``allow_plain`` is set.
+    """
+
+    def __init__(self, tls: Tls | None, *, allow_plain: bool = False) -> None:
         self._tls = tls
+        self._allow_plain = allow_plain
         self._pem = _Pem.read(tls) if tls is not None else None
         self._contexts: list[tuple[ssl.SSLContext, CallerTls | Tls]] = []
         self._listeners: list[Callable[[], None]] = []
         self._stamps: dict[str, _Stamp] = {}
 
+    @property
+    def are_used(self) -> bool:
+        """Say whether connections are made with certificates."""
+        return self._tls is not None
+
     def tell(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after files were replaced."""
         self._listeners.append(listener)
@@ -48,7 +59,13 @@
     ) -> grpc.aio.Channel:
         """Return a channel to another process of the system."""
         if self._pem is None:
-            return grpc.aio.insecure_channel(address, options=options)
+            if self._allow_plain or is_loopback(address):
+                return grpc.aio.insecure_channel(address, options=options)
+            # Nothing of a request leaves in the clear: a plain peer fails the
+            # handshake, and the request certainly did not run.
+            log.warning("plain connection refused", address=address)
+            credentials = grpc.ssl_channel_credentials()
+            return grpc.aio.secure_channel(address, credentials, options=options)
         pem = self._pem
         credentials = grpc.ssl_channel_credentials(
             pem.authority, pem.key, pem.certificate
@@ -138,6 +155,15 @@
         ]
 
 
+def is_loopback(address: str) -> bool:
+    """Say whether ``address`` (IP number and port) is on this very machine."""
+    host = address.rpartition(":")[0].strip("[]")
+    try:
+        return ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
 class _Pem:
     """The content of the files, as gRPC wants it."""
 
--- a/libraries/daemon/src/bamboopier_daemon/peer_check.py
+++ b/libraries/daemon/src/bamboopier_daemon/peer_check.py
@@ -11,13 +11,15 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
 SAN_FIELD = "x509_subject_alternative_name"
-AGENT_SERVICE = "/bamboopier.v1.Agent/"
+# What orders work or reads an answer. Load and configuration may be asked for by every
+# peer with a certificate of the authority: operators and other agents do.
+GUARDED = frozenset({"/bamboopier.v1.Agent/Serve", "/bamboopier.v1.Agent/Recall"})
 
 log = structlog.get_logger()
 
 
 class PeerCheck(grpc.aio.ServerInterceptor):  # type: ignore[type-arg]
-    """Refuses calls of the agent's service from peers that are no gateway.
+    """Refuses calls that order work from peers that are no gateway.
 
     Every agent holds a certificate of the same authority. Without this check one
     captured target VM could order work from all others.
@@ -31,9 +33,9 @@
         continuation: Callable[[Any], Awaitable[Any]],
         handler_call_details: Any,
     ) -> Any:
-        """Wrap the handlers of the agent's service."""
+        """Wrap the handlers of the guarded calls."""
         handler = await continuation(handler_call_details)
-        if handler is None or not handler_call_details.method.startswith(AGENT_SERVICE):
+        if handler is None or handler_call_details.method not in GUARDED:
             return handler
         if handler.unary_stream is not None:
             return grpc.unary_stream_rpc_method_handler(
--- a/libraries/daemon/tests/test_certificates.py
+++ b/libraries/daemon/tests/test_certificates.py
@@ -8,10 +8,13 @@
 import unittest
 from contextlib import suppress
 from pathlib import Path
+from unittest import mock
 
+import grpc
 import trustme
 
 from bamboopier_configuration.settings import Tls
+from bamboopier_daemon import certificates
 from bamboopier_daemon.certificates import Certificates
 
 HOST = "127.0.0.1"
@@ -58,15 +61,15 @@
             await self.reach(Certificates(self.tls).make_client_context())
 
     async def test_replaced_files_are_used_and_broken_ones_left(self) -> None:
-        certificates = Certificates(self.tls)
+        own = Certificates(self.tls)
         told: list[int] = []
-        certificates.tell(lambda: told.append(1))
-        context = certificates.make_client_context()
+        own.tell(lambda: told.append(1))
+        context = own.make_client_context()
         (self.folder / "own.key").write_text("half written")
-        certificates.reload()
+        own.reload()
         self.assertEqual((await self.reach(context), told), (b"x", []))
         self.issue(trustme.CA())
-        certificates.reload()
+        own.reload()
         self.assertEqual(told, [1])
         # With TLS 1.3 the server's refusal comes after the client's handshake.
         received = b""
@@ -74,10 +77,39 @@
             received = await self.reach(context)
         self.assertEqual(received, b"")
 
+    async def test_plain_channels_go_to_loopback_unless_allowed(self) -> None:
+        # A gateway without certificates meets an agent on another machine: with no word
+        # in its settings it must not send a prompt there in the clear.
+        server = grpc.aio.server()
+        port = server.add_insecure_port(f"{HOST}:0")
+        await server.start()
+        self.addAsyncCleanup(server.stop, None)
+        address = f"{HOST}:{port}"
+        for is_near, allowed, expected in (
+            (True, False, True),
+            (False, True, True),
+            (False, False, False),
+        ):
+            with mock.patch.object(certificates, "is_loopback", return_value=is_near):
+                opener = Certificates(None, allow_plain=allowed)
+                async with opener.open_channel(address) as channel:
+                    reached = await is_reached(channel)
+            self.assertEqual(reached, expected, (is_near, allowed))
+        self.assertTrue(certificates.is_loopback("[::1]:80"))
+        self.assertFalse(certificates.is_loopback("10.0.0.1:80"))
+
     async def test_without_settings_everything_is_plain(self) -> None:
-        certificates = Certificates(None)
-        self.assertIsNone(certificates.make_client_context())
-        self.assertIsNone(certificates.make_caller_context(None))
+        plain = Certificates(None)
+        self.assertIsNone(plain.make_client_context())
+        self.assertIsNone(plain.make_caller_context(None))
+
+
+async def is_reached(channel: grpc.aio.Channel) -> bool:
+    state = channel.get_state(try_to_connect=True)
+    while state in (grpc.ChannelConnectivity.IDLE, grpc.ChannelConnectivity.CONNECTING):
+        await channel.wait_for_state_change(state)
+        state = channel.get_state()
+    return state is grpc.ChannelConnectivity.READY
 
 
 async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/libraries/gateway/src/bamboopier_gateway/agents.py
+++ b/libraries/gateway/src/bamboopier_gateway/agents.py
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-CONNECT_SECONDS = 1.0
+# Above the longest wait between two tries, so that each request sees a fresh one.
+CONNECT_SECONDS = 1.5
 OPTIONS = [
     *GRPC_OPTIONS,
     # gRPC would send a call again by itself when a connection breaks early; whether a
@@ -35,7 +36,7 @@
     """Hands out stubs by address; closes what it opened."""
 
     def __init__(self, certificates: Certificates | None = None) -> None:
-        self._certificates = certificates or Certificates(None)
+        self._certificates = certificates or Certificates(None, allow_plain=True)
         self._certificates.tell(self._renew)
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._closing: set[asyncio.Task[None]] = set()
@@ -107,8 +108,16 @@
 
 
 async def _is_ready(channel: grpc.aio.Channel) -> bool:
-    """Wait while the channel connects; False at the first failure."""
+    """Wait while the channel connects; False at the first failure.
+
+    A failure from before says nothing about now: the next try, which comes within a
+    second, decides. Else requests that arrive just after an agent's restart would be
+    refused although it is up.
+    """
     state = channel.get_state(try_to_connect=True)
+    if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+        await channel.wait_for_state_change(state)
+        state = channel.get_state(try_to_connect=True)
     while state in (grpc.ChannelConnectivity.IDLE, grpc.ChannelConnectivity.CONNECTING):
         await channel.wait_for_state_change(state)
         state = channel.get_state(try_to_connect=True)
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -43,7 +43,7 @@
     """Run until SIGTERM or SIGINT, then let every request finish."""
     generator = random.Random(f"{settings.vm}:{settings.seed}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        certificates = Certificates(settings.tls)
+        certificates = Certificates(settings.tls, allow_plain=settings.allow_plain)
         caller_context = certificates.make_caller_context(settings.caller_tls)
         platform = await stack.enter_async_context(
             HttpPlatform(settings.platform_url, certificates.make_client_context())
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -4,9 +4,11 @@
 
 import http.client
 import json
+import os
 import ssl
 import time
 import unittest
+from unittest import mock
 from urllib.parse import urlsplit
 
 import trustme
@@ -58,6 +60,20 @@
     def test_a_completion_runs_over_tls_on_both_sides(self) -> None:
         self.assertEqual(self.ask("good").status, 200)
 
+    def test_an_operator_reaches_nodes_with_a_certificate_only(self) -> None:
+        section = self.files.issue("operator", "operator.bamboopier")
+        path = self.installation.directory / "operator.json"
+        path.write_text(json.dumps(section))
+        url = self.installation.platform_url
+        for variable, generations in ((str(path), [1, 1]), ("", [0, 0])):
+            with mock.patch.dict(os.environ, {"BAMBOOPIER_TLS": variable}):
+                done = self.installation.run_command(
+                    "status", "--platform", url, "--json"
+                )
+            nodes = json.loads(done.stdout)["nodes"]
+            found = [n["generation"] for n in nodes if n["name"] in (DESK, "good")]
+            self.assertEqual(found, generations)
+
     def test_plain_http_gets_nothing_from_a_tls_port(self) -> None:
         url = self.installation.gateways["good"]
         self.assertNotIn(b"200 OK", exchange(url, make_head("GET", "/v1/models")))
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -114,7 +114,7 @@
     ) -> None:
         """Start a target stand-in (``engine`` or ``plain``) and the agent beside it.
 
-        ``agent`` is a dict of further settings of the agent, ``options`` the stand-in's own.
+        ``agent`` has further settings of the agent, ``options`` are the stand-in's own.
         """
         port = self._start_stand_in(f"{name}-target", kind, options)
         self.targets[name] = f"http://{HOST}:{port}"
