Measure what a decision costs

Cause: nothing showed how the cost of a decision grows with targets, workspaces and queue; judging slowness each second would have walked all targets for every ninth request of a gateway, so it now takes a sample per eight targets too.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 # Simulated time only; the table with its baselines takes some minutes.
 bench-load: $(VENV)/ready
 	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.table
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.cost
 
 # Writes docs/configuration.md from the checked types; its output is committed.
 reference: $(VENV)/ready
--- a/libraries/decisions/src/bamboopier_decisions/routing/service_targets.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/service_targets.py
@@ -27,6 +27,9 @@
 MAX_WALKED = 12
 # Slowness moves over several answers; judging it once a second is soon enough.
 JUDGE_SECONDS = 1.0
+# At most one judgement in so many first bytes per target: it walks all targets, and a
+# gateway with few requests must not pay for that with each of them.
+TARGETS_PER_SAMPLE = 8
 
 
 class ServiceTargets:
@@ -40,6 +43,7 @@
         self._near = near or states
         self._ring = HashRing(points)
         self._judged = 0.0
+        self._samples = 0
         self._median = 0.0
 
     def __len__(self) -> int:
@@ -99,7 +103,10 @@
     ) -> None:
         """Learn how fast ``state`` is and set the slowest aside where due."""
         state.slowness.add(now, seconds, tokens, self._median)
-        if now - self._judged < JUDGE_SECONDS:
+        self._samples += 1
+        few = self._samples * TARGETS_PER_SAMPLE < len(self._states)
+        if few or now - self._judged < JUDGE_SECONDS:
             return
         self._judged = now
+        self._samples = 0
         self._median = set_aside_slow(now, [s.slowness for s in self._states])
--- /dev/null
+++ b/tools/bench_load/cost.py
@@ -0,0 +1,162 @@
+"""What a decision costs, by the number of targets, workspaces and waiting requests."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import time
+import tracemalloc
+from random import Random
+from typing import TYPE_CHECKING
+
+import fire
+
+from bamboopier_decisions.admission.admission import Admission
+from bamboopier_decisions.admission.messages import (
+    Start,
+    Tick,
+    WorkArrived,
+    WorkEnded,
+)
+from bamboopier_decisions.routing.messages import (
+    AttemptEnded,
+    Distance,
+    FirstByteCame,
+    FleetChanged,
+    Ran,
+    RequestArrived,
+    Send,
+    TargetLoad,
+    TargetReported,
+    TargetView,
+)
+from bamboopier_decisions.routing.router import Router
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+TARGETS = (12, 730, 2900)
+WORKSPACES = (10, 6300)
+QUEUES = (100, 1000, 10_000)
+REQUESTS = 3000
+TICKS = 200
+# Requests a second of one gateway at the design size, 3,100 over 340, with room.
+GATEWAY_RATE = 20.0
+MICROSECONDS = 1e6
+
+
+def fit_exponent(sizes: Sequence[int], costs: Sequence[float]) -> float:
+    """Return the slope of log cost over log size by least squares."""
+    x = [math.log(size) for size in sizes]
+    y = [math.log(cost) for cost in costs]
+    middle_x, middle_y = sum(x) / len(x), sum(y) / len(y)
+    covariance = sum((a - middle_x) * (b - middle_y) for a, b in zip(x, y, strict=True))
+    return covariance / sum((a - middle_x) ** 2 for a in x)
+
+
+def measure_routing(targets: int, workspaces: int) -> tuple[float, float]:
+    """Return microseconds for a request's choice and for all of its events."""
+    router = Router(Random(1))
+    near = Distance.SAME_REGION
+    views = tuple(TargetView(f"t{n}", "chat", near) for n in range(targets))
+    router.handle(FleetChanged(0.0, views))
+    load = TargetLoad(running=4, limit=16, prefill_rate=8000.0, start_id="1")
+    choosing = 0.0
+    started = time.perf_counter()
+    for number in range(REQUESTS):
+        now = 100 + number / GATEWAY_RATE
+        key = hashlib.blake2b(str(number % 997).encode(), digest_size=16).digest()
+        workspace = f"w{number % workspaces}"
+        request = RequestArrived(
+            now, str(number), workspace, "chat", True, now + 60, 900, 100, (key, key)
+        )
+        before = time.perf_counter()
+        sent = router.handle(request)
+        choosing += time.perf_counter() - before
+        if not isinstance(sent, Send):
+            raise AssertionError(sent)
+        router.handle(TargetReported(now, sent.target, load))
+        router.handle(FirstByteCame(now, str(number), sent.target, 0.1))
+        router.handle(AttemptEnded(now, str(number), sent.target, Ran.YES))
+    whole = time.perf_counter() - started
+    scale = MICROSECONDS / REQUESTS
+    return choosing * scale, whole * scale
+
+
+def measure_fleet_change(targets: int) -> float:
+    """Return milliseconds for a change of one target, all in one service."""
+    router = Router(Random(1))
+    near = Distance.SAME_REGION
+    views = tuple(TargetView(f"t{n}", "chat", near) for n in range(targets + 1))
+    router.handle(FleetChanged(0.0, views))
+    started = time.perf_counter()
+    router.handle(FleetChanged(1.0, views[:-1]))
+    return (time.perf_counter() - started) * 1000
+
+
+def measure_admission(waiting: int, workspaces: int) -> tuple[float, float, float]:
+    """Return microseconds per arrival with its end, per tick, and bytes per request."""
+    tracemalloc.start()
+    admission = Admission(32, 1_000_000, Random(1))
+    running: list[str] = []
+
+    def arrive(number: int, now: float) -> None:
+        workspace = f"w{number % workspaces}"
+        work = WorkArrived(
+            now, str(number), workspace, 1.0, 0, now + 1e6, 800 + number % 97, 256
+        )
+        for decision in admission.handle(work):
+            if isinstance(decision, Start):
+                running.append(decision.request_id)
+
+    for number in range(waiting + 2):
+        arrive(number, 0.0)
+    size = tracemalloc.get_traced_memory()[0] / waiting
+    tracemalloc.stop()
+    started = time.perf_counter()
+    for step in range(REQUESTS):
+        # A shorter time than counts as a standing queue, which is kept short.
+        now = step / REQUESTS
+        arrive(waiting + 2 + step, now)
+        ended = WorkEnded(now, running.pop(0), False, cancelled=True)
+        running.extend(d.request_id for d in admission.handle(ended))
+    each = (time.perf_counter() - started) / REQUESTS * MICROSECONDS
+    started = time.perf_counter()
+    for step in range(TICKS):
+        admission.handle(Tick(1.0 + step / 1000))
+    tick = (time.perf_counter() - started) / TICKS * MICROSECONDS
+    return each, tick, size
+
+
+def main() -> None:
+    """Print the tables with the fitted exponents."""
+    print("| targets | workspaces | choice µs | all events µs | fleet change ms |")
+    print("|---|---|---|---|---|")
+    for workspaces in WORKSPACES:
+        choices: list[float] = []
+        wholes: list[float] = []
+        for targets in TARGETS:
+            choice, whole = measure_routing(targets, workspaces)
+            choices.append(choice)
+            wholes.append(whole)
+            change = measure_fleet_change(targets)
+            cells = f"{choice:.1f} | {whole:.1f} | {change:.1f}"
+            print(f"| {targets} | {workspaces} | {cells} |")
+        exponents = (fit_exponent(TARGETS, costs) for costs in (choices, wholes))
+        print("exponent in targets: " + ", ".join(f"{e:+.2f}" for e in exponents))
+    print("| waiting | workspaces | arrival and end µs | tick µs | bytes a request |")
+    print("|---|---|---|---|---|")
+    for workspaces in WORKSPACES:
+        costs = [measure_admission(waiting, workspaces) for waiting in QUEUES]
+        for waiting, (each, tick, size) in zip(QUEUES, costs, strict=True):
+            print(
+                f"| {waiting} | {workspaces} | {each:.1f} | {tick:.1f} | {size:.0f} |"
+            )
+        exponents = (
+            fit_exponent(QUEUES, [cost[column] for cost in costs]) for column in (0, 1)
+        )
+        print("exponent in waiting: " + ", ".join(f"{e:+.2f}" for e in exponents))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
