Drive the context bench through the router's front

It now tells the router events and reads its decisions, which is the front that other drivers are meant to use.

--- a/tools/bench_context/drive.py
+++ b/tools/bench_context/drive.py
@@ -19,9 +19,18 @@
     is_worth_keeping,
 )
 from bamboopier_decisions.context.placement import StoreVm, list_sources, place_block
-from bamboopier_decisions.routing.choice import choose_target
-from bamboopier_decisions.routing.messages import Distance, TargetLoad, TargetView
-from bamboopier_decisions.routing.target_state import TargetState
+from bamboopier_decisions.routing.messages import (
+    AttemptEnded,
+    Distance,
+    FleetChanged,
+    Ran,
+    RequestArrived,
+    Send,
+    TargetLoad,
+    TargetReported,
+    TargetView,
+)
+from bamboopier_decisions.routing.router import Router
 
 from .fleet import Engine, StoreVmFake
 from .traces import BLOCK_TOKENS
@@ -68,10 +77,12 @@
             for n in range(site.store_vms)
         )
         self.stores = {vm.name: StoreVmFake(site.store_blocks) for vm in self.vms}
-        self.states = {
-            e.name: TargetState(TargetView(e.name, "s", Distance.SAME_DATA_CENTRE))
-            for e in self.engines
-        }
+        self.router = Router(self.random)
+        views = tuple(
+            TargetView(engine.name, "s", Distance.SAME_DATA_CENTRE)
+            for engine in self.engines
+        )
+        self.router.handle(FleetChanged(0.0, views))
         self.tags = {
             f"workspace-{n}": derive_workspace_tag(SECRET, f"workspace-{n}")
             for n in range(10)
@@ -97,28 +108,37 @@
 
     def _arrive(self, now: float, prompt: Prompt) -> None:
         engine = self._route(now, prompt)
-        self.states[engine.name].add_sent(prompt.tokens)
         seconds = self._fetch(now, engine, prompt) if self.policy.weights else 0.0
         self._at(now + seconds, lambda at: self._prefill(at, now, engine, prompt))
 
     def _route(self, now: float, prompt: Prompt) -> Engine:
         if self.policy.routing == "round-robin":
             return next(self._turns)
-        for engine in self.engines:
-            delay = max(0.0, engine.busy_until - now)
-            load = TargetLoad(prefill_rate=self.site.prefill_rate, queue_delay=delay)
-            self.states[engine.name].report(load)
         if self.policy.routing == "least-loaded":
             return min(self.engines, key=lambda e: (e.busy_until, self.random.random()))
-        choice = choose_target(
-            list(self.states.values()),
-            prompt.keys,
-            prompt.tokens,
-            BLOCK_TOKENS,
-            self.random,
+        for engine in self.engines:
+            delay = max(0.0, engine.busy_until - now)
+            load = TargetLoad(
+                limit=32, prefill_rate=self.site.prefill_rate, queue_delay=delay
+            )
+            self.router.handle(TargetReported(now, engine.name, load))
+        request_id = str(next(self._order))
+        decision = self.router.handle(
+            RequestArrived(
+                now=now,
+                request_id=request_id,
+                workspace=prompt.workspace,
+                service="s",
+                idempotent=True,
+                deadline=now + MAX_MILLISECONDS,
+                prompt_tokens=prompt.tokens,
+                block_tokens=BLOCK_TOKENS,
+                block_keys=prompt.keys,
+            )
         )
-        assert choice is not None
-        name = choice.state.view.target
+        assert isinstance(decision, Send)
+        name = decision.target
+        self.router.handle(AttemptEnded(now, request_id, name, Ran.YES))
         return next(engine for engine in self.engines if engine.name == name)
 
     def _fetch(self, now: float, engine: Engine, prompt: Prompt) -> float:
