Bound the bytes of bodies that all requests hold together

Cause: a body is held until its request ends; 10,000 connections times 4 MiB are 40 GB, and the process would be killed with every request it has.

The plain stand-in echoes only method, path and body again, so that the demo's output stays readable.

Ruled out: counting declared lengths (a caller could reserve all with one header).

--- a/libraries/configuration/src/bamboopier_configuration/settings.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings.py
@@ -66,6 +66,8 @@
     peers: list[str] = []
     # Callers' connections; one more is refused at once.
     max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 10_000
+    # Bytes of request bodies that all open requests may hold together.
+    max_held_body_bytes: Annotated[int, msgspec.Meta(ge=64 * 1024)] = 256 * 1024 * 1024
     # A request's headers must have arrived this long after their first byte.
     header_timeout_seconds: Seconds = 10.0
     # The body must have arrived this long after the headers.
--- a/libraries/gateway/src/bamboopier_gateway/application.py
+++ b/libraries/gateway/src/bamboopier_gateway/application.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-import uuid
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,8 +12,11 @@
 
 from bamboopier_decisions.routing.messages import Ran
 
+from .body import BodyBudget
 from .delivery import Delivery, SlowCallerError
-from .errors import CallerError, ErrorCode, quote
+from .error_answers import REQUEST_ID, abort, answer_errors
+from .errors import CallerError, ErrorCode
+from .model_list import list_models
 from .prompt import CHAT_PATH
 from .reader import authenticate
 from .status import GatewayStatus
@@ -22,10 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from aiohttp.typedefs import Handler
-
     from bamboopier_configuration.directory import Directory
-    from bamboopier_configuration.model import Workspace
     from bamboopier_configuration.settings import GatewaySettings
     from bamboopier_platform.follower import ConfigurationFollower
 
@@ -40,36 +39,11 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # For the last answers of requests that are cut when the process ends.
 CUT_SECONDS = 2.0
-MAX_HEADER_BYTES = 32 * 1024
-# Bytes of answers that may wait for a caller before its next request is read.
-MAX_UNREAD_BYTES = 256 * 1024
 REQUEST_ID_HEADER = "X-Request-Id"
-# Key of the id that the gateway gave a request; a caller's own is never taken for it.
-REQUEST_ID = web.RequestKey("request_id", str)
-# The rest of the request is not read, so nothing can follow it.
-_CLOSING = frozenset(
-    {ErrorCode.TOO_LARGE, ErrorCode.BODY_TIMEOUT, ErrorCode.HEADERS_TOO_LARGE}
-)
 
 log = structlog.get_logger()
 
 
-class ModelEntry(msgspec.Struct):
-    """One model as OpenAI's API lists it."""
-
-    id: str
-    object: str = "model"
-    created: int = 0
-    owned_by: str = "bamboopier"
-
-
-class ModelList(msgspec.Struct):
-    """The answer of ``/v1/models``."""
-
-    data: list[ModelEntry]
-    object: str = "list"
-
-
 class GatewayApplication:
     """Routes callers' requests and counts those under way."""
 
@@ -86,6 +60,7 @@
         self._reader = reader
         self._forwarder = forwarder
         self._metrics = metrics
+        self._bodies = BodyBudget(settings.max_held_body_bytes, metrics)
         self._stopping = False
         self._open = 0
         self._idle = asyncio.Event()
@@ -172,7 +147,8 @@
         if task is not None:
             self._tasks.add(task)
         try:
-            return await self._answer(request, read_call)
+            with self._bodies.open(request):
+                return await self._answer(request, read_call)
         finally:
             if task is not None:
                 self._tasks.discard(task)
@@ -209,7 +185,7 @@
             log.info("caller too slow", request_id=call.request_id)
             self._metrics.answers.labels(call.service, "slow-caller").inc()
             # A plain close would wait for the caller to take what is buffered.
-            _abort(request)
+            abort(request)
             raise ConnectionResetError("caller too slow") from None
         except ConnectionError:
             raise
@@ -231,78 +207,3 @@
         if delivery.begun:
             return await delivery.fail(error)
         return error.make_response(call.request_id)
-
-
-def list_models(directory: Directory, workspace: Workspace) -> ModelList:
-    """Return the models of a workspace's services in the form of OpenAI's API."""
-    names: dict[str, None] = {}
-    for service_name in workspace.services:
-        service = directory.services.get(service_name)
-        if service is not None:
-            names.update(dict.fromkeys(service.models))
-    return ModelList([ModelEntry(name) for name in names])
-
-
-@web.middleware
-async def answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
-    """Give the request its id and turn every failure into a typed answer.
-
-    Nothing has been sent to a target when an exception gets here: the attempts have a
-    handler of their own, so "ran: no" is true.
-    """
-    request[REQUEST_ID] = uuid.uuid4().hex
-    if _holds_too_much(request):
-        _abort(request)
-        raise ConnectionResetError("answers are not taken")
-    try:
-        _check_headers(request)
-        return await handler(request)
-    except CallerError as error:
-        caught = error
-    except web.HTTPException as error:
-        caught = _explain_status(request, error)
-    except ConnectionError:
-        raise
-    except Exception:
-        log.exception("request failed", request_id=request[REQUEST_ID])
-        caught = CallerError(ErrorCode.INTERNAL, "internal error")
-    response = caught.make_response(request[REQUEST_ID])
-    if caught.code in _CLOSING:
-        response.force_close()
-    return response
-
-
-def _check_headers(request: web.Request) -> None:
-    size = sum(len(name) + len(value) for name, value in request.raw_headers)
-    if size > MAX_HEADER_BYTES:
-        message = f"headers of {size} bytes; allowed: {MAX_HEADER_BYTES}"
-        raise CallerError(ErrorCode.HEADERS_TOO_LARGE, message)
-
-
-def _explain_status(request: web.Request, error: web.HTTPException) -> CallerError:
-    if error.status == ErrorCode.NOT_FOUND.status:
-        return CallerError(ErrorCode.NOT_FOUND, f"no such path: {quote(request.path)}")
-    if isinstance(error, web.HTTPMethodNotAllowed):
-        allowed = ", ".join(sorted(error.allowed_methods))
-        message = f"{error.method} is not allowed here; allowed: {allowed}"
-        return CallerError(ErrorCode.METHOD_NOT_ALLOWED, message)
-    if error.status == ErrorCode.TOO_LARGE.status:
-        return CallerError(ErrorCode.TOO_LARGE, "the body is too large")
-    return CallerError(ErrorCode.BAD_REQUEST, error.reason or "bad request")
-
-
-def _holds_too_much(request: web.Request) -> bool:
-    """Say whether a caller pipelines requests and takes none of their answers.
-
-    Short answers are buffered without waiting; without this check their number, and so
-    the gateway's memory, would be the caller's choice.
-    """
-    transport = request.transport
-    if transport is None:
-        return False
-    return transport.get_write_buffer_size() > MAX_UNREAD_BYTES
-
-
-def _abort(request: web.Request) -> None:
-    if request.transport is not None:
-        request.transport.abort()
--- a/libraries/gateway/src/bamboopier_gateway/body.py
+++ b/libraries/gateway/src/bamboopier_gateway/body.py
@@ -1,17 +1,71 @@
-"""Reads a caller's body within a size and a time."""
+"""Reads callers' bodies within a size, a time and a sum over all requests."""
 
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.web import RequestPayloadError
 
 from .errors import CallerError, ErrorCode
 
 if TYPE_CHECKING:
-    from aiohttp import web
+    from collections.abc import Iterator
+
+    from .metrics import GatewayMetrics
+
+RETRY_SECONDS = 1.0
+
+
+class BodyBudget:
+    """Bounds the bytes of bodies that all open requests hold together.
+
+    A body is held until its request ends, for it may be sent again. Connections times
+    the largest body would be many times a VM's memory, and the process would be killed
+    with every request it has; refusing the next one costs that one a retry.
+    """
+
+    def __init__(self, limit: int, metrics: GatewayMetrics) -> None:
+        self._limit = limit
+        self._held = 0
+        metrics.held_body_bytes.set_function(lambda: self._held)
+
+    @contextmanager
+    def open(self, request: web.Request) -> Iterator[None]:
+        """Hold what ``request`` reads for as long as the context is open."""
+        share = BodyShare(self)
+        request[BODY_SHARE] = share
+        try:
+            yield
+        finally:
+            self._held -= share.held
+
+    def take(self, size: int) -> None:
+        """Hold ``size`` bytes more; raises ``CallerError`` when that is too much."""
+        if self._held + size > self._limit:
+            message = "the bodies of all open requests fill this gateway's memory"
+            raise CallerError(ErrorCode.OVERLOADED, message, retry_after=RETRY_SECONDS)
+        self._held += size
+
+
+class BodyShare:
+    """The part of the budget that one request holds."""
+
+    __slots__ = ("_budget", "held")
+
+    def __init__(self, budget: BodyBudget) -> None:
+        self._budget = budget
+        self.held = 0
+
+    def take(self, size: int) -> None:
+        """Hold ``size`` bytes more; raises ``CallerError``."""
+        self._budget.take(size)
+        self.held += size
+
+
+BODY_SHARE = web.RequestKey("body_share", BodyShare)
 
 
 async def read_body(request: web.Request, limit: int, timeout: float) -> bytes:
@@ -23,19 +77,25 @@
     declared = request.content_length
     if declared is not None and declared > limit:
         raise _too_large(f"{declared}", limit)
-    body = bytearray()
     try:
         async with asyncio.timeout(timeout):
-            async for chunk in request.content.iter_any():
-                body += chunk
-                if len(body) > limit:
-                    raise _too_large("more", limit)
+            return await _read_chunks(request, limit)
     except TimeoutError as error:
         message = f"the body did not arrive within {timeout:g} seconds"
         raise CallerError(ErrorCode.BODY_TIMEOUT, message) from error
-    except (RequestPayloadError, HttpProcessingError) as error:
+    except (web.RequestPayloadError, HttpProcessingError) as error:
         message = "the body is cut or its framing is broken"
         raise CallerError(ErrorCode.BAD_REQUEST, message) from error
+
+
+async def _read_chunks(request: web.Request, limit: int) -> bytes:
+    share = request[BODY_SHARE]
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        share.take(len(chunk))
+        body += chunk
+        if len(body) > limit:
+            raise _too_large("more", limit)
     return bytes(body)
 
 
--- a/libraries/gateway/src/bamboopier_gateway/metrics.py
+++ b/libraries/gateway/src/bamboopier_gateway/metrics.py
@@ -37,6 +37,11 @@
             "Requests without a final answer now",
             registry=self.registry,
         )
+        self.held_body_bytes = Gauge(
+            "bamboopier_held_body_bytes",
+            "Bytes of request bodies that open requests hold now",
+            registry=self.registry,
+        )
         self.attempts = Counter(
             "bamboopier_attempts",
             "Attempts by service and reason of the choice",
--- a/libraries/gateway/tests/test_application.py
+++ b/libraries/gateway/tests/test_application.py
@@ -43,7 +43,9 @@
 
 class ApplicationTests(unittest.IsolatedAsyncioTestCase):
     async def ask(self, read: Any, *, begins: bool = False) -> tuple[int, str]:
-        settings = SimpleNamespace(write_timeout_seconds=5.0, data_centre="dc")
+        settings = SimpleNamespace(
+            write_timeout_seconds=5.0, data_centre="dc", max_held_body_bytes=1000
+        )
         follower = SimpleNamespace(directory=None)
         reader = SimpleNamespace(read_model_call=read, read_plain_call=read)
         application = GatewayApplication(
@@ -54,7 +56,10 @@
             GatewayMetrics(),
         )
         server = TestServer(application.make_application())
-        with mock.patch("bamboopier_gateway.application.log"):
+        with (
+            mock.patch("bamboopier_gateway.application.log"),
+            mock.patch("bamboopier_gateway.error_answers.log"),
+        ):
             async with TestClient(server) as client:
                 answer = await client.post("/v1/completions", data=b"{}")
                 return answer.status, await answer.text()
--- a/libraries/standins/src/bamboopier_standins/plain.py
+++ b/libraries/standins/src/bamboopier_standins/plain.py
@@ -43,7 +43,8 @@
         }
         self.log.append(entry)
         await asyncio.sleep(self.delay)
-        answer = {"call": len(self.log), **entry}
+        shown = {name: entry[name] for name in ("method", "path", "body")}
+        answer = {"call": len(self.log), **shown}
         return web.json_response(answer, status=201 if body else 200)
 
     async def report_state(self, request: web.Request) -> web.Response:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import time
 import unittest
 from typing import Any
@@ -30,6 +31,7 @@
     "idle_timeout_seconds": 2.0,
 }
 MAX_CONNECTIONS = 3
+HELD_BYTES = 1024 * 1024
 # Each row: method, path, body, headers, status, code.
 ERRORS: list[tuple[str, str, Any, dict[str, str], int, str]] = [
     ("GET", "/nowhere", None, {}, 404, "not_found"),
@@ -101,7 +103,10 @@
         build_small_installation(cls.installation)
         cls.installation.start_gateway("tight", "dc-east", **TIGHT)
         cls.installation.start_gateway(
-            "few", "dc-east", max_connections=MAX_CONNECTIONS
+            "few",
+            "dc-east",
+            max_connections=MAX_CONNECTIONS,
+            max_held_body_bytes=HELD_BYTES,
         )
         cls.installation.wait_until_ready()
         cls.url = cls.installation.gateways["gateway-1"]
@@ -188,6 +193,40 @@
         self.assertEqual((status, error["code"]), (503, "too_many_connections"))
         self.assertEqual(error["ran"], "no")
 
+    def test_bodies_that_fill_the_memory_are_refused_and_the_held_ones_run(
+        self,
+    ) -> None:
+        # One caller's large body has nearly arrived; the next one's does not fit beside
+        # it. The second is refused at once, the first one ends as if alone.
+        url = self.installation.gateways["few"]
+        size = HELD_BYTES - 1000
+        head = make_head(
+            "POST",
+            "/services/dispatch/held",
+            f"Content-Length: {size}",
+            "Connection: close",
+        )
+        with connect(url) as first:
+            first.sendall(head + b"a" * (size - 1))
+            self.wait_for_held(size - 1)
+            answer = call(url, "POST", "/services/dispatch/next", "b" * 2000)
+            first.sendall(b"a")
+            received = read_to_end(first)
+        self.assertEqual((answer.status, answer.error["ran"]), (503, "no"))
+        self.assertEqual(answer.error["code"], "overloaded")
+        self.assertEqual(answer.headers["Retry-After"], "1")
+        self.assertIn(b"201 Created", received)
+        self.assertEqual(call(url, "POST", "/services/dispatch/held", "b").status, 201)
+
+    def wait_for_held(self, size: int) -> None:
+        """Wait until the gateway has read ``size`` bytes of bodies."""
+        limit = time.monotonic() + PATIENCE_SECONDS
+        url = self.installation.admin["few"] + "/metrics"
+        held = re.compile(r"^bamboopier_held_body_bytes (\S+)$", re.MULTILINE)
+        while float(held.findall(fetch(url).decode())[0]) != size:
+            self.assertLess(time.monotonic(), limit, "never read")
+            time.sleep(0.05)
+
     def test_a_caller_that_takes_nothing_loses_its_connection(self) -> None:
         # The caller asks for a large answer and reads none of it. Without a limit the
         # answer, its target and its memory would wait for that caller for ever.
