--- a/libraries/gateway/tests/test_agents.py
+++ b/libraries/gateway/tests/test_agents.py
@@ -1,29 +1,42 @@
-"""Reaching an agent that was away a moment ago."""
+"""Connections to agents that come and go."""
 
 from __future__ import annotations
 
-import socket
 import unittest
 
 import grpc
 
 from bamboopier_gateway.agents import Agents
+from bamboopier_protocol.agent_pb2_grpc import (
+    AgentServicer,
+    add_AgentServicer_to_server,
+)
 
-HOST = "127.0.0.1"
+
+async def start_agent(address: str) -> tuple[grpc.aio.Server, int]:
+    """Return an agent's server and the port it listens on."""
+    server = grpc.aio.server()
+    add_AgentServicer_to_server(AgentServicer(), server)
+    port = server.add_insecure_port(address)
+    await server.start()
+    return server, port
 
 
 class AgentsTests(unittest.IsolatedAsyncioTestCase):
-    async def test_an_agent_that_came_back_is_reached_by_the_next_request(self) -> None:
-        # A target's agent is restarted. The gateway has just failed to reach it and
-        # waits before it tries again; a caller's request that arrives in that moment
-        # was refused although the agent was up.
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            address = f"{HOST}:{probe.getsockname()[1]}"
+    async def test_an_agent_that_came_up_since_the_last_failure_is_reached(
+        self,
+    ) -> None:
+        # A gateway asks an agent that is not up yet; the agent starts; a request comes.
+        # While gRPC waits out its backoff the channel still shows the old failure, and
+        # the caller was told "overloaded" with its only target idle.
+        server, port = await start_agent("127.0.0.1:0")
+        await server.stop(None)
+        address = f"127.0.0.1:{port}"
         async with Agents() as agents:
-            self.assertIsNone(await agents.reach(address))
-            server = grpc.aio.server()
-            server.add_insecure_port(address)
-            await server.start()
-            self.addAsyncCleanup(server.stop, None)
-            self.assertIsNotNone(await agents.reach(address))
+            for _ in range(5):
+                self.assertIsNone(await agents.reach(address))
+            server, _ = await start_agent(address)
+            try:
+                self.assertIsNotNone(await agents.reach(address))
+            finally:
+                await server.stop(None)
