Be ready only with a configuration and a VM list

Cause: requests in the first moments were refused 'no-target' (seen in the gateways' logs of test_replay, test_shutdown and the demo) and first exports were dropped (test_blocks): gateway and agent said ready before they knew the VM list, agents before they had a configuration. Ruled out: admission and connections - the router had no target to weigh. Change: readiness asks for both. Test: a gateway with a configuration and no list; red before, green after.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -146,7 +146,10 @@
         await stack.enter_async_context(keep_running(orders))
 
         def is_ready() -> bool:
-            return watch.reachable and gate.admission.accepting
+            # Without services and stores this agent would refuse or forget what the
+            # first requests bring.
+            informed = follower.directory.generation > 0 and vms.is_known
+            return informed and watch.reachable and gate.admission.accepting
 
         add_process_metrics(
             metrics.registry,
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -83,17 +83,21 @@
                 settings, application.make_application(), metrics, caller_context
             )
         )
+
+        def is_ready() -> bool:
+            # With the configuration alone there is no target to send to: callers that
+            # the balancer sent here would all be refused.
+            return application.ready and vms.is_known
+
         add_process_metrics(
             metrics.registry,
             "gateway",
             settings,
-            lambda: application.ready,
+            is_ready,
             lambda: follower.directory.generation,
         )
         await stack.enter_async_context(
-            serve_administration(
-                settings.admin, metrics.registry, lambda: application.ready
-            )
+            serve_administration(settings.admin, metrics.registry, is_ready)
         )
         log.info("gateway started", vm=settings.vm, listen=str(settings.listen))
         with StopSignals() as signals:
--- a/libraries/platform/src/bamboopier_platform/vm_board.py
+++ b/libraries/platform/src/bamboopier_platform/vm_board.py
@@ -30,6 +30,11 @@
         self._read = False
         self.vms: tuple[Vm, ...] = ()
 
+    @property
+    def is_known(self) -> bool:
+        """Say whether any list has been seen; before that no VM can be used."""
+        return bool(self.vms)
+
     @property
     def nodes(self) -> int:
         """Return how many processes follow the configuration and this list."""
--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,52 @@
+"""A process says that it is ready only once it can carry work."""
+
+from __future__ import annotations
+
+import time
+import unittest
+import urllib.error
+
+from processes import Installation, fetch
+
+from .builders import publish_examples
+
+LIMIT_SECONDS = 20.0
+
+
+class ReadinessTests(unittest.TestCase):
+    def test_a_gateway_without_a_vm_list_is_not_ready(self) -> None:
+        # A gateway starts and has its configuration, but no VM list yet. Had the
+        # balancer sent it callers, each would have been refused for want of a target;
+        # they stay with other gateways until the list is there.
+        installation = self.enterContext(Installation())
+        installation.start_platform()
+        publish_examples(installation)
+        installation.holds_vm_list = True
+        installation.start_gateway("gateway-1", "dc-east")
+        self.wait_for_generation(installation.admin["gateway-1"])
+        self.assertFalse(self.is_ready(installation.admin["gateway-1"]))
+        installation.holds_vm_list = False
+        installation.put_vms()
+        installation.wait_until_ready()
+
+    def is_ready(self, url: str) -> bool:
+        try:
+            fetch(f"{url}/readyz")
+        except urllib.error.URLError:
+            return False
+        return True
+
+    def wait_for_generation(self, url: str) -> None:
+        """Wait until the process has a configuration."""
+        limit = time.monotonic() + LIMIT_SECONDS
+        while time.monotonic() < limit:
+            try:
+                if (
+                    "bamboopier_configuration_generation 1.0"
+                    in fetch(f"{url}/metrics").decode()
+                ):
+                    return
+            except urllib.error.URLError:
+                pass
+            time.sleep(0.05)
+        self.fail("no configuration")
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -75,6 +75,8 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     vms: list[dict[str, Any]] = field(default_factory=list)
     platform_url: str = ""
+    # The platform's list stays as it is, whatever starts.
+    holds_vm_list: bool = False
     # Addresses of the callers' side of each gateway and of administration ports.
     gateways: dict[str, str] = field(default_factory=dict)
     admin: dict[str, str] = field(default_factory=dict)
@@ -189,7 +191,9 @@
         self.put_vms()
 
     def put_vms(self) -> None:
-        """Send the VM list to the platform stand-in."""
+        """Send the VM list to the platform stand-in, unless it is held back."""
+        if self.holds_vm_list:
+            return
         send("PUT", f"{self.platform_url}/vms", self.vms)
 
     def set_faults(self, faults: dict[str, Any]) -> None:
