Take all blocks behind a missing one for lost

Cause: an agent that met a missing block forgot only that one. Of a prompt whose later blocks were gone as well (evicted together, or their store VM replaced by an empty one) each return mended a single block and recomputed the rest again.

Change: the blocks behind the missing one are no longer believed stored; the look before an export keeps those that are there from being sent.

Figures: the new test was red before the change.

--- a/libraries/agent/src/bamboopier_agent/context.py
+++ b/libraries/agent/src/bamboopier_agent/context.py
@@ -34,6 +34,8 @@
 from .store_link import StoreLink
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from bamboopier_decisions.context.rates import Rate
     from bamboopier_protocol.agent_pb2 import ServeRequest
 
@@ -215,12 +217,15 @@
                 self.exporter.note_stored(name.key)
                 size += len(answer.ok_value)
                 imported += 1
-        self._learn(names, imported, size, time.monotonic() - started, failure)
+        self._learn(imported, size, time.monotonic() - started, failure)
+        if isinstance(failure, BlockMissingError | BlockUnprovedError):
+            lost = work.block_keys[wanted.start + imported :]
+            damaged = isinstance(failure, BlockUnprovedError)
+            self._note_lost(lost, damaged=damaged)
         return imported
 
     def _learn(
         self,
-        names: list[BlockName],
         imported: int,
         size: int,
         seconds: float,
@@ -233,6 +238,14 @@
             return
         if imported:
             self._link.note_transfer(now, size, seconds)
-        if isinstance(failure, BlockMissingError | BlockUnprovedError):
-            damaged = isinstance(failure, BlockUnprovedError)
-            self.exporter.note_lost(names[imported].key, damaged=damaged)
+
+    def _note_lost(self, keys: Sequence[bytes], *, damaged: bool) -> None:
+        """The first of a prompt's remaining blocks was not had from any store.
+
+        Those behind it were written at the same time and have probably gone with it.
+        Without forgetting them each return would find, and write again, only one. A
+        look before each export keeps those that are there from being sent.
+        """
+        self.exporter.note_lost(keys[0], damaged=damaged)
+        for key in keys[1:]:
+            self.exporter.note_lost(key, damaged=False)
--- a/libraries/agent/tests/test_context.py
+++ b/libraries/agent/tests/test_context.py
@@ -220,6 +220,20 @@
             await rig.run_and_export(request, fetch=False)
             self.assertEqual(rig.count_calls("PUT"), writes)
 
+    async def test_evicted_blocks_are_written_again_at_one_return(self) -> None:
+        # Another agent evicted a prompt's last two blocks. This one, which wrote them,
+        # meets the first as a miss; were the second still believed stored, each return
+        # would mend a single block.
+        async with ContextRig() as rig:
+            request = build_request()
+            await rig.run_and_export(request)
+            for name in list_names(request)[1:]:
+                del rig.stores[0].blocks[name]
+            rig.engine.cache.clear()
+            rig.keeper.forget_resident()
+            self.assertEqual(await rig.run_and_export(request), BLOCK_TOKENS)
+            self.assertEqual(set(rig.stores[0].blocks), set(list_names(request)))
+
     async def test_a_slow_link_is_not_used_until_it_may_have_recovered(self) -> None:
         # The link has become a thousand times slower than prefill: nothing is read,
         # and nothing written that nobody would read.
--- a/tools/bench_context/drive.py
+++ b/tools/bench_context/drive.py
@@ -155,7 +155,7 @@
         fetched: list[bytes] = []
         for depth, key in enumerate(missing[: plan.blocks], resident):
             if not self._is_stored(engine, prompt, key, depth):
-                engine.known.discard(key)
+                engine.known.difference_update(prompt.keys[depth:])
                 break
             wait = engine.budget.take_fetch(now, size)
             speed = engine.read_link_speed(now)
