Refuse settings of a service that do not fit its kind

Cause: a model service without models, or a plain one with a store, was accepted and could never be called. Run: two new rows of test_collection, red before the change by their nature (no such check); make test: 187 passed, 0 failed.

--- a/libraries/configuration/src/bamboopier_configuration/collection.py
+++ b/libraries/configuration/src/bamboopier_configuration/collection.py
@@ -8,7 +8,7 @@
 
 from .errors import ConfigurationError
 from .model import Configuration, ConfigurationFile, Drains
-from .reader import read_file
+from .reader import read_file, show
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -70,7 +70,11 @@
                     found = f"duplicate name '{item.name}'"
                     return _duplicate(file, f"{path}.name", found, "name", known)
                 getattr(self.joined, section).append(item)
-        return self._check_routes(part.services) or self._check_digests(part.workspaces)
+        return (
+            self._check_kinds(part.services)
+            or self._check_routes(part.services)
+            or self._check_digests(part.workspaces)
+        )
 
     def find_dangling(self) -> ConfigurationError | None:
         """Return the first reference to a name that no file defines."""
@@ -92,6 +96,20 @@
                     return _dangling(place, f"services[{index}]", name, services)
         return None
 
+    def _check_kinds(self, services: list[Service]) -> ConfigurationError | None:
+        """Refuse what does not fit a service's kind: nobody could ever call it."""
+        for service in services:
+            file, place = self._names["services", service.name]
+            if service.kind == "model" and not service.models:
+                allowed = 'at least one model for a service of kind "model"'
+                return ConfigurationError(file, f"{place}.models", "none", allowed)
+            if service.kind == "plain" and (service.models or service.store):
+                field = "models" if service.models else "store"
+                found = show(getattr(service, field))
+                allowed = 'nothing for a service of kind "plain"'
+                return ConfigurationError(file, f"{place}.{field}", found, allowed)
+        return None
+
     def _check_routes(self, services: list[Service]) -> ConfigurationError | None:
         """Refuse a route that no request could ever reach."""
         for service in services:
--- a/libraries/configuration/tests/builders.py
+++ b/libraries/configuration/tests/builders.py
@@ -22,8 +22,8 @@
 
 
 def make_service(**changes: Any) -> dict[str, Any]:
-    """Return a model service."""
-    return {"name": "desk", "kind": "model", **changes}
+    """Return a plain service."""
+    return {"name": "desk", "kind": "plain", **changes}
 
 
 def make_workspace(**changes: Any) -> dict[str, Any]:
--- a/libraries/configuration/tests/test_collection.py
+++ b/libraries/configuration/tests/test_collection.py
@@ -29,17 +29,35 @@
         "a.bamboopier.json at $.models[0]",
     ),
     (
-        [{"services": [make_service(models=["lost"])]}],
+        [{"services": [make_service(kind="model", models=["lost"])]}],
         "$.services[0].models[0]",
         "unknown name 'lost'",
         "nothing is defined yet",
     ),
     (
-        [{"services": [make_service(store="lost")], "stores": [{"name": "kept"}]}],
+        [
+            {
+                "services": [make_service(kind="model", models=["m"], store="lost")],
+                "models": [{"name": "m", "version": "v1"}],
+                "stores": [{"name": "kept"}],
+            }
+        ],
         "$.services[0].store",
         "unknown name 'lost'",
         "kept",
     ),
+    (
+        [{"services": [make_service(kind="model")]}],
+        "$.services[0].models",
+        "none",
+        "at least one model",
+    ),
+    (
+        [{"services": [make_service(store="kept")]}],
+        "$.services[0].store",
+        '"kept"',
+        "nothing for a service of kind",
+    ),
     (
         [{"workspaces": [make_workspace()]}],
         "$.workspaces[0].services[0]",
