Let a busy target pass a request on instead of queueing it

Cause: at the design size a gateway hears from a given target every 80 s (9 requests a second over 730 targets), so the loads it chooses by are out of date. Change: each attempt carries the time it may wait; the agent, which knows its queue as it is, turns it away beyond that without a hint, the router tries the next at the cost of a hop and no retry budget; the third attempt waits without a bound. Tests: test_wait_bound, red without the two decisions.

--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -42,6 +42,7 @@
     RejectReason.FAIR_SHARE: pb.FAIR_SHARE,
     RejectReason.DEADLINE: pb.DEADLINE,
     RejectReason.STOPPING: pb.STOPPING,
+    RejectReason.BUSY: pb.BUSY,
 }
 log = structlog.get_logger()
 
@@ -171,6 +172,7 @@
             deadline=now + request.timeout_ms / 1000,
             prompt_tokens=request.model.prompt_tokens,
             max_tokens=request.model.max_tokens,
+            max_wait=_read_max_wait(request),
         )
 
     async def _claim_and_run(
@@ -321,6 +323,13 @@
     return answer.make_not_run(_CAUSES[reject.reason], reject.retry_after)
 
 
+def _read_max_wait(request: pb.ServeRequest) -> float:
+    """Return the seconds the request may wait here."""
+    if not request.HasField("max_wait_ms"):
+        return float("inf")
+    return request.max_wait_ms / 1000
+
+
 def _make_claim_refusal(answer: Answer, outcome: ClaimOutcome) -> pb.ServeEvent | None:
     standing = outcome.standing
     if outcome.verdict is Verdict.GRANTED:
--- a/libraries/decisions/src/bamboopier_decisions/admission/admission.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/admission.py
@@ -165,10 +165,10 @@
             event.deadline,
             work,
         )
-        if (
-            event.now + WAIT_MARGIN * self._estimate_wait(waiting)
-            > waiting.latest_start
-        ):
+        wait = self._estimate_wait(waiting)
+        if wait > event.max_wait:
+            return [Reject(event.request_id, RejectReason.BUSY, 0.0)]
+        if event.now + WAIT_MARGIN * wait > waiting.latest_start:
             return [self._reject(waiting, event.now, RejectReason.DEADLINE)]
         decisions: list[AdmissionDecision] = []
         if len(self._running) >= self.limit and self._is_full(event.now):
--- a/libraries/decisions/src/bamboopier_decisions/admission/messages.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/messages.py
@@ -12,6 +12,8 @@
     QUEUE_FULL = "queue-full"
     FAIR_SHARE = "fair-share"
     DEADLINE = "deadline"
+    # It would wait longer than its gateway allows; another target may be free.
+    BUSY = "busy"
     STOPPING = "stopping"
 
 
@@ -31,6 +33,8 @@
     # Tokens to prefill and the most tokens to generate.
     prompt_tokens: int
     max_tokens: int
+    # Seconds its gateway lets it wait here before it tries another target.
+    max_wait: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/decisions/src/bamboopier_decisions/routing/choice.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/choice.py
@@ -33,15 +33,18 @@
 class Choice:
     """The chosen target with the reason and all that were weighed."""
 
-    __slots__ = ("candidates", "reason", "state")
+    __slots__ = ("candidates", "reason", "saved", "state")
 
     def __init__(
         self,
         state: TargetState,
         reason: SendReason,
         candidates: tuple[Candidate, ...],
+        saved: float,
     ) -> None:
         self.state = state
+        # Seconds of prefill that a warm prefix is expected to spare there.
+        self.saved = saved
         self.reason = reason
         self.candidates = candidates
 
@@ -86,18 +89,20 @@
         return None
     names = warm.find(key)
     expected: list[float] = []
+    saved: list[float] = []
     for position, state in enumerate(weighed):
         # Nobody knows better at first than that the first owner is warm.
         is_warm = state.view.target in names or (position == 0 and bool(owners))
         new_tokens = _count_new(request, is_warm)
         expected.append(state.expect_first_byte(now, new_tokens))
+        saved.append((request.prompt_tokens - new_tokens) / state.prefill_rate)
     best = min(range(len(weighed)), key=expected.__getitem__)
     reason = _explain(best, len(owners), len(weighed))
     candidates = tuple(
         Candidate(state.view.target, seconds)
         for state, seconds in zip(weighed, expected, strict=True)
     )
-    return Choice(weighed[best], reason, candidates)
+    return Choice(weighed[best], reason, candidates, saved[best])
 
 
 def _count_new(request: RequestArrived, is_warm: bool) -> int:
--- a/libraries/decisions/src/bamboopier_decisions/routing/messages.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/messages.py
@@ -151,6 +151,8 @@
     target: str
     reason: SendReason
     candidates: tuple[Candidate, ...]
+    # Seconds it may wait at the target before that turns it away for another.
+    max_wait: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/decisions/src/bamboopier_decisions/routing/router.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/router.py
@@ -24,6 +24,7 @@
 from .retry_budget import RetryBudget
 from .service_targets import ServiceTargets
 from .target_state import TargetState
+from .wait_bound import bound_wait
 from .warm_prefixes import WarmPrefixes
 
 if TYPE_CHECKING:
@@ -121,7 +122,14 @@
         state.refusals.note_sent(now, request.workspace)
         state.slowness.note_sent(now)
         reason = choice.reason if first else SendReason.RETRY
-        return Send(request.request_id, state.view.target, reason, choice.candidates)
+        max_wait = bound_wait(len(pending.tried), choice.saved)
+        return Send(
+            request.request_id,
+            state.view.target,
+            reason,
+            choice.candidates,
+            max_wait,
+        )
 
     def _give_up(
         self, pending: _Pending, now: float, targets: ServiceTargets
@@ -180,9 +188,10 @@
             waits = (pending.shortest_wait or event.retry_after, event.retry_after)
             pending.shortest_wait = min(waits)
         if event.ran is Ran.NO and not event.broken and event.retry_after <= 0:
-            # A leaving or drained target turned it away before it could run. That is
-            # no load, and it happens to whole data centres at once: paid from the
-            # budget it would refuse most of what they had waiting.
+            # A leaving or drained target, or a busy one that leaves it to another,
+            # turned it away before it could run. That is no load, and it happens to
+            # whole data centres at once: paid from the budget it would refuse most of
+            # what they had waiting.
             pending.attempts -= 1
         elif pending.attempts >= MAX_ATTEMPTS:
             return self._refuse(pending, RefuseReason.ATTEMPTS)
--- a/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
@@ -72,6 +72,11 @@
         self._pause = 0.0
         self._paused_until = 0.0
 
+    @property
+    def prefill_rate(self) -> float:
+        """Return the prompt tokens a second, assumed until measured."""
+        return self.load.prefill_rate or DEFAULT_PREFILL_RATE
+
     def report(self, now: float, load: TargetLoad) -> None:
         """Take a fresh report."""
         if self.load.start_id and load.start_id != self.load.start_id:
@@ -131,7 +136,7 @@
         sent = self.sent * max(0.0, 1 - (now - self._sent_at) / STALE_SECONDS)
         age = now - self._reported
         running = load.running * max(0.0, 1 - age / (10 * STALE_SECONDS)) + sent
-        rate = load.prefill_rate or DEFAULT_PREFILL_RATE
+        rate = self.prefill_rate
         queued = max(0.0, self.sent_tokens - rate * (now - self._sent_at))
         wait = max(0.0, load.queue_delay - age)
         wait += min(sent, max(0.0, running - load.limit)) * self._slot_seconds
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/routing/wait_bound.py
@@ -0,0 +1,33 @@
+"""How long a request may wait at the target it was sent to before another is tried.
+
+Load pattern: many gateways, each with a small share of the requests. At 340 gateways
+before 730 targets a gateway hears from a given target every 80 seconds, so the load it
+chooses by is long out of date. Without a bound a request that met a busy target waits
+there while others idle. The target knows its queue as it is now: told how long the
+request may wait, it turns the request away at once, and the next one is tried at the
+cost of a hop. The last attempt waits as long as it must: then all are busy.
+
+Measured with 340 gateways, 40 targets and 80% load in simulated time: first token p95
+0.64 s without, 0.57 s with the bound, 0.54 s with reports as fresh as three gateways
+have them. Bounds from 0 to 0.1 s and one or two bounded attempts differ by less than
+0.02 s, so the largest is taken, which sends the least twice.
+"""
+
+from __future__ import annotations
+
+# Seconds; a few hops, and a small part of the 0.68 s a first token may take.
+SHORT_WAIT = 0.1
+# Attempts that may be turned away for it.
+BOUNDED_ATTEMPTS = 2
+UNBOUNDED = float("inf")
+
+
+def bound_wait(attempt: int, saved: float) -> float:
+    """Return the seconds that attempt number ``attempt``, from 1, may wait.
+
+    ``saved`` is the prefill that a warm target spares: waiting less than that there is
+    still better than starting cold elsewhere.
+    """
+    if attempt > BOUNDED_ATTEMPTS:
+        return UNBOUNDED
+    return SHORT_WAIT + saved
--- /dev/null
+++ b/libraries/decisions/tests/test_wait_bound.py
@@ -0,0 +1,73 @@
+"""A request does not queue at a busy target while others may be idle."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bamboopier_decisions.admission.admission import Admission
+from bamboopier_decisions.admission.messages import (
+    Reject,
+    RejectReason,
+    Start,
+    WorkArrived,
+    WorkEnded,
+)
+from bamboopier_decisions.routing.messages import (
+    AttemptEnded,
+    Distance,
+    FleetChanged,
+    Ran,
+    RequestArrived,
+    Send,
+    TargetView,
+)
+from bamboopier_decisions.routing.router import Router
+from bamboopier_decisions.routing.wait_bound import SHORT_WAIT, UNBOUNDED
+
+TARGETS = 6
+# More requests than any retry budget holds.
+REQUESTS = 200
+
+
+def build_work(number: int, max_wait: float) -> WorkArrived:
+    """Return a request that takes the target some seconds."""
+    name = f"r{number}"
+    return WorkArrived(0.0, name, "w", 1.0, 0, 60.0, 4000, 400, max_wait)
+
+
+class WaitBoundTests(unittest.TestCase):
+    def test_a_busy_target_turns_away_at_once_what_may_not_wait(self) -> None:
+        # The target is full. A request that may wait 0.1 s is answered "not run"
+        # without a hint, since another target may have room; one without a bound waits.
+        admission = Admission(2, 10, random.Random(1))
+        admission.handle(build_work(0, UNBOUNDED))
+        admission.handle(WorkEnded(3.0, "r0", answered=True, output_tokens=100))
+        for number in (1, 2):
+            started = admission.handle(build_work(number, SHORT_WAIT))
+            self.assertEqual(started, [Start(f"r{number}")])
+        busy = admission.handle(build_work(3, SHORT_WAIT))
+        self.assertEqual(busy, [Reject("r3", RejectReason.BUSY, 0.0)])
+        self.assertEqual(admission.handle(build_work(4, UNBOUNDED)), [])
+        self.assertEqual(admission.waiting, 1)
+
+    def test_being_turned_away_leads_on_and_in_the_end_waits(self) -> None:
+        # Every target the gateway tries is busier than it knew. The third waits as
+        # long as it must; nobody is refused for want of a retry budget.
+        router = Router(random.Random(2))
+        views = [TargetView(f"t{n}", "s", Distance.SAME_REGION) for n in range(TARGETS)]
+        router.handle(FleetChanged(0.0, tuple(views)))
+        for number in range(REQUESTS):
+            name = f"r{number}"
+            request = RequestArrived(100.0, name, "w", "s", False, 160.0, 100)
+            decision = router.handle(request)
+            tried: list[tuple[str, float]] = []
+            for _ in range(3):
+                assert isinstance(decision, Send), decision
+                tried.append((decision.target, decision.max_wait))
+                ended = AttemptEnded(100.0, name, decision.target, Ran.NO)
+                decision = router.handle(ended)
+            self.assertEqual(len({target for target, _ in tried}), 3)
+            bounds = [bound for _, bound in tried]
+            self.assertEqual(bounds, [SHORT_WAIT, SHORT_WAIT, UNBOUNDED])
+            router.abandon(name)
--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 import uuid
 from dataclasses import dataclass, field
@@ -50,6 +51,8 @@
     # Told of the load and the seconds that came with the answer's head: a long answer
     # would otherwise bring them only at its end.
     note_head: Callable[[pb.LoadReport, float], None] = lambda _load, _seconds: None
+    # Seconds the target may let the call wait before it turns it away.
+    max_wait: float = math.inf
     attempt_id: str = field(default_factory=lambda: uuid.uuid4().hex)
     _result: AttemptResult = field(default_factory=lambda: AttemptResult(Ran.UNKNOWN))
     _expected_sequence: int = 0
@@ -95,6 +98,8 @@
             headers=[pb.Header(name=n, value=v) for n, v in call.headers],
             body=call.body,
         )
+        if math.isfinite(self.max_wait):
+            request.max_wait_ms = int(self.max_wait * _MILLISECONDS)
         model = call.model
         if model is not None:
             request.model.model = model.model
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -95,7 +95,13 @@
             came = FirstByteCame(now, call.request_id, send.target, seconds)
             self._router.handle(came)
 
-        attempt = Attempt(call, stub, self._follower.directory.generation, note_head)
+        attempt = Attempt(
+            call,
+            stub,
+            self._follower.directory.generation,
+            note_head,
+            send.max_wait,
+        )
         result = await attempt.run(delivery)
         if result.load is not None:
             self._follower.hear(result.load.generation)
--- a/tools/bench_load/simulation.py
+++ b/tools/bench_load/simulation.py
@@ -123,6 +123,7 @@
     ask_id: str
     target: str
     sent: float
+    max_wait: float
     first_byte: float = 0.0
 
 
@@ -188,6 +189,7 @@
             deadline=order.deadline,
             prompt_tokens=order.prompt_tokens,
             max_tokens=order.max_tokens,
+            max_wait=attempt.max_wait,
         )
         self.tell(work)
         if order.deadline > self._clock.now:
@@ -373,7 +375,9 @@
         if isinstance(decision, Send):
             order.targets.append(decision.target)
             sent = self.clock.now
-            attempt = _Attempt(order, order.ask_id, decision.target, sent)
+            attempt = _Attempt(
+                order, order.ask_id, decision.target, sent, decision.max_wait
+            )
             agent = self.agents[decision.target]
             self.clock.call_later(HOP_SECONDS, lambda: agent.serve(attempt))
         elif isinstance(decision, Refuse):
