Bound the blocks an agent reads at once and prove the cache salt

Cause: when many prompts return together over a slow link, their blocks of some 50 MB pile up in the agent until its VM kills it with every stream. And the isolation of the engine's own cache, which is its salt, had no test.

Ruled out: a bound for each request alone, which twenty requests multiply.

Change: an agent reads at most four blocks at a time for all requests; one that waits longer than its patience recomputes. Tests of the salt in the gateway (two workspaces, two versions) and of a caller's own cache_salt and block_keys in the agent. The store stand-in counts reads at once. Four more safeguards in the list of mutations.

--- a/libraries/agent/src/bamboopier_agent/store_link.py
+++ b/libraries/agent/src/bamboopier_agent/store_link.py
@@ -36,6 +36,10 @@
 SIZE_SMOOTHING = 0.3
 # A block larger than this many times its expected size is not read to its end.
 MAX_SIZE_FACTOR = 8
+# Blocks on their way at once for all requests together. When a data centre returns,
+# dozens of prompts fetch at the same moment; over a slow link their blocks of some
+# 50 MB would pile up here until the VM kills the agent with every stream it carries.
+READS_AT_ONCE = 4
 MIN_READ_LIMIT = 64 * 1024 * 1024
 # How long blocks are looked for at the VMs that owned them before a change: most
 # prompts that return within the hour have moved their blocks by then.
@@ -55,6 +59,7 @@
         self._block_bytes = 0.0
         self._former_vms: tuple[StoreVm, ...] = ()
         self._changed_at = 0.0
+        self._slots = asyncio.Semaphore(READS_AT_ONCE)
 
     def configure(self, view: ContextView) -> None:
         """Take another view; the VMs of the one before are still looked at."""
@@ -106,7 +111,7 @@
             left = give_up_at - time.monotonic()
             # A source that hangs leaves as much time for each of those behind it.
             timeout = left / (len(sources) - position)
-            answer = await self._read(vm, name, timeout)
+            answer = await self._read_in_turn(vm, name, timeout)
             if isinstance(answer, Err):
                 failure = answer.err_value
                 continue
@@ -151,6 +156,23 @@
         )
         return [vm for vm in sources if not self.health.is_paused(now, vm.name)]
 
+    async def _read_in_turn(
+        self, vm: StoreVm, name: BlockName, timeout: float
+    ) -> Result[bytes, StoreError]:
+        started = time.monotonic()
+        try:
+            async with asyncio.timeout(timeout):
+                await self._slots.acquire()
+        except TimeoutError:
+            error = StoreLateError("other reads take all the time")
+            self._count_failure(error)
+            return Err(error)
+        try:
+            left = timeout - (time.monotonic() - started)
+            return await self._read(vm, name, left)
+        finally:
+            self._slots.release()
+
     async def _read(
         self, vm: StoreVm, name: BlockName, timeout: float
     ) -> Result[bytes, StoreError]:
--- a/libraries/standins/src/bamboopier_standins/store.py
+++ b/libraries/standins/src/bamboopier_standins/store.py
@@ -31,6 +31,9 @@
         self.blocks: OrderedDict[str, bytearray] = OrderedDict()
         self.faults: dict[str, int] = {}
         self.log: list[dict[str, Any]] = []
+        # Reads now, and the most there were at once.
+        self.reading = 0
+        self.most_reading = 0
 
     @property
     def used(self) -> int:
@@ -64,7 +67,12 @@
         self.log.append(entry)
         if self.faults.get("frozen"):
             await asyncio.sleep(HANG_SECONDS)
-        response = await handler(request)
+        self.reading += request.method == "GET"
+        self.most_reading = max(self.most_reading, self.reading)
+        try:
+            response = await handler(request)
+        finally:
+            self.reading -= request.method == "GET"
         entry["status"] = response.status
         return response
 
@@ -75,6 +83,8 @@
             return web.Response(status=404)
         if request.method == "HEAD":
             return web.Response(body=bytes(block))
+        # Lets other requests in, so that reads at once are seen as such.
+        await asyncio.sleep(0.01)
         if self._use_fault("hang"):
             await asyncio.sleep(HANG_SECONDS)
         if self._use_fault("drip"):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -128,4 +128,40 @@
         "libraries/decisions",
         "tests.test_link_budget.LinkBudgetTests.test_an_export_lets_waiting_fetches_go_first",
     ),
+    Mutation(
+        "an agent reads a few blocks at a time",
+        "libraries/agent/src/bamboopier_agent/store_link.py",
+        "asyncio.Semaphore(READS_AT_ONCE)",
+        "asyncio.Semaphore(1000)",
+        "libraries/agent",
+        "tests.test_context.LinkUseTests."
+        "test_many_returning_prompts_are_read_a_few_blocks_at_a_time",
+    ),
+    Mutation(
+        "a caller's own cache salt is overwritten",
+        "libraries/agent/src/bamboopier_agent/service.py",
+        '    body["cache_salt"] = request.model.cache_salt\n',
+        "",
+        "libraries/agent",
+        "tests.test_context.WorkspaceTests."
+        "test_a_caller_cannot_choose_the_salt_or_the_keys",
+    ),
+    Mutation(
+        "blocks behind a missing one are taken for lost",
+        "libraries/agent/src/bamboopier_agent/context.py",
+        "        for key in keys[1:]:\n"
+        "            self.exporter.note_lost(key, damaged=False)\n",
+        "",
+        "libraries/agent",
+        "tests.test_context.LinkUseTests."
+        "test_evicted_blocks_are_written_again_at_one_return",
+    ),
+    Mutation(
+        "the engine's cache is salted by workspace",
+        "libraries/gateway/src/bamboopier_gateway/prompt.py",
+        'hmac.digest(secret, b"cache salt", "sha256")',
+        'hmac.digest(b"s", b"cache salt", "sha256")',
+        "libraries/gateway",
+        "tests.test_prompt",
+    ),
 )
