--- /dev/null
+++ b/libraries/decisions/tests/test_store_health.py
@@ -0,0 +1,22 @@
+"""A store VM that failed is passed over for a bounded time."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_decisions.context.store_health import MAX_PAUSE, StoreHealth
+
+
+class StoreHealthTests(unittest.TestCase):
+    def test_pauses_double_up_to_a_bound_and_end_with_an_answer(self) -> None:
+        health = StoreHealth()
+        now = 0.0
+        for _ in range(10):
+            health.add_failure(now, "s")
+            start = now
+            while health.is_paused(now, "s"):
+                now += 0.5
+        self.assertEqual(now - start, MAX_PAUSE)
+        health.add_failure(now, "s")
+        health.add_answer("s")
+        self.assertFalse(health.is_paused(now, "s"))
