Refuse a model request that only the agent would stumble over

Cause: a body with bad UTF-8 or deep nesting in a field that the gateway does not read was let through; the agent failed on it, the caller got 502 unknown, the target counted as broken, and the next request got no_target: one caller could have targets set aside.

Change: the gateway decodes the whole body, bounds its depth and only then reads the fields it needs. Plain services take the seven usual methods, since CONNECT and TRACE mean something to the connection itself.

Ruled out: catching it in the agent alone, which would still cost an attempt.

--- a/libraries/gateway/src/bamboopier_gateway/prompt.py
+++ b/libraries/gateway/src/bamboopier_gateway/prompt.py
@@ -23,6 +23,8 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS = 131_072
+# Of objects and lists in each other; tools have the deepest schemas, some 20 levels.
+MAX_DEPTH = 64
 CHAT_PATH = "/v1/chat/completions"
 
 TokenCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)]
@@ -114,11 +116,38 @@
 
 
 def _parse(body: bytes) -> _ModelBody:
+    """Return the fields that routing needs of a body that is JSON in every part.
+
+    Decoding into the class alone skips unknown fields without looking at their bytes.
+    The agent, which reads the whole body, would stumble over them: that ends "unknown"
+    and counts as the target's failure, and the retries would carry it to the next one.
+    """
     try:
-        return msgspec.json.decode(body, type=_ModelBody)
+        decoded = msgspec.json.decode(body)
+        parsed = msgspec.convert(decoded, _ModelBody)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         message = f"the body is no request for a model: {error}"
         raise CallerError(ErrorCode.BAD_REQUEST, message) from error
+    if not _is_shallow(decoded):
+        message = f"the body is nested deeper than {MAX_DEPTH} levels"
+        raise CallerError(ErrorCode.BAD_REQUEST, message)
+    return parsed
+
+
+def _is_shallow(value: Any) -> bool:
+    """Say whether a decoded body stays far from any reader's recursion limit."""
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        deeper: list[Any] = []
+        for item in level:
+            if isinstance(item, dict):
+                deeper.extend(item.values())
+            elif isinstance(item, list):
+                deeper.extend(item)
+        if not deeper:
+            return True
+        level = deeper
+    return False
 
 
 def _read_limit(body: _ModelBody) -> int:
--- a/libraries/gateway/src/bamboopier_gateway/reader.py
+++ b/libraries/gateway/src/bamboopier_gateway/reader.py
@@ -26,6 +26,8 @@
 PRIORITY_HEADER = "X-Priority"
 MAX_KEY_LENGTH = 255
 MAX_TIMEOUT_SECONDS = 3600.0
+# Others, such as CONNECT and TRACE, mean something to the connection itself.
+PLAIN_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 PRIORITIES = range(-10, 11)
 
 
@@ -79,6 +81,10 @@
             raise CallerError(
                 ErrorCode.FORBIDDEN, f"no access to service {quote(name)}"
             )
+        if request.method not in PLAIN_METHODS:
+            allowed = ", ".join(sorted(PLAIN_METHODS))
+            message = f"{quote(request.method)} is not passed on; allowed: {allowed}"
+            raise CallerError(ErrorCode.METHOD_NOT_ALLOWED, message)
         path = check_path(raw_path)
         headers = list_request_headers(request.headers.items())
         query = check_query(request.rel_url.raw_query_string)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -50,6 +50,8 @@
     ("POST", TEXT, {}, {"Authorization": "Basic x"}, 401, "unauthenticated"),
     ("POST", TEXT, {}, {"Authorization": "Bearer \xe9"}, 401, "unauthenticated"),
     ("GET", "/v1/models", None, {"Authorization": "x"}, 401, "unauthenticated"),
+    ("TRACE", "/services/dispatch/a", None, {}, 405, "method_not_allowed"),
+    ("PURGE", "/services/dispatch/a", None, {}, 405, "method_not_allowed"),
     ("GET", "/services/none/a", None, {}, 404, "not_found"),
     ("GET", "/services/fault-desk/a", None, {}, 404, "not_found"),
     ("GET", "/services/dispatch/a", None, {"X-Priority": "99"}, 400, "bad_request"),
@@ -78,6 +80,18 @@
         "too_large",
     ),
 ]
+# Bodies that are no JSON, or hide it in a field that the gateway does not read.
+BAD_BODIES = [
+    b"{",
+    b'{"model": "\xff"}',
+    b"[" * 50_000,
+    b'{"model": 1}',
+    b"null",
+    b'{"model": "pillar-8b", "prompt": "a", "ma\xba": 1}',
+    b'{"model": "pillar-8b", "prompt": "a", "x": "\xff"}',
+    b'{"model": "pillar-8b", "prompt": "a", "x": "\\ud800"}',
+    b'{"model": "pillar-8b", "prompt": "a", "x": ' + b"[" * 300 + b"]" * 300 + b"}",
+]
 # Spellings of one order that must not pass as the idempotent /boxes or run twice.
 DODGES = [
     "/boxes/../vans",
@@ -134,7 +148,10 @@
                 self.assertNotIn(b"Traceback", received)
 
     def test_bodies_that_are_no_json_get_a_typed_error(self) -> None:
-        for body in (b"{", b'{"model": "\xff"}', b"[" * 50_000, b'{"model": 1}'):
+        # What the gateway lets through its agent must be able to read: a body that only
+        # the agent stumbles over ends "unknown", counts as the target's failure, and is
+        # tried at the next target, until one caller has all of them set aside.
+        for body in BAD_BODIES:
             with self.subTest(body[:20]):
                 size = f"Content-Length: {len(body)}"
                 head = make_head("POST", TEXT, size, "Connection: close")
