--- a/libraries/gateway/src/bamboopier_gateway/connection.py
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -115,6 +115,8 @@
         return response
 
     def _waits_for_request(self) -> bool:
+        # aiohttp offers no public word for this. Its version is pinned, and a test of
+        # headers that trickle in shows when the attribute means something else.
         return self._waiter is not None and not self._waiter.done()
 
     def _stop_header_timer(self) -> None:
