Prove the load decisions by what callers receive

Slowness is judged by the third quickest of eight times and leaves out workspaces that were refused; probes of refused workspaces do not count as sent; the prefill rate follows the last few measurements.

--- a/libraries/decisions/src/bamboopier_decisions/admission/estimates.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/estimates.py
@@ -16,16 +16,20 @@
 # Weight of a new measurement: the last twenty or so count, a few seconds of a busy
 # target's work.
 SMOOTHING = 0.05
+# The prefill rate guides the gateways. One learnt while the engine was cold keeps work
+# away from it, and so the measurements that would correct it: few must suffice.
+PREFILL_SMOOTHING = 0.2
 
 
 class _Ratio:
     """A smoothed sum over another smoothed sum."""
 
-    __slots__ = ("_bottom", "_top")
+    __slots__ = ("_bottom", "_smoothing", "_top")
 
-    def __init__(self, first: float) -> None:
+    def __init__(self, first: float, smoothing: float = SMOOTHING) -> None:
         self._top = first
         self._bottom = 1.0
+        self._smoothing = smoothing
 
     @property
     def value(self) -> float:
@@ -38,8 +42,8 @@
             # The first assumption weighs as much as a measurement.
             self._top *= bottom
             self._bottom = bottom
-        self._top += SMOOTHING * (top - self._top)
-        self._bottom += SMOOTHING * (bottom - self._bottom)
+        self._top += self._smoothing * (top - self._top)
+        self._bottom += self._smoothing * (bottom - self._bottom)
 
 
 class WorkEstimates:
@@ -51,7 +55,7 @@
         # Seconds per prompt token until the first one, whatever part was cached.
         self._first = _Ratio(1 / FIRST_PREFILL_RATE)
         # Seconds per token really prefilled.
-        self._prefill = _Ratio(1 / FIRST_PREFILL_RATE)
+        self._prefill = _Ratio(1 / FIRST_PREFILL_RATE, PREFILL_SMOOTHING)
         # Seconds per generated token.
         self._decode = _Ratio(FIRST_DECODE_PACE)
         # Generated tokens of those allowed.
--- a/libraries/decisions/src/bamboopier_decisions/routing/refusals.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/refusals.py
@@ -31,6 +31,10 @@
             del self._hints[next(iter(self._hints))]
         self._hints[workspace] = (now + retry_after, now + PROBE_SECONDS)
 
+    def knows(self, workspace: str) -> bool:
+        """Say whether the workspace was refused and not served since."""
+        return workspace in self._hints
+
     def forget(self, workspace: str) -> None:
         """Drop the hint of a workspace that has been served."""
         self._hints.pop(workspace, None)
@@ -40,11 +44,13 @@
         hint = self._hints.get(workspace)
         return hint is None or now >= hint[0] or now >= hint[1]
 
-    def note_sent(self, now: float, workspace: str) -> None:
-        """Count a request as the probe of its time."""
+    def note_sent(self, now: float, workspace: str) -> bool:
+        """Count a request as the probe of its time; False when there is no hint."""
         hint = self._hints.get(workspace)
-        if hint is not None:
-            self._hints[workspace] = (hint[0], now + PROBE_SECONDS)
+        if hint is None:
+            return False
+        self._hints[workspace] = (hint[0], now + PROBE_SECONDS)
+        return True
 
     def find_wait(self, now: float, workspace: str) -> float:
         """Return the seconds until the hint has passed; 0 when there is none."""
--- a/libraries/decisions/src/bamboopier_decisions/routing/router.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/router.py
@@ -117,8 +117,9 @@
         first = not pending.tried
         state = choice.state
         pending.tried.add(state.view.target)
-        state.add_sent(now, request.prompt_tokens)
-        state.refusals.note_sent(now, request.workspace)
+        # A probe is refused or waits behind its own workspace: it delays no other.
+        if not state.refusals.note_sent(now, request.workspace):
+            state.add_sent(now, request.prompt_tokens)
         state.slowness.note_sent(now)
         reason = choice.reason if first else SendReason.RETRY
         return Send(request.request_id, state.view.target, reason, choice.candidates)
@@ -143,7 +144,8 @@
         if key:
             self._warm.add(key, event.target)
         targets = self._services.get(request.service)
-        if targets is not None:
+        # One that was refused waits for its own share, however quick the target is.
+        if targets is not None and not state.refusals.knows(request.workspace):
             targets.add_first_byte(
                 event.now, state, event.seconds, request.prompt_tokens
             )
--- a/libraries/decisions/src/bamboopier_decisions/routing/slowness.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/slowness.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -18,14 +19,17 @@
 # not count as slowness.
 BASE_SECONDS = 0.1
 TOKENS_A_SECOND = 8000.0
-SMOOTHING = 0.2
-MIN_SAMPLES = 8
-# One short prompt behind a very long one must not set its target aside.
-MAX_RATIO = 8.0
+# A slow target is slow for everybody, a queue only for those whose workspace fills it.
+# So a target is judged by the third quickest of its last eight times. With an average a
+# hot caller's waits set healthy targets aside.
+SAMPLES = 8
+JUDGED_SAMPLE = 2
 # Chance and uneven queues stay below three times the median.
 SLOW_RATIO = 3.0
 # A probe meets an empty target, so it must be nearly as quick as the median.
 HEALED_RATIO = 2.0
+# With a median below this nobody waits, whatever the ratio to it.
+LEAST_MEDIAN = 0.8
 # A very short prompt is quick on a slow target too, so one probe proves little.
 HEALING_PROBES = 3
 MAX_SHARE = 1 / 3
@@ -38,17 +42,23 @@
 class Slowness:
     """How slow one target is, and whether it is set aside."""
 
-    __slots__ = ("_aside", "_good_probes", "_probe_at", "_until", "samples", "value")
+    __slots__ = ("_aside", "_good_probes", "_probe_at", "_ratios", "_until")
 
     def __init__(self) -> None:
-        # Smoothed first-byte time over the expected one.
-        self.value = 0.0
-        self.samples = 0
+        # The last first-byte times over the expected ones.
+        self._ratios: deque[float] = deque(maxlen=SAMPLES)
         self._aside = 0.0
         self._until = 0.0
         self._probe_at = 0.0
         self._good_probes = 0
 
+    @property
+    def value(self) -> float:
+        """Return the judged ratio; 0 while there are too few."""
+        if len(self._ratios) < SAMPLES:
+            return 0.0
+        return sorted(self._ratios)[JUDGED_SAMPLE]
+
     @property
     def is_aside(self) -> bool:
         """Say whether the target is set aside or being probed."""
@@ -68,14 +78,11 @@
     def add(self, now: float, seconds: float, tokens: int, median: float) -> None:
         """Learn from a first byte ``seconds`` after sending ``tokens`` of prompt."""
         expected = BASE_SECONDS + tokens / TOKENS_A_SECOND
-        ratio = min(MAX_RATIO, seconds / expected)
+        ratio = seconds / expected
         if self.is_aside:
             self._judge_probe(now, ratio, median)
             return
-        self.samples += 1
-        if self.samples == 1:
-            self.value = ratio
-        self.value += SMOOTHING * (ratio - self.value)
+        self._ratios.append(ratio)
 
     def set_aside(self, now: float) -> None:
         """Send no more than probes, twice as long as the last time."""
@@ -89,27 +96,28 @@
         if now < self._until:
             # Sent before it was set aside.
             return
-        if ratio > HEALED_RATIO * max(1.0, median):
+        if ratio > HEALED_RATIO * max(LEAST_MEDIAN, median):
             self.set_aside(now)
             return
         self._good_probes += 1
         self._probe_at = now - PROBE_TIMEOUT
         if self._good_probes == HEALING_PROBES:
             self._aside = 0.0
-            self.samples = 0
+            self._ratios.clear()
 
 
 def set_aside_slow(now: float, all_targets: Sequence[Slowness]) -> float:
     """Set aside the slowest where due; return the median of those judged."""
-    judged = [s for s in all_targets if s.samples >= MIN_SAMPLES and not s.is_aside]
-    judged.sort(key=lambda slowness: slowness.value)
+    judged = [(s.value, s) for s in all_targets if not s.is_aside]
+    judged = [entry for entry in judged if entry[0] > 0]
+    judged.sort(key=lambda entry: entry[0])
     if not judged:
         return 0.0
-    median = judged[len(judged) // 2].value
+    median = judged[len(judged) // 2][0]
     room = int(len(all_targets) * MAX_SHARE)
     room -= sum(1 for slowness in all_targets if slowness.is_aside)
-    for slowness in reversed(judged):
-        if room <= 0 or slowness.value <= SLOW_RATIO * max(1.0, median):
+    for value, slowness in reversed(judged):
+        if room <= 0 or value <= SLOW_RATIO * max(LEAST_MEDIAN, median):
             break
         slowness.set_aside(now)
         room -= 1
--- /dev/null
+++ b/libraries/decisions/tests/test_admission.py
@@ -0,0 +1,192 @@
+"""Each request gets one final decision, and the target never more than its limit."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from bamboopier_decisions.admission.admission import Admission
+from bamboopier_decisions.admission.concurrency_limit import ConcurrencyLimit
+from bamboopier_decisions.admission.messages import (
+    FirstToken,
+    Reject,
+    RejectReason,
+    Start,
+    StopRequested,
+    TargetRestarted,
+    Tick,
+    WorkArrived,
+    WorkEnded,
+    WorkWithdrawn,
+)
+
+MAX_WAITING = 5
+
+
+def make_work(
+    number: int, now: float, workspace: str = "a", patience: float = 60.0
+) -> WorkArrived:
+    return WorkArrived(
+        now, f"r{number}", workspace, 1.0, 0, now + patience, 800, max_tokens=64
+    )
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Keeps the books on what the agent was told about every request."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.admission = Admission(8, MAX_WAITING, Random(1))
+        self.now = 0.0
+        self.number = 0
+        self.waiting: set[str] = set()
+        self.running: list[str] = []
+        self.stopped = False
+
+    def tell(self, event: object) -> None:
+        for decision in self.admission.handle(event):
+            # A decision about anything not waiting would be a second one.
+            assert decision.request_id in self.waiting
+            self.waiting.discard(decision.request_id)
+            if isinstance(decision, Start):
+                self.running.append(decision.request_id)
+                assert len(self.running) <= self.admission.limit
+            elif decision.reason is RejectReason.STOPPING:
+                assert decision.retry_after == 0
+            else:
+                assert decision.retry_after > 0
+
+    @rule(workspace=st.sampled_from("abc"), patience=st.floats(0.1, 30))
+    def arrive(self, workspace: str, patience: float) -> None:
+        self.number += 1
+        self.waiting.add(f"r{self.number}")
+        self.tell(make_work(self.number, self.now, workspace, patience))
+
+    @rule(pick=st.integers(0, 7), new_tokens=st.integers(0, 800))
+    def begin_answer(self, pick: int, new_tokens: int) -> None:
+        if self.running:
+            name = self.running[pick % len(self.running)]
+            self.tell(FirstToken(self.now, name, new_tokens))
+
+    @rule(pick=st.integers(0, 7), how=st.sampled_from("afc"))
+    def end(self, pick: int, how: str) -> None:
+        if self.running:
+            name = self.running.pop(pick % len(self.running))
+            ended = WorkEnded(self.now, name, how == "a", 30, cancelled=how == "c")
+            self.tell(ended)
+
+    @rule(pick=st.integers(0, 7))
+    def withdraw(self, pick: int) -> None:
+        if self.waiting:
+            name = sorted(self.waiting)[pick % len(self.waiting)]
+            self.waiting.discard(name)
+            self.tell(WorkWithdrawn(self.now, name))
+
+    @rule(seconds=st.floats(0.01, 5.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.tell(Tick(self.now))
+
+    @rule()
+    def restart_target(self) -> None:
+        self.tell(TargetRestarted(self.now))
+
+    @rule()
+    def stop(self) -> None:
+        if self.number > 25:
+            self.stopped = True
+            self.tell(StopRequested(self.now))
+            assert not self.waiting
+
+    @invariant()
+    def books_agree(self) -> None:
+        assert self.admission.running == len(self.running)
+        assert self.admission.waiting == len(self.waiting) <= MAX_WAITING
+        assert not (self.stopped and self.waiting)
+
+
+TestAdmissionMachine = AdmissionMachine.TestCase
+TestAdmissionMachine.settings = settings(
+    derandomize=True, max_examples=80, stateful_step_count=60, deadline=None
+)
+
+
+class QueueBoundTests(unittest.TestCase):
+    def test_a_workspace_below_its_share_pushes_out_the_newest_of_the_longest(
+        self,
+    ) -> None:
+        """A workspace that asks for little is refused since another filled the queue."""
+        admission = Admission(2, 4, Random(1))
+        for number in range(6):
+            admission.handle(make_work(number, number * 0.001, "hot"))
+        decisions = admission.handle(make_work(6, 0.1, "other"))
+        (rejected,) = decisions
+        self.assertIsInstance(rejected, Reject)
+        self.assertEqual(rejected.request_id, "r5")
+        self.assertIs(rejected.reason, RejectReason.FAIR_SHARE)
+        self.assertGreater(rejected.retry_after, 0)
+        self.assertEqual(admission.waiting, 4)
+
+    def test_those_refused_together_do_not_return_together(self) -> None:
+        """All who were refused in a second come back in one and are refused again."""
+        admission = Admission(2, 4, Random(1))
+        hints = [
+            decision.retry_after
+            for number in range(46)
+            for decision in admission.handle(make_work(number, 0.0))
+            if isinstance(decision, Reject)
+        ]
+        self.assertEqual(len(hints), 40)
+        for second in range(int(max(hints))):
+            together = sum(second <= hint < second + 1 for hint in hints)
+            self.assertLessEqual(together, 8)
+
+
+class ConcurrencyLimitTests(unittest.TestCase):
+    def answer(self, limit: ConcurrencyLimit, count: int, pace: float) -> None:
+        for _ in range(count):
+            limit.add_answer(limit.value, pace)
+
+    def test_a_fresh_limit_starts_small_and_answers_open_it(self) -> None:
+        limit = ConcurrencyLimit(32)
+        self.assertEqual(limit.value, 2)
+        self.answer(limit, 60, 0.025)
+        self.assertEqual(limit.value, 32)
+
+    def test_a_batch_that_slows_its_answers_shrinks(self) -> None:
+        """The engine swaps: each added request makes all of them slower.
+
+        Tokens come at more than twice the best pace, so the limit falls until they
+        do not, although every request is answered.
+        """
+        limit = ConcurrencyLimit(64)
+        for _ in range(600):
+            over = max(0, limit.value - 20)
+            limit.add_answer(limit.value, 0.025 * (1 + 0.2 * over))
+        self.assertLessEqual(limit.value, 28)
+        self.assertGreaterEqual(limit.value, 16)
+
+    def test_an_engine_gone_cold_is_noticed_by_its_first_tokens(self) -> None:
+        limit = ConcurrencyLimit(32)
+        self.answer(limit, 60, 0.025)
+        limit.add_first_token(6.0)
+        limit.add_first_token(6.0)
+        self.assertEqual(limit.value, 32)
+        limit.add_first_token(6.0)
+        self.assertEqual(limit.value, 2)
+
+    def test_callers_that_leave_neither_open_nor_close_it(self) -> None:
+        """A fresh engine answers nobody in time and its limit opens nevertheless.
+
+        Its callers leave at their deadlines; counted as answers, they would let the
+        fleet in before it is warm.
+        """
+        admission = Admission(32, 64, Random(1))
+        for number in range(100):
+            admission.handle(make_work(number, float(number)))
+            left = WorkEnded(number + 0.5, f"r{number}", False, cancelled=True)
+            admission.handle(left)
+        self.assertEqual(admission.limit, 2)
--- /dev/null
+++ b/libraries/decisions/tests/test_fair_queue.py
@@ -0,0 +1,136 @@
+"""The queue loses and duplicates nothing, stands no slot idle, and keeps shares."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from bamboopier_decisions.admission.fair_queue import FairQueue, Waiting
+
+WORKSPACES = ("a", "b", "c")
+WEIGHTS = {"a": 1.0, "b": 2.0, "c": 1.0}
+WORKS = st.floats(0.1, 4.0)
+
+
+def make_waiting(
+    number: int, workspace: str, work: float = 1.0, deadline: float = 1e6
+) -> Waiting:
+    weight = WEIGHTS.get(workspace, 1.0)
+    return Waiting(str(number), workspace, weight, 0, float(number), deadline, work)
+
+
+class FairQueueMachine(RuleBasedStateMachine):
+    """Compares the queue with a plain dict of what must be in it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.queue = FairQueue()
+        self.model: dict[str, Waiting] = {}
+        self.number = 0
+
+    @rule(workspace=st.sampled_from(WORKSPACES), work=WORKS, patience=WORKS)
+    def push(self, workspace: str, work: float, patience: float) -> None:
+        self.number += 1
+        deadline = self.number + work + patience
+        waiting = make_waiting(self.number, workspace, work, deadline)
+        self.queue.push(waiting)
+        self.model[waiting.request_id] = waiting
+
+    @rule()
+    def pop(self) -> None:
+        popped = self.queue.pop()
+        if popped is None:
+            assert not self.model
+            return
+        assert self.model.pop(popped.request_id) is popped
+        own = [w.place for w in self.model.values() if w.workspace == popped.workspace]
+        assert all(popped.place <= place for place in own)
+
+    @rule(held=st.sampled_from(WORKSPACES))
+    def pop_all_but(self, held: str) -> None:
+        popped = self.queue.pop(lambda first: first.workspace != held)
+        if popped is None:
+            assert all(w.workspace == held for w in self.model.values())
+            return
+        assert popped.workspace != held
+        assert self.model.pop(popped.request_id) is popped
+
+    @rule(pick=st.integers(0, 50))
+    def remove(self, pick: int) -> None:
+        name = str(self.number - pick)
+        assert self.queue.remove(name) is self.model.pop(name, None)
+
+    @rule(workspace=st.sampled_from(WORKSPACES), seconds=st.floats(-3.0, 3.0))
+    def charge(self, workspace: str, seconds: float) -> None:
+        self.queue.charge(workspace, seconds)
+
+    @rule(ahead=st.floats(-3.0, 3.0))
+    def take_late(self, ahead: float) -> None:
+        now = self.number + ahead
+        late = {w.request_id for w in self.queue.take_late(now)}
+        expected = {i for i, w in self.model.items() if w.latest_start < now}
+        assert late == expected
+        for name in late:
+            del self.model[name]
+
+    @invariant()
+    def holds_what_it_must(self) -> None:
+        assert {w.request_id for w in self.queue.list_all()} == set(self.model)
+        assert abs(self.queue.work - sum(w.work for w in self.model.values())) < 1e-6
+        loads: dict[str, float] = {}
+        for workspace in WORKSPACES:
+            own = [w for w in self.model.values() if w.workspace == workspace]
+            assert self.queue.count(workspace) == len(own)
+            if own:
+                loads[workspace] = len(own) / WEIGHTS[workspace]
+                newest = max(own, key=lambda w: w.arrival)
+                assert self.queue.find_newest(workspace) is newest
+        longest = self.queue.find_longest()
+        assert (longest[1] if longest else None) == (
+            max(loads.values()) if loads else None
+        )
+
+
+TestFairQueueMachine = FairQueueMachine.TestCase
+TestFairQueueMachine.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+)
+
+
+class FairnessTests(unittest.TestCase):
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.data())
+    def test_backlogged_workspaces_stay_within_one_request_of_their_share(
+        self, data: st.DataObject
+    ) -> None:
+        """While two workspaces always wait, neither gets ahead of its weight.
+
+        Start-time fair queueing bounds the difference of work per weight by one
+        request of each.
+        """
+        queue = FairQueue()
+        for number in range(60):
+            for workspace in ("a", "b"):
+                work = data.draw(WORKS)
+                queue.push(make_waiting(number, f"{workspace}", work))
+                # Ids are unique over both lines.
+                number += 1000
+        served = {"a": 0.0, "b": 0.0}
+        while queue.count("a") and queue.count("b"):
+            popped = queue.pop()
+            served[popped.workspace] += popped.work / popped.weight
+            bound = 4.0 / WEIGHTS["a"] + 4.0 / WEIGHTS["b"]
+            self.assertLessEqual(abs(served["a"] - served["b"]), bound)
+
+    def test_an_idle_workspace_saves_up_nothing(self) -> None:
+        queue = FairQueue()
+        for number in range(100):
+            queue.push(make_waiting(number, "a"))
+        for _ in range(50):
+            queue.pop()
+        for number in range(100, 150):
+            queue.push(make_waiting(number, "c"))
+        first = [queue.pop().workspace for _ in range(20)]
+        self.assertLessEqual(abs(first.count("a") - first.count("c")), 1)
--- a/libraries/decisions/tests/test_router.py
+++ b/libraries/decisions/tests/test_router.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
 from bamboopier_decisions.routing.messages import (
+    FirstByteCame,
     Ran,
     Refuse,
     RefuseReason,
@@ -15,6 +17,9 @@
 
 from .routing_builders import make_end, make_fleet, make_request, make_router
 
+if TYPE_CHECKING:
+    from bamboopier_decisions.routing.router import Router
+
 
 class TruthTests(unittest.TestCase):
     def test_unknown_stays_unknown_when_the_next_target_refuses(self) -> None:
@@ -138,6 +143,40 @@
         self.assertIsInstance(decision, Send)
 
 
+class SlowTargetTests(unittest.TestCase):
+    """One of six targets takes a second longer to its first byte than the others."""
+
+    def serve(self, router: Router, start: float, slow: set[str]) -> list[str]:
+        """Serve 400 requests over 40 s; return where they went."""
+        targets: list[str] = []
+        for number in range(400):
+            now = start + number / 10
+            name = f"{now}"
+            sent = router.handle(make_request(name, now))
+            targets.append(sent.target)
+            seconds = 1.2 if sent.target in slow else 0.1
+            router.handle(FirstByteCame(now + 0.05, name, sent.target, seconds))
+            router.handle(make_end(name, sent.target, Ran.YES, now + 0.05))
+        return targets
+
+    def test_it_is_set_aside_and_returns_when_it_is_quick_again(self) -> None:
+        router = make_router(6)
+        self.serve(router, 0.0, {"t0"})
+        slow = self.serve(router, 40.0, {"t0"})
+        self.assertLess(slow.count("t0"), 8)
+        self.serve(router, 80.0, set())
+        healed = self.serve(router, 120.0, set())
+        self.assertGreater(healed.count("t0"), 40)
+
+    def test_no_more_than_a_third_is_set_aside(self) -> None:
+        """A rollout makes half of the targets slow; the rest would be overrun."""
+        router = make_router(6)
+        slow = {"t0", "t1"}
+        self.serve(router, 0.0, slow)
+        both = self.serve(router, 40.0, slow | {"t2"})
+        self.assertGreater(both.count("t2"), 40)
+
+
 class ReturningTests(unittest.TestCase):
     def test_new_targets_get_their_share_little_by_little(self) -> None:
         """A data centre that returns cold is sent its whole share in the first second.
