Refuse by deadline only on what was measured

Cause: a near-idle agent refused 1,600 tokens within a minute: the decode pace was learnt from two-token answers, whose overhead counted as pace, or assumed.

Ruled out: a longer default timeout; it would only move the length that is refused.

Change: pace is learnt from answers of eight tokens and more; with a slot free nothing is refused by an estimate; an estimate for work more than four times as long as any measured may claim half of the time left at most.

--- a/libraries/decisions/src/bamboopier_decisions/admission/admission.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/admission.py
@@ -16,7 +16,7 @@
 
 from .concurrency_limit import ConcurrencyLimit
 from .drain_rate import DrainRate
-from .estimates import WorkEstimates
+from .estimates import MIN_PACE_TOKENS, WorkEstimates
 from .fair_queue import FairQueue, Waiting
 from .lending import Lending
 from .messages import (
@@ -48,8 +48,8 @@
 # Seconds of work that a standing queue holds: enough that no slot stands empty.
 STANDING_WAIT = 1.0
 MIN_QUEUE = 4
-# Answers with fewer tokens tell nothing of the engine's pace.
-MIN_PACE_TOKENS = 8
+# Of the time until the deadline that an estimate may claim which was never measured.
+UNMEASURED_CLAIM = 0.5
 
 
 class _Running:
@@ -162,7 +162,7 @@
             event.weight,
             event.priority,
             event.now,
-            event.deadline,
+            self._find_latest_start(event, work),
             work,
         )
         if (
@@ -182,6 +182,27 @@
         self._arrived[event.request_id] = event
         return decisions + self._start_next(event.now)
 
+    def _find_latest_start(self, event: WorkArrived, work: float) -> float:
+        """Return when the request must start to meet its deadline.
+
+        What was never measured may not rule a request out: answers of two tokens say
+        little of one of a thousand.
+        """
+        if not self._estimates.knows(event.max_tokens):
+            work = min(work, UNMEASURED_CLAIM * (event.deadline - event.now))
+        return event.deadline - work
+
+    def _is_hopeless(self, waiting: Waiting, event: WorkArrived) -> bool:
+        """Say whether a request cannot be answered in time.
+
+        With a slot free it is tried: it takes nobody's place, and the estimate of its
+        length is a mean that half of all answers undercut.
+        """
+        if self._is_free(waiting):
+            return event.deadline <= event.now
+        wait = WAIT_MARGIN * self._estimate_wait(waiting)
+        return event.now + wait > waiting.latest_start
+
     def _is_full(self, now: float) -> bool:
         bound = self._max_waiting
         since = self._standing_since
@@ -316,8 +337,6 @@
 
     def _estimate_wait(self, waiting: Waiting) -> float:
         """Return the expected seconds until a newly arrived request starts."""
-        if self._is_free(waiting):
-            return 0.0
         workspace, weight = waiting.workspace, waiting.weight
         return self._estimate_start(self._queue.estimate_ahead(workspace, weight))
 
--- a/libraries/decisions/src/bamboopier_decisions/admission/estimates.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/estimates.py
@@ -19,6 +19,10 @@
 # The prefill rate guides the gateways. One learnt while the engine was cold keeps work
 # away from it, and so the measurements that would correct it: few must suffice.
 PREFILL_SMOOTHING = 0.2
+# Answers with fewer tokens show the overhead of an answer, not the engine's pace.
+MIN_PACE_TOKENS = 8
+# Work of up to so many times the longest answer seen is taken as measured.
+KNOWN_FACTOR = 4.0
 
 
 class _Ratio:
@@ -49,7 +53,15 @@
 class WorkEstimates:
     """Turns tokens into expected seconds."""
 
-    __slots__ = ("_decode", "_first", "_measured", "_output", "_prefill", "_service")
+    __slots__ = (
+        "_decode",
+        "_first",
+        "_longest",
+        "_measured",
+        "_output",
+        "_prefill",
+        "_service",
+    )
 
     def __init__(self) -> None:
         # Seconds per prompt token until the first one, whatever part was cached.
@@ -62,6 +74,8 @@
         self._output = _Ratio(FIRST_OUTPUT_SHARE)
         self._service = 0.0
         self._measured = False
+        # Most tokens of an answer that was measured.
+        self._longest = 0
 
     @property
     def prefill_rate(self) -> float:
@@ -80,6 +94,10 @@
         output = max_tokens * self._output.value
         return prompt_tokens * self._first.value + output * self._decode.value
 
+    def knows(self, max_tokens: int) -> bool:
+        """Say whether answers of about the expected length have been measured."""
+        return max_tokens * self._output.value <= KNOWN_FACTOR * self._longest
+
     def compare_first(self, new_tokens: int, seconds: float) -> float:
         """Return ``seconds`` to a first token as a multiple of the expected ones."""
         expected = new_tokens * self._prefill.value
@@ -99,5 +117,7 @@
             self._service = seconds
         self._service += SMOOTHING * (seconds - self._service)
         if output_tokens > 0:
-            self._decode.add(decode_seconds, output_tokens)
             self._output.add(output_tokens, allowed)
+        if output_tokens >= MIN_PACE_TOKENS:
+            self._decode.add(decode_seconds, output_tokens)
+            self._longest = max(self._longest, output_tokens)
--- a/libraries/decisions/src/bamboopier_decisions/admission/fair_queue.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/fair_queue.py
@@ -30,21 +30,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
-    """A request in the queue. ``work`` is its expected seconds of target time."""
+    """A request in the queue.
+
+    ``work`` is its expected seconds of target time; started after ``latest_start`` it
+    could not finish by its deadline.
+    """
 
     request_id: str
     workspace: str
     weight: float
     priority: int
     arrival: float
-    deadline: float
+    latest_start: float
     work: float
 
-    @property
-    def latest_start(self) -> float:
-        """Return the time after which it cannot finish by its deadline."""
-        return self.deadline - self.work
-
     @property
     def place(self) -> tuple[int, float, str]:
         """Return the order within the workspace; smaller goes first."""
--- a/libraries/decisions/tests/test_admission.py
+++ b/libraries/decisions/tests/test_admission.py
@@ -118,7 +118,7 @@
     def test_a_workspace_below_its_share_pushes_out_the_newest_of_the_longest(
         self,
     ) -> None:
-        """A workspace that asks for little is refused since another filled the queue."""
+        """A workspace that asks for little is refused: another filled the queue."""
         admission = Admission(2, 4, Random(1))
         for number in range(6):
             admission.handle(make_work(number, number * 0.001, "hot"))
@@ -190,3 +190,51 @@
             left = WorkEnded(number + 0.5, f"r{number}", False, cancelled=True)
             admission.handle(left)
         self.assertEqual(admission.limit, 2)
+
+
+class EstimateTests(unittest.TestCase):
+    def serve(
+        self, admission: Admission, count: int, tokens: int, seconds: float
+    ) -> None:
+        for number in range(count):
+            now = float(number * 10)
+            name = f"r{number}"
+            admission.handle(
+                WorkArrived(now, name, "a", 1.0, 0, now + 60, 8, max_tokens=tokens)
+            )
+            admission.handle(FirstToken(now + 0.02, name, 0))
+            ended = WorkEnded(now + seconds, name, True, tokens)
+            admission.handle(ended)
+
+    def ask_long(self, admission: Admission, running: int) -> object:
+        """Ask for 1,600 tokens within a minute while others run; return the answer."""
+        for number in range(running):
+            admission.handle(make_work(1000 + number, 1e4, patience=600.0))
+        arrived = WorkArrived(1e4, "long", "a", 1.0, 0, 1e4 + 60, 800, max_tokens=1600)
+        return admission.handle(arrived)
+
+    def test_two_token_answers_do_not_make_a_long_one_look_hopeless(self) -> None:
+        """A target refuses 1,600 tokens by a deadline that it could meet.
+
+        It has given many answers of two tokens that took 0.1 s for their overhead
+        alone. Taken as its pace, 1,600 tokens would take 80 s; it needs 8.
+        """
+        admission = Admission(8, 64, Random(1))
+        self.serve(admission, 60, 2, 0.12)
+        running = admission.limit + 1
+        self.assertEqual(self.ask_long(admission, running), [])
+        self.assertEqual(admission.handle(Tick(1e4 + 1)), [])
+        self.assertEqual(admission.waiting, 2)
+
+    def test_a_target_with_a_free_slot_refuses_nothing_by_an_estimate(self) -> None:
+        admission = Admission(8, 64, Random(1))
+        self.serve(admission, 60, 64, 6.4)
+        self.assertEqual(self.ask_long(admission, 0), [Start("long")])
+
+    def test_a_pace_measured_over_long_answers_counts_in_a_queue(self) -> None:
+        """Work that cannot be done by its deadline waits for a place and is cut off."""
+        admission = Admission(8, 64, Random(1))
+        self.serve(admission, 60, 640, 64.0)
+        (decision,) = self.ask_long(admission, admission.limit + 1)
+        self.assertIsInstance(decision, Reject)
+        self.assertIs(decision.reason, RejectReason.DEADLINE)
--- a/libraries/decisions/tests/test_fair_queue.py
+++ b/libraries/decisions/tests/test_fair_queue.py
@@ -18,7 +18,9 @@
     number: int, workspace: str, work: float = 1.0, deadline: float = 1e6
 ) -> Waiting:
     weight = WEIGHTS.get(workspace, 1.0)
-    return Waiting(str(number), workspace, weight, 0, float(number), deadline, work)
+    return Waiting(
+        str(number), workspace, weight, 0, float(number), deadline - work, work
+    )
 
 
 class FairQueueMachine(RuleBasedStateMachine):
--- a/libraries/decisions/tests/test_load.py
+++ b/libraries/decisions/tests/test_load.py
@@ -8,6 +8,7 @@
 
 import unittest
 from functools import cache
+from typing import TYPE_CHECKING
 
 from bench_load.orders import Behaviour, Order
 from bench_load.outcome import Outcome, judge
@@ -26,9 +27,11 @@
     make_overload,
     make_slow_target,
 )
-from bench_load.simulation import Simulation
 from bench_load.table import LEAST_LOADED, OURS, ROUND_ROBIN, simulate
 
+if TYPE_CHECKING:
+    from bench_load.simulation import Simulation
+
 OBEDIENT, EAGER = Behaviour.OBEDIENT, Behaviour.EAGER
 TARGETS = 4
 
@@ -95,7 +98,7 @@
 
 class HotCallerTests(unittest.TestCase):
     def test_a_hot_caller_hardly_delays_the_others(self) -> None:
-        """Everybody's first token is late since one workspace asks a hundred times more.
+        """Everybody's first token is late since one workspace asks too much.
 
         It asks for 100 times its share; the nine others for 70% of theirs. Sums over
         three seeds, as a p95 of some hundred answers is coarse.
@@ -166,7 +169,7 @@
 
 class ColdTests(unittest.TestCase):
     def test_a_cold_fleet_warms_up_and_none_falls_over(self) -> None:
-        """The whole fleet starts, meets its full load, and falls over again and again."""
+        """The whole fleet starts, meets its full load and falls over time and again."""
         scenario = make_cold_fleet(TARGETS)
         simulation = simulate(OURS, scenario)
         self.assertEqual(judge(simulation, scenario).falls, 0)
