--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import random
 import uuid
@@ -49,9 +48,9 @@
 from .weights import WeightsKeeper
 
 if TYPE_CHECKING:
+    from bamboopier_configuration.directory import Directory
     from bamboopier_configuration.settings import AgentSettings
 
-STORE_VMS_SECONDS = 10.0
 # For answers that have left the target and not yet reached their gateway.
 FLUSH_SECONDS = 30.0
 
@@ -62,7 +61,7 @@
     """Run until SIGTERM or SIGINT, then let what runs finish."""
     generator = random.Random(f"{settings.vm}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        certificates = Certificates(settings.tls)
+        certificates = Certificates(settings.tls, allow_plain=settings.allow_plain)
         context_out = certificates.make_client_context()
         platform = await stack.enter_async_context(
             HttpPlatform(settings.platform_url, context_out)
@@ -81,13 +80,20 @@
         standing = TargetStanding(settings, gate)
         vms = VmBoard(generator)
         vms.tell(standing.apply_vms)
+        vms.tell(lambda _: apply_context())
         peers = PeerClient(settings.peers, vms, certificates.open_channel, generator)
+
+        def apply_context() -> None:
+            places = (settings.service, settings.data_centre)
+            view = build_view(follower.directory, vms.vms, *places, secret)
+            context.configure(view)
+
+        def apply_configuration(directory: Directory) -> None:
+            standing.apply_configuration(directory)
+            apply_context()
+
         follower = ConfigurationFollower(
-            platform,
-            standing.apply_configuration,
-            generator,
-            peers,
-            lambda: vms.nodes,
+            platform, apply_configuration, generator, peers, lambda: vms.nodes
         )
         holder = f"{settings.vm}:{uuid.uuid4().hex}"
         place = f"{settings.vm}:{settings.listen}"
@@ -103,7 +109,7 @@
             standing,
             follower,
             lease,
-            LoadSlots(platform, settings.service, holder, place, generator),
+            LoadSlots(platform, settings.service, holder, generator),
             lambda: _count_targets(vms, follower, settings.service),
             generator,
         )
@@ -125,7 +131,6 @@
             follower.run(),
             context.run(),
             vms.run(platform),
-            _follow_store_vms(vms, context, follower, settings),
         ):
             await stack.enter_async_context(keep_running(loop))
         checks = [PeerCheck(settings.gateway_name)] if settings.tls else []
@@ -141,7 +146,10 @@
         await stack.enter_async_context(keep_running(orders))
 
         def is_ready() -> bool:
-            return watch.reachable and gate.admission.accepting
+            # Without services and stores this agent would refuse or forget what the
+            # first requests bring.
+            informed = follower.directory.generation > 0 and vms.is_known
+            return informed and watch.reachable and gate.admission.accepting
 
         add_process_metrics(
             metrics.registry,
@@ -198,19 +206,3 @@
         and vm.data_centre not in drains.data_centres
         for vm in vms.vms
     )
-
-
-async def _follow_store_vms(
-    vms: VmBoard,
-    context: ContextKeeper,
-    follower: ConfigurationFollower,
-    settings: AgentSettings,
-) -> None:
-    """Keep the service's store VMs, budget and shares up to date."""
-    secret = bytes.fromhex(settings.block_secret)
-    await follower.loaded.wait()
-    while True:
-        place = (settings.service, settings.data_centre)
-        view = build_view(follower.directory, vms.vms, *place, secret)
-        context.configure(view)
-        await asyncio.sleep(STORE_VMS_SECONDS if context.store_vms else 0.5)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -26,6 +27,7 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 HOST = "127.0.0.1"
+LISTEN_PORTS = range(12_000, 32_000)
 
 
 class StartError(Exception):
@@ -73,6 +75,8 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     vms: list[dict[str, Any]] = field(default_factory=list)
     platform_url: str = ""
+    # The platform's list stays as it is, whatever starts.
+    holds_vm_list: bool = False
     # Addresses of the callers' side of each gateway and of administration ports.
     gateways: dict[str, str] = field(default_factory=dict)
     admin: dict[str, str] = field(default_factory=dict)
@@ -114,7 +118,8 @@
     ) -> None:
         """Start a target stand-in (``engine`` or ``plain``) and the agent beside it.
 
-        ``agent`` holds further settings of the agent, ``options`` the stand-in's own.
+        ``agent`` holds further settings of the agent by name, ``options`` the
+        stand-in's own.
         """
         port = self._start_stand_in(f"{name}-target", kind, options)
         self.targets[name] = f"http://{HOST}:{port}"
@@ -186,7 +191,9 @@
         self.put_vms()
 
     def put_vms(self) -> None:
-        """Send the VM list to the platform stand-in."""
+        """Send the VM list to the platform stand-in, unless it is held back."""
+        if self.holds_vm_list:
+            return
         send("PUT", f"{self.platform_url}/vms", self.vms)
 
     def set_faults(self, faults: dict[str, Any]) -> None:
@@ -260,10 +267,19 @@
 
 
 def find_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a loopback port that was free a moment ago.
+
+    It lies below those that the system gives to outgoing connections: one of them could
+    take a port from there before the process that is to listen on it has started.
+    """
+    while True:
+        port = secrets.choice(LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 def fetch(url: str) -> bytes:
