--- a/libraries/agent/src/bamboopier_agent/lease.py
+++ b/libraries/agent/src/bamboopier_agent/lease.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from bamboopier_decisions.membership.lease import WriteLease
-    from bamboopier_platform.objects import ObjectStore
+    from bamboopier_platform.objects import ObjectStore, StoredObject
 
 # 730 agents that renew every 20 s write 37 times a second, a tenth of what the platform
 # takes; a lease survives two renewals that fail.
@@ -39,7 +39,7 @@
 
     def __init__(self, objects: ObjectStore, key: str, lease: Lease) -> None:
         self._objects = objects
-        self._key = key
+        self.key = key
         self.lease = lease
 
     @property
@@ -49,19 +49,21 @@
 
     async def observe(self) -> bool:
         """Read the lease's object once; False when the platform did not answer."""
-        answer = await self._objects.read(self._key)
+        answer = await self._objects.read(self.key)
         if isinstance(answer, Err):
             return False
-        stored = answer.ok_value
-        if stored is None:
-            return True
+        if answer.ok_value is not None:
+            self.note(answer.ok_value)
+        return True
+
+    def note(self, stored: StoredObject) -> None:
+        """Take the object as it was read."""
         try:
             record = msgspec.json.decode(stored.value, type=LeaseRecord)
         except msgspec.MsgspecError:
             # Not written by this program: it is taken over like a released lease.
             record = None
         self.lease.see(read_clock(), SeenLease(stored.version, record))
-        return True
 
     async def claim(self) -> bool:
         """Take or renew the lease if it may be; say whether it is held afterwards."""
@@ -104,7 +106,7 @@
         repeated a write that took effect, and a write held up on its way may land.
         """
         value = msgspec.json.encode(write.record)
-        answer = await self._objects.write(self._key, value, write.expected_version)
+        answer = await self._objects.write(self.key, value, write.expected_version)
         if isinstance(answer, Ok):
             self.lease.see(read_clock(), SeenLease(answer.ok_value, write.record))
         else:
--- a/libraries/agent/src/bamboopier_agent/load_slots.py
+++ b/libraries/agent/src/bamboopier_agent/load_slots.py
@@ -6,6 +6,8 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from result import Err
+
 from bamboopier_daemon.daemon import keep_running
 from bamboopier_decisions.membership.lease import Lease
 from bamboopier_decisions.membership.load_slots import choose_slot
@@ -22,6 +24,7 @@
 # back only when that holder's load is over.
 SLOT_LEASE_SECONDS = 90.0
 RENEW_SECONDS = 20.0
+PREFIX = "leases/loads/"
 
 
 class LoadSlots:
@@ -44,14 +47,10 @@
     async def take(self, count: int) -> AsyncIterator[LeaseKeeper | None]:
         """Hold one of the first ``count`` slots; None when none is free now.
 
-        Each slot costs a read a try, and a taken one a write to take, one to give up
+        A try costs one read of all slots, and a slot a write to take, one to give up
         and one each 20 s between.
         """
-        for number in range(count):
-            self._keepers.setdefault(number, self._make_keeper(number))
-        for number in range(count):
-            await self._keepers[number].observe()
-        keeper = await self._claim(count)
+        keeper = await self._claim(count) if await self._observe(count) else None
         if keeper is None:
             yield None
             return
@@ -59,6 +58,19 @@
             yield keeper
         await keeper.release()
 
+    async def _observe(self, count: int) -> bool:
+        """Read all slots at once; False when the platform did not answer."""
+        for number in range(count):
+            self._keepers.setdefault(number, self._make_keeper(number))
+        answer = await self._objects.scan(f"{PREFIX}{self._service}/")
+        if isinstance(answer, Err):
+            return False
+        for stored in answer.ok_value:
+            for keeper in self._keepers.values():
+                if stored.key == keeper.key:
+                    keeper.note(stored)
+        return True
+
     async def _claim(self, count: int) -> LeaseKeeper | None:
         leases = {n: self._keepers[n].lease for n in range(count)}
         order = self._random.sample(range(count), count)
@@ -72,7 +84,7 @@
         # predecessor was killed must not take that one's slot at once, since the
         # engine may still be loading by the predecessor's order.
         lease = Lease(self._holder, self._holder, SLOT_LEASE_SECONDS)
-        key = f"leases/loads/{self._service}/{number}"
+        key = f"{PREFIX}{self._service}/{number}"
         return LeaseKeeper(self._objects, key, lease)
 
 
--- a/libraries/agent/tests/order_builders.py
+++ b/libraries/agent/tests/order_builders.py
@@ -60,6 +60,11 @@
             return Err(PlatformUnavailableError(key))
         return Ok(self.stored.get(key))
 
+    async def scan(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
+        if self.down:
+            return Err(PlatformUnavailableError(prefix))
+        return Ok([o for key, o in self.stored.items() if key.startswith(prefix)])
+
     async def write(
         self, key: str, value: bytes, expected_version: int
     ) -> Result[int, PlatformError]:
--- a/libraries/agent/tests/test_weights.py
+++ b/libraries/agent/tests/test_weights.py
@@ -131,6 +131,43 @@
         self.assertIs(await self.load(agent), LoadOutcome.NO_LEASE)
         self.assertEqual(engine.orders, [])
 
+    async def test_a_renewal_shows_a_takeover_to_a_clock_that_stood_still(self) -> None:
+        """The agent's machine is frozen, clocks and all, while it has a slot.
+
+        Another agent waits the lease out and loads v2; awake, the first one's clock
+        says that its lease still runs, and the engine would take its order.
+        """
+        engine = Engine(checks_fencing=False, version="v0", reported="v0")
+        frozen = Agent(self.objects, engine, vm="old", version="v1")
+        successor = Agent(self.objects, engine, vm="new", version="v2")
+        await frozen.take_lease()
+        await successor.lease.observe()
+
+        async def pass_on() -> None:
+            before = self.clock.now
+            self.clock.now += DURATION
+            await successor.take_lease()
+            await self.load(successor)
+            self.clock.now = before
+
+        self.objects.after_write["loads"] = pass_on
+        self.assertIs(await self.load(frozen), LoadOutcome.NO_LEASE)
+        self.assertEqual([version for version, _ in engine.orders], ["v2"])
+
+    async def test_a_slot_that_lapsed_in_a_pause_is_not_used(self) -> None:
+        """The agent is paused after it took its slot; the slot may be another's now."""
+        agent = Agent(self.objects, Engine())
+        await agent.take_lease()
+        close = agent.standing.set_loading
+
+        def pause(loading: bool) -> None:
+            self.clock.now += SLOT_LEASE_SECONDS
+            close(loading)
+
+        with mock.patch.object(agent.standing, "set_loading", pause):
+            self.assertIs(await self.load(agent), LoadOutcome.NO_LEASE)
+        self.assertEqual(agent.engine.orders, [])
+
     async def test_a_second_agent_waits_out_the_first(self) -> None:
         """Two agents for one target whose engine ignores fencing numbers."""
         engine = Engine(checks_fencing=False)
@@ -194,5 +231,7 @@
         for agent in (failed, other):
             await agent.take_lease()
         self.assertIs(await self.load(failed), LoadOutcome.FAILED)
+        # The engine has answered; nobody has to wait for what it reports.
+        self.assertFalse(failed.watch.refreshed.is_set())
         self.assertTrue(failed.gate.admission.accepting)
         self.assertIs(await self.load(other), LoadOutcome.LOADED)
--- /dev/null
+++ b/libraries/gateway/tests/test_target_reports.py
@@ -0,0 +1,50 @@
+"""Which targets count for a version, and which are asked again."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_decisions.routing.messages import Distance, TargetView
+from bamboopier_gateway.target_reports import TargetReports
+from bamboopier_protocol import agent_pb2 as pb
+
+DESKS = ("desk-1", "desk-2", "desk-3")
+
+
+def build_report(version: str, accepting: bool = True) -> pb.LoadReport:
+    """Return what a target says of itself."""
+    return pb.LoadReport(weight_version=version, accepting=accepting)
+
+
+class TargetReportsTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reports = TargetReports()
+        self.change()
+
+    def change(self) -> None:
+        views = [TargetView(d, "desk", Distance.SAME_REGION) for d in DESKS]
+        self.reports.change(views, {"desk": frozenset({"v2"})})
+
+    def test_closed_and_lost_targets_do_not_count_for_a_version(self) -> None:
+        """Two targets with the old version load or died; one is left.
+
+        Counted, they would draw requests for a version that hardly anyone serves, and
+        those would be refused.
+        """
+        self.reports.note("desk-1", build_report("v1"))
+        self.reports.note("desk-2", build_report("v1", accepting=False))
+        self.reports.note("desk-3", build_report("v1"))
+        self.reports.note("desk-3", None)
+        self.assertEqual(self.reports.list_versions("desk"), ["v1"])
+
+    def test_targets_without_requests_are_asked_in_turn(self) -> None:
+        """Without being asked, a target that opens again would stay unused for ever."""
+        self.reports.note("desk-1", build_report("v2"))
+        self.reports.note("desk-2", build_report("v1", accepting=False))
+        self.reports.note("desk-3", build_report("v1"))
+        self.change()
+        asked = [self.reports.find_next() for _ in range(4)]
+        self.assertEqual(asked, ["desk-2", "desk-3", "desk-2", "desk-3"])
+        for desk in DESKS:
+            self.reports.note(desk, build_report("v2"))
+        self.assertIsNone(self.reports.find_next())
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -7,9 +7,13 @@
 import unittest
 from typing import TYPE_CHECKING, Any
 
+import grpc
 from processes import Installation, fetch, send
 
+from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
+
 from .fleet_builders import (
+    FAULT_DESK,
     LongStream,
     Traffic,
     build_fleet,
@@ -96,6 +100,30 @@
         self.assertEqual(len(loads), len(ENGINES) + 1)
         self.assertLessEqual(count_at_once(loads), LOADS_AT_ONCE)
 
+    def test_an_agent_refuses_a_request_for_another_version(self) -> None:
+        """A gateway that knows less asks for a version that the engine does not have.
+
+        Run all the same, the request would read blocks of the other version.
+        """
+        agent = next(vm for vm in self.installation.vms if vm["name"] == "desk-1")
+        request = pb.ServeRequest(
+            request_id="for-v9",
+            attempt_id="for-v9",
+            workspace="fosse-midlands",
+            service=FAULT_DESK,
+            idempotent=True,
+            timeout_ms=10_000,
+            method="POST",
+            path="/v1/completions",
+            body=b'{"prompt": "live?", "max_tokens": 1}',
+            model=pb.ModelWork(model="pillar-8b", weight_version="v9"),
+        )
+        with grpc.insecure_channel(agent["address"]) as channel:
+            events = list(agent_pb2_grpc.AgentStub(channel).Serve(request))
+        self.assertEqual([e.not_run.cause for e in events], [pb.WRONG_VERSION])
+        log = self.installation.read_target_log("desk-1")
+        self.assertEqual([e for e in log if e.get("request_id") == "for-v9"], [])
+
     def test_an_agent_killed_while_its_engine_loads(self) -> None:
         """The agent dies in the middle of a load and is started anew at its place.
 
