--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: reference demo demo-stay test check format types protocol mutations bench bench-load capacity
+.PHONY: reference demo demo-stay test check format types protocol mutations bench bench-load capacity bench-context
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
@@ -33,11 +33,15 @@
 # Simulated time only; the table with its baselines takes some minutes.
 bench-load: $(VENV)/ready
 	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.table
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_load.cost
 
 # Writes docs/configuration.md from the checked types; its output is committed.
 reference: $(VENV)/ready
 	$(PYTHON) tools/reference.py
 
+bench-context: $(VENV)/ready
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tools $(PYTHON) -m bench_context
+
 # Only needed after editing the .proto file; its output is committed.
 protocol: $(VENV)/ready
 	cd libraries/protocol/src && $(abspath $(PYTHON)) -m grpc_tools.protoc -I . \
--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -61,7 +61,7 @@
     """Run until SIGTERM or SIGINT, then let what runs finish."""
     generator = random.Random(f"{settings.vm}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        certificates = Certificates(settings.tls)
+        certificates = Certificates(settings.tls, allow_plain=settings.allow_plain)
         context_out = certificates.make_client_context()
         platform = await stack.enter_async_context(
             HttpPlatform(settings.platform_url, context_out)
@@ -146,7 +146,10 @@
         await stack.enter_async_context(keep_running(orders))
 
         def is_ready() -> bool:
-            return watch.reachable and gate.admission.accepting
+            # Without services and stores this agent would refuse or forget what the
+            # first requests bring.
+            informed = follower.directory.generation > 0 and vms.is_known
+            return informed and watch.reachable and gate.admission.accepting
 
         add_process_metrics(
             metrics.registry,
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -43,7 +43,7 @@
     """Run until SIGTERM or SIGINT, then let every request finish."""
     generator = random.Random(f"{settings.vm}:{settings.seed}:{os.getpid()}")
     async with AsyncExitStack() as stack:
-        certificates = Certificates(settings.tls)
+        certificates = Certificates(settings.tls, allow_plain=settings.allow_plain)
         caller_context = certificates.make_caller_context(settings.caller_tls)
         platform = await stack.enter_async_context(
             HttpPlatform(settings.platform_url, certificates.make_client_context())
@@ -83,17 +83,21 @@
                 settings, application.make_application(), metrics, caller_context
             )
         )
+
+        def is_ready() -> bool:
+            # With the configuration alone there is no target to send to: callers that
+            # the balancer sent here would all be refused.
+            return application.ready and vms.is_known
+
         add_process_metrics(
             metrics.registry,
             "gateway",
             settings,
-            lambda: application.ready,
+            is_ready,
             lambda: follower.directory.generation,
         )
         await stack.enter_async_context(
-            serve_administration(
-                settings.admin, metrics.registry, lambda: application.ready
-            )
+            serve_administration(settings.admin, metrics.registry, is_ready)
         )
         log.info("gateway started", vm=settings.vm, listen=str(settings.listen))
         with StopSignals() as signals:
