--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -17,6 +17,7 @@
 
 import fire
 from mutations import MUTATIONS
+from safeguards import configuration, orders, places
 
 if TYPE_CHECKING:
     from mutations import Mutation
@@ -25,6 +26,12 @@
 LEFT_OUT = shutil.ignore_patterns(".venv", ".git", ".mypy_cache", ".ruff_cache")
 TEST_SECONDS = 300
 WORKERS = 4
+ALL = (
+    *MUTATIONS,
+    *configuration.MUTATIONS,
+    *orders.MUTATIONS,
+    *places.MUTATIONS,
+)
 
 
 def run_mutation(mutation: Mutation) -> str:
@@ -58,7 +65,7 @@
 
 def main(only: str = "") -> None:
     """Run every mutation whose safeguard contains ``only``."""
-    chosen = [m for m in MUTATIONS if only in m.safeguard]
+    chosen = [m for m in ALL if only in m.safeguard]
     with ThreadPoolExecutor(WORKERS) as pool:
         outcomes = list(pool.map(run_mutation, chosen))
     for mutation, outcome in zip(chosen, outcomes, strict=True):
--- /dev/null
+++ b/tools/safeguards/__init__.py
@@ -0,0 +1,1 @@
+"""Lists of safeguards by subject, for ``make mutations``."""
--- /dev/null
+++ b/tools/safeguards/configuration.py
@@ -0,0 +1,157 @@
+"""Safeguards of published configuration."""
+
+from __future__ import annotations
+
+from mutations import Mutation
+
+MUTATIONS = (
+    Mutation(
+        "a follower never goes back to an older generation",
+        "libraries/platform/src/bamboopier_platform/follower.py",
+        "        if found.number <= self.directory.generation:\n            return\n",
+        "        if found.number == self.directory.generation:\n            return\n",
+        "libraries/platform",
+        "tests.test_generations.ConfigurationTests",
+    ),
+    Mutation(
+        "a lost answer to a publish is settled",
+        "libraries/platform/src/bamboopier_platform/publisher.py",
+        "                lost = True\n",
+        "                return answer\n",
+        "libraries/platform",
+        "tests.test_generations.ConfigurationTests",
+    ),
+    Mutation(
+        "a conflict is checked for one's own publish",
+        "libraries/platform/src/bamboopier_platform/publisher.py",
+        "                settled = await self._look_back(base, head)\n",
+        "                settled = Err(error)\n",
+        "libraries/platform",
+        "tests.test_generations.ConfigurationTests",
+    ),
+    Mutation(
+        "a lagging replica does not settle a publish",
+        "libraries/platform/src/bamboopier_platform/publisher.py",
+        "        if stored.version <= base.head_version:\n            return None  # A",
+        "        if False:\n            return None  # A",
+        "libraries/platform",
+        "tests.test_generations.ConfigurationTests",
+    ),
+    Mutation(
+        "a publish that was overtaken is found",
+        "libraries/platform/src/bamboopier_platform/publisher.py",
+        "        if Publication(head.generation, head.publish_id) in found.earlier:\n",
+        "        if False:\n",
+        "libraries/platform",
+        "tests.test_generations.PublisherTests."
+        "test_a_lost_publish_that_was_overtaken_is_found",
+    ),
+    Mutation(
+        "a part named again escapes its removal",
+        "libraries/platform/src/bamboopier_platform/publisher.py",
+        "                expected = error.found\n",
+        "                return Ok(None)\n",
+        "libraries/platform",
+        "tests.test_generations.PublisherTests."
+        "test_a_part_named_again_while_it_is_removed_stays",
+    ),
+    Mutation(
+        "old parts are removed",
+        "libraries/platform/src/bamboopier_platform/publisher.py",
+        "            if version != ABSENT:\n",
+        "            if False:\n",
+        "libraries/platform",
+        "tests.test_generations.PublisherTests.test_old_parts_are_removed",
+    ),
+    Mutation(
+        "parts of recent generations stay",
+        "libraries/platform/src/bamboopier_platform/publisher.py",
+        "            if part.generation <= limit and",
+        "            if",
+        "libraries/platform",
+        "tests.test_generations.ConfigurationTests",
+    ),
+    Mutation(
+        "a torn or foreign part is not applied",
+        "libraries/platform/src/bamboopier_platform/generations.py",
+        "        if value is None or digest_part(value) != digest:\n",
+        "        if value is None:\n",
+        "libraries/platform",
+        "tests.test_generations.GenerationStoreTests",
+    ),
+    Mutation(
+        "a generation heard of during a read is not lost",
+        "libraries/platform/src/bamboopier_platform/follower.py",
+        "        return current and not self.is_behind\n",
+        "        return current\n",
+        "libraries/platform",
+        "tests.test_follower.FollowerTests."
+        "test_a_hint_that_arrives_during_a_read_is_not_lost",
+    ),
+    Mutation(
+        "a watch gap is followed by a watch from the present",
+        "libraries/platform/src/bamboopier_platform/follower.py",
+        "                    return 0\n",
+        "                    return 10**9\n",
+        "libraries/platform",
+        "tests.test_follower.FollowerTests."
+        "test_a_gap_in_the_watch_is_followed_by_a_read",
+    ),
+    Mutation(
+        "a replica behind the notice is asked again",
+        "libraries/platform/src/bamboopier_platform/follower.py",
+        "            current = found.head_version >= self._awaited_version\n",
+        "            current = True\n",
+        "libraries/platform",
+        "tests.test_follower.FollowerTests."
+        "test_a_replica_behind_the_notice_is_asked_again",
+    ),
+    Mutation(
+        "a fresh node asks peers in an outage",
+        "libraries/platform/src/bamboopier_platform/follower.py",
+        "        elif self._peers is not None and self.directory.generation == 0:\n"
+        "            await self._ask_peers(self._peers)\n",
+        "",
+        "libraries/platform",
+        "tests.test_follower.FollowerTests.test_a_fresh_node_asks_a_peer_in_an_outage",
+    ),
+    Mutation(
+        "a node that is behind asks peers in an outage",
+        "libraries/platform/src/bamboopier_platform/follower.py",
+        "        if self.is_behind and self._peers is not None:\n"
+        "            await self._ask_peers(self._peers)\n",
+        "",
+        "libraries/platform",
+        "tests.test_follower.FollowerTests."
+        "test_a_node_that_wakes_in_an_outage_takes_a_peers_generation",
+    ),
+    Mutation(
+        "a gateway that slept takes the generation from an agent",
+        "libraries/platform/src/bamboopier_platform/peers.py",
+        "        known = sorted({*self._seeds, *self._vms.list_agents()})\n",
+        "        known: list[str] = []\n",
+        ".",
+        "tests.test_drain.DrainTests."
+        "test_the_agent_refuses_what_an_unaware_gateway_sends",
+    ),
+    Mutation(
+        "a fresh gateway learns the VM list from a peer",
+        "libraries/platform/src/bamboopier_platform/peers.py",
+        "            self._vms.learn(reply.ok_value.vms)\n",
+        "",
+        ".",
+        "tests.test_configuration.ConfigurationTests."
+        "test_a_gateway_started_in_an_outage_serves",
+    ),
+    Mutation(
+        "a node that cannot be reached is not in force",
+        "libraries/cli/src/bamboopier_cli/survey.py",
+        "        behind = [status for status in statuses if "
+        "status.generation < generation]\n",
+        "        behind = [s for s in statuses if s.reachable and "
+        "s.generation < generation]\n",
+        ".",
+        "tests.test_configuration.ConfigurationTests."
+        "test_a_node_that_cannot_be_reached_fails_the_wait",
+    ),
+)
--- /dev/null
+++ b/tools/safeguards/places.py
@@ -0,0 +1,119 @@
+"""Safeguards of drains, leaving targets and shutdown."""
+
+from __future__ import annotations
+
+from mutations import Mutation
+
+MUTATIONS = (
+    Mutation(
+        "a leaving VM stays out while the list wavers",
+        "libraries/decisions/src/bamboopier_decisions/membership/leaving.py",
+        "            elif name in self._live_since:\n"
+        "                self._note_live(now, name)\n",
+        "            else:\n                self._live_since.pop(name, None)\n",
+        "libraries/decisions",
+        "tests.membership.test_fleet_view.FleetViewTests."
+        "test_a_leaving_vm_stays_out_while_the_list_wavers",
+    ),
+    Mutation(
+        "a drained data centre takes its targets out",
+        "libraries/decisions/src/bamboopier_decisions/membership/fleet_view.py",
+        "        return target in self.targets or data_centre in self.data_centres\n",
+        "        return target in self.targets\n",
+        "libraries/decisions",
+        "tests.membership.test_fleet_view.FleetViewTests."
+        "test_drained_places_are_out_and_come_back",
+    ),
+    Mutation(
+        "the agent of a drained target refuses by itself",
+        "libraries/agent/src/bamboopier_agent/standing.py",
+        "        self._drained = places.hold(self._settings.target, "
+        "self._settings.data_centre)\n",
+        "        self._drained = False\n",
+        ".",
+        "tests.test_drain.DrainTests."
+        "test_the_agent_refuses_what_an_unaware_gateway_sends",
+    ),
+    Mutation(
+        "the agent of a leaving target refuses by itself",
+        "libraries/agent/src/bamboopier_agent/standing.py",
+        "            self._leaving = "
+        "bool(self._leaving_vms.update(time.monotonic(), listed))\n",
+        "            self._leaving = False\n",
+        ".",
+        "tests.test_drain.DrainTests."
+        "test_a_leaving_target_finishes_and_vanishes_without_a_cut",
+    ),
+    Mutation(
+        "a vanished target keeps its streams",
+        "libraries/gateway/src/bamboopier_gateway/agents.py",
+        "close(CLOSE_GRACE_SECONDS)",
+        "close(None)",
+        ".",
+        "tests.test_drain.DrainTests."
+        "test_a_leaving_target_finishes_and_vanishes_without_a_cut",
+    ),
+    Mutation(
+        "drains by several operators compose",
+        "libraries/cli/src/bamboopier_cli/publishing.py",
+        "        if not isinstance(answer.err_value, VersionConflictError):\n"
+        "            raise CommandError(str(answer.err_value))\n",
+        "        raise CommandError(str(answer.err_value))\n",
+        "libraries/cli",
+        "tests.test_publishing.DrainTests."
+        "test_a_drain_that_another_overtakes_is_made_again",
+    ),
+    Mutation(
+        "a gateway in a drained data centre is not ready",
+        "libraries/gateway/src/bamboopier_gateway/application.py",
+        "and not drained",
+        "",
+        ".",
+        "tests.test_drain.DrainTests."
+        "test_a_data_centre_out_and_back_while_the_platform_is_slow",
+    ),
+    Mutation(
+        "a stopping agent waits for its streams",
+        "libraries/agent/src/bamboopier_agent/daemon.py",
+        "    await gate.wait_until_idle()\n"
+        "    await server.stop(grace=FLUSH_SECONDS)\n",
+        "    await server.stop(grace=0.0)\n",
+        ".",
+        "tests.test_shutdown.GracefulTests."
+        "test_an_agent_finishes_streams_while_new_work_goes_elsewhere",
+    ),
+    Mutation(
+        "a stopping gateway waits for its streams",
+        "libraries/gateway/src/bamboopier_gateway/daemon.py",
+        "application.wait_until_idle(), timeout)",
+        "asyncio.sleep(0), timeout)",
+        ".",
+        "tests.test_shutdown.GracefulTests."
+        "test_a_gateway_finishes_streams_and_refuses_new_requests",
+    ),
+    Mutation(
+        "a gateway that must end tells open callers",
+        "libraries/gateway/src/bamboopier_gateway/daemon.py",
+        "                await application.cut_short()\n",
+        "                pass\n",
+        ".",
+        "tests.test_shutdown.ForcedTests.test_a_second_signal_ends_a_gateway_at_once",
+    ),
+    Mutation(
+        "a second signal ends a daemon at once",
+        "libraries/daemon/src/bamboopier_daemon/stopping.py",
+        "            self._second.set()\n",
+        "            pass\n",
+        ".",
+        "tests.test_shutdown.ForcedTests.test_a_second_signal_ends_an_agent_at_once",
+    ),
+    Mutation(
+        "a shutdown that takes too long ends in order",
+        "libraries/daemon/src/bamboopier_daemon/stopping.py",
+        "                {work, second}, timeout=timeout,",
+        "                {work, second}, timeout=None,",
+        ".",
+        "tests.test_shutdown.ForcedTests."
+        "test_an_agent_whose_time_is_over_ends_in_order",
+    ),
+)
