Keep odd peers and a hanging platform from ending a process badly

Cause: found by reading: a peer's VM list that does not decode would have ended the follower's task and with it the process; giving the lease up at a hanging platform would have held a second signal back for ten seconds; the order in which targets are asked was reset every five seconds, so that with many of them the last ones would never have been asked. Change: such a list is dropped, the lease is given up within two seconds or lapses, the order stays.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import random
 import uuid
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING
 
 import grpc
@@ -53,6 +54,7 @@
 
 # For answers that have left the target and not yet reached their gateway.
 FLUSH_SECONDS = 30.0
+RELEASE_SECONDS = 2.0
 
 log = structlog.get_logger()
 
@@ -175,7 +177,10 @@
                     "requests cut", reason=end.value, running=gate.admission.running
                 )
                 await server.stop(grace=None)
-            await lease.release()
+            # A lease that cannot be given up in time lapses by itself.
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RELEASE_SECONDS):
+                    await lease.release()
             log.info("agent stopped")
 
 
--- a/libraries/gateway/src/bamboopier_gateway/target_reports.py
+++ b/libraries/gateway/src/bamboopier_gateway/target_reports.py
@@ -25,14 +25,14 @@
         self, views: Iterable[TargetView], wanted: Mapping[str, frozenset[str]]
     ) -> None:
         """Take the usable targets and the configured versions by service."""
-        known = self._reports
-        self._reports = {}
         self._by_service = {}
         self._wanted = {}
         for view in views:
-            self._reports[view.target] = known.get(view.target)
             self._by_service.setdefault(view.service, []).append(view.target)
             self._wanted[view.target] = wanted.get(view.service, frozenset())
+        # The order stays, or those asked last would be asked first after each change.
+        known = {t: r for t, r in self._reports.items() if t in self._wanted}
+        self._reports = known | {t: None for t in self._wanted if t not in known}
 
     def note(self, target: str, report: pb.LoadReport | None) -> None:
         """Take a report; None when the target could not be reached."""
--- a/libraries/gateway/tests/test_target_reports.py
+++ b/libraries/gateway/tests/test_target_reports.py
@@ -45,6 +45,13 @@
         self.change()
         asked = [self.reports.find_next() for _ in range(4)]
         self.assertEqual(asked, ["desk-2", "desk-3", "desk-2", "desk-3"])
+        for desk in DESKS:
+            self.reports.note(desk, None)
+        asked = []
+        for _ in DESKS:
+            asked.append(self.reports.find_next())
+            self.change()
+        self.assertEqual(sorted(asked), sorted(DESKS))
         for desk in DESKS:
             self.reports.note(desk, build_report("v2"))
         self.assertIsNone(self.reports.find_next())
--- a/libraries/platform/src/bamboopier_platform/vm_board.py
+++ b/libraries/platform/src/bamboopier_platform/vm_board.py
@@ -57,9 +57,17 @@
         return msgspec.json.encode(self.vms) if self.vms else b""
 
     def learn(self, encoded: bytes) -> None:
-        """Take a peer's list while the platform has not answered this process yet."""
-        if encoded and not self._read:
-            self._show(tuple(msgspec.json.decode(encoded, type=list[Vm])))
+        """Take a peer's list while the platform has not answered this process yet.
+
+        A list that cannot be read is dropped: an odd peer must not end this process.
+        """
+        if not encoded or self._read:
+            return
+        try:
+            vms = msgspec.json.decode(encoded, type=list[Vm])
+        except msgspec.MsgspecError:
+            return
+        self._show(tuple(vms))
 
     async def run(self, source: VmList) -> None:
         """Follow the platform's list until cancelled."""
