--- /dev/null
+++ b/libraries/agent/src/bamboopier_agent/claim_writer.py
@@ -0,0 +1,196 @@
+"""Writes one claim partition: one update at a time, many claims to an update."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from bamboopier_decisions.claims.partition import ClaimPartition
+from bamboopier_decisions.claims.table import Claim, ClaimOutcome
+from bamboopier_platform.errors import (
+    MalformedObjectError,
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+    VersionConflictError,
+)
+from bamboopier_platform.objects import ABSENT
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bamboopier_platform.objects import ObjectStore
+
+# Conflicts with other agents and lost answers before a claim is given up.
+MAX_TRIES = 8
+# A stored claim takes some 90 bytes; this keeps an object below 400 kB.
+PARTITION_CAPACITY = 4000
+# Pause between tries to release what was given up while the platform is away.
+RELEASE_RETRY_SECONDS = 1.0
+
+
+class _StoredClaim(msgspec.Struct, array_like=True):
+    key: bytes
+    fingerprint: bytes
+    claim_id: str
+    holder: str
+    created: float
+
+
+class _Waiting:
+    """A claim and who waits for its outcome; done once nobody does."""
+
+    __slots__ = ("claim", "future")
+
+    def __init__(self, claim: Claim) -> None:
+        self.claim = claim
+        self.future: asyncio.Future[Result[ClaimOutcome, PlatformError]] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class ClaimWriter:
+    """Drives one ``ClaimPartition``; calls ``forget`` when nothing is left to do."""
+
+    def __init__(
+        self,
+        objects: ObjectStore,
+        name: str,
+        lifetime: float,
+        forget: Callable[[str], None],
+    ) -> None:
+        self._objects = objects
+        self.name = name
+        self._forget = forget
+        self._partition = ClaimPartition(lifetime, PARTITION_CAPACITY)
+        self._waiting: list[_Waiting] = []
+        self._arrived = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> asyncio.Task[None]:
+        """Return the task that works until nothing is left to do."""
+        self._arrived.set()
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._work())
+        return self._task
+
+    async def submit(self, claim: Claim) -> Result[ClaimOutcome, PlatformError]:
+        """Queue a claim for the next update and wait for its outcome."""
+        waiting = _Waiting(claim)
+        self._waiting.append(waiting)
+        self.start()
+        return await waiting.future
+
+    def abandon(self, claim: Claim, granted_at: int = 0) -> asyncio.Task[None]:
+        """Give a claim up; the task ends when it neither stands nor can land."""
+        self._partition.abandon(claim, granted_at)
+        return self.start()
+
+    def is_abandoned(self, key: bytes) -> bool:
+        """Say whether ``key`` was claimed here, given up and never run."""
+        return self._partition.is_abandoned(key)
+
+    async def _work(self) -> None:
+        """Write until no claim waits and nothing given up is left."""
+        while self._waiting or not self._partition.settled:
+            self._arrived.clear()
+            batch, self._waiting = self._waiting, []
+            answer = await self._commit(batch)
+            if isinstance(answer, Err):
+                self._give_up(batch, answer)
+                await self._pause()
+        self._forget(self.name)
+
+    async def _pause(self) -> None:
+        """Wait before the next try, unless a new claim comes in."""
+        if self._waiting or self._partition.settled:
+            return
+        waiting = asyncio.ensure_future(self._arrived.wait())
+        await asyncio.wait({waiting}, timeout=RELEASE_RETRY_SECONDS)
+        waiting.cancel()
+
+    async def _commit(self, batch: list[_Waiting]) -> Result[None, PlatformError]:
+        """Write the batch into the object; only a confirmed write grants anything.
+
+        A lost answer is settled by reading: the claim either stands there, or the next
+        conditional write decides between it and whatever came in between.
+        """
+        last: PlatformError = PlatformUnavailableError(self.name)
+        for _ in range(MAX_TRIES):
+            read = await self._read()
+            if isinstance(read, Err):
+                return read
+            # Whoever left meanwhile must not be granted what nobody would run.
+            waiting = [entry for entry in batch if not entry.future.done()]
+            claims = [entry.claim for entry in waiting]
+            plan = self._partition.plan(claims, time.time())
+            if not plan.needs_write:
+                self._tell_outcomes(waiting, plan.outcomes)
+                return Ok(None)
+            value = _encode(plan.claims)
+            answer = await self._objects.write(self.name, value, plan.expected_version)
+            match answer:
+                case Ok(version):
+                    self._partition.commit(plan, version)
+                    self._tell_outcomes(waiting, plan.outcomes)
+                    return Ok(None)
+                case Err(VersionConflictError() as error):
+                    self._partition.reject()
+                    last = error
+                case Err(PlatformOutcomeUnknownError() as error):
+                    self._partition.mark_uncertain(plan)
+                    last = error
+                case Err(error):
+                    self._partition.reject()
+                    return Err(error)
+        return Err(last)
+
+    def _tell_outcomes(
+        self, waiting: list[_Waiting], outcomes: tuple[ClaimOutcome, ...]
+    ) -> None:
+        for entry, outcome in zip(waiting, outcomes, strict=True):
+            if not entry.future.done():
+                told = replace(outcome, version=self._partition.version)
+                entry.future.set_result(Ok(told))
+
+    def _give_up(self, batch: list[_Waiting], error: Err[PlatformError]) -> None:
+        """Tell all that they must not run; what may land yet is released later."""
+        for entry in batch:
+            self._partition.abandon(entry.claim)
+            if not entry.future.done():
+                entry.future.set_result(error)
+
+    async def _read(self) -> Result[None, PlatformError]:
+        answer = await self._objects.read(self.name)
+        if isinstance(answer, Err):
+            return answer
+        stored = answer.ok_value
+        if stored is None:
+            self._partition.observe(ABSENT, ())
+            return Ok(None)
+        try:
+            claims = _decode(stored.value)
+        except msgspec.MsgspecError as error:
+            return Err(MalformedObjectError(f"{self.name}: {error}"))
+        self._partition.observe(stored.version, claims)
+        return Ok(None)
+
+
+def _encode(claims: tuple[Claim, ...]) -> bytes:
+    stored = [
+        _StoredClaim(c.key, c.fingerprint, c.claim_id, c.holder, c.created)
+        for c in claims
+    ]
+    return msgspec.msgpack.encode(stored)
+
+
+def _decode(value: bytes) -> tuple[Claim, ...]:
+    stored = msgspec.msgpack.decode(value, type=list[_StoredClaim])
+    return tuple(
+        Claim(s.key, s.fingerprint, s.claim_id, s.holder, s.created) for s in stored
+    )
--- a/libraries/agent/src/bamboopier_agent/claims.py
+++ b/libraries/agent/src/bamboopier_agent/claims.py
@@ -1,8 +1,7 @@
-"""Durable claims of idempotency keys, many to one write.
+"""Durable claims of idempotency keys in the platform's objects.
 
-Each partition is one platform object. Claims that arrive while a write is under way
-wait and go together in the next one, so a burst costs writes per partition and not per
-request.
+Each partition is one platform object. Claims of one partition that arrive while a
+write is under way go together in the next one.
 """
 
 from __future__ import annotations
@@ -10,27 +9,35 @@
 import asyncio
 import hashlib
 import time
+import uuid
 from typing import TYPE_CHECKING
 
-import msgspec
-from result import Err, Ok, Result
+from result import Err
 
-from bamboopier_decisions.claims.table import Claim, ClaimOutcome, Verdict, merge_claims
-from bamboopier_platform.errors import (
-    PlatformError,
-    PlatformOutcomeUnknownError,
-    PlatformUnavailableError,
-    VersionConflictError,
-)
-from bamboopier_platform.objects import ABSENT
+from bamboopier_decisions.claims.table import Claim
+from bamboopier_platform.errors import PlatformUnavailableError
+
+from .claim_writer import ClaimWriter
 
 if TYPE_CHECKING:
+    from result import Result
+
     from bamboopier_configuration.model import Service
+    from bamboopier_decisions.claims.table import ClaimOutcome
+    from bamboopier_platform.errors import PlatformError
     from bamboopier_platform.objects import ObjectStore
 
-MAX_TRIES = 8
-# A claim takes some 150 bytes; this keeps a partition below half a megabyte.
-PARTITION_CAPACITY = 3000
+# The same in every process and for ever: two agents that divide keys differently
+# would grant one key twice, in two objects. docs/design/claims.md has the arithmetic.
+PARTITIONS = 4096
+# A claim must outlive the longest request (an hour) and clocks that differ, or the key
+# is granted again while its first run goes on.
+MIN_LIFETIME_SECONDS = 2 * 3600.0
+# A platform that takes longer is as good as down: refused, truthfully and at once.
+CLAIM_SECONDS = 2.0
+# A given-up claim is released before "not run" is said, unless that takes longer; it
+# goes on in the background then.
+RELEASE_SECONDS = 0.5
 
 
 class ClaimTable:
@@ -39,122 +46,80 @@
     def __init__(self, objects: ObjectStore, holder: str) -> None:
         self._objects = objects
         self._holder = holder
-        self._partitions: dict[str, _Partition] = {}
+        # Only partitions with work under way; the platform has the rest.
+        self._writers: dict[str, ClaimWriter] = {}
 
     async def claim(
-        self,
-        service: Service,
-        workspace: str,
-        key: str,
-        fingerprint: bytes,
-        attempt: str,
+        self, service: Service, workspace: str, key: str, fingerprint: bytes
     ) -> Result[ClaimOutcome, PlatformError]:
-        """Claim a key for one attempt; an error means the attempt must not run."""
-        digest = hash_key(workspace, key)
-        claim = Claim(digest, fingerprint, attempt, self._holder, time.time())
-        return await self._find_partition(service, digest).submit(claim)
-
-    def _find_partition(self, service: Service, digest: bytes) -> _Partition:
-        number = int.from_bytes(digest[:4], "big") % service.claim_partitions
-        name = f"claims/{service.name}/{service.claim_partitions}.{number}"
-        partition = self._partitions.get(name)
-        if partition is None:
-            partition = _Partition(self._objects, name, service.key_lifetime_seconds)
-            self._partitions[name] = partition
-        return partition
+        """Claim a key; only a grant lets a request run, and only one.
 
+        Whoever leaves before the outcome (cancelled, or too late) gives the claim up:
+        it may stand or land later, and is released in the background.
+        """
+        digest = hash_key(workspace, key)
+        claim = Claim(digest, fingerprint, uuid.uuid4().hex, self._holder, time.time())
+        writer = self._find_writer(service, digest)
+        try:
+            async with asyncio.timeout(CLAIM_SECONDS):
+                return await writer.submit(claim)
+        except TimeoutError:
+            self._abandon(writer, claim)
+            return Err(PlatformUnavailableError("the platform is slow"))
+        except asyncio.CancelledError:
+            self._abandon(writer, claim)
+            raise
+
+    async def release(self, service: Service, granted: ClaimOutcome) -> None:
+        """Give up a grant under which nothing was sent to the target."""
+        settled = self.abandon(service, granted)
+        if settled is not None:
+            await asyncio.wait({settled}, timeout=RELEASE_SECONDS)
+
+    def abandon(
+        self, service: Service, granted: ClaimOutcome
+    ) -> asyncio.Task[None] | None:
+        """Give up a grant without waiting; the task ends once it is released."""
+        claim = granted.standing
+        if claim is None:
+            return None
+        writer = self._find_writer(service, claim.key)
+        return writer.abandon(claim, granted.version)
+
+    def is_abandoned(self, workspace: str, key: str) -> bool:
+        """Say whether this agent claimed the key, gave it up and never ran it."""
+        digest = hash_key(workspace, key)
+        return any(writer.is_abandoned(digest) for writer in self._writers.values())
 
-class _Partition:
-    """One claim object, its cached content and the claims waiting for a write."""
+    async def settle(self) -> None:
+        """Return once nothing given up is left to release.
 
-    def __init__(self, objects: ObjectStore, name: str, lifetime: float) -> None:
-        self._objects = objects
-        self._name = name
-        self._lifetime = lifetime
-        self._version = ABSENT
-        self._claims: tuple[Claim, ...] = ()
-        self._waiting: list[
-            tuple[Claim, asyncio.Future[Result[ClaimOutcome, PlatformError]]]
-        ] = []
-        self._writer: asyncio.Task[None] | None = None
-
-    async def submit(self, claim: Claim) -> Result[ClaimOutcome, PlatformError]:
-        """Queue a claim for the next write and wait for its outcome."""
-        future: asyncio.Future[Result[ClaimOutcome, PlatformError]] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._waiting.append((claim, future))
-        if self._writer is None or self._writer.done():
-            self._writer = asyncio.create_task(self._write_all())
-        return await future
-
-    async def _write_all(self) -> None:
-        while self._waiting:
-            batch, self._waiting = self._waiting, []
-            claims = [claim for claim, _ in batch]
-            answer = await self._commit(claims)
-            for index, (_, future) in enumerate(batch):
-                if future.done():
-                    continue
-                match answer:
-                    case Ok(outcomes):
-                        future.set_result(Ok(outcomes[index]))
-                    case Err(error):
-                        future.set_result(Err(error))
-
-    async def _commit(
-        self, claims: list[Claim]
-    ) -> Result[list[ClaimOutcome], PlatformError]:
-        """Write ``claims`` into the object; only a confirmed write grants anything.
-
-        A lost answer is settled by reading: the attempt either stands there, or the
-        next conditional write decides between it and whatever came in between.
+        A process that ends sooner leaves keys that nobody ran "unknown" for ever.
         """
-        last: PlatformError = PlatformUnavailableError(self._name)
-        for _ in range(MAX_TRIES):
-            merged, outcomes = merge_claims(
-                self._claims, claims, time.time(), self._lifetime, PARTITION_CAPACITY
-            )
-            if not any(outcome.verdict is Verdict.GRANTED for outcome in outcomes):
-                return Ok(outcomes)
-            value = _encode(merged)
-            answer = await self._objects.write(self._name, value, self._version)
-            match answer:
-                case Ok(version):
-                    self._version = version
-                    self._claims = merged
-                    return Ok(outcomes)
-                case Err(
-                    VersionConflictError() | PlatformOutcomeUnknownError() as error
-                ):
-                    last = error
-                    read = await self._reload()
-                    if isinstance(read, Err):
-                        return read
-                case Err(error):
-                    return Err(error)
-        return Err(last)
-
-    async def _reload(self) -> Result[None, PlatformError]:
-        answer = await self._objects.read(self._name)
-        if isinstance(answer, Err):
-            return answer
-        stored = answer.ok_value
-        if stored is None:
-            self._version, self._claims = ABSENT, ()
-        else:
-            self._version, self._claims = stored.version, _decode(stored.value)
-        return Ok(None)
+        while self._writers:
+            tasks = {writer.start() for writer in self._writers.values()}
+            await asyncio.wait(tasks)
+
+    def _find_writer(self, service: Service, digest: bytes) -> ClaimWriter:
+        number = int.from_bytes(digest[:4], "big") % PARTITIONS
+        name = f"claims/{service.name}/{number}"
+        writer = self._writers.get(name)
+        if writer is None:
+            lifetime = max(service.key_lifetime_seconds, MIN_LIFETIME_SECONDS)
+            writer = ClaimWriter(self._objects, name, lifetime, self._forget)
+            self._writers[name] = writer
+        return writer
+
+    def _abandon(self, writer: ClaimWriter, claim: Claim) -> None:
+        """Release in the background; the writer may have ended a moment ago."""
+        self._writers.setdefault(writer.name, writer)
+        writer.abandon(claim)
+
+    def _forget(self, name: str) -> None:
+        """Drop a partition that has nothing left to do."""
+        self._writers.pop(name, None)
 
 
 def hash_key(workspace: str, key: str) -> bytes:
     """Return the digest under which a workspace's key is claimed."""
     return hashlib.blake2b(f"{workspace}\0{key}".encode(), digest_size=16).digest()
-
-
-def _encode(claims: tuple[Claim, ...]) -> bytes:
-    return msgspec.msgpack.encode(claims)
-
-
-def _decode(value: bytes) -> tuple[Claim, ...]:
-    return msgspec.msgpack.decode(value, type=tuple[Claim, ...])
--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -6,7 +6,7 @@
 import os
 import random
 import time
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING
 
 import grpc
@@ -40,6 +40,8 @@
     from bamboopier_platform.vms import VmList
 
 VM_LIST_SECONDS = 10.0
+# For the last claims to be released; longer only while the platform is away.
+SETTLE_SECONDS = 5.0
 
 log = structlog.get_logger()
 
@@ -59,11 +61,12 @@
         watch = TargetWatch(target, gate, context)
         follower = ConfigurationFollower(platform, lambda _: None, generator)
         metrics = AgentMetrics()
+        claims = ClaimTable(platform, str(settings.listen))
         service = AgentService(
             settings,
             target,
             gate,
-            ClaimTable(platform, str(settings.listen)),
+            claims,
             KeptAnswers(settings.kept_answer_bytes),
             context,
             watch,
@@ -97,6 +100,8 @@
         await asyncio.wait_for(
             gate.wait_until_idle(), settings.shutdown_timeout_seconds
         )
+        with suppress(TimeoutError):
+            await asyncio.wait_for(claims.settle(), SETTLE_SECONDS)
         await server.stop(grace=1.0)
         log.info("agent stopped")
 
--- a/libraries/agent/src/bamboopier_agent/kept_answers.py
+++ b/libraries/agent/src/bamboopier_agent/kept_answers.py
@@ -23,6 +23,8 @@
     weight_version: str = ""
     body: bytearray = field(default_factory=bytearray)
     finished: bool = False
+    # The answer outgrew the memory: its run is known, its bytes are not.
+    overflowed: bool = False
 
 
 class KeptAnswers:
@@ -35,34 +37,53 @@
 
     def begin(self, key: bytes, fingerprint: bytes) -> KeptAnswer:
         """Note that a run under ``key`` is under way."""
+        self.discard(key)
         answer = KeptAnswer(fingerprint)
         self._answers[key] = answer
         self._used += ENTRY_BYTES
         return answer
 
+    def add(self, answer: KeptAnswer, chunk: bytes) -> None:
+        """Keep a further piece; older answers, or this one's bytes, may have to go.
+
+        Running answers count as well: a few huge ones would else fill the process's
+        memory before the first of them ends.
+        """
+        if answer.overflowed:
+            return
+        answer.body.extend(chunk)
+        self._used += len(chunk)
+        self._make_room()
+        if self._used > self._capacity:
+            self._used -= len(answer.body)
+            answer.body.clear()
+            answer.overflowed = True
+
     def finish(self, key: bytes) -> None:
-        """Note that the answer is whole; older ones may have to go."""
+        """Note that the answer is whole."""
         answer = self._answers.get(key)
         if answer is None:
             return
         answer.finished = True
-        self._used += len(answer.body)
-        while self._used > self._capacity and self._drop_oldest_finished():
-            pass
+        if answer.overflowed:
+            self.discard(key)
+        self._make_room()
 
     def discard(self, key: bytes) -> None:
         """Forget a run that left no whole answer."""
-        if self._answers.pop(key, None) is not None:
-            self._used -= ENTRY_BYTES
+        answer = self._answers.pop(key, None)
+        if answer is not None:
+            self._used -= ENTRY_BYTES + len(answer.body)
 
     def find(self, key: bytes) -> KeptAnswer | None:
         """Return what is known of a run under ``key``."""
         return self._answers.get(key)
 
-    def _drop_oldest_finished(self) -> bool:
-        for key, answer in self._answers.items():
-            if answer.finished:
-                del self._answers[key]
-                self._used -= ENTRY_BYTES + len(answer.body)
-                return True
-        return False
+    def _make_room(self) -> None:
+        if self._used <= self._capacity:
+            return
+        finished = [key for key, answer in self._answers.items() if answer.finished]
+        for key in finished:
+            if self._used <= self._capacity:
+                return
+            self.discard(key)
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
+import asyncio
 import time
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -11,21 +12,24 @@
 from result import Err
 
 from bamboopier_decisions.admission.messages import Reject, RejectReason, WorkArrived
-from bamboopier_decisions.claims.table import ClaimOutcome, Verdict
+from bamboopier_decisions.claims.table import Verdict
 from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
 
 from .answer import Answer
 from .claims import hash_key
 from .errors import TargetBrokenError, TargetUnreachableError
+from .event_stream import EventStream
+from .seen_attempts import SeenAttempts
 from .usage import UsageReader
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     import aiohttp
 
     from bamboopier_configuration.model import Service
     from bamboopier_configuration.settings import AgentSettings
+    from bamboopier_decisions.claims.table import ClaimOutcome
     from bamboopier_platform.follower import ConfigurationFollower
 
     from .claims import ClaimTable
@@ -42,6 +46,9 @@
     RejectReason.DEADLINE: pb.DEADLINE,
     RejectReason.STOPPING: pb.STOPPING,
 }
+# How long past its deadline a non-idempotent call may go on, for its answer to be there
+# when the caller repeats the key. Without an end a hung target would fill its slots.
+OVERTIME_SECONDS = 60.0
 # Headers that belong to one connection and are never passed on.
 HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "trailer"}
@@ -75,32 +82,67 @@
         self._watch = watch
         self._follower = follower
         self._metrics = metrics
+        self._seen = SeenAttempts()
+        self._runs: set[asyncio.Task[None]] = set()
 
     async def Serve(  # noqa: N802 (the name is the protocol's)
         self, request: pb.ServeRequest, context: Any
     ) -> AsyncIterator[pb.ServeEvent]:
-        """Run one attempt and stream its answer; cancelling it cancels the target."""
+        """Run one attempt and stream its answer.
+
+        Cancelling it cancels the target, unless a non-idempotent call has started.
+        """
         self._follower.hear(request.generation)
         answer = Answer(request.attempt_id, self.report)
+        if not self._seen.add(request.attempt_id):
+            # The first copy may run: "not run" would be false, and so no refusal.
+            yield answer.make_unknown(pb.CONNECTION_LOST, "attempt received twice")
+            return
         refusal = self._find_refusal(request, answer)
         if refusal is not None:
             self._log_refusal(request, refusal)
             yield refusal
             return
-        async with self._gate.enter(self._describe(request)) as entry:
-            if entry.reject is not None:
-                refusal = _make_rejection(answer, entry.reject)
-                self._log_refusal(request, refusal)
-                yield refusal
-                return
-            async for event in self._claim_and_run(request, answer, entry):
-                yield event
+        deadline = time.monotonic() + request.timeout_ms / 1000
+        stream = EventStream(deadline)
+        run = asyncio.create_task(self._carry(request, answer, stream))
+        self._runs.add(run)
+        run.add_done_callback(self._runs.discard)
+        try:
+            async with aclosing(stream.read()) as events:
+                async for event in events:
+                    yield event
+            await run
+        finally:
+            stream.leave()
+            if not stream.detached:
+                run.cancel()
+
+    async def _carry(
+        self, request: pb.ServeRequest, answer: Answer, stream: EventStream
+    ) -> None:
+        """Admit, claim and run one attempt, telling the stream what happens."""
+        try:
+            async with self._gate.enter(self._describe(request, stream)) as entry:
+                if entry.reject is not None:
+                    refusal = _make_rejection(answer, entry.reject)
+                    self._log_refusal(request, refusal)
+                    await stream.put(refusal)
+                    return
+                running = self._claim_and_run(request, answer, entry, stream)
+                async with aclosing(running) as events:
+                    async for event in events:
+                        await stream.put(event)
+        finally:
+            await stream.put(None)
 
     async def Recall(  # noqa: N802 (the name is the protocol's)
         self, request: pb.RecallRequest, context: Any
     ) -> pb.RecallReply:
         """Return the kept answer of an idempotency key."""
         key = hash_key(request.workspace, request.idempotency_key)
+        if self._claims.is_abandoned(request.workspace, request.idempotency_key):
+            return pb.RecallReply(state=pb.RecallReply.NEVER_RAN)
         kept = self._kept.find(key)
         if kept is None or kept.fingerprint != request.fingerprint:
             return pb.RecallReply(state=pb.RecallReply.NOT_KEPT)
@@ -164,82 +206,119 @@
             return answer.make_not_run(pb.WRONG_VERSION, detail=self._watch.version)
         return None
 
-    def _describe(self, request: pb.ServeRequest) -> WorkArrived:
+    def _describe(self, request: pb.ServeRequest, stream: EventStream) -> WorkArrived:
         workspace = self._follower.directory.workspaces.get(request.workspace)
-        now = time.monotonic()
         return WorkArrived(
-            now=now,
+            now=time.monotonic(),
             request_id=request.attempt_id,
             workspace=request.workspace,
             weight=workspace.weight if workspace is not None else 1.0,
             priority=request.priority,
-            deadline=now + request.timeout_ms / 1000,
+            deadline=stream.deadline,
             prompt_tokens=request.model.prompt_tokens,
             max_tokens=request.model.max_tokens,
         )
 
     async def _claim_and_run(
-        self, request: pb.ServeRequest, answer: Answer, entry: Entry
-    ) -> AsyncIterator[pb.ServeEvent]:
+        self,
+        request: pb.ServeRequest,
+        answer: Answer,
+        entry: Entry,
+        stream: EventStream,
+    ) -> AsyncGenerator[pb.ServeEvent]:
         if request.idempotent or not request.idempotency_key:
-            async for event in self._run(request, answer, entry, None):
-                yield event
+            running = self._run(request, answer, entry, stream, None)
+            async with aclosing(running) as events:
+                async for event in events:
+                    yield event
             return
-        key = hash_key(request.workspace, request.idempotency_key)
         service = self._follower.directory.services.get(request.service)
         if service is None:
             yield answer.make_not_run(pb.STALE_GENERATION, detail="service unknown")
             return
-        refusal = await self._claim(request, answer, service)
+        claimed = await self._claims.claim(
+            service, request.workspace, request.idempotency_key, request.fingerprint
+        )
+        if isinstance(claimed, Err):
+            detail = str(claimed.err_value)
+            refusal = answer.make_not_run(pb.PLATFORM_DOWN, 2.0, detail)
+        elif claimed.ok_value.verdict is not Verdict.GRANTED:
+            refusal = _make_claim_refusal(answer, claimed.ok_value)
+        else:
+            refusal = None
         if refusal is not None:
             entry.answered = True
             self._log_refusal(request, refusal)
             yield refusal
             return
+        granted = claimed.unwrap()
+        running = self._run_claimed(request, answer, entry, stream, service, granted)
+        async with aclosing(running) as events:
+            async for event in events:
+                yield event
+
+    async def _run_claimed(
+        self,
+        request: pb.ServeRequest,
+        answer: Answer,
+        entry: Entry,
+        stream: EventStream,
+        service: Service,
+        granted: ClaimOutcome,
+    ) -> AsyncGenerator[pb.ServeEvent]:
+        """Run under a claim; release it if nothing was sent to the target.
+
+        The release comes before "not run" is said: the next attempt, at another agent,
+        would else find the key claimed and tell the caller "outcome unknown".
+        """
+        key = hash_key(request.workspace, request.idempotency_key)
         kept = self._kept.begin(key, request.fingerprint)
+        reached = True
         try:
-            async for event in self._run(request, answer, entry, kept):
-                yield event
+            running = self._run(request, answer, entry, stream, kept)
+            async with aclosing(running) as events:
+                async for event in events:
+                    if event.HasField("not_run"):
+                        reached = False
+                        self._kept.discard(key)
+                        await self._claims.release(service, granted)
+                    yield event
         finally:
             if entry.answered:
                 self._kept.finish(key)
             else:
                 self._kept.discard(key)
-
-    async def _claim(
-        self, request: pb.ServeRequest, answer: Answer, service: Service
-    ) -> pb.ServeEvent | None:
-        """Claim the key; None means that this attempt alone may run."""
-        claimed = await self._claims.claim(
-            service,
-            request.workspace,
-            request.idempotency_key,
-            request.fingerprint,
-            request.attempt_id,
-        )
-        if isinstance(claimed, Err):
-            return answer.make_not_run(
-                pb.PLATFORM_DOWN, 2.0, detail=str(claimed.err_value)
-            )
-        return _make_claim_refusal(answer, claimed.ok_value)
+            if reached and not stream.detached:
+                # Cancelled before anything was sent.
+                self._claims.abandon(service, granted)
 
     async def _run(
         self,
         request: pb.ServeRequest,
         answer: Answer,
         entry: Entry,
+        stream: EventStream,
         kept: KeptAnswer | None,
-    ) -> AsyncIterator[pb.ServeEvent]:
+    ) -> AsyncGenerator[pb.ServeEvent]:
         started = time.monotonic()
         fetched = await self._context.fetch(request) if request.model.model else 0
+        if time.monotonic() >= stream.deadline:
+            # This process or the platform stood still for so long that the gateway has
+            # told its caller the end; a thawed process must not run what came before.
+            yield answer.make_not_run(pb.DEADLINE)
+            return
         usage = UsageReader()
+        stream.detached = not request.idempotent
         try:
-            async with self._target.open(
-                request.method,
-                request.path,
-                _list_headers(request),
-                _make_body(request),
-            ) as response:
+            async with (
+                asyncio.timeout_at(stream.deadline + OVERTIME_SECONDS),
+                self._target.open(
+                    request.method,
+                    request.path,
+                    _list_headers(request),
+                    _make_body(request),
+                ) as response,
+            ):
                 self._metrics.first_byte.observe(time.monotonic() - started)
                 version = response.headers.get("Weight-Version", "")
                 headers = _list_response_headers(response)
@@ -251,13 +330,13 @@
                 async for chunk in response.content.iter_any():
                     usage.add(chunk)
                     if kept is not None:
-                        kept.body.extend(chunk)
+                        self._kept.add(kept, chunk)
                     yield answer.make_chunk(chunk)
         except TargetUnreachableError as error:
             self._log_end(request, "not-run", 0)
             yield answer.make_not_run(pb.TARGET_DOWN, detail=str(error))
             return
-        except TargetBrokenError as error:
+        except (TargetBrokenError, TimeoutError) as error:
             self._log_end(request, "unknown", 0)
             yield answer.make_unknown(pb.TARGET_CRASHED, str(error))
             return
@@ -305,23 +384,12 @@
         )
 
 
-def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
-    """Return the digest that tells a repeated request from another one."""
-    hashed = hashlib.blake2b(digest_size=16)
-    for part in (method.encode(), path.encode(), body):
-        hashed.update(len(part).to_bytes(8, "big"))
-        hashed.update(part)
-    return hashed.digest()
-
-
 def _make_rejection(answer: Answer, reject: Reject) -> pb.ServeEvent:
     return answer.make_not_run(_CAUSES[reject.reason], reject.retry_after)
 
 
-def _make_claim_refusal(answer: Answer, outcome: ClaimOutcome) -> pb.ServeEvent | None:
+def _make_claim_refusal(answer: Answer, outcome: ClaimOutcome) -> pb.ServeEvent:
     standing = outcome.standing
-    if outcome.verdict is Verdict.GRANTED:
-        return None
     if outcome.verdict is Verdict.FULL or standing is None:
         return answer.make_not_run(pb.KEY_TABLE_FULL, 60.0)
     if outcome.verdict is Verdict.REUSED:
@@ -338,10 +406,11 @@
 
 
 def _list_response_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+    """Return the headers to pass on; the length too, since the bytes stay as sent."""
     return [
         (name, value)
         for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS
+        if name.lower() not in HOP_HEADERS or name.lower() == "content-length"
     ]
 
 
--- a/libraries/agent/src/bamboopier_agent/target.py
+++ b/libraries/agent/src/bamboopier_agent/target.py
@@ -56,6 +56,7 @@
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
+        self._run_session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         timeout = aiohttp.ClientTimeout(
@@ -65,6 +66,14 @@
         self._session = aiohttp.ClientSession(
             timeout=timeout, connector=connector, auto_decompress=False
         )
+        # A connection kept open may be closed by the target just as it is used again,
+        # which looks like a crash; each run has its own.
+        self._run_session = aiohttp.ClientSession(
+            timeout=timeout,
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            auto_decompress=False,
+            middlewares=(_send_once,),
+        )
         return self
 
     async def __aexit__(
@@ -75,6 +84,8 @@
     ) -> None:
         if self._session is not None:
             await self._session.close()
+        if self._run_session is not None:
+            await self._run_session.close()
 
     @asynccontextmanager
     async def open(
@@ -84,8 +95,10 @@
 
         Raises ``TargetUnreachableError`` only when no connection was made.
         """
+        if self._run_session is None:
+            raise TargetUnreachableError("the target client is not open")
         try:
-            async with self._require_session().request(
+            async with self._run_session.request(
                 method,
                 self._base_url + path,
                 headers=list(headers),
@@ -93,7 +106,7 @@
                 allow_redirects=False,
             ) as response:
                 yield response
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise TargetUnreachableError(str(error)) from error
         except aiohttp.ClientError as error:
             raise TargetBrokenError(str(error) or type(error).__name__) from error
@@ -170,3 +183,20 @@
         if self._session is None:
             raise TargetUnreachableError("the target client is not open")
         return self._session
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a request again by itself.
+
+    It repeats GET, PUT and DELETE when the connection breaks before an answer; the
+    operator may have declared such a route non-idempotent, and the target would run it
+    twice. An error that aiohttp does not know ends the request instead.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except aiohttp.ClientError as error:
+        raise TargetBrokenError(str(error) or type(error).__name__) from error
--- /dev/null
+++ b/libraries/agent/tests/builders.py
@@ -0,0 +1,76 @@
+"""A platform in memory whose calls fail as told."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from fault_matrix import CallFault
+from result import Err, Ok, Result
+
+from bamboopier_configuration.model import Service
+from bamboopier_platform.errors import (
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+    VersionConflictError,
+)
+from bamboopier_platform.objects import StoredObject
+
+DISPATCH = Service(name="dispatch", kind="plain")
+
+
+class FakeObjects:
+    """Versioned objects; ``write_faults`` are used up by one write each."""
+
+    def __init__(self) -> None:
+        self.stored: dict[str, StoredObject] = {}
+        self.write_faults: deque[CallFault] = deque()
+        self.down = False
+        self.delayed: list[tuple[str, bytes, int]] = []
+        self.writes = 0
+        # A write waits here; set ``writing`` shows that one does.
+        self.may_write = asyncio.Event()
+        self.may_write.set()
+        self.writing = asyncio.Event()
+
+    async def read(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        await asyncio.sleep(0)
+        if self.down:
+            return Err(PlatformUnavailableError("down"))
+        return Ok(self.stored.get(key))
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[int, PlatformError]:
+        self.writing.set()
+        await self.may_write.wait()
+        fault = self.write_faults.popleft() if self.write_faults else CallFault.NONE
+        if self.down or fault is CallFault.DOWN:
+            return Err(PlatformUnavailableError("down"))
+        self.writes += 1
+        if fault is CallFault.LOST_BEFORE_EFFECT:
+            return Err(PlatformOutcomeUnknownError("cut"))
+        if fault is CallFault.DELAYED:
+            self.delayed.append((key, value, expected_version))
+            return Err(PlatformOutcomeUnknownError("cut"))
+        done = self.apply(key, value, expected_version)
+        if fault is CallFault.LOST_AFTER_EFFECT:
+            return Err(PlatformOutcomeUnknownError("cut"))
+        return done
+
+    def apply(
+        self, key: str, value: bytes, expected: int
+    ) -> Result[int, PlatformError]:
+        found = self.stored.get(key)
+        version = found.version if found else 0
+        if version != expected:
+            return Err(VersionConflictError(key, expected, version))
+        self.stored[key] = StoredObject(key, version + 1, value)
+        return Ok(version + 1)
+
+    def land_delayed(self) -> None:
+        """Let writes whose answer was lost take effect, if they still can."""
+        for write in self.delayed:
+            self.apply(*write)
+        self.delayed.clear()
--- /dev/null
+++ b/libraries/agent/tests/test_claims.py
@@ -0,0 +1,124 @@
+"""An agent's claims when the platform loses, delays and refuses its calls.
+
+The caller sends one dispatch under one key to several agents. Each agent writes its
+claim and does not hear the answer, or is told too late, or is left by its gateway
+while it writes. At most one may run; and once the platform is well again, a key that
+nobody ran is granted to whoever asks next instead of being "outcome unknown" for a day.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import unittest
+from unittest import mock
+
+from fault_matrix import CallFault
+from result import Ok
+
+from bamboopier_agent import claim_writer, claims
+from bamboopier_agent.claims import ClaimTable
+from bamboopier_decisions.claims.table import ClaimOutcome, Verdict
+
+from .builders import DISPATCH, FakeObjects
+
+# Only reached by a test that would hang.
+HANG_SECONDS = 20.0
+
+
+class ClaimTableTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.enterContext(mock.patch.object(claim_writer, "RELEASE_RETRY_SECONDS", 0))
+        self.objects = FakeObjects()
+        self.agents = [ClaimTable(self.objects, f"agent-{n}") for n in range(2)]
+
+    async def claim(self, number: int, body: bytes = b"A46") -> ClaimOutcome | None:
+        answer = await self.agents[number].claim(DISPATCH, "fosse", "key", body)
+        return answer.ok_value if isinstance(answer, Ok) else None
+
+    async def wait_until_settled(self) -> None:
+        async with asyncio.timeout(HANG_SECONDS):
+            for table in self.agents:
+                await table.settle()
+
+    async def test_at_most_one_is_granted_and_no_key_is_lost(self) -> None:
+        # A lost first answer is tried again at once, so a cell needs two in a row; all
+        # tries lost is the cell that gives up.
+        cells = list(
+            itertools.product(CallFault, CallFault, (1, claim_writer.MAX_TRIES))
+        )
+        for first, second, times in cells:
+            with self.subTest(first=first, second=second, times=times):
+                await self._run_cell([first, second] * times)
+        print(f"claim table cells: {len(cells)} run")
+
+    async def _run_cell(self, faults: list[CallFault]) -> None:
+        self.setUp()
+        self.objects.write_faults.extend(faults)
+        told = [await self.claim(0), await self.claim(1)]
+        self.objects.write_faults.clear()
+        self.objects.land_delayed()
+        await self.wait_until_settled()
+        self.objects.land_delayed()
+        told.append(await self.claim(1))
+        granted = [o for o in told if o is not None and o.verdict is Verdict.GRANTED]
+        self.assertEqual(len(granted), 1, told)
+
+    async def test_a_claim_left_while_it_is_written_is_released(self) -> None:
+        self.objects.may_write.clear()
+        left = asyncio.create_task(self.claim(0))
+        await self.objects.writing.wait()
+        left.cancel()
+        await asyncio.wait({left})
+        self.objects.may_write.set()
+        await self.wait_until_settled()
+        outcome = await self.claim(1)
+        self.assertEqual(outcome and outcome.verdict, Verdict.GRANTED)
+
+    async def test_a_slow_platform_is_refused_and_the_claim_released(self) -> None:
+        self.objects.may_write.clear()
+        with mock.patch.object(claims, "CLAIM_SECONDS", 0.01):
+            self.assertIsNone(await self.claim(0))
+        self.assertTrue(self.agents[0].is_abandoned("fosse", "key"))
+        self.objects.may_write.set()
+        await self.wait_until_settled()
+        outcome = await self.claim(1)
+        self.assertEqual(outcome and outcome.verdict, Verdict.GRANTED)
+
+    async def test_an_unused_grant_is_released_once_the_platform_answers(self) -> None:
+        granted = await self.claim(0)
+        assert granted is not None
+        self.objects.down = True
+        with mock.patch.object(claims, "RELEASE_SECONDS", 0.01):
+            await self.agents[0].release(DISPATCH, granted)
+        self.objects.down = False
+        self.assertTrue(self.agents[0].is_abandoned("fosse", "key"))
+        await self.wait_until_settled()
+        outcome = await self.claim(1)
+        self.assertEqual(outcome and outcome.verdict, Verdict.GRANTED)
+
+    async def test_an_outage_leaves_no_work_behind(self) -> None:
+        self.objects.down = True
+        for _ in range(100):
+            self.assertIsNone(await self.claim(0))
+        await self.wait_until_settled()
+
+    async def test_claims_of_one_partition_share_a_write(self) -> None:
+        with mock.patch.object(claims, "PARTITIONS", 1):
+            await asyncio.gather(
+                *(
+                    self.agents[0].claim(DISPATCH, "fosse", f"key-{n}", b"A46")
+                    for n in range(50)
+                )
+            )
+        self.assertLessEqual(self.objects.writes, 2)
+
+    async def test_the_same_attempt_twice_is_granted_once(self) -> None:
+        outcomes = await asyncio.gather(self.claim(0), self.claim(0))
+        verdicts = sorted(outcome.verdict for outcome in outcomes if outcome)
+        self.assertEqual(verdicts, [Verdict.GRANTED, Verdict.HELD])
+
+    async def test_a_key_used_for_another_body_is_refused(self) -> None:
+        await self.claim(0)
+        outcome = await self.claim(1, b"M6")
+        self.assertEqual(outcome and outcome.verdict, Verdict.REUSED)
--- a/libraries/configuration/src/bamboopier_configuration/model.py
+++ b/libraries/configuration/src/bamboopier_configuration/model.py
@@ -48,7 +48,6 @@
     default_timeout_seconds: Seconds = 60.0
     # How long a repeated idempotency key is recognised.
     key_lifetime_seconds: Seconds = 86_400.0
-    claim_partitions: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 64
 
 
 class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/claims/partition.py
@@ -0,0 +1,147 @@
+"""What one agent knows of one claim partition, through lost and delayed answers.
+
+Load pattern: callers resend at once, and to another gateway, when an answer is late.
+Without durable claims both sends run. A claim counts as granted only when a write was
+answered or a read shows it, never because a write was sent.
+
+An agent also gives claims up: the gateway left, the platform did not answer in time or
+the target could not be reached. Such a claim may stand in the platform, or land there
+later, although nothing ran; the key would answer "outcome unknown" for its lifetime.
+The partition remembers what was given up until a version shows that it neither stands
+nor can land any more, and leaves it out of every later write.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .table import Claim, ClaimOutcome, Verdict, merge_claims
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimPlan:
+    """The next conditional update, or outcomes that need none."""
+
+    claims: tuple[Claim, ...]
+    expected_version: int
+    # One for each wanted claim; a grant holds only once the write is answered.
+    outcomes: tuple[ClaimOutcome, ...]
+    needs_write: bool
+
+
+class ClaimPartition:
+    """Plans conditional updates of one object and takes in their results.
+
+    The caller makes one write at a time and reads before each plan, so that a refusal
+    without a write rests on the object and not on an old copy.
+    """
+
+    __slots__ = (
+        "_abandoned",
+        "_capacity",
+        "_claims",
+        "_in_flight",
+        "_lifetime",
+        "_may_land",
+        "_uncertain",
+        "_version",
+    )
+
+    def __init__(self, lifetime: float, capacity: int) -> None:
+        self._lifetime = lifetime
+        self._capacity = capacity
+        self._version = 0
+        self._claims: tuple[Claim, ...] = ()
+        # Ids of the claims in the write under way, and in those with a lost answer.
+        self._in_flight: set[str] = set()
+        self._may_land: set[str] = set()
+        # Claims of this agent under which nothing ran or will run, by id.
+        self._abandoned: dict[str, Claim] = {}
+        # Highest version that a write with a lost answer expected; -1 when none.
+        self._uncertain = -1
+
+    @property
+    def version(self) -> int:
+        """Return the version that the last read or answered write has shown."""
+        return self._version
+
+    @property
+    def settled(self) -> bool:
+        """Say whether no given-up claim stands or may still land."""
+        return not self._abandoned
+
+    def is_abandoned(self, key: bytes) -> bool:
+        """Say whether this agent claimed ``key``, gave it up and never ran it."""
+        return any(claim.key == key for claim in self._abandoned.values())
+
+    def abandon(self, claim: Claim, granted_at: int = 0) -> None:
+        """Give a claim up; nothing has run under it and nothing ever will.
+
+        ``granted_at`` is the version that showed a granted claim: an older replica,
+        where it does not stand yet, is no proof that it is gone. A claim that was never
+        written needs no release: an outage that refuses every claim would otherwise
+        leave work behind for each of them.
+        """
+        claim_id = claim.claim_id
+        written = claim_id in self._in_flight or claim_id in self._may_land
+        if granted_at or written or claim_id in self._list_standing():
+            self._abandoned[claim_id] = claim
+            self._uncertain = max(self._uncertain, granted_at - 1)
+
+    def plan(self, wanted: Sequence[Claim], now: float) -> ClaimPlan:
+        """Return the update that claims ``wanted`` and drops what was given up."""
+        kept = [c for c in self._claims if c.claim_id not in self._abandoned]
+        merged, outcomes = merge_claims(
+            kept, wanted, now, self._lifetime, self._capacity
+        )
+        granted = {
+            outcome.standing.claim_id
+            for outcome in outcomes
+            if outcome.verdict is Verdict.GRANTED and outcome.standing is not None
+        }
+        self._in_flight = granted - self._list_standing()
+        drops = len(kept) < len(self._claims)
+        # A write whose answer was lost can land as long as its expected version
+        # stands. Moving the version on is what makes it impossible.
+        may_land = bool(self._abandoned) and self._version <= self._uncertain
+        needs_write = bool(self._in_flight) or drops or may_land
+        return ClaimPlan(merged, self._version, tuple(outcomes), needs_write)
+
+    def commit(self, plan: ClaimPlan, version: int) -> None:
+        """Take in that the planned write was answered with ``version``."""
+        self._in_flight.clear()
+        self._version, self._claims = version, plan.claims
+        self._forget_settled()
+
+    def reject(self) -> None:
+        """Take in that the planned write certainly had no effect."""
+        for claim_id in self._in_flight - self._may_land:
+            self._abandoned.pop(claim_id, None)
+        self._in_flight.clear()
+
+    def mark_uncertain(self, plan: ClaimPlan) -> None:
+        """Take in that the planned write may have taken effect, or may yet."""
+        self._uncertain = max(self._uncertain, plan.expected_version)
+        self._may_land |= self._in_flight
+        self._in_flight.clear()
+
+    def observe(self, version: int, claims: tuple[Claim, ...]) -> None:
+        """Take in what a read found, be it from a replica that lags."""
+        self._version, self._claims = version, claims
+        self._forget_settled()
+
+    def _forget_settled(self) -> None:
+        if self._version <= self._uncertain:
+            return
+        self._may_land.clear()
+        standing = self._list_standing()
+        for claim_id in list(self._abandoned):
+            if claim_id not in standing:
+                del self._abandoned[claim_id]
+
+    def _list_standing(self) -> set[str]:
+        return {claim.claim_id for claim in self._claims}
--- a/libraries/decisions/src/bamboopier_decisions/claims/table.py
+++ b/libraries/decisions/src/bamboopier_decisions/claims/table.py
@@ -9,6 +9,10 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 
 class Verdict(StrEnum):
@@ -24,11 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """One attempt's claim of one key. ``created`` is in wall-clock seconds."""
+    """One wish to run a key. ``created`` is in wall-clock seconds."""
 
     key: bytes
     fingerprint: bytes
-    attempt_id: str
+    # New for each wish, also when one attempt reaches an agent twice.
+    claim_id: str
     # Address of the agent that made the claim, where its answer may be recalled.
     holder: str
     created: float
@@ -36,23 +41,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimOutcome:
-    """The verdict and, unless granted or full, the claim that stands."""
+    """The verdict and, unless full, the claim that stands under the key."""
 
     verdict: Verdict
     standing: Claim | None = None
+    # Version of the partition that shows it; 0 while that is not known.
+    version: int = 0
 
 
 def merge_claims(
-    standing: tuple[Claim, ...],
-    wanted: list[Claim],
+    standing: Sequence[Claim],
+    wanted: Sequence[Claim],
     now: float,
     lifetime: float,
     capacity: int,
 ) -> tuple[tuple[Claim, ...], list[ClaimOutcome]]:
     """Return the partition after ``wanted`` and an outcome for each of them.
 
-    Claims older than ``lifetime`` seconds are dropped. An attempt that already stands
-    is granted again: its earlier write took effect although its answer was lost.
+    Claims older than ``lifetime`` seconds are dropped. A claim that already stands is
+    granted again: its earlier write took effect although its answer was lost.
     """
     by_key = {c.key: c for c in standing if now - c.created < lifetime}
     outcomes = [_merge_one(by_key, claim, capacity) for claim in wanted]
@@ -65,9 +72,9 @@
         if len(by_key) >= capacity:
             return ClaimOutcome(Verdict.FULL)
         by_key[claim.key] = claim
-        return ClaimOutcome(Verdict.GRANTED)
-    if found.attempt_id == claim.attempt_id:
-        return ClaimOutcome(Verdict.GRANTED)
+        return ClaimOutcome(Verdict.GRANTED, claim)
+    if found.claim_id == claim.claim_id:
+        return ClaimOutcome(Verdict.GRANTED, found)
     if found.fingerprint != claim.fingerprint:
         return ClaimOutcome(Verdict.REUSED, found)
     return ClaimOutcome(Verdict.HELD, found)
--- a/libraries/decisions/src/bamboopier_decisions/routing/router.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/router.py
@@ -26,6 +26,9 @@
     import random
 
 MAX_ATTEMPTS = 3
+# A request that broke a target may be what broke it: one more target is risked, no
+# third. Without it such a request takes out MAX_ATTEMPTS targets each time it is sent.
+MAX_BROKEN = 2
 # Retry-After when no target can say how long its queue is.
 DEFAULT_RETRY_AFTER = 2.0
 
@@ -33,11 +36,15 @@
 class _Pending:
     """A request between its arrival and its final answer."""
 
-    __slots__ = ("attempts", "request", "shortest_wait", "tried")
+    __slots__ = ("attempts", "broken", "ran", "request", "shortest_wait", "tried")
 
     def __init__(self, request: RequestArrived) -> None:
         self.request = request
         self.attempts = 0
+        # Targets that broke with the request under way.
+        self.broken = 0
+        # Unknown once any attempt's outcome was.
+        self.ran = Ran.NO
         self.tried: set[str] = set()
         # Least retry_after among the targets that refused.
         self.shortest_wait = 0.0
@@ -135,7 +142,12 @@
         if event.retry_after > 0:
             waits = (pending.shortest_wait or event.retry_after, event.retry_after)
             pending.shortest_wait = min(waits)
-        ran = event.ran
+        if event.ran is Ran.UNKNOWN:
+            pending.ran = Ran.UNKNOWN
+            pending.broken += event.broken
+        ran = pending.ran
+        if pending.broken >= MAX_BROKEN:
+            return self._refuse(pending, RefuseReason.TARGET_FAILED, ran)
         if pending.attempts >= MAX_ATTEMPTS:
             return self._refuse(pending, RefuseReason.ATTEMPTS, ran)
         if not self._budget.take():
--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import uuid
 from dataclasses import dataclass, field
@@ -13,13 +14,19 @@
 from bamboopier_protocol import agent_pb2 as pb
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterable
+
     from bamboopier_protocol.agent_pb2_grpc import AgentStub
 
     from .call import Call
     from .delivery import Delivery
 
-# Statuses that gRPC gives when no connection was made and nothing was sent.
 _MILLISECONDS = 1000
+# The agent answers a passed deadline itself and knows whether the request ran; this is
+# how long its word is waited for. A frozen agent says nothing.
+GRACE_SECONDS = 0.25
+# An answer that has begun may go on past the deadline for as long as it makes progress.
+STALL_SECONDS = 30.0
 
 
 @dataclass(slots=True)
@@ -49,25 +56,45 @@
     _result: AttemptResult = field(default_factory=lambda: AttemptResult(Ran.UNKNOWN))
     _expected_sequence: int = 0
     _body_bytes: int = 0
+    _begun: bool = False
 
     async def run(self, delivery: Delivery) -> AttemptResult:
         """Run to the end; leaving early cancels the call at the agent."""
-        started = time.monotonic()
+        left = self.call.deadline - time.monotonic() + GRACE_SECONDS
+        clock = asyncio.get_running_loop()
         stream = self.stub.Serve(self._make_request())
         try:
-            async for event in stream:
-                if not self._is_next(event):
-                    return self._break("an event of another answer or out of order")
-                if event.HasField("load"):
-                    self._result.load = event.load
-                if event.HasField("head"):
-                    self._result.first_byte = time.monotonic() - started
-                if await self._take(event, delivery):
-                    return self._result
+            async with asyncio.timeout_at(clock.time() + left) as limit:
+                return await self._read(stream, delivery, limit)
+        except TimeoutError:
+            self._break("no answer by the deadline")
+            # A long answer is no sign of a broken target.
+            self._result.broken = not self._begun
+            self._result.cause = pb.DEADLINE
+            return self._result
         except grpc.aio.AioRpcError as error:
             return self._classify(error)
         finally:
             stream.cancel()
+
+    async def _read(
+        self,
+        stream: AsyncIterable[pb.ServeEvent],
+        delivery: Delivery,
+        limit: asyncio.Timeout,
+    ) -> AttemptResult:
+        started = time.monotonic()
+        clock = asyncio.get_running_loop()
+        async for event in stream:
+            if not self._is_next(event):
+                return self._break("an event of another answer or out of order")
+            if event.HasField("load"):
+                self._result.load = event.load
+            if event.HasField("head"):
+                self._result.first_byte = time.monotonic() - started
+            if await self._take(event, delivery):
+                return self._result
+            limit.reschedule(max(limit.when() or 0.0, clock.time() + STALL_SECONDS))
         return self._break("the answer ended early")
 
     def _make_request(self) -> pb.ServeRequest:
@@ -104,16 +131,23 @@
         """Guard against late, crossed, repeated and lost events.
 
         An event of another attempt or out of sequence would put foreign bytes into
-        this caller's answer; nothing after it can be trusted.
+        this caller's answer; nothing after it can be trusted. The same goes for an
+        answer without a head, with two, or refused after it began.
         """
         expected = (self.attempt_id, self._expected_sequence)
         self._expected_sequence += 1
-        return (event.attempt_id, event.sequence) == expected
+        if (event.attempt_id, event.sequence) != expected:
+            return False
+        kind = event.WhichOneof("event")
+        if kind in ("head", "not_run"):
+            return not self._begun
+        return kind == "unknown" or (kind is not None and self._begun)
 
     async def _take(self, event: pb.ServeEvent, delivery: Delivery) -> bool:
         """Handle one event; True when the answer is over."""
         kind = event.WhichOneof("event")
         if kind == "head":
+            self._begun = True
             await delivery.begin(event.head)
         elif kind == "chunk":
             self._body_bytes += len(event.chunk)
@@ -158,7 +192,7 @@
     def _classify(self, error: grpc.aio.AioRpcError) -> AttemptResult:
         """Say what a failed call proves about the request.
 
-        gRPC reports a connection that was never made and one that broke with the
-        request under way by the same status, so UNAVAILABLE proves nothing.
+        The connection stood when the request was sent, so any failure after that
+        leaves open how far it came.
         """
         return self._break(f"{error.code().name}: {error.details()}")
--- a/libraries/gateway/src/bamboopier_gateway/delivery.py
+++ b/libraries/gateway/src/bamboopier_gateway/delivery.py
@@ -12,7 +12,7 @@
 
     from .errors import CallerError
 
-_SKIPPED_HEADERS = frozenset({"content-length", "connection", "transfer-encoding"})
+_SKIPPED_HEADERS = frozenset({"connection", "transfer-encoding"})
 
 
 class SlowCallerError(Exception):
@@ -75,9 +75,10 @@
         reader does not take a part for the whole.
         """
         response = self.response
-        if response.headers.get("Content-Type", "").startswith("text/event-stream"):
+        content_type = response.headers.get("Content-Type", "")
+        if content_type.startswith("text/event-stream") and not response.content_length:
             body = error.make_body(self._request_id)
-            await response.write(b"event: error\ndata: " + body + b"\n\n")
+            await self.write(b"event: error\ndata: " + body + b"\n\n")
             await response.write_eof()
         elif self._request.transport is not None:
             self._request.transport.abort()
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import grpc
 import structlog
 
 from bamboopier_decisions.routing.messages import (
@@ -34,7 +35,13 @@
     from .fleet import Fleet
     from .metrics import GatewayMetrics
 
-RECALL_TIMEOUT_SECONDS = 5.0
+# For an agent that still runs; one that is gone or frozen must not hold the caller.
+RECALL_TIMEOUT_SECONDS = 2.0
+# Causes that another target cannot help: all claim in the same platform.
+_CLAIM_CAUSES: dict[int, str] = {
+    pb.PLATFORM_DOWN: "the platform does not answer, so the key cannot be claimed",
+    pb.KEY_TABLE_FULL: "no more idempotency keys can be kept at present",
+}
 
 log = structlog.get_logger()
 
@@ -65,6 +72,8 @@
                 result = await self._attempt(call, decision, delivery)
                 if result.cause in (pb.KEY_CLAIMED, pb.KEY_REUSED):
                     return await self._recall(call, result, delivery)
+                if result.cause in _CLAIM_CAUSES:
+                    raise _make_claim_refusal(result)
                 decision = self._tell_end(call, decision, result, delivery)
         finally:
             self._router.abandon(call.request_id)
@@ -80,7 +89,13 @@
     async def _attempt(
         self, call: Call, send: Send, delivery: Delivery
     ) -> AttemptResult:
-        stub = self._agents.find(self._fleet.find_address(send.target))
+        left = call.deadline - time.monotonic()
+        address = self._fleet.find_address(send.target)
+        stub = await self._agents.reach(address, left)
+        if stub is None:
+            return AttemptResult(
+                Ran.NO, pb.CONNECTION_LOST, "no connection to the agent", broken=True
+            )
         attempt = Attempt(call, stub, self._follower.directory.generation)
         result = await attempt.run(delivery)
         if result.load is not None:
@@ -126,7 +141,10 @@
         if result.cause == pb.KEY_REUSED:
             message = "this idempotency key was used for another request"
             raise CallerError(ErrorCode.KEY_REUSED, message)
-        stub = self._agents.find(result.claimed_by)
+        left = call.deadline - time.monotonic()
+        stub = await self._agents.reach(result.claimed_by, left)
+        if stub is None:
+            raise _make_unknown()
         request = pb.RecallRequest(
             workspace=call.workspace,
             service=call.service,
@@ -134,9 +152,13 @@
             fingerprint=call.fingerprint,
         )
         try:
-            reply = await stub.Recall(request, timeout=RECALL_TIMEOUT_SECONDS)
-        except Exception as error:
+            limit = max(0.0, min(RECALL_TIMEOUT_SECONDS, left))
+            reply = await stub.Recall(request, timeout=limit)
+        except grpc.aio.AioRpcError as error:
             raise _make_unknown() from error
+        if reply.state == pb.RecallReply.NEVER_RAN:
+            message = "an earlier claim of this key never ran and is being released"
+            raise CallerError(ErrorCode.CLAIM_UNAVAILABLE, message, Ran.NO, 1.0)
         if reply.state == pb.RecallReply.RUNNING:
             message = "a request with this idempotency key is running"
             raise CallerError(ErrorCode.KEY_IN_PROGRESS, message, Ran.UNKNOWN, 1.0)
@@ -172,6 +194,12 @@
         tokens.labels(call.service, "recomputed").inc(recomputed)
 
 
+def _make_claim_refusal(result: AttemptResult) -> CallerError:
+    message = _CLAIM_CAUSES[result.cause]
+    wait = result.retry_after
+    return CallerError(ErrorCode.CLAIM_UNAVAILABLE, message, Ran.NO, wait)
+
+
 def _make_unknown() -> CallerError:
     message = "this idempotency key has been claimed before; its outcome is not known"
     return CallerError(ErrorCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
--- /dev/null
+++ b/tools/fault_matrix.py
@@ -0,0 +1,96 @@
+"""The faults and steps that the tests of "at most once" and "not run" go through.
+
+One table for all of them: the claim partition alone, the agent's claim table over a
+fake platform, and real processes on real sockets.
+"""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class CallFault(StrEnum):
+    """What may become of one call to the platform."""
+
+    NONE = "none"
+    # Refused: certainly without effect.
+    DOWN = "down"
+    LOST_BEFORE_EFFECT = "lost before its effect"
+    LOST_AFTER_EFFECT = "answer lost after its effect"
+    # The answer is lost and the change lands later, if its version still stands.
+    DELAYED = "answer lost, effect delayed"
+
+
+class Hop(StrEnum):
+    """A connection between two processes that serve one request."""
+
+    GATEWAY_AGENT = "gateway-agent"
+    AGENT_PLATFORM = "agent-platform"
+    AGENT_TARGET = "agent-target"
+
+
+class Step(StrEnum):
+    """A place on a hop, named by the bytes a relay sees there."""
+
+    CONNECT = "connect"
+    # The request has left its sender and not reached its receiver.
+    REQUEST_SENT = "request sent"
+    # The receiver has the request.
+    REQUEST_RECEIVED = "request received"
+    # The answer has left the receiver and not reached the sender.
+    ANSWER_SENT = "answer sent"
+    # A few bytes of the answer have arrived.
+    ANSWER_PART = "part of the answer received"
+
+
+class Fault(StrEnum):
+    """What happens at a step."""
+
+    CUT = "connection cut"
+    FREEZE = "connection frozen, thawed after the first answer"
+    KILL_GATEWAY = "gateway killed"
+    KILL_AGENT = "agent killed"
+    KILL_TARGET = "target killed"
+    STOP_GATEWAY = "gateway stopped, continued after the first answer"
+    STOP_AGENT = "agent stopped, continued after the first answer"
+    STOP_TARGET = "target stopped, continued after the first answer"
+    CALLER_LEAVES = "caller leaves"
+    RESEND = "caller resends to another gateway meanwhile"
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One fault at one step; ``unreachable`` says why it cannot be brought about."""
+
+    hop: Hop
+    step: Step
+    fault: Fault
+    unreachable: str = ""
+
+    @property
+    def name(self) -> str:
+        """Return a name for reports and for the order's text."""
+        return f"{self.hop}, {self.step}: {self.fault}"
+
+
+_ON_CONNECT = {Fault.CUT, Fault.FREEZE}
+
+
+def list_cells() -> Iterator[Cell]:
+    """Yield every fault at every step of every hop."""
+    for hop, step, fault in itertools.product(Hop, Step, Fault):
+        yield Cell(hop, step, fault, _find_obstacle(hop, step, fault))
+
+
+def _find_obstacle(hop: Hop, step: Step, fault: Fault) -> str:
+    if step is Step.CONNECT and fault not in _ON_CONNECT:
+        return "the connection carries no request yet; same as 'request sent'"
+    if step is Step.CONNECT and hop is Hop.GATEWAY_AGENT and fault is Fault.FREEZE:
+        return "one connection carries all calls; frozen at 'request sent'"
+    return ""
