--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -11,6 +11,7 @@
 import structlog
 from result import Err
 
+from bamboopier_daemon.headers import drop_hop_headers
 from bamboopier_decisions.admission.messages import Reject, RejectReason, WorkArrived
 from bamboopier_decisions.claims.table import Verdict
 from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
@@ -49,11 +50,7 @@
 # How long past its deadline a non-idempotent call may go on, for its answer to be there
 # when the caller repeats the key. Without an end a hung target would fill its slots.
 OVERTIME_SECONDS = 60.0
-# Headers that belong to one connection and are never passed on.
-HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "trailer"}
-    | {"proxy-authenticate", "proxy-authorization", "content-length", "host"}
-)
+LENGTH_HEADER = "Content-Length"
 
 log = structlog.get_logger()
 
@@ -308,6 +305,8 @@
             yield answer.make_not_run(pb.DEADLINE)
             return
         usage = UsageReader()
+        sent = time.monotonic()
+        first_byte = 0.0
         stream.detached = not request.idempotent
         try:
             async with (
@@ -319,6 +318,7 @@
                     _make_body(request),
                 ) as response,
             ):
+                first_byte = time.monotonic() - sent
                 self._metrics.first_byte.observe(time.monotonic() - started)
                 version = response.headers.get("Weight-Version", "")
                 headers = _list_response_headers(response)
@@ -343,7 +343,10 @@
         counted = usage.read()
         entry.answered = True
         if request.model.model:
-            self._context.keep_later(request)
+            new_tokens = max(0, counted.prompt_tokens - counted.cached_tokens)
+            self._context.note_answer(
+                request, counted.cached_tokens, new_tokens, first_byte
+            )
         entry.output_tokens = counted.completion_tokens
         self._count_tokens(counted.prompt_tokens, counted.cached_tokens, fetched)
         self._log_end(request, "finished", counted.cached_tokens)
@@ -398,20 +401,15 @@
 
 
 def _list_headers(request: pb.ServeRequest) -> list[tuple[str, str]]:
-    return [
-        (header.name, header.value)
-        for header in request.headers
-        if header.name.lower() not in HOP_HEADERS
-    ]
+    return list(drop_hop_headers((h.name, h.value) for h in request.headers))
 
 
 def _list_response_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
     """Return the headers to pass on; the length too, since the bytes stay as sent."""
-    return [
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS or name.lower() == "content-length"
-    ]
+    headers = list(drop_hop_headers(response.headers.items()))
+    if (length := response.headers.get(LENGTH_HEADER)) is not None:
+        headers.append((LENGTH_HEADER, length))
+    return headers
 
 
 def _make_body(request: pb.ServeRequest) -> bytes:
--- a/libraries/gateway/src/bamboopier_gateway/delivery.py
+++ b/libraries/gateway/src/bamboopier_gateway/delivery.py
@@ -7,13 +7,13 @@
 
 from aiohttp import web
 
+from bamboopier_daemon.headers import drop_hop_headers
+
 if TYPE_CHECKING:
     from bamboopier_protocol.agent_pb2 import ResponseHead
 
     from .errors import CallerError
 
-_SKIPPED_HEADERS = frozenset({"connection", "transfer-encoding"})
-
 
 class SlowCallerError(Exception):
     """The caller did not take its answer in time."""
@@ -45,9 +45,9 @@
     async def begin(self, head: ResponseHead) -> None:
         """Send status and headers."""
         response = web.StreamResponse(status=head.status)
-        for header in head.headers:
-            if header.name.lower() not in _SKIPPED_HEADERS:
-                response.headers.add(header.name, header.value)
+        for name, value in drop_hop_headers((h.name, h.value) for h in head.headers):
+            response.headers.add(name, value)
+        response.content_length = _find_length(head)
         response.headers["X-Request-Id"] = self._request_id
         if head.weight_version:
             response.headers["X-Weight-Version"] = head.weight_version
@@ -83,3 +83,14 @@
         elif self._request.transport is not None:
             self._request.transport.abort()
         return response
+
+
+def _find_length(head: ResponseHead) -> int | None:
+    """Return the body's length where the target gave one.
+
+    A caller that knows the length sees by itself that a cut answer is not whole.
+    """
+    for header in head.headers:
+        if header.name.lower() == "content-length" and header.value.isdecimal():
+            return int(header.value)
+    return None
