Run every fault at every step of one dispatch on real processes

Cause: nothing showed what a caller receives when a connection or process fails at a given step. Two agents lead to one target, whose log file survives its kill (plain stand-in: log_path).

The answer of a killed target may be unknown only where the agent cannot know.

--- a/libraries/standins/src/bamboopier_standins/plain.py
+++ b/libraries/standins/src/bamboopier_standins/plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 from typing import Any
 
@@ -15,8 +16,10 @@
 class PlainStandIn:
     """Counts and logs every call that reached it."""
 
-    def __init__(self, delay: float) -> None:
+    def __init__(self, delay: float, log_path: str) -> None:
         self.delay = delay
+        # Survives a kill; empty for none.
+        self.log_path = log_path
         self.log: list[dict[str, Any]] = []
 
     def make_application(self) -> web.Application:
@@ -41,11 +44,17 @@
             "headers": [list(header) for header in request.headers.items()],
             "body": body,
         }
-        self.log.append(entry)
+        self._record(entry)
         await asyncio.sleep(self.delay)
         answer = {"call": len(self.log), **entry}
         return web.json_response(answer, status=201 if body else 200)
 
+    def _record(self, entry: dict[str, Any]) -> None:
+        self.log.append(entry)
+        if self.log_path:
+            with open(self.log_path, "a") as file:
+                file.write(json.dumps(entry) + "\n")
+
     async def report_state(self, request: web.Request) -> web.Response:
         """Answer with a start id."""
         return web.json_response({"start_id": str(os.getpid()), "version": ""})
@@ -55,11 +64,14 @@
         return web.json_response(self.log)
 
 
-def main(port: int = 0, delay: float = 0.0) -> None:
-    """Run a plain service stand-in; ``delay`` is in seconds."""
+def main(port: int = 0, delay: float = 0.0, log_path: str = "") -> None:
+    """Run a plain service stand-in; ``delay`` is in seconds.
+
+    Calls are also appended to the file at ``log_path``, a JSON object a line.
+    """
 
     async def make_application() -> web.Application:
-        return PlainStandIn(delay).make_application()
+        return PlainStandIn(delay, log_path).make_application()
 
     run(make_application, port)
 
--- /dev/null
+++ b/tests/order_lab.py
@@ -0,0 +1,289 @@
+"""Two gateways and two agents before one target, with a relay on every hop."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import time
+import urllib.error
+from contextlib import ExitStack, suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Self
+from urllib.parse import urlsplit
+
+from fault_matrix import Cell, Fault, Hop, Step
+from processes import BLOCK_SECRET, HOST, Installation, fetch, find_port
+
+from bamboopier_agent.claims import hash_key
+
+from .builders import FOSSE_KEY, Answer, publish_examples
+from .relay import Relay, Trap
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+WORKSPACE = "fosse-midlands"
+AGENTS = ("vans-1", "vans-2")
+GATEWAYS = ("gateway-1", "gateway-2")
+# The caller's deadline; a frozen hop costs a cell this long.
+TIMEOUT_SECONDS = 0.8
+# How long a caller keeps asking while it is told to come back.
+PATIENCE_SECONDS = 45.0
+HANG_SECONDS = 20.0
+
+
+@dataclass(frozen=True)
+class Order:
+    """One dispatch as its caller sends it, again and again."""
+
+    pillar: str
+    key: str
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return the caller's headers."""
+        sent = {
+            "Authorization": f"Bearer {FOSSE_KEY}",
+            "X-Timeout-Seconds": str(TIMEOUT_SECONDS),
+        }
+        return sent | ({"Idempotency-Key": self.key} if self.key else {})
+
+
+class Caller:
+    """One send of an order; it can leave while it waits."""
+
+    def __init__(self, url: str, order: Order) -> None:
+        self._order = order
+        self._connection = http.client.HTTPConnection(
+            urlsplit(url).netloc, timeout=TIMEOUT_SECONDS + 1
+        )
+
+    def send(self) -> Answer | None:
+        """Return the answer, or None when none arrived whole."""
+        body = json.dumps({"pillar": self._order.pillar})
+        try:
+            self._connection.request(
+                "POST", "/services/dispatch/vans", body, self._order.headers
+            )
+            response = self._connection.getresponse()
+            return Answer(response.status, dict(response.headers), response.read())
+        except (OSError, http.client.HTTPException, AttributeError):
+            return None
+        finally:
+            self._connection.close()
+
+    def leave(self) -> None:
+        """Close the connection without waiting for the answer."""
+        if self._connection.sock is not None:
+            with suppress(OSError):
+                self._connection.sock.shutdown(2)
+
+
+class OrderLab:
+    """The processes, the relays and what the target recorded."""
+
+    def __init__(self, hop: Hop) -> None:
+        self._hop = hop
+        self._stack = ExitStack()
+        self.installation = Installation()
+        self._relays: dict[Hop, list[Relay]] = {each: [] for each in Hop}
+        self._agent_ports: dict[str, tuple[int, int]] = {}
+        self._target_port = find_port()
+        # The target's own record, which outlives it.
+        self._target_log = self.installation.directory / "target-log.jsonl"
+        self.caller: Caller | None = None
+        self.resent: Answer | None = None
+
+    def __enter__(self) -> Self:
+        installation = self._stack.enter_context(self.installation)
+        installation.start_platform()
+        self._start_target()
+        for name in AGENTS:
+            self._start_agent(name)
+        for name in GATEWAYS:
+            installation.start_gateway(name, "dc-east")
+        publish_examples(installation)
+        installation.wait_until_ready()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    @property
+    def hop_relays(self) -> list[Relay]:
+        """Return the relays, one an agent, on the hop under test."""
+        return self._relays[self._hop]
+
+    def lay_trap(self, cell: Cell, order: Order) -> Trap:
+        """Make the cell's fault happen when the order reaches the cell's step."""
+        marker = order.pillar.encode()
+        if cell.hop is Hop.AGENT_PLATFORM:
+            marker = hash_key(WORKSPACE, order.key)
+        trap = Trap(
+            cell.step,
+            marker,
+            lambda relay: self._act(cell, order, relay),
+            cut=cell.fault is Fault.CUT,
+            freeze=cell.fault is Fault.FREEZE,
+            marked_answer=cell.hop is Hop.GATEWAY_AGENT,
+        )
+        for relay in self.hop_relays:
+            relay.set_trap(trap)
+        return trap
+
+    def heal(self) -> None:
+        """Continue, restart and connect whatever the cell stopped."""
+        for relay in (relay for relays in self._relays.values() for relay in relays):
+            relay.heal()
+        for name, daemon in list(self.installation.daemons.items()):
+            if daemon.process.poll() is None:
+                daemon.send(signal.SIGCONT)
+            elif name == "target":
+                self._start_target()
+            elif name in GATEWAYS:
+                self._restart(name, "gateway")
+            else:
+                self._restart(name, "agent")
+        self.installation.wait_until_ready()
+
+    def send(self, gateway: str, order: Order) -> Answer | None:
+        """Send an order once."""
+        self.caller = Caller(self.installation.gateways[gateway], order)
+        return self.caller.send()
+
+    def insist(self, gateway: str, order: Order) -> Answer | None:
+        """Send an order as often as the caller is told to come back."""
+        limit = time.monotonic() + PATIENCE_SECONDS
+        while True:
+            answer = self.send(gateway, order)
+            if answer is not None and not _may_return(answer):
+                return answer
+            if time.monotonic() > limit:
+                return answer
+            time.sleep(0.05)
+
+    def warm_up(self) -> None:
+        """Let both gateways see both agents answer, so that no pause is left."""
+        for gateway in GATEWAYS:
+            limit = time.monotonic() + HANG_SECONDS
+            answered = 0
+            while answered < 4 and time.monotonic() < limit:
+                answered += self._ask(gateway)
+
+    def count_runs(self, order: Order) -> int:
+        """Return how often the target recorded the order."""
+        if not self._target_log.exists():
+            return 0
+        return self._target_log.read_text().count(order.pillar)
+
+    def _ask(self, gateway: str) -> bool:
+        url = f"{self.installation.gateways[gateway]}/services/dispatch/boxes/7"
+        connection = http.client.HTTPConnection(urlsplit(url).netloc, timeout=5)
+        try:
+            headers = {"Authorization": f"Bearer {FOSSE_KEY}"}
+            connection.request("GET", "/services/dispatch/boxes/7", headers=headers)
+            done = connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            done = False
+        finally:
+            connection.close()
+        if not done:
+            time.sleep(0.05)
+        return done
+
+    def _act(self, cell: Cell, order: Order, relay: Relay) -> None:
+        """Bring the fault about; the relay's connection stands still meanwhile."""
+        received = cell.hop is Hop.AGENT_TARGET and cell.step is Step.REQUEST_RECEIVED
+        if received:
+            self._wait_until_recorded(order)
+        match cell.fault:
+            case Fault.KILL_GATEWAY:
+                self.installation.daemons["gateway-1"].kill()
+            case Fault.KILL_AGENT:
+                self.installation.daemons[f"{relay.name}-agent"].kill()
+            case Fault.KILL_TARGET:
+                self.installation.daemons["target"].kill()
+                # Nobody listens any more, which a relay must show as well.
+                for each in self._relays[Hop.AGENT_TARGET]:
+                    each.refuse()
+            case Fault.STOP_GATEWAY:
+                self.installation.daemons["gateway-1"].send(signal.SIGSTOP)
+            case Fault.STOP_AGENT:
+                self.installation.daemons[f"{relay.name}-agent"].send(signal.SIGSTOP)
+            case Fault.STOP_TARGET:
+                self.installation.daemons["target"].send(signal.SIGSTOP)
+            case Fault.CALLER_LEAVES:
+                if self.caller is not None:
+                    self.caller.leave()
+            case Fault.RESEND:
+                url = self.installation.gateways["gateway-2"]
+                self.resent = Caller(url, order).send()
+
+    def _wait_until_recorded(self, order: Order) -> None:
+        limit = time.monotonic() + HANG_SECONDS
+        while self.count_runs(order) == 0 and time.monotonic() < limit:
+            time.sleep(0.005)
+
+    def _start_target(self) -> None:
+        arguments = ["-m", "bamboopier_standins.plain", f"--port={self._target_port}"]
+        arguments.append(f"--log_path={self._target_log}")
+        self.installation.start_process("target", arguments)
+        _wait_for(f"http://{HOST}:{self._target_port}/state")
+
+    def _start_agent(self, name: str) -> None:
+        listen, admin = find_port(), find_port()
+        self._agent_ports[name] = (listen, admin)
+        platform = urlsplit(self.installation.platform_url)
+        assert platform.port is not None
+        upstreams = {
+            Hop.GATEWAY_AGENT: (HOST, listen),
+            Hop.AGENT_PLATFORM: (HOST, platform.port),
+            Hop.AGENT_TARGET: (HOST, self._target_port),
+        }
+        relays = {
+            hop: self._stack.enter_context(Relay(name, upstream))
+            for hop, upstream in upstreams.items()
+        }
+        for hop, relay in relays.items():
+            self._relays[hop].append(relay)
+        settings: dict[str, Any] = {
+            "vm": name,
+            "target": name,
+            "service": "dispatch",
+            "data_centre": "dc-east",
+            "region": "midlands",
+            "listen": {"host": HOST, "port": listen},
+            "admin": {"host": HOST, "port": admin},
+            "platform_url": f"http://{relays[Hop.AGENT_PLATFORM].address}",
+            "target_url": f"http://{relays[Hop.AGENT_TARGET].address}",
+            "block_secret": BLOCK_SECRET,
+        }
+        self.installation.start_daemon(f"{name}-agent", "agent", settings)
+        self.installation.admin[f"{name}-agent"] = f"http://{HOST}:{admin}"
+        address = relays[Hop.GATEWAY_AGENT].address
+        self.installation.list_vm(name, "target", "dispatch", "dc-east", address)
+
+    def _restart(self, name: str, command: str) -> None:
+        path = self.installation.directory / f"{name}.json"
+        settings = json.loads(path.read_text())
+        self.installation.start_daemon(name, command, settings)
+
+
+def _may_return(answer: Answer) -> bool:
+    """Say whether the caller was told that asking again helps."""
+    return "Retry-After" in answer.headers and answer.status in (409, 503, 504)
+
+
+def _wait_for(url: str) -> None:
+    limit = time.monotonic() + HANG_SECONDS
+    while time.monotonic() < limit:
+        with suppress(urllib.error.URLError, ConnectionError):
+            fetch(url)
+            return
+        time.sleep(0.02)
