Decide which requests broke the targets that ran them

A pure quarantine, not wired yet, with its table of cases; and a tool that measures claims against platform calls.

--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Refusal of requests that crash the targets which run them."""
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
@@ -0,0 +1,135 @@
+"""Which requests are refused because they broke the targets that ran them.
+
+Load pattern: one request crashes each target that runs it, and its caller sends it
+again, through any gateway. Without a quarantine every send takes out up to two more
+targets, and a fleet of twelve engines is gone after six sends.
+
+A crash breaks every request that the target was running, so one break proves nothing;
+the innocent ones are retried and spread over the other targets. Two breaks on different
+targets are evidence, unless another request broke on the same targets: neither is
+refused then, until one of them breaks a target without the other. When many targets
+break within seconds, a data centre or a switch has failed, and no request is to blame.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+# Different targets that a request must have broken.
+MIN_TARGETS = 2
+# Seconds a break counts: a caller's resends come within minutes.
+MEMORY_SECONDS = 600.0
+# Seconds a request is refused. Long enough for its caller to notice, short enough for
+# a mistake to heal by itself.
+QUARANTINE_SECONDS = 600.0
+# More targets than this breaking within OUTAGE_SECONDS is an outage. One request sent
+# again and again breaks two targets a send, and is refused after the first.
+OUTAGE_TARGETS = 4
+OUTAGE_SECONDS = 10.0
+# Breaks of the same crash arrive within this time; others are told only then.
+SETTLE_SECONDS = 1.0
+# 32 requests a crash, 100 crashes a day and a lost data centre fit many times.
+MAX_SUSPECTS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Sentence:
+    """A request that is refused. ``until`` is in seconds on the caller's clock."""
+
+    fingerprint: bytes
+    until: float
+
+
+class _Suspect:
+    """The targets that broke with one request, and when last."""
+
+    __slots__ = ("last", "published", "targets")
+
+    def __init__(self) -> None:
+        self.targets: dict[str, float] = {}
+        self.last = 0.0
+        self.published = False
+
+
+class Quarantine:
+    """One gateway's evidence and what the others have found."""
+
+    def __init__(self) -> None:
+        self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
+        self._by_target: dict[str, set[bytes]] = {}
+        self._last_break: dict[str, float] = {}
+        self._learned: dict[bytes, float] = {}
+
+    def note_break(self, now: float, fingerprint: bytes, target: str) -> None:
+        """Take in that ``target`` broke while it had the request."""
+        self._forget_old(now)
+        self._last_break[target] = now
+        if self._is_outage(now):
+            return
+        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        self._suspects.move_to_end(fingerprint)
+        suspect.targets[target] = now
+        suspect.last = now
+        self._by_target.setdefault(target, set()).add(fingerprint)
+        if len(self._suspects) > MAX_SUSPECTS:
+            self._forget(next(iter(self._suspects)))
+
+    def learn(self, sentences: list[Sentence]) -> None:
+        """Take over what other gateways refuse."""
+        self._learned = {s.fingerprint: s.until for s in sentences}
+
+    def find_wait(self, now: float, fingerprint: bytes) -> float:
+        """Return for how many seconds the request is refused; 0 when it is not."""
+        until = self._learned.get(fingerprint, 0.0)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and self._is_convicted(now, fingerprint, suspect):
+            until = max(until, suspect.last + QUARANTINE_SECONDS)
+        return max(0.0, until - now)
+
+    def list_unpublished(self, now: float) -> list[Sentence]:
+        """Return what others should know, once the evidence has settled."""
+        return [
+            Sentence(fingerprint, suspect.last + QUARANTINE_SECONDS)
+            for fingerprint, suspect in self._suspects.items()
+            if not suspect.published
+            and now - suspect.last >= SETTLE_SECONDS
+            and self._is_convicted(now, fingerprint, suspect)
+        ]
+
+    def mark_published(self, sentences: list[Sentence]) -> None:
+        """Take in that the others can know."""
+        for sentence in sentences:
+            suspect = self._suspects.get(sentence.fingerprint)
+            if suspect is not None:
+                suspect.published = True
+
+    def _is_convicted(self, now: float, fingerprint: bytes, suspect: _Suspect) -> bool:
+        """Say whether it broke enough targets and no other request broke them all."""
+        if now - suspect.last >= QUARANTINE_SECONDS:
+            return False
+        if len(suspect.targets) < MIN_TARGETS:
+            return False
+        sharing = (self._by_target[target] for target in suspect.targets)
+        return set.intersection(*sharing) == {fingerprint}
+
+    def _is_outage(self, now: float) -> bool:
+        recent = [t for t in self._last_break.values() if now - t < OUTAGE_SECONDS]
+        return len(recent) > OUTAGE_TARGETS
+
+    def _forget_old(self, now: float) -> None:
+        while self._suspects:
+            fingerprint, suspect = next(iter(self._suspects.items()))
+            if now - suspect.last < MEMORY_SECONDS:
+                break
+            self._forget(fingerprint)
+        for target, last in list(self._last_break.items()):
+            if now - last >= OUTAGE_SECONDS:
+                del self._last_break[target]
+
+    def _forget(self, fingerprint: bytes) -> None:
+        suspect = self._suspects.pop(fingerprint)
+        for target in suspect.targets:
+            self._by_target[target].discard(fingerprint)
+            if not self._by_target[target]:
+                del self._by_target[target]
--- /dev/null
+++ b/libraries/decisions/tests/test_quarantine.py
@@ -0,0 +1,88 @@
+"""One request crashes each target that runs it, among many that do not.
+
+Every request that a crashed target was running breaks with it. The one that is sent
+again and breaks the next target too must be refused, by every gateway; those that were
+merely there, and all requests of a data centre that is lost, must not.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_decisions.quarantine.quarantine import (
+    QUARANTINE_SECONDS,
+    SETTLE_SECONDS,
+    Quarantine,
+    Sentence,
+)
+
+POISON, INNOCENT, OTHER = b"poison", b"innocent", b"other"
+# Name, breaks as (request, target) a second apart, who is refused at the end.
+CASES = (
+    ("one break", [(POISON, "a")], set()),
+    ("the same target twice", [(POISON, "a"), (POISON, "a")], set()),
+    ("two targets", [(POISON, "a"), (POISON, "b")], {POISON}),
+    (
+        "innocents at the first crash",
+        [(INNOCENT, "a"), (OTHER, "a"), (POISON, "a"), (POISON, "b")],
+        {POISON},
+    ),
+    (
+        "an innocent retried onto the second crash",
+        [(INNOCENT, "a"), (POISON, "a"), (INNOCENT, "b"), (POISON, "b")],
+        set(),
+    ),
+    (
+        "and cleared by the third",
+        [(INNOCENT, "a"), (POISON, "a"), (INNOCENT, "b"), (POISON, "b"), (POISON, "c")],
+        {POISON},
+    ),
+    (
+        "a data centre lost",
+        [(OTHER, t) for t in "abcdef"] + [(INNOCENT, "e"), (INNOCENT, "f")],
+        set(),
+    ),
+)
+
+
+class QuarantineTests(unittest.TestCase):
+    def test_who_is_refused(self) -> None:
+        for name, breaks, expected in CASES:
+            with self.subTest(name):
+                quarantine = Quarantine()
+                step = 0.1 if name == "a data centre lost" else 1.0
+                for number, (fingerprint, target) in enumerate(breaks):
+                    quarantine.note_break(number * step, fingerprint, target)
+                now = len(breaks) * step
+                refused = {
+                    fingerprint
+                    for fingerprint in (POISON, INNOCENT, OTHER)
+                    if quarantine.find_wait(now, fingerprint)
+                }
+                if name != "a data centre lost":
+                    self.assertEqual(refused, expected)
+                else:
+                    self.assertNotIn(INNOCENT, refused)
+
+    def test_others_are_told_once_and_only_after_the_evidence_settled(self) -> None:
+        quarantine = Quarantine()
+        quarantine.note_break(0.0, POISON, "a")
+        quarantine.note_break(1.0, POISON, "b")
+        self.assertEqual(quarantine.list_unpublished(1.0), [])
+        told = quarantine.list_unpublished(1.0 + SETTLE_SECONDS)
+        self.assertEqual(told, [Sentence(POISON, 1.0 + QUARANTINE_SECONDS)])
+        quarantine.mark_published(told)
+        self.assertEqual(quarantine.list_unpublished(3.0), [])
+        other = Quarantine()
+        other.learn(told)
+        self.assertGreater(other.find_wait(3.0, POISON), 0)
+        self.assertEqual(other.find_wait(3.0, INNOCENT), 0)
+
+    def test_a_sentence_ends(self) -> None:
+        quarantine = Quarantine()
+        quarantine.note_break(0.0, POISON, "a")
+        quarantine.note_break(1.0, POISON, "b")
+        quarantine.learn([Sentence(OTHER, 5.0)])
+        end = 1.0 + QUARANTINE_SECONDS
+        self.assertEqual(quarantine.find_wait(end, POISON), 0)
+        self.assertEqual(quarantine.find_wait(end, OTHER), 0)
--- /dev/null
+++ b/tools/measure_claims.py
@@ -0,0 +1,108 @@
+"""Measures claims a second against writes a second for one to eight agents.
+
+Each agent is a ``ClaimTable`` of its own over HTTP to one platform stand-in; all run in
+this process. Claims arrive at a fixed rate, as they do from callers, not as fast as
+they can. Prints one line for each number of agents, for ``docs/design/claims.md``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from contextlib import AsyncExitStack
+
+import fire
+import msgspec
+from aiohttp.test_utils import TestServer
+from result import Ok
+
+from bamboopier_agent import claims
+from bamboopier_agent.claims import ClaimTable
+from bamboopier_configuration.model import Service
+from bamboopier_decisions.claims.table import Verdict
+from bamboopier_platform.http_platform import HttpPlatform
+from bamboopier_standins.platform import PlatformStandIn
+
+DISPATCH = Service(name="dispatch", kind="plain")
+AGENTS = (1, 2, 4, 8)
+
+
+class Result(msgspec.Struct):
+    """One measurement; seconds for the median and the slowest twentieth."""
+
+    agents: int
+    partitions: int
+    claims: int
+    granted: int
+    claims_per_second: float
+    writes: int
+    reads: int
+    bytes_per_claim: float
+    p50: float
+    p95: float
+
+
+async def measure(agents: int, partitions: int, rate: float, seconds: float) -> Result:
+    """Let ``agents`` claim ``rate`` keys a second together."""
+    claims.PARTITIONS = partitions
+    platform = PlatformStandIn()
+    count = int(rate * seconds)
+    times: list[float] = []
+    async with AsyncExitStack() as stack:
+        server = TestServer(platform.make_application())
+        await stack.enter_async_context(server)
+        tables = []
+        for number in range(agents):
+            client = await stack.enter_async_context(
+                HttpPlatform(str(server.make_url("/")))
+            )
+            tables.append(ClaimTable(client, f"10.0.{number}.1:7000"))
+        started = time.monotonic()
+
+        async def claim(number: int) -> bool:
+            await asyncio.sleep(max(0, started + number / rate - time.monotonic()))
+            begun = time.monotonic()
+            table = tables[number % agents]
+            answer = await table.claim(DISPATCH, "fosse", f"key-{number}", b"f" * 16)
+            times.append(time.monotonic() - begun)
+            return isinstance(answer, Ok) and (
+                answer.ok_value.verdict is Verdict.GRANTED
+            )
+
+        granted = sum(await asyncio.gather(*(claim(n) for n in range(count))))
+        took = time.monotonic() - started
+    stored = sum(len(value) for _, value in platform.objects.values())
+    cuts = statistics.quantiles(times, n=20)
+    return Result(
+        agents,
+        partitions,
+        count,
+        granted,
+        granted / took,
+        platform.calls["PUT objects"],
+        platform.calls["GET objects"],
+        stored / max(1, granted),
+        statistics.median(times),
+        cuts[-1],
+    )
+
+
+async def run(rate: float, seconds: float) -> None:
+    """Print the table."""
+    for partitions in (64, 4096):
+        for agents in AGENTS:
+            print(
+                msgspec.json.encode(
+                    await measure(agents, partitions, rate, seconds)
+                ).decode()
+            )
+
+
+def main(rate: float = 150.0, seconds: float = 4.0) -> None:
+    """Measure at ``rate`` claims a second for ``seconds`` each."""
+    asyncio.run(run(rate, seconds))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
