--- a/libraries/agent/src/bamboopier_agent/target.py
+++ b/libraries/agent/src/bamboopier_agent/target.py
@@ -11,6 +11,7 @@
 from yarl import URL
 
 from .errors import (
+    OrderFailedError,
     OrderRefusedError,
     TargetBrokenError,
     TargetError,
@@ -18,6 +19,7 @@
 )
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import AsyncIterator, Sequence
     from types import TracebackType
 
@@ -54,7 +56,10 @@
 class TargetClient:
     """Calls the target at ``base_url``; close it by leaving the context."""
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(
+        self, base_url: str, certificates: ssl.SSLContext | None = None
+    ) -> None:
+        self._certificates = certificates or True
         self._base_url = base_url.rstrip("/")
         self._session: aiohttp.ClientSession | None = None
         self._run_session: aiohttp.ClientSession | None = None
@@ -63,7 +68,7 @@
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = aiohttp.TCPConnector(limit=0, ssl=self._certificates)
         self._session = aiohttp.ClientSession(
             timeout=timeout, connector=connector, auto_decompress=False
         )
@@ -134,7 +139,7 @@
                 if response.status == 409:
                     return Err(OrderRefusedError(f"fencing number {fence} is old"))
                 if response.status != 200:
-                    return Err(TargetBrokenError(f"status {response.status}"))
+                    return Err(OrderFailedError(f"status {response.status}"))
                 return Ok(None)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(TargetBrokenError(str(error) or type(error).__name__))
--- a/libraries/cli/src/bamboopier_cli/application.py
+++ b/libraries/cli/src/bamboopier_cli/application.py
@@ -11,10 +11,13 @@
 from .arguments import bind_arguments, find_command
 from .commands.agent import agent
 from .commands.check import check
+from .commands.drain import drain
 from .commands.explain import explain
 from .commands.gateway import gateway
 from .commands.publish import publish
 from .commands.replay import replay
+from .commands.restore import restore
+from .commands.status import status
 from .commands.version import version
 from .exits import FAILURE, INTERRUPTED, SUCCESS, CommandError
 from .help import describe_command, describe_program
@@ -25,10 +28,13 @@
 COMMANDS: dict[str, Callable[..., str | None]] = {
     "agent": agent,
     "check": check,
+    "drain": drain,
     "explain": explain,
     "gateway": gateway,
     "publish": publish,
     "replay": replay,
+    "restore": restore,
+    "status": status,
     "version": version,
 }
 HELP_FLAGS = frozenset({"--help", "-h"})
--- a/libraries/decisions/src/bamboopier_decisions/routing/messages.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/messages.py
@@ -58,6 +58,8 @@
     queue_delay: float = 0.0
     accepting: bool = True
     start_id: str = ""
+    # Version the target serves; empty when not known or a plain service.
+    weight_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,8 @@
     block_tokens: int = 0
     block_keys: tuple[bytes, ...] = ()
     fingerprint: bytes = b""
+    # Version the request was made for; empty for plain services.
+    weight_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +99,16 @@
     load: TargetLoad
 
 
+@dataclass(frozen=True, slots=True)
+class FirstByteCame:
+    """An attempt's answer began ``seconds`` after it was sent."""
+
+    now: float
+    request_id: str
+    target: str
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """One attempt is over. ``ran`` is the truth as far as it is known."""
@@ -156,5 +170,7 @@
     request_id: str
 
 
-RoutingEvent = RequestArrived | TargetReported | AttemptEnded | FleetChanged
+RoutingEvent = (
+    RequestArrived | TargetReported | FirstByteCame | AttemptEnded | FleetChanged
+)
 RoutingDecision = Send | Refuse | Deliver
--- a/libraries/gateway/src/bamboopier_gateway/agents.py
+++ b/libraries/gateway/src/bamboopier_gateway/agents.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING, Self
 
 import grpc
 
+from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import GRPC_OPTIONS
 from bamboopier_protocol import agent_pb2_grpc
 
@@ -14,6 +16,11 @@
     from types import TracebackType
 
 CONNECT_SECONDS = 1.0
+# gRPC waits this long at the most, give or take a fifth, before it tries again.
+MAX_BACKOFF_MS = 200
+# Long enough for a fresh try after a failure that was there before: a refused
+# connection then costs a caller this once, and the router passes the target over.
+FRESH_TRY_SECONDS = 0.3
 OPTIONS = [
     *GRPC_OPTIONS,
     # gRPC would send a call again by itself when a connection breaks early; whether a
@@ -22,15 +29,22 @@
     # An agent that was replaced is reached again within a second.
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_reconnect_backoff_ms", MAX_BACKOFF_MS),
 ]
 
+# A stream may outlast its target's place in the VM list, or its channel's certificate,
+# by this long: a week, which is the longest timeout a service may have.
+CLOSE_GRACE_SECONDS = 7 * 86_400.0
+
 
 class Agents:
     """Hands out stubs by address; closes what it opened."""
 
-    def __init__(self) -> None:
+    def __init__(self, certificates: Certificates | None = None) -> None:
+        self._certificates = certificates or Certificates(None)
+        self._certificates.tell(self._renew)
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
         return self
@@ -41,6 +55,8 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        for task in self._closing:
+            task.cancel()
         for channel in self._channels.values():
             await channel.close(None)
 
@@ -69,20 +85,55 @@
     def _find_channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channels.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(address, options=OPTIONS)
+            channel = self._certificates.open_channel(address, OPTIONS)
             self._channels[address] = channel
         return channel
 
-    async def keep_only(self, addresses: set[str]) -> None:
-        """Close the channels of agents that are gone."""
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the channels of agents that are gone, each once its streams have ended.
+
+        The VM list may drop a target while it still answers; cutting its streams would
+        leave callers with half an answer. Never closing would keep a connection for
+        each of the 84 VMs replaced a day.
+        """
         for address in set(self._channels) - addresses:
-            await self._channels.pop(address).close(None)
+            self._retire(self._channels.pop(address))
+
+    def _renew(self) -> None:
+        """Connect anew with the replaced certificate at the next call of each agent."""
+        for channel in self._channels.values():
+            self._retire(channel)
+        self._channels.clear()
+
+    def _retire(self, channel: grpc.aio.Channel) -> None:
+        """Close a channel once its streams have ended."""
+        task = asyncio.create_task(channel.close(CLOSE_GRACE_SECONDS))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
 
 async def _is_ready(channel: grpc.aio.Channel) -> bool:
-    """Wait while the channel connects; False at the first failure."""
+    """Wait while the channel connects; False at the first failure from now on.
+
+    A failure that lies in the past says nothing: the agent may have come up since, and
+    gRPC is only waiting out its backoff. Taken for an answer it refuses a request as
+    overloaded although its only target is idle.
+    """
+    if channel.get_state() is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FRESH_TRY_SECONDS):
+                return await _become_ready(channel, until_failure=False)
+        return False
+    return await _become_ready(channel, until_failure=True)
+
+
+async def _become_ready(channel: grpc.aio.Channel, *, until_failure: bool) -> bool:
+    """Follow the channel's states to a connection, or to a failure if that counts."""
     state = channel.get_state(try_to_connect=True)
-    while state in (grpc.ChannelConnectivity.IDLE, grpc.ChannelConnectivity.CONNECTING):
+    while state is not grpc.ChannelConnectivity.READY:
+        failed = state is grpc.ChannelConnectivity.TRANSIENT_FAILURE
+        if (failed and until_failure) or state is grpc.ChannelConnectivity.SHUTDOWN:
+            return False
         await channel.wait_for_state_change(state)
         state = channel.get_state(try_to_connect=True)
-    return bool(state is grpc.ChannelConnectivity.READY)
+    return True
--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -14,7 +14,7 @@
 from bamboopier_protocol import agent_pb2 as pb
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterable
+    from collections.abc import AsyncIterable, Callable
 
     from bamboopier_protocol.agent_pb2_grpc import AgentStub
 
@@ -52,6 +52,9 @@
     call: Call
     stub: AgentStub
     generation: int
+    # Told of the load and the seconds that came with the answer's head: a long answer
+    # would otherwise bring them only at its end.
+    note_head: Callable[[pb.LoadReport, float], None] = lambda _load, _seconds: None
     attempt_id: str = field(default_factory=lambda: uuid.uuid4().hex)
     _result: AttemptResult = field(default_factory=lambda: AttemptResult(Ran.UNKNOWN))
     _expected_sequence: int = 0
@@ -92,6 +95,7 @@
                 self._result.load = event.load
             if event.HasField("head"):
                 self._result.first_byte = time.monotonic() - started
+                self.note_head(event.load, self._result.first_byte)
             if await self._take(event, delivery):
                 return self._result
             limit.reschedule(max(limit.when() or 0.0, clock.time() + STALL_SECONDS))
@@ -195,4 +199,9 @@
         The connection stood when the request was sent, so any failure after that
         leaves open how far it came.
         """
-        return self._break(f"{error.code().name}: {error.details()}")
+        broken = self._break(f"{error.code().name}: {error.details()}")
+        if error.code() is grpc.StatusCode.PERMISSION_DENIED:
+            # Only the agent's check of this gateway's certificate answers so, and it
+            # comes before anything else.
+            broken.ran = Ran.NO
+        return broken
--- a/libraries/gateway/src/bamboopier_gateway/fleet.py
+++ b/libraries/gateway/src/bamboopier_gateway/fleet.py
@@ -2,80 +2,113 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
-from result import Ok
-
+from bamboopier_decisions.membership.fleet_view import (
+    DrainedPlaces,
+    FleetView,
+    ListedTarget,
+)
+from bamboopier_decisions.membership.versions import ModelVersions
 from bamboopier_decisions.routing.messages import Distance, FleetChanged, TargetView
 
+from .target_reports import TargetReports
+
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from bamboopier_configuration.directory import Directory
+    from bamboopier_configuration.model import Model
     from bamboopier_configuration.settings import GatewaySettings
-    from bamboopier_platform.vms import Vm, VmList
+    from bamboopier_platform.vm_board import VmBoard
+    from bamboopier_platform.vms import Vm
 
-POLL_SECONDS = 1.0
+    from .agents import Agents
 
 
 class Fleet:
-    """Keeps the last VM list and tells the router of each change."""
+    """Tells the router of each change of the VM list and of the drains."""
 
     def __init__(
         self,
         settings: GatewaySettings,
-        vms: VmList,
+        vms: VmBoard,
+        agents: Agents,
         apply: Callable[[FleetChanged], None],
+        random: random.Random,
     ) -> None:
         self._settings = settings
         self._vms = vms
+        self._agents = agents
         self._apply = apply
         self._directory: Directory | None = None
-        self._listed: tuple[Vm, ...] = ()
+        self._view = FleetView()
         self._views: tuple[TargetView, ...] = ()
         self._addresses: dict[str, str] = {}
+        self._random = random
+        self._versions: dict[str, ModelVersions] = {}
+        self.reports = TargetReports()
+        vms.tell(lambda _: self._update())
 
     def find_address(self, target: str) -> str:
         """Return the address of the agent beside ``target``."""
         return self._addresses[target]
 
-    @property
-    def addresses(self) -> set[str]:
-        """Return the addresses of all listed agents."""
-        return set(self._addresses.values())
-
     def apply_configuration(self, directory: Directory) -> None:
         """Take drains and services of a new generation."""
         self._directory = directory
+        now = time.monotonic()
+        for model in directory.models.values():
+            versions = self._versions.setdefault(
+                model.name, ModelVersions(model.version)
+            )
+            versions.configure(now, model.version)
         self._update()
 
-    async def run(self) -> None:
-        """Poll the VM list until cancelled; an outage keeps the last one."""
-        while True:
-            answer = await self._vms.list_vms()
-            if isinstance(answer, Ok):
-                self._listed = tuple(answer.ok_value)
-                self._update()
-            await asyncio.sleep(POLL_SECONDS)
+    def choose_version(self, model: Model) -> str:
+        """Return the weight version that a new request for ``model`` is made for."""
+        versions = self._versions.get(model.name)
+        if versions is None or self._directory is None:
+            return model.version
+        services = [
+            service
+            for service in self._directory.services.values()
+            if model.name in service.models
+        ]
+        reported = [
+            version
+            for service in services
+            for version in self.reports.list_versions(service.name)
+        ]
+        at_once = max((service.loads_at_once for service in services), default=1)
+        return versions.choose(time.monotonic(), reported, at_once, self._random)
 
     def _update(self) -> None:
         if self._directory is None:
             return
+        targets = [vm for vm in self._vms.vms if vm.role == "target"]
+        self._addresses = {vm.name: vm.address for vm in targets}
+        self._agents.keep_only(set(self._addresses.values()))
         drains = self._directory.configuration.drains
-        targets = [vm for vm in self._listed if vm.role == "target"]
-        self._addresses.update({vm.name: vm.address for vm in targets})
+        drained = DrainedPlaces(
+            frozenset(drains.data_centres), frozenset(drains.targets)
+        )
+        now = time.monotonic()
+        listed = [
+            ListedTarget(v.name, v.data_centre, v.state != "live") for v in targets
+        ]
+        usable = self._view.select(now, listed, drained)
         views = tuple(
             TargetView(vm.name, vm.group, self._measure_distance(vm))
             for vm in targets
-            if vm.state == "live"
-            and vm.name not in drains.targets
-            and vm.data_centre not in drains.data_centres
+            if vm.name in usable
         )
+        self.reports.change(views, _list_versions(self._directory))
         if views != self._views:
             self._views = views
-            self._apply(FleetChanged(time.monotonic(), views))
+            self._apply(FleetChanged(now, views))
 
     def _measure_distance(self, vm: Vm) -> Distance:
         if vm.data_centre == self._settings.data_centre:
@@ -83,3 +116,12 @@
         if vm.region == self._settings.region:
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
+
+
+def _list_versions(directory: Directory) -> dict[str, frozenset[str]]:
+    """Return the configured weight versions by service."""
+    models = directory.models
+    return {
+        service.name: frozenset(models[name].version for name in service.models)
+        for service in directory.services.values()
+    }
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -10,6 +10,7 @@
 
 from bamboopier_decisions.routing.messages import (
     AttemptEnded,
+    FirstByteCame,
     Ran,
     Refuse,
     RequestArrived,
@@ -96,12 +97,22 @@
             return AttemptResult(
                 Ran.NO, pb.CONNECTION_LOST, "no connection to the agent", broken=True
             )
-        attempt = Attempt(call, stub, self._follower.directory.generation)
+
+        def note_head(load: pb.LoadReport, seconds: float) -> None:
+            now = time.monotonic()
+            self._router.handle(TargetReported(now, send.target, read_load(load)))
+            came = FirstByteCame(now, call.request_id, send.target, seconds)
+            self._router.handle(came)
+
+        attempt = Attempt(call, stub, self._follower.directory.generation, note_head)
         result = await attempt.run(delivery)
         if result.load is not None:
             self._follower.hear(result.load.generation)
-            load = _read_load(result.load)
+            self._fleet.reports.note(send.target, result.load)
+            load = read_load(result.load)
             self._router.handle(TargetReported(time.monotonic(), send.target, load))
+        elif result.broken:
+            self._fleet.reports.note(send.target, None)
         return result
 
     def _tell_end(
@@ -218,10 +229,12 @@
         block_tokens=model.block_tokens if model else 0,
         block_keys=model.block_keys if model else (),
         fingerprint=call.fingerprint,
+        weight_version=model.weight_version if model else "",
     )
 
 
-def _read_load(report: pb.LoadReport) -> TargetLoad:
+def read_load(report: pb.LoadReport) -> TargetLoad:
+    """Return a report as the router takes it."""
     return TargetLoad(
         running=report.running,
         waiting=report.waiting,
@@ -231,4 +244,5 @@
         queue_delay=report.queue_delay,
         accepting=report.accepting,
         start_id=report.start_id,
+        weight_version=report.weight_version,
     )
--- a/libraries/standins/src/bamboopier_standins/plain.py
+++ b/libraries/standins/src/bamboopier_standins/plain.py
@@ -46,7 +46,8 @@
         }
         self._record(entry)
         await asyncio.sleep(self.delay)
-        answer = {"call": len(self.log), **entry}
+        shown = {name: entry[name] for name in ("method", "path", "body")}
+        answer = {"call": len(self.log), **shown}
         return web.json_response(answer, status=201 if body else 200)
 
     def _record(self, entry: dict[str, Any]) -> None:
--- a/tools/bench_load/simulation.py
+++ b/tools/bench_load/simulation.py
@@ -22,6 +22,7 @@
 from bamboopier_decisions.routing.messages import (
     AttemptEnded,
     Distance,
+    FirstByteCame,
     FleetChanged,
     Ran,
     Refuse,
@@ -203,7 +204,7 @@
     def _start(self, ask_id: str) -> None:
         attempt = self._attempts.get(ask_id)
         if attempt is None:
-            self.tell(WorkEnded(self._clock.now, ask_id, answered=False))
+            self.tell(WorkEnded(self._clock.now, ask_id, False, cancelled=True))
             return
         if not self.engine.up:
             self._fail(ask_id, Ran.NO)
@@ -248,7 +249,7 @@
         order_id = str(attempt.order.order_id)
         self.engine.cancel(ask_id)
         self.tell(WorkWithdrawn(self._clock.now, ask_id))
-        self.tell(WorkEnded(self._clock.now, ask_id, answered=True))
+        self.tell(WorkEnded(self._clock.now, ask_id, False, cancelled=True))
         self._simulation.abandon(order_id)
 
     def _answer(
@@ -331,8 +332,9 @@
     def hear(self, agent: SimulatedAgent, attempt: _Attempt) -> None:
         """Bring the load that came with an answer's head to its gateway."""
         router = self._homes[str(attempt.order.order_id)]
-        event = TargetReported(self.clock.now, agent.name, agent.report())
-        router.handle(event)
+        now, request_id = self.clock.now, str(attempt.order.order_id)
+        router.handle(TargetReported(now, agent.name, agent.report()))
+        router.handle(FirstByteCame(now, request_id, agent.name, attempt.first_byte))
 
     def end(self, attempt: _Attempt, ended: AttemptEnded, load: TargetLoad) -> None:
         """Bring an attempt's end to its gateway and carry out the decision."""
--- a/tools/capacity/followers.py
+++ b/tools/capacity/followers.py
@@ -18,8 +18,8 @@
 
 from bamboopier_daemon.daemon import keep_running
 from bamboopier_platform.follower import ConfigurationFollower
-from bamboopier_platform.generations import GenerationStore
 from bamboopier_platform.http_platform import HttpPlatform
+from bamboopier_platform.publisher import Publisher
 
 if TYPE_CHECKING:
     from bamboopier_configuration.directory import Directory
@@ -54,7 +54,7 @@
     times: list[float] = []
     async with AsyncExitStack() as stack:
         platform = await stack.enter_async_context(HttpPlatform(url))
-        store = GenerationStore(platform)
+        store = Publisher(platform)
         base = (await store.read()).unwrap()
         reach = _Reach(count)
         reach.expect(base.number)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -26,6 +27,7 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 HOST = "127.0.0.1"
+LISTEN_PORTS = range(12_000, 32_000)
 
 
 class StartError(Exception):
@@ -73,10 +75,14 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     vms: list[dict[str, Any]] = field(default_factory=list)
     platform_url: str = ""
+    # The platform's list stays as it is, whatever starts.
+    holds_vm_list: bool = False
     # Addresses of the callers' side of each gateway and of administration ports.
     gateways: dict[str, str] = field(default_factory=dict)
     admin: dict[str, str] = field(default_factory=dict)
     targets: dict[str, str] = field(default_factory=dict)
+    # Further settings of every process that a command starts, by the command.
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     def __enter__(self) -> Self:
         return self
@@ -102,14 +108,26 @@
         self.list_vm(name, "store", group, data_centre, f"{HOST}:{port}")
 
     def start_target(
-        self, name: str, kind: str, service: str, data_centre: str, **options: Any
+        self,
+        name: str,
+        kind: str,
+        service: str,
+        data_centre: str,
+        agent: Any = None,
+        **options: Any,
     ) -> None:
-        """Start a target stand-in (``engine`` or ``plain``) and the agent beside it."""
+        """Start a target stand-in (``engine`` or ``plain``) and the agent beside it.
+
+        ``agent`` holds further settings of the agent by name, ``options`` the
+        stand-in's own.
+        """
         port = self._start_stand_in(f"{name}-target", kind, options)
         self.targets[name] = f"http://{HOST}:{port}"
-        self.start_agent(name, service, data_centre)
+        self.start_agent(name, service, data_centre, **(agent or {}))
 
-    def start_agent(self, name: str, service: str, data_centre: str) -> None:
+    def start_agent(
+        self, name: str, service: str, data_centre: str, **options: Any
+    ) -> None:
         """Start (or start anew) the agent beside a running target."""
         listen, admin = find_port(), find_port()
         settings = {
@@ -117,6 +135,7 @@
             "target": name,
             "service": service,
             "target_url": self.targets[name],
+            **options,
         }
         self.start_daemon(f"{name}-agent", "agent", settings)
         self.admin[f"{name}-agent"] = f"http://{HOST}:{admin}"
@@ -129,13 +148,16 @@
         listen, admin = find_port(), find_port()
         settings = _describe_place(name, data_centre, listen, admin, self.platform_url)
         self.start_daemon(name, "gateway", settings | options)
-        self.gateways[name] = f"http://{HOST}:{listen}"
+        secure = "caller_tls" in self.settings.get("gateway", {})
+        scheme = "https" if secure else "http"
+        self.gateways[name] = f"{scheme}://{HOST}:{listen}"
         self.admin[name] = f"http://{HOST}:{admin}"
         self.list_vm(name, "gateway", "", data_centre, f"{HOST}:{listen}")
 
     def start_daemon(self, name: str, command: str, settings: dict[str, Any]) -> Daemon:
         """Start a product process with its settings in a file."""
         path = self.directory / f"{name}.json"
+        settings = settings | self.settings.get(command, {})
         path.write_text(json.dumps(settings, indent=2))
         arguments = ["-m", "bamboopier_cli", command, "--settings", str(path)]
         return self.start_process(name, arguments)
@@ -169,7 +191,9 @@
         self.put_vms()
 
     def put_vms(self) -> None:
-        """Send the VM list to the platform stand-in."""
+        """Send the VM list to the platform stand-in, unless it is held back."""
+        if self.holds_vm_list:
+            return
         send("PUT", f"{self.platform_url}/vms", self.vms)
 
     def set_faults(self, faults: dict[str, Any]) -> None:
@@ -243,10 +267,19 @@
 
 
 def find_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a loopback port that was free a moment ago.
+
+    It lies below those that the system gives to outgoing connections: one of them could
+    take a port from there before the process that is to listen on it has started.
+    """
+    while True:
+        port = secrets.choice(LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 def fetch(url: str) -> bytes:
