Send a change to the platform once, and believe no conflict

Cause: aiohttp sends a PUT again when its connection breaks. A claim that took effect was then answered with a conflict, taken for 'certainly no effect', and a claim that had been given up meanwhile stood for its whole lifetime.

Seen red: the new claim test (HELD instead of GRANTED) and the new platform client test (VersionConflictError instead of an unknown outcome).

Change: the platform client resends nothing (http_platform.py, a middleware); a conflict marks the write as uncertain, which the next read settles.

--- a/libraries/agent/src/bamboopier_agent/claim_writer.py
+++ b/libraries/agent/src/bamboopier_agent/claim_writer.py
@@ -139,10 +139,11 @@
                     self._partition.commit(plan, version)
                     self._tell_outcomes(waiting, plan.outcomes)
                     return Ok(None)
-                case Err(VersionConflictError() as error):
-                    self._partition.reject()
-                    last = error
-                case Err(PlatformOutcomeUnknownError() as error):
+                case Err(
+                    VersionConflictError() | PlatformOutcomeUnknownError() as error
+                ):
+                    # A conflict proves nothing either: whatever lies between may have
+                    # sent this very write twice.
                     self._partition.mark_uncertain(plan)
                     last = error
                 case Err(error):
--- a/libraries/agent/tests/builders.py
+++ b/libraries/agent/tests/builders.py
@@ -63,6 +63,8 @@
         self.after_write()
         if fault is CallFault.LOST_AFTER_EFFECT:
             return Err(PlatformOutcomeUnknownError("cut"))
+        if fault is CallFault.RESENT:
+            return self.apply(key, value, expected_version)
         return done
 
     def apply(
--- a/libraries/agent/tests/test_claims.py
+++ b/libraries/agent/tests/test_claims.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import time
 import unittest
 from unittest import mock
 
@@ -18,6 +19,7 @@
 
 from bamboopier_agent import claim_writer, claims
 from bamboopier_agent.claims import ClaimTable
+from bamboopier_configuration.model import Service
 from bamboopier_decisions.claims.table import ClaimOutcome, Verdict
 
 from .builders import DISPATCH, FakeObjects
@@ -75,6 +77,20 @@
         outcome = await self.claim(1)
         self.assertEqual(outcome and outcome.verdict, Verdict.GRANTED)
 
+    async def test_a_claim_left_while_its_write_is_resent_is_released(self) -> None:
+        # The write takes effect, its answer is lost, the message layer sends it again
+        # and the platform answers with a conflict: that is no proof of no effect.
+        self.objects.may_write.clear()
+        self.objects.write_faults.append(CallFault.RESENT)
+        left = asyncio.create_task(self.claim(0))
+        await self.objects.writing.wait()
+        left.cancel()
+        await asyncio.wait({left})
+        self.objects.may_write.set()
+        await self.wait_until_settled()
+        outcome = await self.claim(1)
+        self.assertEqual(outcome and outcome.verdict, Verdict.GRANTED)
+
     async def test_a_slow_platform_is_refused_and_the_claim_released(self) -> None:
         self.objects.may_write.clear()
         async with asyncio.timeout(HANG_SECONDS):
@@ -104,6 +120,15 @@
             self.assertIsNone(await self.claim(0))
         await self.wait_until_settled()
 
+    async def test_a_claim_outlives_the_longest_request(self) -> None:
+        # A lifetime of a second would grant the key again while its first run goes on.
+        short = Service(name="dispatch", kind="plain", key_lifetime_seconds=1.0)
+        await self.agents[0].claim(short, "fosse", "key", b"A46")
+        later = time.time() + 3600
+        with mock.patch("bamboopier_agent.claim_writer.time.time", lambda: later):
+            answer = await self.agents[1].claim(short, "fosse", "key", b"A46")
+        self.assertEqual(answer.unwrap().verdict, Verdict.HELD)
+
     async def test_claims_of_one_partition_share_a_write(self) -> None:
         with mock.patch.object(claims, "PARTITIONS", 1):
             await asyncio.gather(
--- a/libraries/decisions/tests/test_claims.py
+++ b/libraries/decisions/tests/test_claims.py
@@ -38,6 +38,8 @@
     number: int
     partition: ClaimPartition
     waiting: list[Claim] = field(default_factory=list)
+    # The claims that the plan's outcomes belong to, in order.
+    planned: list[Claim] = field(default_factory=list)
     plan: ClaimPlan | None = None
     # Granted claims with the version that showed them.
     granted: list[tuple[Claim, int]] = field(default_factory=list)
@@ -85,7 +87,8 @@
         agent.partition.observe(
             *(self.older if lagging else (self.version, self.stored))
         )
-        plan = agent.partition.plan(agent.waiting, self.now)
+        agent.planned = list(agent.waiting)
+        plan = agent.partition.plan(agent.planned, self.now)
         if plan.needs_write:
             agent.plan = plan
         else:
@@ -107,7 +110,7 @@
             else:
                 agent.partition.reject()
         else:
-            if fault is CallFault.LOST_AFTER_EFFECT:
+            if fault in (CallFault.LOST_AFTER_EFFECT, CallFault.RESENT):
                 self.apply(plan)
             elif fault is CallFault.DELAYED:
                 self.delayed.append(plan)
@@ -156,17 +159,14 @@
     def tell(self, agent: Agent, outcomes: tuple[ClaimOutcome, ...]) -> None:
         # Whoever left or came while the write was under way has no outcome in it.
         waiting = {claim.claim_id: claim for claim in agent.waiting}
-        for outcome in outcomes:
-            claim = outcome.standing
-            if outcome.verdict is Verdict.GRANTED and claim is not None:
-                if claim.claim_id in waiting:
-                    waiting.pop(claim.claim_id)
-                    agent.granted.append((claim, agent.partition.version))
-                else:
-                    agent.partition.abandon(claim)
-        self.told_not_run |= set(waiting)
+        for claim, outcome in zip(agent.planned, outcomes, strict=True):
+            if outcome.verdict is not Verdict.GRANTED:
+                continue
+            if waiting.pop(claim.claim_id, None) is not None:
+                agent.granted.append((claim, agent.partition.version))
+            else:
+                agent.partition.abandon(claim)
         self.give_up(agent, list(waiting.values()))
-        agent.waiting = []
 
     def give_up(self, agent: Agent, claims: list[Claim]) -> None:
         for claim in claims:
--- a/libraries/platform/src/bamboopier_platform/http_platform.py
+++ b/libraries/platform/src/bamboopier_platform/http_platform.py
@@ -61,7 +61,9 @@
     async def __aenter__(self) -> Self:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
         connector = aiohttp.TCPConnector(ssl=self._certificates or True)
-        self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+        self._session = aiohttp.ClientSession(
+            timeout=timeout, connector=connector, middlewares=(_send_once,)
+        )
         return self
 
     async def __aexit__(
@@ -224,3 +226,19 @@
         return Ok(msgspec.json.decode(reply.body, type=kind))
     except msgspec.MsgspecError as error:
         return Err(MalformedObjectError(str(error)))
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a call again by itself.
+
+    It repeats a PUT whose connection broke. A conditional update that had taken effect
+    would then be answered with a conflict, as if it certainly had not.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        if isinstance(error, aiohttp.ClientConnectorError):
+            raise
+        raise aiohttp.ClientPayloadError(str(error) or type(error).__name__) from error
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -43,6 +43,18 @@
     (TARGET, Step.ANSWER_SENT, Fault.CUT, False, UNKNOWN),
 )
 
+# What the caller gets in the end, once the platform is back.
+SECOND_FAULTS = (
+    (GATEWAY, Step.REQUEST_SENT, Fault.CUT, 201),
+    (GATEWAY, Step.REQUEST_SENT, Fault.FREEZE, 201),
+    (GATEWAY, Step.ANSWER_SENT, Fault.KILL_GATEWAY, 201),
+    (PLATFORM, Step.REQUEST_SENT, Fault.KILL_GATEWAY, 201),
+    (TARGET, Step.ANSWER_SENT, Fault.FREEZE, 201),
+    (TARGET, Step.ANSWER_SENT, Fault.CUT, 502),
+    (TARGET, Step.ANSWER_SENT, Fault.KILL_AGENT, 502),
+)
+ACT_SECONDS = 5.0
+
 
 class OutcomeTests(unittest.TestCase):
     @classmethod
@@ -86,6 +98,29 @@
         self.assertIn(order.pillar, json.loads(answer.body)["body"])
         self.assertEqual(self.lab.count_runs(order), 1)
 
+    def test_the_platform_is_down_at_the_same_time(self) -> None:
+        # The first fault takes the answer, and the platform is gone when the caller
+        # resends: refused at once, or answered from what was kept; never run again.
+        for number, (hop, step, fault, final) in enumerate(SECOND_FAULTS):
+            cell = Cell(hop, step, fault)
+            order = Order(f"second-{number:04}", f"second-{number}")
+            with self.subTest(cell=cell.name):
+                self.lab.warm_up()
+                trap = self.lab.lay_trap(cell, order)
+                self.lab.send("gateway-1", order)
+                trap.acted.wait(ACT_SECONDS)
+                self.lab.installation.set_faults({"down": True})
+                runs = self.lab.count_runs(order)
+                resent = self.lab.send("gateway-2", order)
+                self.assertEqual(self.lab.count_runs(order), runs)
+                self.lab.installation.set_faults({})
+                self.lab.heal()
+                answer = self.lab.insist("gateway-2", order)
+                assert resent is not None and answer is not None
+                self.assertIn(resent.status, (409, 502, 503))
+                self.assertEqual(answer.status, final)
+                self.assertLessEqual(self.lab.count_runs(order), 1)
+
     def _send(self, order: Order) -> tuple[int, str, str]:
         answer = self.lab.send("gateway-1", order)
         if answer is None:
--- a/tools/fault_matrix.py
+++ b/tools/fault_matrix.py
@@ -25,6 +25,8 @@
     LOST_AFTER_EFFECT = "answer lost after its effect"
     # The answer is lost and the change lands later, if its version still stands.
     DELAYED = "answer lost, effect delayed"
+    # A message layer sent it again after its effect; the second was a conflict.
+    RESENT = "took effect, sent again and refused"
 
 
 class Hop(StrEnum):
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -17,6 +17,7 @@
 
 import fire
 from mutations import MUTATIONS
+from mutations_at_most_once import AT_MOST_ONCE
 
 if TYPE_CHECKING:
     from mutations import Mutation
@@ -58,7 +59,7 @@
 
 def main(only: str = "") -> None:
     """Run every mutation whose safeguard contains ``only``."""
-    chosen = [m for m in MUTATIONS if only in m.safeguard]
+    chosen = [m for m in (*MUTATIONS, *AT_MOST_ONCE) if only in m.safeguard]
     with ThreadPoolExecutor(WORKERS) as pool:
         outcomes = list(pool.map(run_mutation, chosen))
     for mutation, outcome in zip(chosen, outcomes, strict=True):
