--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -52,6 +52,8 @@
     from bamboopier_configuration.directory import Directory
     from bamboopier_configuration.settings import AgentSettings
 
+# For the last claims to be released; longer only while the platform is away.
+SETTLE_SECONDS = 5.0
 # For answers that have left the target and not yet reached their gateway.
 FLUSH_SECONDS = 30.0
 RELEASE_SECONDS = 2.0
@@ -79,6 +81,7 @@
         metrics = AgentMetrics()
         context = ContextKeeper(target, store, secret, metrics, assume_rates())
         watch = TargetWatch(target, gate, context)
+        claims = ClaimTable(platform, str(settings.listen))
         standing = TargetStanding(settings, gate)
         vms = VmBoard(generator)
         vms.tell(standing.apply_vms)
@@ -119,7 +122,7 @@
             settings,
             target,
             gate,
-            ClaimTable(platform, str(settings.listen)),
+            claims,
             KeptAnswers(settings.kept_answer_bytes),
             context,
             watch,
@@ -177,6 +180,8 @@
                     "requests cut", reason=end.value, running=gate.admission.running
                 )
                 await server.stop(grace=None)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(claims.settle(), SETTLE_SECONDS)
             # A lease that cannot be given up in time lapses by itself.
             with suppress(TimeoutError):
                 async with asyncio.timeout(RELEASE_SECONDS):
--- a/libraries/decisions/src/bamboopier_decisions/routing/router.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/router.py
@@ -31,6 +31,9 @@
     import random
 
 MAX_ATTEMPTS = 3
+# A request that broke a target may be what broke it: one more target is risked, no
+# third. Without it such a request takes out MAX_ATTEMPTS targets each time it is sent.
+MAX_BROKEN = 2
 # Attempts in all, with those that a leaving target turned away.
 MAX_SENT = 8
 # Retry-After when no target can say how long its queue is.
@@ -48,11 +51,20 @@
 class _Pending:
     """A request between its arrival and its final answer."""
 
-    __slots__ = ("attempts", "may_have_run", "request", "shortest_wait", "tried")
+    __slots__ = (
+        "attempts",
+        "broken",
+        "may_have_run",
+        "request",
+        "shortest_wait",
+        "tried",
+    )
 
     def __init__(self, request: RequestArrived) -> None:
         self.request = request
         self.attempts = 0
+        # Targets that broke with the request under way.
+        self.broken = 0
         self.tried: set[str] = set()
         # An earlier attempt's outcome is unknown, so "not run" would not be true.
         self.may_have_run = False
@@ -186,9 +198,12 @@
     def _retry(self, pending: _Pending, event: AttemptEnded) -> RoutingDecision:
         if event.ran is Ran.UNKNOWN:
             pending.may_have_run = True
+            pending.broken += event.broken
         if event.retry_after > 0:
             waits = (pending.shortest_wait or event.retry_after, event.retry_after)
             pending.shortest_wait = min(waits)
+        if pending.broken >= MAX_BROKEN:
+            return self._refuse(pending, RefuseReason.TARGET_FAILED)
         if event.ran is Ran.NO and not event.broken and event.retry_after <= 0:
             # A leaving or drained target, or a busy one that leaves it to another,
             # turned it away before it could run. That is no load, and it happens to
--- a/libraries/gateway/src/bamboopier_gateway/delivery.py
+++ b/libraries/gateway/src/bamboopier_gateway/delivery.py
@@ -50,6 +50,7 @@
         response = web.StreamResponse(status=head.status)
         for name, value in drop_hop_headers((h.name, h.value) for h in head.headers):
             response.headers.add(name, value)
+        response.content_length = _find_length(head)
         response.headers["X-Request-Id"] = self._request_id
         if head.weight_version:
             response.headers["X-Weight-Version"] = head.weight_version
@@ -78,10 +79,22 @@
         reader does not take a part for the whole.
         """
         response = self.response
-        if response.headers.get("Content-Type", "").startswith("text/event-stream"):
+        content_type = response.headers.get("Content-Type", "")
+        if content_type.startswith("text/event-stream") and not response.content_length:
             body = error.make_body(self._request_id)
-            await response.write(b"event: error\ndata: " + body + b"\n\n")
+            await self.write(b"event: error\ndata: " + body + b"\n\n")
             await response.write_eof()
         elif self._request.transport is not None:
             self._request.transport.abort()
         return response
+
+
+def _find_length(head: ResponseHead) -> int | None:
+    """Return the body's length where the target gave one.
+
+    A caller that knows the length sees by itself that a cut answer is not whole.
+    """
+    for header in head.headers:
+        if header.name.lower() == "content-length" and header.value.isdecimal():
+            return int(header.value)
+    return None
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import grpc
 import structlog
 
 from bamboopier_decisions.routing.messages import (
@@ -12,6 +13,7 @@
     FirstByteCame,
     Ran,
     Refuse,
+    RefuseReason,
     RequestArrived,
     Send,
     TargetLoad,
@@ -34,8 +36,18 @@
     from .delivery import Delivery
     from .fleet import Fleet
     from .metrics import GatewayMetrics
+    from .shared_quarantine import SharedQuarantine
 
-RECALL_TIMEOUT_SECONDS = 5.0
+# For an agent that still runs; one that is gone or frozen must not hold the caller.
+RECALL_TIMEOUT_SECONDS = 2.0
+# Causes that another target cannot help: all claim in the same platform.
+_CLAIM_CAUSES: dict[int, str] = {
+    pb.PLATFORM_DOWN: "the platform does not answer, so the key cannot be claimed",
+    pb.KEY_TABLE_FULL: "no more idempotency keys can be kept at present",
+}
+
+# The target, or its whole VM, went down while it had the request.
+_CRASH_CAUSES = frozenset({pb.TARGET_CRASHED, pb.CONNECTION_LOST})
 
 log = structlog.get_logger()
 
@@ -50,15 +62,20 @@
         agents: Agents,
         follower: ConfigurationFollower,
         metrics: GatewayMetrics,
+        quarantine: SharedQuarantine,
     ) -> None:
         self._router = router
         self._fleet = fleet
         self._agents = agents
         self._follower = follower
         self._metrics = metrics
+        self._quarantine = quarantine
 
     async def forward(self, call: Call, delivery: Delivery) -> web.StreamResponse:
         """Answer the caller; raises ``CallerError`` when no answer was begun."""
+        wait = self._quarantine.find_wait(call)
+        if wait > 0:
+            raise _make_quarantine_refusal(call, wait)
         decision: RoutingDecision | None = self._router.handle(_describe(call))
         try:
             while isinstance(decision, Send):
@@ -66,6 +83,10 @@
                 result = await self._attempt(call, decision, delivery)
                 if result.cause in (pb.KEY_CLAIMED, pb.KEY_REUSED):
                     return await self._recall(call, result, delivery)
+                if result.cause in _CLAIM_CAUSES:
+                    raise _make_claim_refusal(result)
+                if result.cause in _CRASH_CAUSES and result.ran is Ran.UNKNOWN:
+                    self._quarantine.note_break(call, decision.target)
                 decision = self._tell_end(call, decision, result, delivery)
         finally:
             self._router.abandon(call.request_id)
@@ -149,7 +170,10 @@
         if result.cause == pb.KEY_REUSED:
             message = "this idempotency key was used for another request"
             raise CallerError(ErrorCode.KEY_REUSED, message)
-        stub = self._agents.find(result.claimed_by)
+        left = call.deadline - time.monotonic()
+        stub = await self._agents.reach(result.claimed_by, left)
+        if stub is None:
+            raise _make_unknown()
         request = pb.RecallRequest(
             workspace=call.workspace,
             service=call.service,
@@ -157,9 +181,13 @@
             fingerprint=call.fingerprint,
         )
         try:
-            reply = await stub.Recall(request, timeout=RECALL_TIMEOUT_SECONDS)
-        except Exception as error:
+            limit = max(0.0, min(RECALL_TIMEOUT_SECONDS, left))
+            reply = await stub.Recall(request, timeout=limit)
+        except grpc.aio.AioRpcError as error:
             raise _make_unknown() from error
+        if reply.state == pb.RecallReply.NEVER_RAN:
+            message = "an earlier claim of this key never ran and is being released"
+            raise CallerError(ErrorCode.CLAIM_UNAVAILABLE, message, Ran.NO, 1.0)
         if reply.state == pb.RecallReply.RUNNING:
             message = "a request with this idempotency key is running"
             raise CallerError(ErrorCode.KEY_IN_PROGRESS, message, Ran.UNKNOWN, 1.0)
@@ -195,6 +223,26 @@
         tokens.labels(call.service, "recomputed").inc(recomputed)
 
 
+def _make_claim_refusal(result: AttemptResult) -> CallerError:
+    message = _CLAIM_CAUSES[result.cause]
+    wait = result.retry_after
+    return CallerError(ErrorCode.CLAIM_UNAVAILABLE, message, Ran.NO, wait)
+
+
+def _make_quarantine_refusal(call: Call, wait: float) -> CallerError:
+    log.info(
+        "request refused",
+        request_id=call.request_id,
+        workspace=call.workspace,
+        service=call.service,
+        reason=RefuseReason.QUARANTINED.value,
+        ran=Ran.NO.value,
+        retry_after=round(wait, 3),
+    )
+    message = "this request broke the targets that ran it"
+    return CallerError(ErrorCode.QUARANTINED, message, Ran.NO, wait)
+
+
 def _make_unknown() -> CallerError:
     message = "this idempotency key has been claimed before; its outcome is not known"
     return CallerError(ErrorCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
--- /dev/null
+++ b/libraries/gateway/tests/test_attempt.py
@@ -0,0 +1,114 @@
+"""Whole answers from streams that are late, crossed, repeated, cut or reordered.
+
+An agent, or the network between, delivers events of another answer, an event twice,
+events in another order, or stops half way. The caller must receive its whole answer or
+notice that it is not whole; and "not run" may be said only when the agent said so
+before anything else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+import grpc
+
+from bamboopier_decisions.routing.messages import Ran
+from bamboopier_gateway.attempt import Attempt
+from bamboopier_protocol import agent_pb2 as pb
+
+from .builders import (
+    ATTEMPT,
+    BODY,
+    FakeDelivery,
+    FakeStream,
+    FakeStub,
+    make_answer,
+    make_call,
+    make_event,
+)
+
+A = make_answer()
+OTHER = make_answer(b"stock of aged Gouda", "attempt-2")
+NOT_RUN = pb.NotRun(cause=pb.QUEUE_FULL)
+# Only reached by a test that would hang.
+HANG_SECONDS = 10.0
+LOST = grpc.aio.AioRpcError(
+    grpc.StatusCode.UNAVAILABLE, grpc.aio.Metadata(), grpc.aio.Metadata(), "cut"
+)
+# Name, events, how the stream ends, what is known, whether the caller has it whole.
+STREAMS = (
+    ("whole", A, None, Ran.YES, True),
+    ("refused", [make_event(0, not_run=NOT_RUN)], None, Ran.NO, False),
+    ("unknown", [make_event(0, unknown=pb.Unknown())], None, Ran.UNKNOWN, False),
+    ("nothing at all", [], None, Ran.UNKNOWN, False),
+    ("connection lost at once", [], LOST, Ran.UNKNOWN, False),
+    ("connection lost half way", A[:2], LOST, Ran.UNKNOWN, False),
+    ("connection lost before the end", A[:3], LOST, Ran.UNKNOWN, False),
+    ("ended early", A[:3], None, Ran.UNKNOWN, False),
+    ("a piece lost", [A[0], A[2], A[3]], None, Ran.UNKNOWN, False),
+    ("a piece twice", [A[0], A[1], A[1], A[2], A[3]], None, Ran.UNKNOWN, False),
+    ("pieces swapped", [A[0], A[2], A[1], A[3]], None, Ran.UNKNOWN, False),
+    ("another's piece", [A[0], OTHER[1], A[2], A[3]], None, Ran.UNKNOWN, False),
+    ("another's answer", OTHER, None, Ran.UNKNOWN, False),
+    ("another's end", [*A[:3], OTHER[3]], None, Ran.UNKNOWN, False),
+    ("another's refusal", [make_event(0, "x", not_run=NOT_RUN)], None, Ran.UNKNOWN, 0),
+    ("late refusal", [A[0], make_event(1, not_run=NOT_RUN)], None, Ran.UNKNOWN, False),
+    ("no head", [make_event(0, chunk=BODY)], None, Ran.UNKNOWN, False),
+    ("end only", [make_event(0, finished=pb.Finished())], None, Ran.UNKNOWN, False),
+    ("two heads", [A[0], make_event(1, head=pb.ResponseHead())], None, Ran.UNKNOWN, 0),
+    ("empty event", [make_event(0)], None, Ran.UNKNOWN, False),
+    (
+        "pieces short",
+        [*A[:2], make_event(2, finished=pb.Finished(body_bytes=len(BODY)))],
+        None,
+        Ran.UNKNOWN,
+        False,
+    ),
+)
+
+
+def answer_with(stream: FakeStream) -> FakeStub:
+    return FakeStub(lambda _: stream)
+
+
+class AttemptTests(unittest.IsolatedAsyncioTestCase):
+    async def test_every_stream(self) -> None:
+        for name, events, end, ran, whole in STREAMS:
+            with self.subTest(name):
+                stream = FakeStream(events, end)
+                delivery = FakeDelivery()
+                attempt = Attempt(
+                    make_call(), answer_with(stream), 1, attempt_id=ATTEMPT
+                )
+                result = await attempt.run(delivery)
+                self.assertEqual((result.ran, delivery.whole), (ran, bool(whole)))
+                self.assertTrue(BODY.startswith(delivery.body))
+                self.assertLessEqual(delivery.heads, 1)
+                self.assertTrue(stream.cancelled)
+                if whole:
+                    self.assertEqual(delivery.body, BODY)
+
+    async def test_a_silent_agent_holds_nobody_past_the_deadline(self) -> None:
+        # A frozen agent keeps its connection open and says nothing.
+        stream = FakeStream([], None)
+        stream.silent = True
+        call = make_call(deadline=time.monotonic() - 1)
+        attempt = Attempt(call, answer_with(stream), 1, attempt_id=ATTEMPT)
+        async with asyncio.timeout(HANG_SECONDS):
+            result = await attempt.run(FakeDelivery())
+        self.assertEqual((result.ran, result.cause), (Ran.UNKNOWN, pb.DEADLINE))
+        self.assertTrue(stream.cancelled)
+
+    async def test_answers_crossed_between_two_calls_reach_neither(self) -> None:
+        streams = {
+            "attempt-1": FakeStream([*A[:1], OTHER[1], *A[2:]], None),
+            "attempt-2": FakeStream([*OTHER[:1], A[1], *OTHER[2:]], None),
+        }
+        stub = FakeStub(lambda request: streams[request.attempt_id])
+        for attempt_id in streams:
+            delivery = FakeDelivery()
+            attempt = Attempt(make_call(), stub, 1, attempt_id=attempt_id)
+            result = await attempt.run(delivery)
+            self.assertEqual((result.ran, delivery.body), (Ran.UNKNOWN, b""))
