Prove routing by version and the asking of closed targets where they are decided

Cause: in the run of the whole list two safeguards did not turn a test red: the code that one named had changed on main, and with reports that age the roll-out test passes without the polls.

--- a/libraries/decisions/tests/membership/test_fleet_view.py
+++ b/libraries/decisions/tests/membership/test_fleet_view.py
@@ -12,6 +12,16 @@
 )
 from bamboopier_decisions.membership.load_slots import count_slots
 from bamboopier_decisions.membership.versions import ROLL_OUT_SECONDS, ModelVersions
+from bamboopier_decisions.routing.messages import (
+    Distance,
+    FleetChanged,
+    RequestArrived,
+    Send,
+    TargetLoad,
+    TargetReported,
+    TargetView,
+)
+from bamboopier_decisions.routing.router import Router
 
 
 class FleetViewTests(unittest.TestCase):
@@ -67,6 +77,29 @@
         self.assertEqual(count_new(9.0, 8, 2), 1000)
         self.assertEqual(count_new(ROLL_OUT_SECONDS, 2, 8), 1000)
 
+    def test_a_request_goes_to_a_target_of_its_version(self) -> None:
+        """Half of the targets have v2; a request for it must not be tried at others."""
+        router = Router(random.Random(1))
+        names = [f"desk-{number}" for number in range(8)]
+        views = tuple(TargetView(n, "desk", Distance.SAME_REGION) for n in names)
+        router.handle(FleetChanged(0.0, views))
+        for number, name in enumerate(names):
+            load = TargetLoad(limit=8, weight_version=f"v{1 + number % 2}")
+            router.handle(TargetReported(0.0, name, load))
+        for number in range(20):
+            arrived = RequestArrived(
+                0.1,
+                f"request-{number}",
+                "fosse",
+                "desk",
+                idempotent=True,
+                deadline=60.0,
+                weight_version="v2",
+            )
+            sent = router.handle(arrived)
+            assert isinstance(sent, Send)
+            self.assertIn(sent.target, names[1::2])
+
     def test_one_target_goes_on_serving(self) -> None:
         cases = [(2, 40, 2), (2, 2, 1), (3, 3, 2), (2, 1, 1), (2, 0, 1)]
         for limit, targets, expected in cases:
--- a/tools/safeguards/orders.py
+++ b/tools/safeguards/orders.py
@@ -206,18 +206,20 @@
     Mutation(
         "a request goes to a target of its version",
         "libraries/decisions/src/bamboopier_decisions/routing/target_state.py",
-        '        return not version or self.load.weight_version in ("", version)\n',
-        "        return True\n",
-        ".",
-        "tests.test_weights.WeightsTests.test_a_version_rolls_out_under_traffic",
+        '        if not version or self.load.weight_version in ("", version):\n',
+        "        if True:\n",
+        "libraries/decisions",
+        "tests.membership.test_fleet_view.RollOutTests."
+        "test_a_request_goes_to_a_target_of_its_version",
     ),
     Mutation(
         "closed targets are asked again",
-        "libraries/gateway/src/bamboopier_gateway/target_poll.py",
-        "            if target is not None:\n",
-        "            if False:\n",
-        ".",
-        "tests.test_weights.WeightsTests.test_a_version_rolls_out_under_traffic",
+        "libraries/gateway/src/bamboopier_gateway/target_reports.py",
+        "        order = (closed, others) if self._ask_closed else (others, closed)\n",
+        "        order = (others,)\n",
+        "libraries/gateway",
+        "tests.test_target_reports.TargetReportsTests."
+        "test_targets_without_requests_are_asked_in_turn",
     ),
     Mutation(
         "an agent refuses a request for another version",
