--- a/libraries/decisions/src/bamboopier_decisions/admission/admission.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/admission.py
@@ -166,7 +166,7 @@
         wait = self._estimate_wait(waiting)
         if wait > event.max_wait:
             return [Reject(event.request_id, RejectReason.BUSY, 0.0)]
-        if event.now + WAIT_MARGIN * wait > waiting.latest_start:
+        if self._is_hopeless(waiting, event, wait):
             return [self._reject(waiting, event.now, RejectReason.DEADLINE)]
         decisions: list[AdmissionDecision] = []
         if len(self._running) >= self.limit and self._is_full(event.now):
@@ -180,16 +180,15 @@
         self._arrived[event.request_id] = event
         return decisions + self._start_next(event.now)
 
-    def _is_hopeless(self, waiting: Waiting, event: WorkArrived) -> bool:
+    def _is_hopeless(self, waiting: Waiting, event: WorkArrived, wait: float) -> bool:
         """Say whether a request cannot be answered in time.
 
         With a slot free it is tried: it takes nobody's place, and the estimate of its
         length is a mean that half of all answers undercut.
         """
-        if self._is_free(waiting):
+        if wait <= 0:
             return event.deadline <= event.now
-        wait = WAIT_MARGIN * self._estimate_wait(waiting)
-        return event.now + wait > waiting.latest_start
+        return event.now + WAIT_MARGIN * wait > waiting.latest_start
 
     def _is_full(self, now: float) -> bool:
         bound = self._max_waiting
@@ -329,6 +328,8 @@
 
     def _estimate_wait(self, waiting: Waiting) -> float:
         """Return the expected seconds until a newly arrived request starts."""
+        if self._is_free(waiting):
+            return 0.0
         workspace, weight = waiting.workspace, waiting.weight
         return self._estimate_start(self._queue.estimate_ahead(workspace, weight))
 
