--- a/libraries/platform/src/bamboopier_platform/publisher.py
+++ b/libraries/platform/src/bamboopier_platform/publisher.py
@@ -44,7 +44,7 @@
 SETTLE_ATTEMPTS = 12
 FIRST_PAUSE_SECONDS = 0.05
 MAX_PAUSE_SECONDS = 4.0
-PART_ATTEMPTS = 4
+PART_ATTEMPTS = 8
 
 
 class Publisher:
@@ -114,9 +114,9 @@
 
         The condition on the base's version decides: whatever order delayed writes of
         this head arrive in, one of them can succeed and only while the base is current.
-        A conflict is looked into as well as a lost answer, since the HTTP library
-        repeats a PUT by itself when a kept connection breaks, and the repetition then
-        conflicts with the write that took effect.
+        A conflict is looked into as well as a lost answer, since whatever lies between
+        may repeat a PUT, and the repetition then conflicts with the write that took
+        effect.
         """
         value = msgspec.json.encode(head)
         seconds = FIRST_PAUSE_SECONDS
