--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -56,6 +56,7 @@
 SETTLE_SECONDS = 5.0
 # For answers that have left the target and not yet reached their gateway.
 FLUSH_SECONDS = 30.0
+RELEASE_SECONDS = 2.0
 
 log = structlog.get_logger()
 
@@ -181,7 +182,10 @@
                 await server.stop(grace=None)
             with suppress(TimeoutError):
                 await asyncio.wait_for(claims.settle(), SETTLE_SECONDS)
-            await lease.release()
+            # A lease that cannot be given up in time lapses by itself.
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RELEASE_SECONDS):
+                    await lease.release()
             log.info("agent stopped")
 
 
--- a/libraries/decisions/src/bamboopier_decisions/admission/estimates.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/estimates.py
@@ -16,16 +16,24 @@
 # Weight of a new measurement: the last twenty or so count, a few seconds of a busy
 # target's work.
 SMOOTHING = 0.05
+# The prefill rate guides the gateways. One learnt while the engine was cold keeps work
+# away from it, and so the measurements that would correct it: few must suffice.
+PREFILL_SMOOTHING = 0.2
+# Answers with fewer tokens show the overhead of an answer, not the engine's pace.
+MIN_PACE_TOKENS = 8
+# Work of up to so many times the longest answer seen is taken as measured.
+KNOWN_FACTOR = 4.0
 
 
 class _Ratio:
     """A smoothed sum over another smoothed sum."""
 
-    __slots__ = ("_bottom", "_top")
+    __slots__ = ("_bottom", "_smoothing", "_top")
 
-    def __init__(self, first: float) -> None:
+    def __init__(self, first: float, smoothing: float = SMOOTHING) -> None:
         self._top = first
         self._bottom = 1.0
+        self._smoothing = smoothing
 
     @property
     def value(self) -> float:
@@ -38,26 +46,36 @@
             # The first assumption weighs as much as a measurement.
             self._top *= bottom
             self._bottom = bottom
-        self._top += SMOOTHING * (top - self._top)
-        self._bottom += SMOOTHING * (bottom - self._bottom)
+        self._top += self._smoothing * (top - self._top)
+        self._bottom += self._smoothing * (bottom - self._bottom)
 
 
 class WorkEstimates:
     """Turns tokens into expected seconds."""
 
-    __slots__ = ("_decode", "_first", "_measured", "_output", "_prefill", "_service")
+    __slots__ = (
+        "_decode",
+        "_first",
+        "_longest",
+        "_measured",
+        "_output",
+        "_prefill",
+        "_service",
+    )
 
     def __init__(self) -> None:
         # Seconds per prompt token until the first one, whatever part was cached.
         self._first = _Ratio(1 / FIRST_PREFILL_RATE)
         # Seconds per token really prefilled.
-        self._prefill = _Ratio(1 / FIRST_PREFILL_RATE)
+        self._prefill = _Ratio(1 / FIRST_PREFILL_RATE, PREFILL_SMOOTHING)
         # Seconds per generated token.
         self._decode = _Ratio(FIRST_DECODE_PACE)
         # Generated tokens of those allowed.
         self._output = _Ratio(FIRST_OUTPUT_SHARE)
         self._service = 0.0
         self._measured = False
+        # Most tokens of an answer that was measured.
+        self._longest = 0
 
     @property
     def prefill_rate(self) -> float:
@@ -76,6 +94,10 @@
         output = max_tokens * self._output.value
         return prompt_tokens * self._first.value + output * self._decode.value
 
+    def knows(self, max_tokens: int) -> bool:
+        """Say whether answers of about the expected length have been measured."""
+        return max_tokens * self._output.value <= KNOWN_FACTOR * self._longest
+
     def compare_first(self, new_tokens: int, seconds: float) -> float:
         """Return ``seconds`` to a first token as a multiple of the expected ones."""
         expected = new_tokens * self._prefill.value
@@ -95,5 +117,7 @@
             self._service = seconds
         self._service += SMOOTHING * (seconds - self._service)
         if output_tokens > 0:
-            self._decode.add(decode_seconds, output_tokens)
             self._output.add(output_tokens, allowed)
+        if output_tokens >= MIN_PACE_TOKENS:
+            self._decode.add(decode_seconds, output_tokens)
+            self._longest = max(self._longest, output_tokens)
--- a/libraries/decisions/src/bamboopier_decisions/routing/router.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/router.py
@@ -24,6 +24,7 @@
 from .retry_budget import RetryBudget
 from .service_targets import ServiceTargets
 from .target_state import TargetState
+from .wait_bound import bound_wait
 from .warm_prefixes import WarmPrefixes
 
 if TYPE_CHECKING:
@@ -129,11 +130,19 @@
         first = not pending.tried
         state = choice.state
         pending.tried.add(state.view.target)
-        state.add_sent(now, request.prompt_tokens)
-        state.refusals.note_sent(now, request.workspace)
+        # A probe is refused or waits behind its own workspace: it delays no other.
+        if not state.refusals.note_sent(now, request.workspace):
+            state.add_sent(now, request.prompt_tokens)
         state.slowness.note_sent(now)
         reason = choice.reason if first else SendReason.RETRY
-        return Send(request.request_id, state.view.target, reason, choice.candidates)
+        max_wait = bound_wait(len(pending.tried), choice.saved)
+        return Send(
+            request.request_id,
+            state.view.target,
+            reason,
+            choice.candidates,
+            max_wait,
+        )
 
     def _give_up(
         self, pending: _Pending, now: float, targets: ServiceTargets
@@ -155,7 +164,8 @@
         if key:
             self._warm.add(key, event.target)
         targets = self._services.get(request.service)
-        if targets is not None:
+        # One that was refused waits for its own share, however quick the target is.
+        if targets is not None and not state.refusals.knows(request.workspace):
             targets.add_first_byte(
                 event.now, state, event.seconds, request.prompt_tokens
             )
@@ -195,9 +205,10 @@
         if pending.broken >= MAX_BROKEN:
             return self._refuse(pending, RefuseReason.TARGET_FAILED)
         if event.ran is Ran.NO and not event.broken and event.retry_after <= 0:
-            # A leaving or drained target turned it away before it could run. That is
-            # no load, and it happens to whole data centres at once: paid from the
-            # budget it would refuse most of what they had waiting.
+            # A leaving or drained target, or a busy one that leaves it to another,
+            # turned it away before it could run. That is no load, and it happens to
+            # whole data centres at once: paid from the budget it would refuse most of
+            # what they had waiting.
             pending.attempts -= 1
         elif pending.attempts >= MAX_ATTEMPTS:
             return self._refuse(pending, RefuseReason.ATTEMPTS)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -17,7 +17,7 @@
 
 import fire
 from mutations import MUTATIONS
-from mutations_at_most_once import AT_MOST_ONCE
+from safeguards import at_most_once, configuration, orders, places
 
 if TYPE_CHECKING:
     from mutations import Mutation
@@ -26,6 +26,13 @@
 LEFT_OUT = shutil.ignore_patterns(".venv", ".git", ".mypy_cache", ".ruff_cache")
 TEST_SECONDS = 300
 WORKERS = 4
+ALL = (
+    *MUTATIONS,
+    *at_most_once.MUTATIONS,
+    *configuration.MUTATIONS,
+    *orders.MUTATIONS,
+    *places.MUTATIONS,
+)
 
 
 def run_mutation(mutation: Mutation) -> str:
@@ -59,7 +66,7 @@
 
 def main(only: str = "") -> None:
     """Run every mutation whose safeguard contains ``only``."""
-    chosen = [m for m in (*MUTATIONS, *AT_MOST_ONCE) if only in m.safeguard]
+    chosen = [m for m in ALL if only in m.safeguard]
     with ThreadPoolExecutor(WORKERS) as pool:
         outcomes = list(pool.map(run_mutation, chosen))
     for mutation, outcome in zip(chosen, outcomes, strict=True):
--- a/tools/mutations_at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -4,7 +4,7 @@
 
 from mutations import Mutation
 
-AT_MOST_ONCE = (
+MUTATIONS = (
     Mutation(
         "a delayed claim write is made impossible before its claim counts as released",
         "libraries/decisions/src/bamboopier_decisions/claims/partition.py",
