Remember a released claim, so that its key is not called unknown

Change: a recall names the claim that stood; claims given up are remembered by id after their release, 4,096 of them. By id and not by key, since the key may have run under another claim. Test: the release between reading and asking, in the claim table; red before (the table had no such memory).

--- a/libraries/agent/src/bamboopier_agent/answer.py
+++ b/libraries/agent/src/bamboopier_agent/answer.py
@@ -54,6 +54,7 @@
         retry_after: float = 0.0,
         detail: str = "",
         claimed_by: str = "",
+        claim_id: str = "",
     ) -> pb.ServeEvent:
         """Return the event that says nothing was run. ``retry_after`` in seconds."""
         not_run = pb.NotRun(
@@ -61,6 +62,7 @@
             retry_after_ms=int(retry_after * 1000),
             detail=detail,
             claimed_by=claimed_by,
+            claim_id=claim_id,
         )
         return self._number(pb.ServeEvent(not_run=not_run, load=self._report()))
 
--- a/libraries/agent/src/bamboopier_agent/claims.py
+++ b/libraries/agent/src/bamboopier_agent/claims.py
@@ -10,6 +10,7 @@
 import hashlib
 import time
 import uuid
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -38,6 +39,8 @@
 # A given-up claim is released before "not run" is said, unless that takes longer; it
 # goes on in the background then.
 RELEASE_SECONDS = 0.5
+# Claims given up that are remembered after their release, some 100 bytes each.
+MAX_GIVEN_UP = 4096
 
 
 class ClaimTable:
@@ -48,6 +51,7 @@
         self._holder = holder
         # Only partitions with work under way; the platform has the rest.
         self._writers: dict[str, ClaimWriter] = {}
+        self._given_up: OrderedDict[str, None] = OrderedDict()
 
     async def claim(
         self, service: Service, workspace: str, key: str, fingerprint: bytes
@@ -62,13 +66,16 @@
         writer = self._find_writer(service, digest)
         try:
             async with asyncio.timeout(CLAIM_SECONDS):
-                return await writer.submit(claim)
+                answer = await writer.submit(claim)
         except TimeoutError:
             self._abandon(writer, claim)
             return Err(PlatformUnavailableError("the platform is slow"))
         except asyncio.CancelledError:
             self._abandon(writer, claim)
             raise
+        if isinstance(answer, Err):
+            self._note_given_up(claim)
+        return answer
 
     async def release(self, service: Service, granted: ClaimOutcome) -> None:
         """Give up a grant under which nothing was sent to the target."""
@@ -83,6 +90,7 @@
         claim = granted.standing
         if claim is None:
             return None
+        self._note_given_up(claim)
         writer = self._find_writer(service, claim.key)
         return writer.abandon(claim, granted.version)
 
@@ -91,6 +99,20 @@
         digest = hash_key(workspace, key)
         return any(writer.is_abandoned(digest) for writer in self._writers.values())
 
+    def has_given_up(self, claim_id: str) -> bool:
+        """Say whether a claim of this agent was given up, released by now or not.
+
+        Another agent may have read the claim just before its release. Asked about it
+        afterwards, this one would know nothing of the key, and the caller would be told
+        "outcome unknown" of a request that nobody ran.
+        """
+        return claim_id in self._given_up
+
+    def _note_given_up(self, claim: Claim) -> None:
+        self._given_up[claim.claim_id] = None
+        if len(self._given_up) > MAX_GIVEN_UP:
+            self._given_up.popitem(last=False)
+
     async def settle(self) -> None:
         """Return once nothing given up is left to release.
 
@@ -112,6 +134,7 @@
 
     def _abandon(self, writer: ClaimWriter, claim: Claim) -> None:
         """Release in the background; the writer may have ended a moment ago."""
+        self._note_given_up(claim)
         self._writers.setdefault(writer.name, writer)
         writer.abandon(claim)
 
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -141,6 +141,8 @@
         key = hash_key(request.workspace, request.idempotency_key)
         if self._claims.is_abandoned(request.workspace, request.idempotency_key):
             return pb.RecallReply(state=pb.RecallReply.NEVER_RAN)
+        if self._claims.has_given_up(request.claim_id):
+            return pb.RecallReply(state=pb.RecallReply.NEVER_RAN)
         kept = self._kept.find(key)
         if kept is None or kept.fingerprint != request.fingerprint:
             return pb.RecallReply(state=pb.RecallReply.NOT_KEPT)
@@ -408,7 +410,9 @@
         return answer.make_not_run(pb.KEY_TABLE_FULL, 60.0)
     if outcome.verdict is Verdict.REUSED:
         return answer.make_not_run(pb.KEY_REUSED)
-    return answer.make_not_run(pb.KEY_CLAIMED, claimed_by=standing.holder)
+    return answer.make_not_run(
+        pb.KEY_CLAIMED, claimed_by=standing.holder, claim_id=standing.claim_id
+    )
 
 
 def _list_headers(request: pb.ServeRequest) -> list[tuple[str, str]]:
--- a/libraries/agent/tests/test_claims.py
+++ b/libraries/agent/tests/test_claims.py
@@ -114,6 +114,18 @@
         outcome = await self.claim(1)
         self.assertEqual(outcome and outcome.verdict, Verdict.GRANTED)
 
+    async def test_a_released_claim_is_still_known_to_have_run_nothing(self) -> None:
+        # Agent 1 has read the claim of agent 0, which then releases it. Asked about
+        # that claim, agent 0 must not seem to have lost the answer of a run.
+        granted = await self.claim(0)
+        assert granted is not None and granted.standing is not None
+        seen = await self.claim(1)
+        assert seen is not None and seen.standing is not None
+        await self.agents[0].release(DISPATCH, granted)
+        await self.wait_until_settled()
+        self.assertFalse(self.agents[0].is_abandoned("fosse", "key"))
+        self.assertTrue(self.agents[0].has_given_up(seen.standing.claim_id))
+
     async def test_an_outage_leaves_no_work_behind(self) -> None:
         self.objects.down = True
         for _ in range(100):
--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -40,6 +40,7 @@
     # Seconds after which the target expects room again; 0 when it did not say.
     retry_after: float = 0.0
     claimed_by: str = ""
+    claim_id: str = ""
     broken: bool = False
     first_byte: float = 0.0
     finished: pb.Finished | None = None
@@ -189,6 +190,7 @@
         result.detail = not_run.detail
         result.retry_after = not_run.retry_after_ms / _MILLISECONDS
         result.claimed_by = not_run.claimed_by
+        result.claim_id = not_run.claim_id
         result.broken = not_run.cause == pb.TARGET_DOWN
 
     def _break(self, detail: str) -> AttemptResult:
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -179,6 +179,7 @@
             service=call.service,
             idempotency_key=call.idempotency_key,
             fingerprint=call.fingerprint,
+            claim_id=result.claim_id,
         )
         try:
             limit = max(0.0, min(RECALL_TIMEOUT_SECONDS, left))
