--- a/libraries/agent/src/bamboopier_agent/claims.py
+++ b/libraries/agent/src/bamboopier_agent/claims.py
@@ -29,8 +29,9 @@
     from bamboopier_platform.objects import ObjectStore
 
 # The same in every process and for ever: two agents that divide keys differently
-# would grant one key twice, in two objects. docs/design/claims.md has the arithmetic.
-PARTITIONS = 4096
+# would grant one key twice, in two objects. Each claim reads and rewrites its
+# partition, so many small ones keep the traffic down: docs/design/claims.md.
+PARTITIONS = 65_536
 # A claim must outlive the longest request (an hour) and clocks that differ, or the key
 # is granted again while its first run goes on.
 MIN_LIFETIME_SECONDS = 2 * 3600.0
