--- /dev/null
+++ b/libraries/agent/src/bamboopier_agent/forwarded_request.py
@@ -0,0 +1,48 @@
+"""What of a gateway's request the target sees, and what of its answer goes back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bamboopier_daemon.headers import drop_hop_headers
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from bamboopier_protocol import agent_pb2 as pb
+
+LENGTH_HEADER = "Content-Length"
+
+
+def read_max_wait(request: pb.ServeRequest) -> float:
+    """Return the seconds the request may wait here."""
+    if not request.HasField("max_wait_ms"):
+        return float("inf")
+    return request.max_wait_ms / 1000
+
+
+def list_headers(request: pb.ServeRequest) -> list[tuple[str, str]]:
+    """Return the headers for the target."""
+    return list(drop_hop_headers((h.name, h.value) for h in request.headers))
+
+
+def list_response_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+    """Return the headers to pass on; the length too, since the bytes stay as sent."""
+    headers = list(drop_hop_headers(response.headers.items()))
+    if (length := response.headers.get(LENGTH_HEADER)) is not None:
+        headers.append((LENGTH_HEADER, length))
+    return headers
+
+
+def make_body(request: pb.ServeRequest) -> bytes:
+    """Return the body for the target; an engine is told salt, keys and priority."""
+    if not request.model.model:
+        return request.body
+    body = msgspec.json.decode(request.body)
+    body["request_id"] = request.request_id
+    body["cache_salt"] = request.model.cache_salt
+    body["block_keys"] = [key.hex() for key in request.model.block_keys]
+    body["priority"] = request.priority
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/libraries/agent/src/bamboopier_agent/refusals.py
@@ -0,0 +1,41 @@
+"""Refusals of an attempt, each of which says truthfully that nothing was run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bamboopier_decisions.admission.messages import Reject, RejectReason
+from bamboopier_decisions.claims.table import Verdict
+from bamboopier_protocol import agent_pb2 as pb
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.claims.table import ClaimOutcome
+
+    from .answer import Answer
+
+_CAUSES = {
+    RejectReason.QUEUE_FULL: pb.QUEUE_FULL,
+    RejectReason.FAIR_SHARE: pb.FAIR_SHARE,
+    RejectReason.DEADLINE: pb.DEADLINE,
+    RejectReason.STOPPING: pb.STOPPING,
+    RejectReason.BUSY: pb.BUSY,
+}
+# Seconds; a full partition frees places only as claims lapse.
+FULL_RETRY_SECONDS = 60.0
+
+
+def make_rejection(answer: Answer, reject: Reject) -> pb.ServeEvent:
+    """Return the event for what admission turned away."""
+    return answer.make_not_run(_CAUSES[reject.reason], reject.retry_after)
+
+
+def make_claim_refusal(answer: Answer, outcome: ClaimOutcome) -> pb.ServeEvent:
+    """Return the event for a key that was not granted."""
+    standing = outcome.standing
+    if outcome.verdict is Verdict.FULL or standing is None:
+        return answer.make_not_run(pb.KEY_TABLE_FULL, FULL_RETRY_SECONDS)
+    if outcome.verdict is Verdict.REUSED:
+        return answer.make_not_run(pb.KEY_REUSED)
+    return answer.make_not_run(
+        pb.KEY_CLAIMED, claimed_by=standing.holder, claim_id=standing.claim_id
+    )
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -7,12 +7,10 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 import structlog
 from result import Err
 
-from bamboopier_daemon.headers import drop_hop_headers
-from bamboopier_decisions.admission.messages import Reject, RejectReason, WorkArrived
+from bamboopier_decisions.admission.messages import WorkArrived
 from bamboopier_decisions.claims.table import Verdict
 from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
 
@@ -20,14 +18,19 @@
 from .claims import hash_key
 from .errors import TargetBrokenError, TargetUnreachableError
 from .event_stream import EventStream
+from .forwarded_request import (
+    list_headers,
+    list_response_headers,
+    make_body,
+    read_max_wait,
+)
+from .refusals import make_claim_refusal, make_rejection
 from .seen_attempts import SeenAttempts
 from .usage import UsageReader
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
 
-    import aiohttp
-
     from bamboopier_configuration.model import Service
     from bamboopier_configuration.settings import AgentSettings
     from bamboopier_decisions.claims.table import ClaimOutcome
@@ -41,17 +44,9 @@
     from .target import TargetClient
     from .target_watch import TargetWatch
 
-_CAUSES = {
-    RejectReason.QUEUE_FULL: pb.QUEUE_FULL,
-    RejectReason.FAIR_SHARE: pb.FAIR_SHARE,
-    RejectReason.DEADLINE: pb.DEADLINE,
-    RejectReason.STOPPING: pb.STOPPING,
-    RejectReason.BUSY: pb.BUSY,
-}
 # How long past its deadline a non-idempotent call may go on, for its answer to be there
 # when the caller repeats the key. Without an end a hung target would fill its slots.
 OVERTIME_SECONDS = 60.0
-LENGTH_HEADER = "Content-Length"
 
 log = structlog.get_logger()
 
@@ -123,7 +118,7 @@
         try:
             async with self._gate.enter(self._describe(request, stream)) as entry:
                 if entry.reject is not None:
-                    refusal = _make_rejection(answer, entry.reject)
+                    refusal = make_rejection(answer, entry.reject)
                     self._log_refusal(request, refusal)
                     await stream.put(refusal)
                     return
@@ -217,7 +212,7 @@
             deadline=stream.deadline,
             prompt_tokens=request.model.prompt_tokens,
             max_tokens=request.model.max_tokens,
-            max_wait=_read_max_wait(request),
+            max_wait=read_max_wait(request),
         )
 
     async def _claim_and_run(
@@ -244,7 +239,7 @@
             detail = str(claimed.err_value)
             refusal = answer.make_not_run(pb.PLATFORM_DOWN, 2.0, detail)
         elif claimed.ok_value.verdict is not Verdict.GRANTED:
-            refusal = _make_claim_refusal(answer, claimed.ok_value)
+            refusal = make_claim_refusal(answer, claimed.ok_value)
         else:
             refusal = None
         if refusal is not None:
@@ -317,14 +312,14 @@
                 self._target.open(
                     request.method,
                     request.path,
-                    _list_headers(request),
-                    _make_body(request),
+                    list_headers(request),
+                    make_body(request),
                 ) as response,
             ):
                 first_byte = time.monotonic() - sent
                 self._metrics.first_byte.observe(time.monotonic() - started)
                 version = response.headers.get("Weight-Version", "")
-                headers = _list_response_headers(response)
+                headers = list_response_headers(response)
                 if kept is not None:
                     kept.status, kept.headers = response.status, headers
                     kept.weight_version = version
@@ -391,49 +386,3 @@
             reason=pb.Cause.Name(event.not_run.cause),
             retry_after_ms=event.not_run.retry_after_ms,
         )
-
-
-def _make_rejection(answer: Answer, reject: Reject) -> pb.ServeEvent:
-    return answer.make_not_run(_CAUSES[reject.reason], reject.retry_after)
-
-
-def _read_max_wait(request: pb.ServeRequest) -> float:
-    """Return the seconds the request may wait here."""
-    if not request.HasField("max_wait_ms"):
-        return float("inf")
-    return request.max_wait_ms / 1000
-
-
-def _make_claim_refusal(answer: Answer, outcome: ClaimOutcome) -> pb.ServeEvent:
-    standing = outcome.standing
-    if outcome.verdict is Verdict.FULL or standing is None:
-        return answer.make_not_run(pb.KEY_TABLE_FULL, 60.0)
-    if outcome.verdict is Verdict.REUSED:
-        return answer.make_not_run(pb.KEY_REUSED)
-    return answer.make_not_run(
-        pb.KEY_CLAIMED, claimed_by=standing.holder, claim_id=standing.claim_id
-    )
-
-
-def _list_headers(request: pb.ServeRequest) -> list[tuple[str, str]]:
-    return list(drop_hop_headers((h.name, h.value) for h in request.headers))
-
-
-def _list_response_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
-    """Return the headers to pass on; the length too, since the bytes stay as sent."""
-    headers = list(drop_hop_headers(response.headers.items()))
-    if (length := response.headers.get(LENGTH_HEADER)) is not None:
-        headers.append((LENGTH_HEADER, length))
-    return headers
-
-
-def _make_body(request: pb.ServeRequest) -> bytes:
-    """Return the body for the target; an engine is told salt, keys and priority."""
-    if not request.model.model:
-        return request.body
-    body = msgspec.json.decode(request.body)
-    body["request_id"] = request.request_id
-    body["cache_salt"] = request.model.cache_salt
-    body["block_keys"] = [key.hex() for key in request.model.block_keys]
-    body["priority"] = request.priority
-    return msgspec.json.encode(body)
--- a/libraries/agent/tests/test_context.py
+++ b/libraries/agent/tests/test_context.py
@@ -10,7 +10,7 @@
 import json
 import unittest
 
-from bamboopier_agent.service import _make_body as make_body
+from bamboopier_agent.forwarded_request import make_body
 from bamboopier_agent.store_link import READS_AT_ONCE
 from bamboopier_agent.target import CacheEvent, CacheEvents
 
--- a/libraries/decisions/src/bamboopier_decisions/admission/admission.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/admission.py
@@ -39,8 +39,8 @@
 if TYPE_CHECKING:
     import random
 
-# What a burst left behind is served or past its deadline by then; at 5 s those who came
-# while a burst drained were refused although their turn would have come in time.
+# Shorter would refuse those whose turn still comes while a burst drains, longer would
+# keep everybody waiting under overload (rows "burst" and "overload" of docs/LOAD.md).
 STANDING_SECONDS = 5.0
 # Waits are known to about a third. Without the margin those who were let in just before
 # their deadline's wait learn late that it was too long.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -139,7 +139,7 @@
     ),
     Mutation(
         "a caller's own cache salt is overwritten",
-        "libraries/agent/src/bamboopier_agent/service.py",
+        "libraries/agent/src/bamboopier_agent/forwarded_request.py",
         '    body["cache_salt"] = request.model.cache_salt\n',
         "",
         "libraries/agent",
