Project claims, leases and the shared quarantine too

Cause: the table left out the calls of mechanisms that came after it, and make capacity could not find its interpreter (a relative path after cd). Change: lines for them from the code's own constants.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 
 # Slopes for docs/CAPACITY.md; takes some minutes, writes docs/capacity.json.
 capacity: $(VENV)/ready
-	cd tools && $(PYTHON) -m capacity
+	cd tools && $(abspath $(PYTHON)) -m capacity
 
 # Takes each safeguard out and sees its test turn red.
 mutations: $(VENV)/ready
--- a/tools/capacity/projection.py
+++ b/tools/capacity/projection.py
@@ -12,7 +12,13 @@
 
 import fire
 
+from bamboopier_agent.claims import PARTITIONS
+from bamboopier_agent.lease import RENEW_SECONDS
 from bamboopier_daemon.daemon import KEEPALIVE_MS
+from bamboopier_gateway.shared_quarantine import (
+    WATCH_SECONDS as QUARANTINE_WATCH_SECONDS,
+)
+from bamboopier_gateway.target_poll import POLLS_PER_SECOND
 from bamboopier_platform.follower import WATCH_SECONDS
 from bamboopier_platform.vm_follower import POLL_SECONDS
 
@@ -25,6 +31,12 @@
 PING_BYTES = 200.0
 # A load report asked for by itself, both ways.
 REPORT_BYTES = 500.0
+# A lease's renewal, with its headers both ways.
+RENEW_BYTES = 900.0
+# A stored claim, measured by tools/measure_claims.py.
+CLAIM_BYTES = 95.0
+# A publish writes the head and about one part.
+PUBLISH_WRITES = 2.0
 
 
 @dataclass(frozen=True)
@@ -88,6 +100,7 @@
     changes = size.CHANGES_PER_DAY / size.DAY
     traffic = slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
     traffic += _change_traffic(slopes) + _keepalive_traffic(size.TARGETS)
+    traffic += POLLS_PER_SECOND * REPORT_BYTES / 1e3
     requests = size.REQUESTS_PER_SECOND / size.GATEWAYS
     tokens = size.TOKENS_PER_SECOND / size.GATEWAYS
     data = requests * slopes.slope("gateway CPU per request")
@@ -109,6 +122,7 @@
     changes = size.CHANGES_PER_DAY / size.DAY
     traffic = slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
     traffic += _change_traffic(slopes) + _keepalive_traffic(size.GATEWAYS)
+    traffic += RENEW_BYTES / RENEW_SECONDS / 1e3 + _claim_traffic()
     requests = size.REQUESTS_PER_SECOND / size.TARGETS
     tokens = size.TOKENS_PER_SECOND / size.TARGETS
     data = requests * slopes.slope("agent CPU per request")
@@ -127,13 +141,30 @@
     per_change = slopes.slope("platform reads per change, by nodes") * size.NODES
     watches = size.NODES / WATCH_SECONDS
     lists = size.NODES / POLL_SECONDS
-    steady = watches + lists + changes * per_change
+    claims = size.REQUESTS_PER_SECOND * size.NON_IDEMPOTENT
+    quarantine = 2 * size.GATEWAYS / QUARANTINE_WATCH_SECONDS
+    steady = 2 * watches + lists + changes * per_change + claims + quarantine
+    leases = size.TARGETS / RENEW_SECONDS
     start = slopes.predict("object reads of a starting node, by workspaces", 6300)
     lost = size.NODES / size.DATA_CENTRES * start
     reach = slopes.predict("worst seconds to all nodes, by nodes", size.NODES)
     return [
-        _reads("reads in the steady state", steady, "watches, VM list, changes"),
+        _reads(
+            "reads in the steady state",
+            steady,
+            "watches, heads, VM list, changes, claims",
+        ),
         _reads("of these for the VM list", lists, f"a poll each {POLL_SECONDS:g} s"),
+        Line(
+            "platform",
+            "writes in the steady state",
+            leases + claims + changes * PUBLISH_WRITES,
+            "calls/s",
+            size.PLATFORM_WRITES,
+            "leases, a claim each, publishes",
+        ),
+        _writes("of these for claims", claims, "one conditional update a claim"),
+        _writes("of these for leases", leases, f"a renewal each {RENEW_SECONDS:g} s"),
         Line("platform", "reads for one change", per_change, "calls", 0, "3 a node"),
         Line(
             "platform",
@@ -180,6 +211,18 @@
     return Line("platform", what, value, "calls/s", size.PLATFORM_READS, carried_by)
 
 
+def _writes(what: str, value: float, carried_by: str) -> Line:
+    return Line("platform", what, value, "calls/s", size.PLATFORM_WRITES, carried_by)
+
+
+def _claim_traffic() -> float:
+    """Return KB/s for claims: each reads and rewrites one partition."""
+    claims = size.REQUESTS_PER_SECOND * size.NON_IDEMPOTENT
+    kept = claims * size.KEY_LIFETIME_SECONDS / PARTITIONS
+    partition = kept * CLAIM_BYTES
+    return claims / size.TARGETS * 2 * (partition + CALL_BYTES) / 1e3
+
+
 def _change_traffic(slopes: Slopes) -> float:
     """Return KB/s for following the configuration, with the watch's own calls."""
     change = slopes.predict("gateway bytes per change, by workspaces", size.WORKSPACES)
--- a/tools/capacity/size.py
+++ b/tools/capacity/size.py
@@ -14,6 +14,10 @@
 FAILURES_PER_DAY = 16
 RESTARTS_PER_DAY = 84
 
+# Assumed: the letter does not say how many requests may not be repeated.
+NON_IDEMPOTENT = 0.05
+KEY_LIFETIME_SECONDS = 86_400.0
+
 CPU_LIMIT_PERCENT = 2.2
 MEMORY_LIMIT_MB = 256.0
 TRAFFIC_LIMIT_KB = 22.0
