Import relatively inside a package; share what drain and restore do

Cause: the linter's rule against parent-relative imports had turned the commands' imports absolute, against the house style; drain and restore stood twice.

--- a/libraries/cli/src/bamboopier_cli/commands/check.py
+++ b/libraries/cli/src/bamboopier_cli/commands/check.py
@@ -8,10 +8,11 @@
 import msgspec
 from result import Err
 
-from bamboopier_cli.exits import USAGE, CommandError, fail_configuration
-from bamboopier_cli.output import render
 from bamboopier_configuration.collection import collect, find_files
 
+from ..exits import USAGE, CommandError, fail_configuration
+from ..output import render
+
 if TYPE_CHECKING:
     from bamboopier_configuration.model import Configuration
 
--- a/libraries/cli/src/bamboopier_cli/commands/drain.py
+++ b/libraries/cli/src/bamboopier_cli/commands/drain.py
@@ -4,14 +4,8 @@
 
 import asyncio
 
-from bamboopier_cli.credentials import open_platform
-from bamboopier_cli.output import render
-from bamboopier_cli.publishing import (
-    ChangeResult,
-    change_drains,
-    fail_behind,
-    wait_everywhere,
-)
+from ..output import render
+from ..publishing import fail_behind, set_drained
 
 
 def drain(
@@ -30,18 +24,12 @@
     With --wait the command returns once all nodes have it in force, and fails naming
     those that do not after TIMEOUT seconds.
     """
-    result = asyncio.run(_drain(place, name, platform, wait, timeout))
+    result = asyncio.run(
+        set_drained(platform, place, name, drained=True, wait=wait, timeout=timeout)
+    )
     fail_behind(result)
     if not result.changed:
         text = f"{place} {name} was drained already (generation {result.generation})"
     else:
         text = f"{place} {name} drained by generation {result.generation}"
     return render(result, text, json)
-
-
-async def _drain(
-    place: str, name: str, url: str, wait: bool, timeout: float
-) -> ChangeResult:
-    async with open_platform(url) as platform:
-        result = await change_drains(platform, place, name, drained=True)
-        return await wait_everywhere(platform, result, timeout) if wait else result
--- a/libraries/cli/src/bamboopier_cli/commands/explain.py
+++ b/libraries/cli/src/bamboopier_cli/commands/explain.py
@@ -7,12 +7,12 @@
 from pathlib import Path
 from typing import IO, TYPE_CHECKING, Any
 
-from bamboopier_cli.decision_log import read_decisions
-from bamboopier_cli.exits import USAGE, CommandError
-from bamboopier_cli.output import render
+from ..decision_log import read_decisions
+from ..exits import USAGE, CommandError
+from ..output import render
 
 if TYPE_CHECKING:
-    from bamboopier_cli.decision_log import DecisionLine
+    from ..decision_log import DecisionLine
 
 STANDARD_INPUT = "-"
 # What the reasons in the logs mean, in a person's words.
--- a/libraries/cli/src/bamboopier_cli/commands/gateway.py
+++ b/libraries/cli/src/bamboopier_cli/commands/gateway.py
@@ -6,11 +6,12 @@
 
 from result import Err
 
-from bamboopier_cli.exits import fail_configuration
 from bamboopier_configuration.settings import GatewaySettings
 from bamboopier_configuration.settings_reader import read_settings
 from bamboopier_daemon.daemon import run
 
+from ..exits import fail_configuration
+
 
 def gateway(*, settings: str) -> None:
     """Run a gateway with the settings in a JSON file until SIGTERM."""
--- a/libraries/cli/src/bamboopier_cli/commands/publish.py
+++ b/libraries/cli/src/bamboopier_cli/commands/publish.py
@@ -9,19 +9,19 @@
 import msgspec
 from result import Err
 
-from bamboopier_cli.credentials import open_platform
-from bamboopier_cli.difference import Difference, compare, describe
-from bamboopier_cli.exits import CommandError
-from bamboopier_cli.output import render
-from bamboopier_cli.publishing import (
+from bamboopier_platform.errors import VersionConflictError
+from bamboopier_platform.publisher import Publisher
+
+from ..credentials import open_platform
+from ..difference import Difference, compare, describe
+from ..exits import CommandError
+from ..output import render
+from ..publishing import (
     ChangeResult,
     fail_behind,
     read_current,
     wait_everywhere,
 )
-from bamboopier_platform.errors import VersionConflictError
-from bamboopier_platform.publisher import Publisher
-
 from .check import collect_or_fail
 
 if TYPE_CHECKING:
--- a/libraries/cli/src/bamboopier_cli/commands/replay.py
+++ b/libraries/cli/src/bamboopier_cli/commands/replay.py
@@ -9,13 +9,14 @@
 import msgspec
 from result import Err, Result
 
-from bamboopier_cli.exits import FAILURE, USAGE, CommandError, fail_configuration
 from bamboopier_configuration.reader import read_file
 from bamboopier_replay.expectations import judge, read_expectations
 from bamboopier_replay.player import Player, PlayerOptions
 from bamboopier_replay.report import Summary, summarize
 from bamboopier_replay.trace import read_trace
 
+from ..exits import FAILURE, USAGE, CommandError, fail_configuration
+
 if TYPE_CHECKING:
     from bamboopier_configuration.errors import BamboopierError
     from bamboopier_replay.expectations import Verdict
--- a/libraries/cli/src/bamboopier_cli/commands/status.py
+++ b/libraries/cli/src/bamboopier_cli/commands/status.py
@@ -7,12 +7,13 @@
 
 import msgspec
 
-from bamboopier_cli.credentials import open_platform
-from bamboopier_cli.output import render
-from bamboopier_cli.publishing import read_current
-from bamboopier_cli.survey import NodeStatus, ask_nodes, list_nodes
 from bamboopier_platform.publisher import Publisher
 
+from ..credentials import open_platform
+from ..output import render
+from ..publishing import read_current
+from ..survey import NodeStatus, ask_nodes, list_nodes
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
--- a/libraries/cli/src/bamboopier_cli/commands/version.py
+++ b/libraries/cli/src/bamboopier_cli/commands/version.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bamboopier_cli.output import render
+from ..output import render
 
 
 class Versions(msgspec.Struct, frozen=True):
--- a/libraries/cli/src/bamboopier_cli/publishing.py
+++ b/libraries/cli/src/bamboopier_cli/publishing.py
@@ -14,6 +14,7 @@
 from bamboopier_platform.errors import VersionConflictError
 from bamboopier_platform.publisher import Publisher
 
+from .credentials import open_platform
 from .exits import USAGE, CommandError
 from .survey import list_nodes, wait_in_force
 
@@ -50,6 +51,21 @@
     return answer.ok_value
 
 
+async def set_drained(
+    platform_url: str,
+    place: str,
+    name: str,
+    *,
+    drained: bool,
+    wait: bool,
+    timeout: float,
+) -> ChangeResult:
+    """Take a place out of service or back; with ``wait`` until all nodes know it."""
+    async with open_platform(platform_url) as platform:
+        result = await change_drains(platform, place, name, drained=drained)
+        return await wait_everywhere(platform, result, timeout) if wait else result
+
+
 async def change_drains(
     platform: HttpPlatform, place: str, name: str, *, drained: bool
 ) -> ChangeResult:
--- a/libraries/decisions/src/bamboopier_decisions/context/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/context/placement.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from bamboopier_decisions.routing.rendezvous import rank
+from ..routing.rendezvous import rank
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
