--- a/tools/capacity/measurements.py
+++ b/tools/capacity/measurements.py
@@ -3,42 +3,43 @@
 from __future__ import annotations
 
 import asyncio
-import concurrent.futures
-import hashlib
 import json
 import subprocess
 import sys
 import time
-import urllib.request
 from contextlib import contextmanager
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
-from processes import Installation, fetch
-
-from bamboopier_configuration.collection import collect, find_files
-from bamboopier_configuration.model import Configuration, Workspace
-from bamboopier_platform.http_platform import HttpPlatform
-from bamboopier_platform.publisher import Publisher
+from processes import Installation
 
 from .fit import Fit, fit_line
 from .usage import read_cpu, read_memory
+from .workload import (
+    IDLE_SECONDS,
+    ask_many,
+    build_configuration,
+    build_vm,
+    count_calls,
+    count_object_reads,
+    measure_idle_cpu,
+    order_many,
+    publish,
+    read_calls,
+    start_one_target,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from bamboopier_configuration.model import Configuration
+
 CONNECTIONS = Path(__file__).parent / "connections.py"
-EXAMPLES = Path(__file__).resolve().parent.parent.parent / "examples"
 SETTLE_SECONDS = 1.0
-IDLE_SECONDS = 8.0
-FOSSE_KEY = "fosse-demo-key"
-CALLERS = 8
 CHANGES = 10
 # Changes followed by many nodes at once.
 PROPAGATED = 3
-# Between two changes: a gateway has read one before the next comes.
-CHANGE_SECONDS = 0.4
 
 
 @contextmanager
@@ -67,7 +68,7 @@
             with start_helper("gateway", *ports[:count]) as (process, _):
                 time.sleep(SETTLE_SECONDS)
                 memory.append((float(count), read_memory(process.pid)))
-                cpu.append((float(count), _measure_idle_cpu(process.pid)))
+                cpu.append((float(count), measure_idle_cpu(process.pid)))
     return [
         fit_line("gateway memory per agent channel", "MB", memory),
         fit_line("gateway idle CPU per agent channel", "core", cpu),
@@ -79,13 +80,13 @@
     memory, cpu = [], []
     for count in (40, 80, 160, 320):
         with Installation() as installation:
-            _start_one_target(installation)
+            start_one_target(installation)
             agent = installation.daemons["desk-1-agent"]
             address = installation.vms[0]["address"]
             with start_helper("hold", address, str(count)):
                 time.sleep(SETTLE_SECONDS)
                 memory.append((float(count), read_memory(agent.process.pid)))
-                cpu.append((float(count), _measure_idle_cpu(agent.process.pid)))
+                cpu.append((float(count), measure_idle_cpu(agent.process.pid)))
             installation.stop_all()
     return [
         fit_line("agent memory per gateway connection", "MB", memory),
@@ -100,12 +101,12 @@
         with Installation() as installation:
             installation.start_platform()
             base = build_configuration(count)
-            asyncio.run(_publish(installation.platform_url, [base]))
-            before = _read_calls(installation)
+            asyncio.run(publish(installation.platform_url, [base]))
+            before = read_calls(installation)
             installation.start_gateway("gateway-1", "dc-east")
             installation.wait_until_ready()
             time.sleep(SETTLE_SECONDS)
-            started = _count_object_reads(before, _read_calls(installation))
+            started = count_object_reads(before, read_calls(installation))
             gateway = installation.daemons["gateway-1"].process.pid
             memory.append((float(count), read_memory(gateway)))
             start_calls.append((float(count), started))
@@ -155,7 +156,7 @@
     pid: int | None = None,
 ) -> _ChangeCost:
     """Return the platform's whole cost of publishing one change a weight."""
-    before = _read_calls(installation)
+    before = read_calls(installation)
     cpu = read_cpu(pid) if pid is not None else 0.0
     steps = []
     for weight in weights:
@@ -163,11 +164,11 @@
         changed[weight] = msgspec.structs.replace(changed[weight], weight=weight + 1.0)
         base = msgspec.structs.replace(base, workspaces=changed)
         steps.append(base)
-    asyncio.run(_publish(installation.platform_url, steps))
-    after = _read_calls(installation)
+    asyncio.run(publish(installation.platform_url, steps))
+    after = read_calls(installation)
     used = read_cpu(pid) - cpu if pid is not None else 0.0
-    calls = _count_object_reads(before, after) + _count(before, after, "GET watch")
-    return _ChangeCost(used, _count(before, after, "bytes GET objects"), calls)
+    calls = count_object_reads(before, after) + count_calls(before, after, "GET watch")
+    return _ChangeCost(used, count_calls(before, after, "bytes GET objects"), calls)
 
 
 def measure_blocks() -> list[Fit]:
@@ -191,7 +192,7 @@
         with Installation() as installation:
             installation.start_platform()
             base = build_configuration(400)
-            asyncio.run(_publish(installation.platform_url, [base]))
+            asyncio.run(publish(installation.platform_url, [base]))
             alone = _run_followers(installation, count, 0)
             moved = _run_followers(installation, count, PROPAGATED)
             worst = max(moved.seconds)
@@ -215,7 +216,7 @@
 def _run_followers(
     installation: Installation, count: int, changes: int
 ) -> _Propagation:
-    before = _read_calls(installation)
+    before = read_calls(installation)
     arguments = [installation.platform_url, str(count), str(changes)]
     done = subprocess.run(
         [sys.executable, "-m", "capacity.followers", *arguments],
@@ -224,8 +225,8 @@
         check=True,
         timeout=300,
     )
-    after = _read_calls(installation)
-    reads = _count_object_reads(before, after) + _count(before, after, "GET watch")
+    after = read_calls(installation)
+    reads = count_object_reads(before, after) + count_calls(before, after, "GET watch")
     return _Propagation(json.loads(done.stdout), reads)
 
 
@@ -235,15 +236,15 @@
     for count in (200, 400, 800, 1200):
         with Installation() as installation:
             installation.start_platform()
-            asyncio.run(_publish(installation.platform_url, [build_configuration(10)]))
-            installation.vms = [_build_vm(number) for number in range(count)]
+            asyncio.run(publish(installation.platform_url, [build_configuration(10)]))
+            installation.vms = [build_vm(number) for number in range(count)]
             installation.put_vms()
             installation.start_gateway("gateway-1", "dc-east")
             installation.wait_until_ready()
             gateway = installation.daemons["gateway-1"].process.pid
-            before = _read_calls(installation)
-            cpu.append((float(count), _measure_idle_cpu(gateway)))
-            moved = _count(before, _read_calls(installation), "bytes GET vms")
+            before = read_calls(installation)
+            cpu.append((float(count), measure_idle_cpu(gateway)))
+            moved = count_calls(before, read_calls(installation), "bytes GET vms")
             size.append((float(count), moved / IDLE_SECONDS / 1e3))
             installation.stop_all()
     return [
@@ -256,7 +257,7 @@
     """Processor time of gateway and agent per request and per generated token."""
     fits: list[Fit] = []
     with Installation() as installation:
-        _start_one_target(installation, decode_rate=5000, slots=64)
+        start_one_target(installation, decode_rate=5000, slots=64)
         pids = {
             "gateway": installation.daemons["gateway-1"].process.pid,
             "agent": installation.daemons["desk-1-agent"].process.pid,
@@ -281,16 +282,16 @@
     """Platform writes and bytes per claim of an idempotency key."""
     writes, size = [], []
     with Installation() as installation:
-        _start_one_target(installation)
+        start_one_target(installation)
         installation.start_target("vans-1", "plain", "dispatch", "dc-east")
         installation.wait_until_ready()
         time.sleep(2.0)
         for count in (50, 100, 200, 400):
-            before = _read_calls(installation)
+            before = read_calls(installation)
             order_many(installation, count)
-            after = _read_calls(installation)
-            writes.append((float(count), _count(before, after, "PUT objects")))
-            moved = _count(before, after, "bytes PUT objects")
+            after = read_calls(installation)
+            writes.append((float(count), count_calls(before, after, "PUT objects")))
+            moved = count_calls(before, after, "bytes PUT objects")
             size.append((float(count), moved / 1e3))
         installation.stop_all()
     return [
@@ -305,98 +306,3 @@
     before = {name: read_cpu(pid) for name, pid in pids.items()}
     ask_many(installation, count, tokens)
     return {name: read_cpu(pid) - before[name] for name, pid in pids.items()}
-
-
-def ask_many(installation: Installation, count: int, tokens: int) -> None:
-    """Send ``count`` streamed completions from a few callers at once."""
-    body = {"model": "pillar-8b", "prompt": "is it live?", "max_tokens": tokens}
-    url = installation.gateways["gateway-1"] + "/v1/completions"
-    _call_many(url, {**body, "stream": True}, count, {})
-
-
-def order_many(installation: Installation, count: int) -> None:
-    """Send ``count`` dispatches, each under a key of its own."""
-    url = installation.gateways["gateway-1"] + "/services/dispatch/vans"
-    _call_many(url, {"pillar": "M6"}, count, {"Idempotency-Key": ""})
-
-
-def _call_many(url: str, body: object, count: int, headers: dict[str, str]) -> None:
-    data = json.dumps(body).encode()
-
-    def call(number: int) -> None:
-        request = urllib.request.Request(url, data=data)
-        request.add_header("Authorization", f"Bearer {FOSSE_KEY}")
-        request.add_header("Content-Type", "application/json")
-        for name in headers:
-            request.add_header(name, f"{time.monotonic_ns()}-{number}")
-        with urllib.request.urlopen(request, timeout=60) as response:
-            response.read()
-
-    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
-        list(pool.map(call, range(count)))
-
-
-def _start_one_target(installation: Installation, **options: Any) -> None:
-    installation.start_platform()
-    options = {"block_tokens": 2000, **options}
-    installation.start_target("desk-1", "engine", "fault-desk", "dc-east", **options)
-    installation.start_gateway("gateway-1", "dc-east")
-    files = find_files([EXAMPLES / "fosse"])
-    configuration = collect(files).unwrap()
-    asyncio.run(_publish(installation.platform_url, [configuration]))
-    installation.wait_until_ready()
-    time.sleep(2.0)
-
-
-def build_configuration(workspaces: int) -> Configuration:
-    """Return Fosse's configuration with many workspaces."""
-    configuration = collect(find_files([EXAMPLES / "fosse"])).unwrap()
-    many = [_build_workspace(number) for number in range(workspaces)]
-    return msgspec.structs.replace(configuration, workspaces=many)
-
-
-def _build_workspace(number: int) -> Workspace:
-    digest = hashlib.sha256(str(number).encode()).hexdigest()
-    return Workspace(f"workspace-{number}", [digest], ["fault-desk", "dispatch"])
-
-
-def _build_vm(number: int) -> dict[str, Any]:
-    return {
-        "name": f"vm-{number}",
-        "role": "target" if number % 3 else "gateway",
-        "group": "fault-desk",
-        "data_centre": f"dc-{number % 5}",
-        "region": "midlands",
-        "address": f"127.9.{number // 250}.{number % 250 + 1}:7001",
-        "state": "live",
-    }
-
-
-async def _publish(platform_url: str, steps: list[Configuration]) -> None:
-    """Publish each step as a generation, as one publisher that reads once."""
-    async with HttpPlatform(platform_url) as objects:
-        store = Publisher(objects)
-        base = (await store.read()).unwrap()
-        for step in steps:
-            name = str(time.monotonic_ns())
-            base = (await store.publish(base, step, name)).unwrap()
-            await asyncio.sleep(CHANGE_SECONDS)
-
-
-def _measure_idle_cpu(pid: int) -> float:
-    """Return the cores a process uses while nothing is asked of it."""
-    before = read_cpu(pid)
-    time.sleep(IDLE_SECONDS)
-    return (read_cpu(pid) - before) / IDLE_SECONDS
-
-
-def _read_calls(installation: Installation) -> dict[str, int]:
-    return dict(json.loads(fetch(f"{installation.platform_url}/calls")))
-
-
-def _count(before: dict[str, int], after: dict[str, int], kind: str) -> float:
-    return float(after.get(kind, 0) - before.get(kind, 0))
-
-
-def _count_object_reads(before: dict[str, int], after: dict[str, int]) -> float:
-    return _count(before, after, "GET objects")
--- a/tools/capacity/projection.py
+++ b/tools/capacity/projection.py
@@ -93,45 +93,56 @@
 def project_gateway(slopes: Slopes) -> list[Line]:
     """Return what one gateway needs."""
     memory = slopes.predict("gateway memory per agent channel", size.TARGETS)
-    memory += slopes.slope("gateway memory per workspace") * size.WORKSPACES
     idle = slopes.predict("gateway idle CPU by listed VMs", size.LISTED_VMS)
     idle += slopes.slope("gateway idle CPU per agent channel") * size.TARGETS
-    change = slopes.predict("gateway CPU per change, by workspaces", size.WORKSPACES)
-    changes = size.CHANGES_PER_DAY / size.DAY
-    traffic = slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
-    traffic += _change_traffic(slopes) + _keepalive_traffic(size.TARGETS)
-    traffic += POLLS_PER_SECOND * REPORT_BYTES / 1e3
-    requests = size.REQUESTS_PER_SECOND / size.GATEWAYS
-    tokens = size.TOKENS_PER_SECOND / size.GATEWAYS
-    data = requests * slopes.slope("gateway CPU per request")
-    data += tokens * slopes.slope("gateway CPU per token")
-    return [
-        _memory("gateway", memory, "one channel an agent, all workspaces in memory"),
-        _cpu("gateway", 100 * (idle + changes * change), "watch, VM list by tag"),
-        _traffic("gateway", traffic, "parts by digest, VM list by tag, rare pings"),
-        Line("gateway", "CPU for requests", data / 10, "% of a core", 0, "data path"),
-    ]
+    traffic = _keepalive_traffic(size.TARGETS) + POLLS_PER_SECOND * REPORT_BYTES / 1e3
+    channels = "one channel an agent, all workspaces in memory"
+    need = _Need("gateway", size.GATEWAYS, memory, idle, traffic, channels)
+    return _project_node(slopes, need)
 
 
 def project_agent(slopes: Slopes) -> list[Line]:
     """Return what one agent needs."""
     memory = slopes.predict("agent memory per gateway connection", size.GATEWAYS)
-    memory += slopes.slope("gateway memory per workspace") * size.WORKSPACES
     idle = slopes.predict("agent idle CPU per gateway connection", size.GATEWAYS)
+    traffic = _keepalive_traffic(size.GATEWAYS) + _claim_traffic()
+    traffic += RENEW_BYTES / RENEW_SECONDS / 1e3
+    connections = "one connection a gateway, all workspaces in memory"
+    need = _Need("agent", size.TARGETS, memory, idle, traffic, connections)
+    return _project_node(slopes, need)
+
+
+@dataclass(frozen=True)
+class _Need:
+    """What is particular to one role: MB, cores and KB/s before what all nodes do."""
+
+    role: str
+    nodes: int
+    memory: float
+    idle: float
+    traffic: float
+    memory_carried_by: str
+
+
+def _project_node(slopes: Slopes, need: _Need) -> list[Line]:
+    """Add what every node pays: workspaces, changes and the VM list."""
+    memory = need.memory
+    memory += slopes.slope("gateway memory per workspace") * size.WORKSPACES
     change = slopes.predict("gateway CPU per change, by workspaces", size.WORKSPACES)
-    changes = size.CHANGES_PER_DAY / size.DAY
-    traffic = slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
-    traffic += _change_traffic(slopes) + _keepalive_traffic(size.GATEWAYS)
-    traffic += RENEW_BYTES / RENEW_SECONDS / 1e3 + _claim_traffic()
-    requests = size.REQUESTS_PER_SECOND / size.TARGETS
-    tokens = size.TOKENS_PER_SECOND / size.TARGETS
-    data = requests * slopes.slope("agent CPU per request")
-    data += tokens * slopes.slope("agent CPU per token")
+    control = need.idle + size.CHANGES_PER_DAY / size.DAY * change
+    traffic = need.traffic + _change_traffic(slopes)
+    traffic += slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
+    requests = size.REQUESTS_PER_SECOND / need.nodes
+    tokens = size.TOKENS_PER_SECOND / need.nodes
+    data = requests * slopes.slope(f"{need.role} CPU per request")
+    data += tokens * slopes.slope(f"{need.role} CPU per token")
+    role = need.role
+    carried_by = "parts by digest, VM list by tag, rare pings"
     return [
-        _memory("agent", memory, "one connection a gateway, all workspaces in memory"),
-        _cpu("agent", 100 * (idle + changes * change), "watch, VM list by tag"),
-        _traffic("agent", traffic, "parts by digest, VM list by tag, rare pings"),
-        Line("agent", "CPU for requests", data / 10, "% of a core", 0, "data path"),
+        _memory(role, memory, need.memory_carried_by),
+        _cpu(role, 100 * control, "watch, VM list by tag"),
+        _traffic(role, traffic, carried_by),
+        Line(role, "CPU for requests", data / 10, "% of a core", 0, "data path"),
     ]
 
 
