--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-LIBRARIES := protocol configuration daemon decisions platform gateway agent replay cli standins
+LIBRARIES := protocol configuration daemon decisions objects gateway agent proxy replay cli standins
 empty :=
 space := $(empty) $(empty)
 # The sources of this very checkout go first, so a second worktree may share a VENV.
-export PYTHONPATH := $(subst $(space),:,$(foreach library,$(LIBRARIES),$(CURDIR)/libraries/$(library)/src))
+SOURCES := $(foreach library,$(LIBRARIES),libraries/$(library)/src) platform/src
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SOURCES)))
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
@@ -24,7 +25,7 @@
 	$(VENV)/bin/ruff check .
 	$(PYTHON) tools/imports.py
 	$(PYTHON) tools/reference.py --check
-	$(VENV)/bin/mypy $(foreach library,$(LIBRARIES),libraries/$(library)/src) tools
+	$(VENV)/bin/mypy $(SOURCES) tools
 
 format: $(VENV)/ready
 	$(VENV)/bin/ruff format .
@@ -49,11 +50,11 @@
 
 # A VENV given on the command line is used as it is: it may be another worktree's.
 ifeq ($(origin VENV),file)
-$(VENV)/ready: constraints.txt $(wildcard libraries/*/pyproject.toml)
+$(VENV)/ready: constraints.txt $(wildcard libraries/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt poetry-core
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
-		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library))
+		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library)) --editable platform
 	touch $@
 endif
 
--- a/libraries/agent/src/bamboopier_agent/claim_writer.py
+++ b/libraries/agent/src/bamboopier_agent/claim_writer.py
@@ -12,19 +12,19 @@
 
 from bamboopier_decisions.claims.partition import ClaimPartition
 from bamboopier_decisions.claims.table import Claim, ClaimOutcome
-from bamboopier_platform.errors import (
+from bamboopier_objects.errors import (
     MalformedObjectError,
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
     VersionConflictError,
 )
-from bamboopier_platform.objects import ABSENT
+from bamboopier_objects.objects import ABSENT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bamboopier_platform.objects import ObjectStore
+    from bamboopier_objects.objects import ObjectStore
 
 # Conflicts with other agents and lost answers before a claim is given up.
 MAX_TRIES = 8
--- a/libraries/agent/src/bamboopier_agent/claims.py
+++ b/libraries/agent/src/bamboopier_agent/claims.py
@@ -16,7 +16,7 @@
 from result import Err
 
 from bamboopier_decisions.claims.table import Claim
-from bamboopier_platform.errors import PlatformUnavailableError
+from bamboopier_objects.errors import PlatformUnavailableError
 
 from .claim_writer import ClaimWriter
 
@@ -25,8 +25,8 @@
 
     from bamboopier_configuration.model import Service
     from bamboopier_decisions.claims.table import ClaimOutcome
-    from bamboopier_platform.errors import PlatformError
-    from bamboopier_platform.objects import ObjectStore
+    from bamboopier_objects.errors import PlatformError
+    from bamboopier_objects.objects import ObjectStore
 
 # The same in every process and for ever: two agents that divide keys differently
 # would grant one key twice, in two objects. Each claim reads and rewrites its
--- a/libraries/agent/src/bamboopier_agent/context_view.py
+++ b/libraries/agent/src/bamboopier_agent/context_view.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterable, Mapping
 
     from bamboopier_configuration.directory import Directory
-    from bamboopier_platform.vms import Vm
+    from bamboopier_objects.vms import Vm
 
 DEFAULT_LINK_BYTES_PER_SECOND = 125_000_000
 DEFAULT_BLOCK_TOKENS = 2000
--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -24,10 +24,10 @@
 from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.admission.admission import Admission
 from bamboopier_decisions.membership.lease import Lease
-from bamboopier_platform.follower import ConfigurationFollower
-from bamboopier_platform.http_platform import HttpPlatform
-from bamboopier_platform.peers import PeerClient, PeerService
-from bamboopier_platform.vm_board import VmBoard
+from bamboopier_objects.follower import ConfigurationFollower
+from bamboopier_objects.http_platform import HttpPlatform
+from bamboopier_objects.peers import PeerClient, PeerService
+from bamboopier_objects.vm_board import VmBoard
 from bamboopier_protocol.agent_pb2_grpc import (
     add_AgentServicer_to_server,
     add_PeerServicer_to_server,
--- a/libraries/agent/src/bamboopier_agent/lease.py
+++ b/libraries/agent/src/bamboopier_agent/lease.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from bamboopier_decisions.membership.lease import WriteLease
-    from bamboopier_platform.objects import ObjectStore, StoredObject
+    from bamboopier_objects.objects import ObjectStore, StoredObject
 
 # 730 agents that renew every 20 s write 37 times a second, a tenth of what the platform
 # takes; a lease survives two renewals that fail.
--- a/libraries/agent/src/bamboopier_agent/load_slots.py
+++ b/libraries/agent/src/bamboopier_agent/load_slots.py
@@ -18,7 +18,7 @@
     import random
     from collections.abc import AsyncIterator
 
-    from bamboopier_platform.objects import ObjectStore
+    from bamboopier_objects.objects import ObjectStore
 
 # Longer than an order to load may take, so that a slot whose holder was killed comes
 # back only when that holder's load is over.
@@ -36,11 +36,16 @@
         service: str,
         holder: str,
         random: random.Random,
+        *,
+        prefix: str = PREFIX,
+        lease_seconds: float = SLOT_LEASE_SECONDS,
     ) -> None:
         self._objects = objects
         self._service = service
         self._holder = holder
         self._random = random
+        self._prefix = prefix
+        self._lease_seconds = lease_seconds
         self._keepers: dict[int, LeaseKeeper] = {}
 
     @asynccontextmanager
@@ -62,7 +67,7 @@
         """Read all slots at once; False when the platform did not answer."""
         for number in range(count):
             self._keepers.setdefault(number, self._make_keeper(number))
-        answer = await self._objects.scan(f"{PREFIX}{self._service}/")
+        answer = await self._objects.scan(f"{self._prefix}{self._service}/")
         if isinstance(answer, Err):
             return False
         for stored in answer.ok_value:
@@ -83,8 +88,8 @@
         # No two processes share a place here: an agent that starts anew after its
         # predecessor was killed must not take that one's slot at once, since the
         # engine may still be loading by the predecessor's order.
-        lease = Lease(self._holder, self._holder, SLOT_LEASE_SECONDS)
-        key = f"{PREFIX}{self._service}/{number}"
+        lease = Lease(self._holder, self._holder, self._lease_seconds)
+        key = f"{self._prefix}{self._service}/{number}"
         return LeaseKeeper(self._objects, key, lease)
 
 
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -34,7 +34,7 @@
     from bamboopier_configuration.model import Service
     from bamboopier_configuration.settings import AgentSettings
     from bamboopier_decisions.claims.table import ClaimOutcome
-    from bamboopier_platform.follower import ConfigurationFollower
+    from bamboopier_objects.follower import ConfigurationFollower
 
     from .claims import ClaimTable
     from .context import ContextKeeper
--- a/libraries/agent/src/bamboopier_agent/standing.py
+++ b/libraries/agent/src/bamboopier_agent/standing.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from bamboopier_configuration.directory import Directory
     from bamboopier_configuration.settings import AgentSettings
-    from bamboopier_platform.vm_board import VmBoard
+    from bamboopier_objects.vm_board import VmBoard
 
     from .gate import AdmissionGate
 
--- a/libraries/agent/src/bamboopier_agent/weights.py
+++ b/libraries/agent/src/bamboopier_agent/weights.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
 
     from bamboopier_configuration.model import Service
-    from bamboopier_platform.follower import ConfigurationFollower
+    from bamboopier_objects.follower import ConfigurationFollower
 
     from .lease import LeaseKeeper
     from .load_slots import LoadSlots
--- a/libraries/agent/tests/builders.py
+++ b/libraries/agent/tests/builders.py
@@ -10,13 +10,13 @@
 from result import Err, Ok, Result
 
 from bamboopier_configuration.model import Service
-from bamboopier_platform.errors import (
+from bamboopier_objects.errors import (
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
     VersionConflictError,
 )
-from bamboopier_platform.objects import StoredObject
+from bamboopier_objects.objects import StoredObject
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/libraries/agent/tests/order_builders.py
+++ b/libraries/agent/tests/order_builders.py
@@ -21,12 +21,12 @@
 from bamboopier_configuration.settings import Address, AgentSettings
 from bamboopier_decisions.admission.admission import Admission
 from bamboopier_decisions.membership.lease import Lease
-from bamboopier_platform.errors import (
+from bamboopier_objects.errors import (
     PlatformError,
     PlatformUnavailableError,
     VersionConflictError,
 )
-from bamboopier_platform.objects import StoredObject
+from bamboopier_objects.objects import StoredObject
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/libraries/cli/src/bamboopier_cli/commands/publish.py
+++ b/libraries/cli/src/bamboopier_cli/commands/publish.py
@@ -9,8 +9,8 @@
 import msgspec
 from result import Err
 
-from bamboopier_platform.errors import VersionConflictError
-from bamboopier_platform.publisher import Publisher
+from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.publisher import Publisher
 
 from ..credentials import open_platform
 from ..difference import Difference, compare, describe
--- a/libraries/cli/src/bamboopier_cli/commands/status.py
+++ b/libraries/cli/src/bamboopier_cli/commands/status.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bamboopier_platform.publisher import Publisher
+from bamboopier_objects.publisher import Publisher
 
 from ..credentials import open_platform
 from ..output import render
--- a/libraries/cli/src/bamboopier_cli/credentials.py
+++ b/libraries/cli/src/bamboopier_cli/credentials.py
@@ -12,7 +12,7 @@
 from bamboopier_configuration.reader import read_file
 from bamboopier_configuration.settings import Tls
 from bamboopier_daemon.certificates import Certificates
-from bamboopier_platform.http_platform import HttpPlatform
+from bamboopier_objects.http_platform import HttpPlatform
 
 from .exits import fail_configuration
 
--- a/libraries/cli/src/bamboopier_cli/publishing.py
+++ b/libraries/cli/src/bamboopier_cli/publishing.py
@@ -11,8 +11,8 @@
 from result import Err, Ok
 
 from bamboopier_configuration.model import Drains
-from bamboopier_platform.errors import VersionConflictError
-from bamboopier_platform.publisher import Publisher
+from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.publisher import Publisher
 
 from .credentials import open_platform
 from .exits import USAGE, CommandError
@@ -21,9 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bamboopier_platform.generations import Generation
-    from bamboopier_platform.http_platform import HttpPlatform
-    from bamboopier_platform.vms import Vm
+    from bamboopier_objects.generations import Generation
+    from bamboopier_objects.http_platform import HttpPlatform
+    from bamboopier_objects.vms import Vm
 
 # Drains by several operators at once compose; each conflict means that one got through.
 DRAIN_ATTEMPTS = 20
--- a/libraries/cli/src/bamboopier_cli/survey.py
+++ b/libraries/cli/src/bamboopier_cli/survey.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from bamboopier_platform.vms import Vm, VmList
+    from bamboopier_objects.vms import Vm, VmList
 
 ASKED_AT_ONCE = 64
 ANSWER_SECONDS = 2.0
--- a/libraries/cli/tests/test_publishing.py
+++ b/libraries/cli/tests/test_publishing.py
@@ -9,11 +9,11 @@
 
 from bamboopier_cli.exits import USAGE, CommandError
 from bamboopier_cli.publishing import change_drains
-from bamboopier_platform.errors import PlatformError, VersionConflictError
-from bamboopier_platform.generations import GenerationStore
-from bamboopier_platform.objects import StoredObject
-from bamboopier_platform.parts import HEAD_KEY
-from bamboopier_platform.vms import Vm
+from bamboopier_objects.errors import PlatformError, VersionConflictError
+from bamboopier_objects.generations import GenerationStore
+from bamboopier_objects.objects import StoredObject
+from bamboopier_objects.parts import HEAD_KEY
+from bamboopier_objects.vms import Vm
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/libraries/daemon/src/bamboopier_daemon/daemon.py
+++ b/libraries/daemon/src/bamboopier_daemon/daemon.py
@@ -8,13 +8,15 @@
 import signal
 import sys
 from contextlib import asynccontextmanager, suppress
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TextIO, cast
 
+import msgspec
 import structlog
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
 from .listening import explain_listening
+from .log_sink import LogSink
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Coroutine
@@ -34,7 +36,7 @@
 
 
 def run(main: Coroutine[Any, Any, None]) -> None:
-    """Run a daemon's main coroutine on uvloop with JSON logs on standard error.
+    """Run a daemon's main coroutine on uvloop with JSON logs on standard output.
 
     uvloop 0.22 opens an io_uring instance unless told otherwise before its import;
     the brief forbids io_uring, so the variable is set here, before that import.
@@ -47,20 +49,30 @@
 
 
 def configure_logs() -> None:
-    """Write one JSON object a line to standard error."""
+    """Write one JSON object a line to standard output."""
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(serializer=_encode),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=_open_sink()),
         cache_logger_on_first_use=True,
     )
 
 
+def _open_sink() -> TextIO:
+    # structlog only writes and flushes.
+    return cast("TextIO", LogSink(sys.stdout.fileno()))
+
+
+def _encode(line: dict[str, object], **_: object) -> str:
+    """Return a line as JSON; what JSON does not know is written as its text."""
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
 async def wait_for_stop() -> None:
     """Return at the first SIGTERM or SIGINT."""
     stopped = asyncio.Event()
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a gateway that sends requests to targets itself."""
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/currency.py
@@ -0,0 +1,40 @@
+"""Until when a configuration may be relied on for requests with a key.
+
+Failure answered: a key is taken away while a gateway hears nothing of it, because it
+is cut off, suspended, or its watch went silent. Without a bound it would go on serving
+that key. A proof is a linearizable answer that showed the configuration; it counts
+from before the question was sent. The absence of bad news proves nothing.
+"""
+
+from __future__ import annotations
+
+# Seconds left for the way from the check to the target.
+SEND_MARGIN = 0.15
+
+
+class Currency:
+    """When the configuration in force was last proved current.
+
+    All times are on a clock that also counts while the machine is suspended.
+    """
+
+    __slots__ = ("_limit", "proved_at")
+
+    def __init__(self, limit: float | None) -> None:
+        # Seconds after which a key may have been taken away; None for no such bound.
+        self._limit = limit
+        self.proved_at = float("-inf")
+
+    def prove(self, asked_at: float) -> None:
+        """Take in that the configuration was current at ``asked_at``."""
+        self.proved_at = max(self.proved_at, asked_at)
+
+    def find_age(self, now: float) -> float:
+        """Return the seconds since the last proof."""
+        return now - self.proved_at
+
+    def covers(self, now: float) -> bool:
+        """Say whether a request with a key may be passed on at ``now``."""
+        if self._limit is None:
+            return self.proved_at > float("-inf")
+        return self.find_age(now) < self._limit - SEND_MARGIN
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -0,0 +1,187 @@
+"""The targets a gateway may send to, and what is under way at each.
+
+Load pattern: several gateways send prompts of very different size to few engines, whose
+memory is the bound. Each gateway counts its own requests at once and adds what the
+others last told, so that no call is needed before a request is sent.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .model import ServiceSpec
+from .target_state import Load, TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from .model import TargetEntry
+    from .prompt import Prompt
+
+# An entry that was missing when the store came back may only have lapsed while the
+# store was away; targets that live are listed again within two seconds.
+RETURN_SECONDS = 2.2
+
+
+class Sent:
+    """One request at one target, from its sending to its end."""
+
+    __slots__ = ("load", "service", "state")
+
+    def __init__(self, state: TargetState, load: Load) -> None:
+        self.state = state
+        self.load = load
+        self.service = state.service.name
+
+
+class Fleet:
+    """States of all registered targets by name."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, TargetState] = {}
+        self._services: Mapping[str, ServiceSpec] = {}
+        self._by_service: dict[str, list[TargetState]] = {}
+        # Targets whose entry is missing since the store came back, and until when
+        # they are still used.
+        self._missing: dict[str, float] = {}
+        self._closed_data_centres: frozenset[str] = frozenset()
+        self.gateways = 1
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of all registered targets."""
+        return list(self._states)
+
+    def find(self, name: str) -> TargetState | None:
+        """Return a target's state."""
+        return self._states.get(name)
+
+    def list_service(self, service: str, now: float) -> list[TargetState]:
+        """Return the targets of a service that new requests may go to."""
+        self._drop_gone(now)
+        closed = self._closed_data_centres
+        return [
+            state
+            for state in self._by_service.get(service, ())
+            if not state.entry.leaving and state.entry.data_centre not in closed
+        ]
+
+    def is_open(self, state: TargetState, now: float) -> bool:
+        """Say whether ``state`` is still to be used, right before a send."""
+        self._drop_gone(now)
+        return (
+            self._states.get(state.entry.name) is state
+            and not state.entry.leaving
+            and state.entry.data_centre not in self._closed_data_centres
+        )
+
+    def close_data_centres(self, names: Iterable[str]) -> None:
+        """Send nothing to the targets of these data centres."""
+        self._closed_data_centres = frozenset(names)
+
+    def set_services(self, services: Mapping[str, ServiceSpec]) -> None:
+        """Take the operator's services."""
+        self._services = services
+        for state in self._states.values():
+            found = services.get(state.entry.service)
+            if found is not None:
+                state.service = found
+        self._arrange()
+
+    def replace(
+        self, now: float, entries: Iterable[TargetEntry], store_was_away: bool
+    ) -> None:
+        """Take the whole list; those missing after an outage keep a while."""
+        listed = {entry.name: entry for entry in entries}
+        for entry in listed.values():
+            self.put(now, entry)
+        for name in [n for n in self._states if n not in listed]:
+            self.remove(now, name, store_was_away)
+        self._arrange()
+
+    def put(self, now: float, entry: TargetEntry) -> None:
+        """Take one new or changed entry."""
+        self._missing.pop(entry.name, None)
+        state = self._states.get(entry.name)
+        if state is not None and _is_same_start(state.entry, entry):
+            cold = entry.cold_seconds
+            if cold > state.entry.cold_seconds:
+                state.cold.start(now, cold)
+            state.renew(entry)
+            return
+        spec = self._services.get(entry.service)
+        if spec is None:
+            spec = _make_unknown_service(entry.service)
+        state = TargetState(entry, spec)
+        if entry.cold_seconds > 0:
+            state.cold.start(now, entry.cold_seconds)
+        self._states[entry.name] = state
+        self._arrange()
+
+    def remove(self, now: float, name: str, store_was_away: bool) -> None:
+        """Take in that an entry is gone."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        if store_was_away and not state.entry.leaving:
+            self._missing.setdefault(name, now + RETURN_SECONDS)
+            return
+        self._missing.pop(name, None)
+        del self._states[name]
+        self._arrange()
+
+    def begin(self, now: float, state: TargetState, prompt: Prompt | None) -> Sent:
+        """Count a request that is sent now."""
+        load = Load(requests=1)
+        if prompt is not None:
+            load.unread = state.count_unread(prompt)
+            own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
+            load.memory = max(load.unread, own) + prompt.tokens_out
+            state.parts.add(prompt)
+        state.own.add(load)
+        state.cold.note_sent(now)
+        state.standing.note_sent()
+        return Sent(state, load)
+
+    def note_read(self, sent: Sent) -> None:
+        """Take in that the prompt has been read: the first event came."""
+        sent.state.own.unread -= sent.load.unread
+        sent.load.unread = 0
+
+    def end(self, sent: Sent) -> None:
+        """Take in that the request is over."""
+        own = sent.state.own
+        own.requests -= sent.load.requests
+        own.memory -= sent.load.memory
+        own.unread -= sent.load.unread
+
+    def set_others(self, loads: Mapping[str, Load]) -> None:
+        """Take what the other gateways have under way at each target."""
+        for name, state in self._states.items():
+            state.others = loads.get(name) or Load()
+
+    def _drop_gone(self, now: float) -> None:
+        if not self._missing:
+            return
+        for name in [n for n, until in self._missing.items() if now >= until]:
+            self.remove(now, name, store_was_away=False)
+
+    def _arrange(self) -> None:
+        by_service: dict[str, list[TargetState]] = {}
+        for name in sorted(self._states):
+            state = self._states[name]
+            by_service.setdefault(state.entry.service, []).append(state)
+        self._by_service = by_service
+
+
+def _is_same_start(known: TargetEntry, entry: TargetEntry) -> bool:
+    return (
+        known.born == entry.born
+        and known.host == entry.host
+        and known.port == entry.port
+        and known.service == entry.service
+    )
+
+
+def _make_unknown_service(name: str) -> ServiceSpec:
+    return ServiceSpec(name, "", 0, 0.0, 0.0, None)
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -0,0 +1,165 @@
+"""Which target a request goes to, or that all are full.
+
+Load pattern: prompts that share long beginnings, over engines of which each caches a
+part of them. By load alone every prompt is read anew everywhere; by its beginning alone
+a popular one floods its owner while others idle. The expected time to the first token
+weighs both: what has to be read here, and what is still to be read before it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..routing.rendezvous import rank
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Set
+
+    from .fleet import Fleet
+    from .prompt import Prompt
+    from .target_state import TargetState
+
+# Prompt tokens an engine reads in a second; the operators' sheet gives 112 a ms.
+READ_RATE = 112_000.0
+# Seconds that one running request adds to the time of a first token: it shares each
+# step of the batch. A step of 128 requests takes 6 ms longer than one of a single.
+RUNNING_SECONDS = 0.0008
+# Chance that the first owner of a prompt's beginning has it cached when this gateway
+# has not sent it there itself: the others choose the same owner.
+OWNER_CHANCE = 0.5
+# Seconds for leaving the data centre: the way there and back, and its price in bytes.
+OUTSIDE_SECONDS = 0.004
+# Seconds a target's failing requests count as; a target that fails a tenth of its
+# requests is as bad as one that is this much slower by a tenth.
+FAILING_SECONDS = 2.0
+# Seconds that older weights count as: an answer made on them is worth a fifth less.
+OLD_SECONDS = 0.1
+# A target is full when requests under way need this share of its memory.
+MEMORY_SHARE = 1.0
+# Seconds of unread prompts above which no more are sent, by the request's priority:
+# what is less urgent leaves room for what is more urgent.
+UNREAD_SECONDS = (0.6, 0.45, 0.4)
+# Requests under way at a plain target, as a share of its slots, above which it is full.
+# Its own queue covers the time in which a gateway hears of a free slot.
+PLAIN_SHARE = 2.0
+
+
+class Demand:
+    """What one request needs of a target."""
+
+    __slots__ = ("priority", "prompt", "service")
+
+    def __init__(self, service: str, priority: int, prompt: Prompt | None) -> None:
+        self.service = service
+        self.priority = priority
+        self.prompt = prompt
+
+    @property
+    def unread_seconds(self) -> float:
+        """Return the backlog up to which the request is sent."""
+        return UNREAD_SECONDS[min(max(self.priority, 0), len(UNREAD_SECONDS) - 1)]
+
+
+class Placement:
+    """The outcome of looking for a target."""
+
+    __slots__ = ("known", "open", "state", "usable")
+
+    def __init__(
+        self, state: TargetState | None, known: int, open_: int, usable: int
+    ) -> None:
+        # The chosen target; None when all usable ones are full, or none is usable.
+        self.state = state
+        # Targets registered and open, those that may be tried, those with room.
+        self.known = known
+        self.usable = usable
+        self.open = open_
+
+
+def place(
+    now: float,
+    fleet: Fleet,
+    demand: Demand,
+    tried: Set[str],
+    oldest_version: int,
+    data_centre: str,
+    random: random.Random,
+) -> Placement:
+    """Return the target with the least expected time to the first byte.
+
+    Targets with weights older than ``oldest_version`` are left out.
+    """
+    known = fleet.list_service(demand.service, now)
+    usable = [
+        state
+        for state in known
+        if state.entry.name not in tried
+        and _may_try(now, fleet, state)
+        and _serves(state, demand, oldest_version)
+    ]
+    room = [state for state in usable if has_room(state, demand)]
+    best = _choose(room, demand, data_centre, random) if room else None
+    return Placement(best, len(known), len(room), len(usable))
+
+
+def has_room(state: TargetState, demand: Demand) -> bool:
+    """Say whether a target takes one more such request without a long wait."""
+    engine = state.service.engine
+    if engine is None or demand.prompt is None:
+        return state.requests < state.slots * PLAIN_SHARE
+    if state.requests == 0:
+        return True
+    if state.requests >= state.slots:
+        return False
+    unread = state.count_unread(demand.prompt)
+    memory = unread + demand.prompt.tokens_out
+    if state.memory + memory > engine.memory_tokens * MEMORY_SHARE:
+        return False
+    return state.unread / READ_RATE <= demand.unread_seconds
+
+
+def _may_try(now: float, fleet: Fleet, state: TargetState) -> bool:
+    if now < state.busy_until or not state.standing.may_try(now):
+        return False
+    rate = state.service.cold_per_second
+    return rate <= 0 or state.cold.may_send(now, rate, fleet.gateways)
+
+
+def _serves(state: TargetState, demand: Demand, oldest_version: int) -> bool:
+    if demand.prompt is None or oldest_version == 0:
+        return True
+    return state.versions.get(demand.prompt.model, 0) >= oldest_version
+
+
+def _choose(
+    states: list[TargetState],
+    demand: Demand,
+    data_centre: str,
+    random: random.Random,
+) -> TargetState:
+    prompt = demand.prompt
+    owner = ""
+    newest = 0
+    if prompt is not None:
+        newest = max(state.versions.get(prompt.model, 0) for state in states)
+    if prompt is not None and prompt.affinity:
+        names = [state.entry.name for state in states]
+        owner = rank(prompt.affinity.encode(), names, 1)[0]
+
+    def expect(state: TargetState) -> float:
+        outside = 0.0 if state.entry.data_centre == data_centre else OUTSIDE_SECONDS
+        failing = state.standing.failing_share * FAILING_SECONDS
+        chance = random.random() * 1e-4
+        if prompt is None:
+            return state.requests / state.slots + outside + failing + chance
+        unread = state.count_unread(prompt)
+        if state.entry.name == owner and unread == prompt.tokens_in:
+            shared = prompt.tokens_in - prompt.parts[-1].tokens
+            unread -= int(shared * OWNER_CHANCE)
+        waiting = (state.unread + unread) / READ_RATE
+        running = state.requests * RUNNING_SECONDS
+        old = OLD_SECONDS if state.versions.get(prompt.model, 0) < newest else 0.0
+        return waiting + running + outside + failing + old + chance
+
+    return min(states, key=expect)
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/retry_share.py
@@ -0,0 +1,50 @@
+"""This gateway's share of the sends beyond the first that a service may get.
+
+Load pattern: a partial failure under load, when every gateway would send each failed
+request again and the service would carry a multiple of what it cannot carry now. The
+operator bounds repeats over all gateways in a sliding window; each keeps to the same
+ratio of its own requests and to an equal part of the constant slack, so the parts add
+up without a call for each retry.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Share of the common slack that is divided among the gateways. The rest covers a
+# gateway that restarts and has forgotten what it already spent in the window.
+SLACK_SHARE = 0.6
+# Share of the ratio that is used: the windows of the gateways do not begin together.
+RATIO_SHARE = 0.8
+
+
+class RetryShare:
+    """Counts one service's requests and repeats of this gateway in a window."""
+
+    __slots__ = ("_ratio", "_repeats", "_requests", "_slack", "_window")
+
+    def __init__(self, ratio: float, slack: float, window: float) -> None:
+        self._ratio = ratio * RATIO_SHARE
+        self._slack = slack * SLACK_SHARE
+        self._window = window
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def add_request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._requests.append(now)
+
+    def take(self, now: float, gateways: int) -> bool:
+        """Spend one repeat, with the slack divided by ``gateways``; False if none."""
+        _drop_before(self._requests, now - self._window)
+        _drop_before(self._repeats, now - self._window)
+        allowed = self._ratio * len(self._requests) + self._slack / max(1, gateways)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+
+def _drop_before(times: deque[float], start: float) -> None:
+    while times and times[0] < start:
+        times.popleft()
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/route_table.py
@@ -0,0 +1,61 @@
+"""Finds the route of a request, and the workspace of a key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from .model import Declared, Route, Workspace
+
+
+class RouteTable:
+    """Look-ups in one version of the configuration.
+
+    Load pattern: thousands of requests a second over hundreds of routes. A request
+    looks up one prefix for each slash of its path, whatever the number of routes.
+    """
+
+    __slots__ = ("_by_host", "_by_key", "declared")
+
+    def __init__(self, declared: Declared) -> None:
+        self.declared = declared
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in declared.routes:
+            prefixes = self._by_host.setdefault(route.host, {})
+            prefixes.setdefault(route.prefix, route)
+        self._by_key: dict[str, Workspace] = {
+            key: workspace
+            for workspace in declared.workspaces or ()
+            for key in workspace.keys
+        }
+
+    @property
+    def needs_key(self) -> bool:
+        """Say whether routes that are not public ask for a key."""
+        return self.declared.workspaces is not None
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path`` (without query)."""
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def find_workspace(self, key: str) -> Workspace | None:
+        """Return the workspace that holds ``key``."""
+        return self._by_key.get(key)
+
+
+def draw_service(route: Route, random: random.Random) -> str:
+    """Return the service that one request goes to, by the declared weights."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    weights = [s.weight for s in route.services]
+    return random.choices(route.services, weights)[0].service
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -0,0 +1,101 @@
+"""What a gateway believes of one start of a target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .cold_ramp import ColdRamp
+from .part_memory import PartMemory
+from .standing import Standing
+
+if TYPE_CHECKING:
+    from .model import ServiceSpec, TargetEntry
+    from .prompt import Prompt
+
+# Share of an engine's memory that is believed to hold shared parts; the rest holds
+# what runs.
+CACHE_SHARE = 0.6
+
+
+class Load:
+    """Work of one target: requests, tokens of memory, and tokens still to be read."""
+
+    __slots__ = ("memory", "requests", "unread")
+
+    def __init__(self, requests: int = 0, memory: int = 0, unread: int = 0) -> None:
+        self.requests = requests
+        self.memory = memory
+        self.unread = unread
+
+    def add(self, other: Load) -> None:
+        """Add another load."""
+        self.requests += other.requests
+        self.memory += other.memory
+        self.unread += other.unread
+
+
+class TargetState:
+    """One target: its entry, own load, load told by other gateways, and standing."""
+
+    __slots__ = (
+        "busy_until",
+        "cold",
+        "entry",
+        "own",
+        "others",
+        "parts",
+        "service",
+        "standing",
+        "versions",
+    )
+
+    def __init__(self, entry: TargetEntry, service: ServiceSpec) -> None:
+        self.entry = entry
+        self.service = service
+        self.own = Load()
+        self.others = Load()
+        self.standing = Standing()
+        self.cold = ColdRamp()
+        # Until then it turns requests away, by its own word.
+        self.busy_until = float("-inf")
+        self.versions = dict(entry.versions)
+        memory = service.engine.memory_tokens if service.engine else 0
+        self.parts = PartMemory(int(memory * CACHE_SHARE))
+
+    @property
+    def slots(self) -> int:
+        """Return the requests it runs at once."""
+        return max(1, self.entry.slots)
+
+    @property
+    def requests(self) -> int:
+        """Return the requests under way, other gateways' included."""
+        return self.own.requests + self.others.requests
+
+    @property
+    def memory(self) -> int:
+        """Return the tokens of memory that requests under way need."""
+        return self.own.memory + self.others.memory
+
+    @property
+    def unread(self) -> int:
+        """Return the prompt tokens not yet read."""
+        return self.own.unread + self.others.unread
+
+    def renew(self, entry: TargetEntry) -> None:
+        """Take a newer entry of the same start."""
+        self.entry = entry
+        for model, version in entry.versions.items():
+            self.note_version(model, version)
+
+    def note_version(self, model: str, version: int) -> None:
+        """Take in a weight version; a change empties the engine's cache."""
+        known = self.versions.get(model, 0)
+        if version > known:
+            self.versions[model] = version
+            if known:
+                self.parts.clear()
+
+    def count_unread(self, prompt: Prompt) -> int:
+        """Return the tokens of ``prompt`` that it probably has to read."""
+        return max(1, prompt.tokens_in - self.parts.count_cached(prompt))
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -0,0 +1,45 @@
+"""Which weight versions a request may begin on.
+
+Failure answered: an engine that missed its order goes on with old weights for ever, and
+its answers are those of a model that was replaced. Older versions serve while the newer
+is being loaded, since none would serve otherwise; after that time they get nothing.
+"""
+
+from __future__ import annotations
+
+# Share of the time allowed for a new version that engines with the older one may use.
+# The rest covers the time until this process heard of it, and requests on their way.
+USE_SHARE = 0.75
+
+
+class WeightVersions:
+    """The newest version named for each model, and when that was heard."""
+
+    __slots__ = ("_allowed", "_named")
+
+    def __init__(self, allowed_seconds: float) -> None:
+        self._allowed = allowed_seconds
+        # Versions of each model with the time each was first heard of, oldest first.
+        self._named: dict[str, list[tuple[int, float]]] = {}
+
+    def name(self, now: float, model: str, version: int) -> bool:
+        """Take in a named version; True if it is newer than those known."""
+        versions = self._named.setdefault(model, [])
+        if versions and version <= versions[-1][0]:
+            return False
+        versions.append((version, now))
+        return True
+
+    def find_newest(self, model: str) -> int:
+        """Return the newest version; 0 when none was named."""
+        versions = self._named.get(model)
+        return versions[-1][0] if versions else 0
+
+    def find_oldest_allowed(self, now: float, model: str) -> int:
+        """Return the oldest version that a request may still begin on."""
+        limit = self._allowed * USE_SHARE
+        allowed = 0
+        for version, heard in self._named.get(model, ()):
+            if now - heard >= limit:
+                allowed = version
+        return allowed
--- a/libraries/gateway/src/bamboopier_gateway/application.py
+++ b/libraries/gateway/src/bamboopier_gateway/application.py
@@ -26,7 +26,7 @@
 
     from bamboopier_configuration.directory import Directory
     from bamboopier_configuration.settings import GatewaySettings
-    from bamboopier_platform.follower import ConfigurationFollower
+    from bamboopier_objects.follower import ConfigurationFollower
 
     from .call import Call
     from .forwarder import Forwarder
@@ -60,7 +60,7 @@
         self._reader = reader
         self._forwarder = forwarder
         self._metrics = metrics
-        self._bodies = BodyBudget(settings.max_held_body_bytes, metrics)
+        self._bodies = BodyBudget(settings.max_held_body_bytes, metrics.held_body_bytes)
         self._stopping = False
         self._open = 0
         self._idle = asyncio.Event()
--- a/libraries/gateway/src/bamboopier_gateway/body.py
+++ b/libraries/gateway/src/bamboopier_gateway/body.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .metrics import GatewayMetrics
+    from prometheus_client import Gauge
 
 RETRY_SECONDS = 1.0
 
@@ -27,13 +27,13 @@
     with every request it has; refusing the next one costs that one a retry.
     """
 
-    def __init__(self, limit: int, metrics: GatewayMetrics) -> None:
+    def __init__(self, limit: int, held_bytes: Gauge) -> None:
         self._limit = limit
         self._held = 0
-        metrics.held_body_bytes.set_function(lambda: self._held)
+        held_bytes.set_function(lambda: self._held)
 
     @contextmanager
-    def open(self, request: web.Request) -> Iterator[None]:
+    def open(self, request: web.BaseRequest) -> Iterator[None]:
         """Hold what ``request`` reads for as long as the context is open."""
         share = BodyShare(self)
         request[BODY_SHARE] = share
@@ -68,7 +68,7 @@
 BODY_SHARE = web.RequestKey("body_share", BodyShare)
 
 
-async def read_body(request: web.Request, limit: int, timeout: float) -> bytes:
+async def read_body(request: web.BaseRequest, limit: int, timeout: float) -> bytes:
     """Return the body; raises ``CallerError``, and stops reading, above ``limit``.
 
     ``timeout`` in seconds is for the whole body, so that a caller that sends a byte now
@@ -88,7 +88,7 @@
         raise CallerError(ErrorCode.BAD_REQUEST, message) from error
 
 
-async def _read_chunks(request: web.Request, limit: int) -> bytes:
+async def _read_chunks(request: web.BaseRequest, limit: int) -> bytes:
     share = request[BODY_SHARE]
     body = bytearray()
     async for chunk in request.content.iter_any():
--- a/libraries/gateway/src/bamboopier_gateway/connection.py
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import uuid
-from typing import TYPE_CHECKING, Any, Protocol, cast
+from typing import Any, Protocol, cast
 
 import structlog
 from aiohttp import web
@@ -13,9 +13,6 @@
 
 from .errors import CallerError, ErrorCode
 
-if TYPE_CHECKING:
-    from bamboopier_configuration.settings import GatewaySettings
-
 # A connection that is refused stays this long, so that its caller can read why.
 REFUSAL_SECONDS = 1.0
 KEEPALIVE_PROBES = 3
@@ -24,6 +21,25 @@
 log = structlog.get_logger()
 
 
+class ConnectionLimits(Protocol):
+    """What one caller's connection may take, in seconds."""
+
+    @property
+    def header_timeout_seconds(self) -> float:
+        """Return the time from a request's first byte to its last header."""
+        ...
+
+    @property
+    def idle_timeout_seconds(self) -> float:
+        """Return how long a connection without a request stays open."""
+        ...
+
+    @property
+    def write_timeout_seconds(self) -> float:
+        """Return how long a peer may take no byte."""
+        ...
+
+
 class ConnectionCount(Protocol):
     """Keeps count of open connections."""
 
@@ -49,7 +65,7 @@
     def __init__(
         self,
         manager: web.Server,
-        settings: GatewaySettings,
+        settings: ConnectionLimits,
         count: ConnectionCount,
         **options: Any,
     ) -> None:
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -15,10 +15,10 @@
 from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_daemon.stopping import StopEnd, StopSignals
 from bamboopier_decisions.routing.router import Router
-from bamboopier_platform.follower import ConfigurationFollower
-from bamboopier_platform.http_platform import HttpPlatform
-from bamboopier_platform.peers import PeerClient
-from bamboopier_platform.vm_board import VmBoard
+from bamboopier_objects.follower import ConfigurationFollower
+from bamboopier_objects.http_platform import HttpPlatform
+from bamboopier_objects.peers import PeerClient
+from bamboopier_objects.vm_board import VmBoard
 
 from .agents import Agents
 from .application import GatewayApplication
--- a/libraries/gateway/src/bamboopier_gateway/errors.py
+++ b/libraries/gateway/src/bamboopier_gateway/errors.py
@@ -43,6 +43,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
+    STALE_CONFIGURATION = "stale_configuration"
     INTERNAL = "internal"
 
     @property
@@ -79,6 +80,7 @@
     ErrorCode.CLAIM_UNAVAILABLE: 503,
     ErrorCode.STOPPING: 503,
     ErrorCode.QUARANTINED: 422,
+    ErrorCode.STALE_CONFIGURATION: 503,
     ErrorCode.INTERNAL: 500,
 }
 
--- a/libraries/gateway/src/bamboopier_gateway/fleet.py
+++ b/libraries/gateway/src/bamboopier_gateway/fleet.py
@@ -22,8 +22,8 @@
     from bamboopier_configuration.directory import Directory
     from bamboopier_configuration.model import Model
     from bamboopier_configuration.settings import GatewaySettings
-    from bamboopier_platform.vm_board import VmBoard
-    from bamboopier_platform.vms import Vm
+    from bamboopier_objects.vm_board import VmBoard
+    from bamboopier_objects.vms import Vm
 
     from .agents import Agents
 
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -29,7 +29,7 @@
 
     from bamboopier_decisions.routing.messages import RoutingDecision
     from bamboopier_decisions.routing.router import Router
-    from bamboopier_platform.follower import ConfigurationFollower
+    from bamboopier_objects.follower import ConfigurationFollower
 
     from .agents import Agents
     from .call import Call
--- a/libraries/gateway/src/bamboopier_gateway/shared_quarantine.py
+++ b/libraries/gateway/src/bamboopier_gateway/shared_quarantine.py
@@ -12,13 +12,13 @@
 from result import Err, Ok
 
 from bamboopier_decisions.quarantine.quarantine import Quarantine, Sentence
-from bamboopier_platform.errors import VersionConflictError
-from bamboopier_platform.objects import ABSENT
+from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.objects import ABSENT
 
 if TYPE_CHECKING:
     import random
 
-    from bamboopier_platform.objects import ObjectStore
+    from bamboopier_objects.objects import ObjectStore
 
     from .call import Call
 
--- a/libraries/gateway/src/bamboopier_gateway/target_poll.py
+++ b/libraries/gateway/src/bamboopier_gateway/target_poll.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from bamboopier_decisions.routing.router import Router
-    from bamboopier_platform.follower import ConfigurationFollower
+    from bamboopier_objects.follower import ConfigurationFollower
 
     from .agents import Agents
     from .fleet import Fleet
--- /dev/null
+++ b/libraries/objects/src/bamboopier_objects/http_caller.py
@@ -0,0 +1,125 @@
+"""Calls to the platform over HTTP: time limits, and what a lost answer means."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Self, TypeVar
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from .errors import (
+    MalformedObjectError,
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
+
+if TYPE_CHECKING:
+    import ssl
+    from types import TracebackType
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_SECONDS = 5.0
+
+
+class Reply:
+    """A platform answer that arrived whole."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+        self.status = status
+        self.body = body
+        # Names in lower case.
+        self.headers = headers
+
+
+class HttpCaller:
+    """Makes calls below ``base_url``; close it by leaving the context."""
+
+    def __init__(
+        self,
+        base_url: str,
+        certificates: ssl.SSLContext | None = None,
+        call_timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> None:
+        self._certificates = certificates
+        self._base_url = base_url.rstrip("/")
+        self.call_timeout = call_timeout
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        timeout = aiohttp.ClientTimeout(total=self.call_timeout)
+        connector = aiohttp.TCPConnector(ssl=self._certificates or True)
+        self._session = aiohttp.ClientSession(
+            timeout=timeout, connector=connector, middlewares=(_send_once,)
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        patience: float | None = None,
+    ) -> Result[Reply, PlatformError]:
+        """Make one call; a change whose answer is lost is reported as unknown.
+
+        ``patience`` is in seconds for the whole call; None is the caller's usual.
+        """
+        if self._session is None:
+            return Err(PlatformUnavailableError("the platform client is not open"))
+        timeout = aiohttp.ClientTimeout(total=patience or self.call_timeout)
+        url = self._base_url + path
+        try:
+            async with self._session.request(
+                method, url, data=body, headers=headers, timeout=timeout
+            ) as response:
+                content = await response.read()
+                received = {n.lower(): v for n, v in response.headers.items()}
+                return Ok(Reply(response.status, content, received))
+        except aiohttp.ClientConnectorError as error:
+            return Err(PlatformUnavailableError(f"{method} {url}: {error}"))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            text = f"{method} {url}: {error or type(error).__name__}"
+            if method == "GET":
+                return Err(PlatformUnavailableError(text))
+            return Err(PlatformOutcomeUnknownError(text))
+
+
+def decode_reply(reply: Reply, kind: type[T]) -> Result[T, PlatformError]:
+    """Return the body of a reply with status 200 as ``kind``."""
+    if reply.status != 200:
+        return Err(PlatformUnavailableError(f"status {reply.status}"))
+    try:
+        return Ok(msgspec.json.decode(reply.body, type=kind))
+    except msgspec.MsgspecError as error:
+        return Err(MalformedObjectError(str(error)))
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a call again by itself.
+
+    It repeats a PUT whose connection broke. A conditional update that had taken effect
+    would then be answered with a conflict, as if it certainly had not.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        if isinstance(error, aiohttp.ClientConnectorError):
+            raise
+        raise aiohttp.ClientPayloadError(str(error) or type(error).__name__) from error
--- /dev/null
+++ b/libraries/objects/src/bamboopier_objects/http_platform.py
@@ -0,0 +1,157 @@
+"""The platform over HTTP: one client for objects and the VM list."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from .errors import (
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+    ValueTooLargeError,
+    VersionConflictError,
+    WatchGapError,
+)
+from .http_caller import CALL_TIMEOUT_SECONDS, HttpCaller, Reply, decode_reply
+from .objects import MAX_VALUE_BYTES, Change, StoredObject, WatchBatch
+from .vms import Vm, VmAnswer
+
+# Replies name their headers in lower case.
+VERSION_HEADER = "object-version"
+EXPECTED_HEADER = "Expected-Version"
+
+
+class _ListedObject(msgspec.Struct):
+    key: str
+    version: int
+    value: bytes
+
+
+class _WatchedChange(msgspec.Struct):
+    key: str
+    version: int
+
+
+class _WatchAnswer(msgspec.Struct):
+    revision: int
+    changes: list[_WatchedChange]
+
+
+class HttpPlatform(HttpCaller):
+    """Calls the platform at ``base_url``; close it by leaving the context."""
+
+    async def read(self, key: str) -> Result[StoredObject | None, PlatformError]:
+        """Return the object, or None when there is none."""
+        answer = await self.call("GET", self._object_url(key))
+        if isinstance(answer, Err):
+            return answer
+        reply = answer.ok_value
+        if reply.status == 404:
+            return Ok(None)
+        if reply.status != 200:
+            return Err(PlatformUnavailableError(f"read {key}: status {reply.status}"))
+        return Ok(StoredObject(key, _read_version(reply), reply.body))
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Replace the object if it still has ``expected_version``."""
+        if len(value) > MAX_VALUE_BYTES:
+            return Err(ValueTooLargeError(f"{key}: {len(value)} bytes"))
+        headers = {EXPECTED_HEADER: str(expected_version)}
+        answer = await self.call("PUT", self._object_url(key), value, headers)
+        if isinstance(answer, Err):
+            return answer
+        reply = answer.ok_value
+        fault = _find_write_fault(key, expected_version, reply)
+        return Err(fault) if fault is not None else Ok(_read_version(reply))
+
+    async def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, PlatformError]:
+        """Remove the object if it still has ``expected_version``."""
+        headers = {EXPECTED_HEADER: str(expected_version)}
+        answer = await self.call("DELETE", self._object_url(key), b"", headers)
+        if isinstance(answer, Err):
+            return answer
+        fault = _find_write_fault(key, expected_version, answer.ok_value)
+        return Err(fault) if fault is not None else Ok(None)
+
+    async def scan(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
+        """Return all objects whose key starts with ``prefix``, ordered by key."""
+        url = f"/v1/list?prefix={quote(prefix)}"
+        answer = await self.call("GET", url)
+        if isinstance(answer, Err):
+            return answer
+        decoded = decode_reply(answer.ok_value, list[_ListedObject])
+        if isinstance(decoded, Err):
+            return decoded
+        return Ok([StoredObject(o.key, o.version, o.value) for o in decoded.ok_value])
+
+    async def watch(
+        self, prefix: str, after: int, timeout: float
+    ) -> Result[WatchBatch, PlatformError]:
+        """Wait up to ``timeout`` seconds for changes later than revision ``after``."""
+        query = f"prefix={quote(prefix)}&after={after}&timeout={timeout}"
+        url = f"/v1/watch?{query}"
+        patience = timeout + CALL_TIMEOUT_SECONDS
+        answer = await self.call("GET", url, patience=patience)
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status == 410:
+            return Err(WatchGapError(f"watch {prefix} after {after}"))
+        decoded = decode_reply(answer.ok_value, _WatchAnswer)
+        if isinstance(decoded, Err):
+            return decoded
+        batch = decoded.ok_value
+        changes = tuple(Change(c.key, c.version) for c in batch.changes)
+        return Ok(WatchBatch(batch.revision, changes))
+
+    async def list_vms(self) -> Result[list[Vm], PlatformError]:
+        """Return all VMs the platform lists now."""
+        answer = await self.list_vms_since("")
+        if isinstance(answer, Err):
+            return answer
+        return Ok(list(answer.ok_value.vms or ()))
+
+    async def list_vms_since(self, tag: str) -> Result[VmAnswer, PlatformError]:
+        """Return the VMs unless the list still has the entity tag ``tag``."""
+        headers = {"If-None-Match": tag} if tag else None
+        answer = await self.call("GET", "/v1/vms", headers=headers)
+        if isinstance(answer, Err):
+            return answer
+        reply = answer.ok_value
+        if reply.status == 304:
+            return Ok(VmAnswer(None, tag, 0))
+        decoded = decode_reply(reply, list[Vm])
+        if isinstance(decoded, Err):
+            return decoded
+        return Ok(
+            VmAnswer(
+                tuple(decoded.ok_value), reply.headers.get("etag", ""), len(reply.body)
+            )
+        )
+
+    def _object_url(self, key: str) -> str:
+        return f"/v1/objects/{quote(key)}"
+
+
+def _find_write_fault(key: str, expected: int, reply: Reply) -> PlatformError | None:
+    if reply.status == 200:
+        return None
+    if reply.status == 412:
+        return VersionConflictError(key, expected, _read_version(reply))
+    if reply.status == 413:
+        return ValueTooLargeError(key)
+    if reply.status in (429, 503):
+        return PlatformUnavailableError(f"write {key}: status {reply.status}")
+    return PlatformOutcomeUnknownError(f"write {key}: status {reply.status}")
+
+
+def _read_version(reply: Reply) -> int:
+    """Return the version that a reply names; 0, which never holds, for none."""
+    text = reply.headers.get(VERSION_HEADER, "0")
+    return int(text) if text.isdecimal() else 0
--- /dev/null
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -0,0 +1,133 @@
+"""Follows all objects below a prefix: a list, then watches from its revision.
+
+Failures answered: a history that is gone (list again at once), a watch that is cut
+(list again after a pause, since changes may have been lost in the gap), a connection
+that went silent (each call has its own limit), a store that answers with an older
+revision than one already seen (that answer is dropped).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import structlog
+from result import Err
+
+from .errors import WatchGapError
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from .objects import ChangedObject, FollowedStore, Listing
+
+# Waits after a failed call, doubled up to the longest and drawn between half and all
+# of it. A store that returns is to be read within a second.
+FIRST_RETRY_SECONDS = 0.05
+LONGEST_RETRY_SECONDS = 0.6
+_MAX_DOUBLINGS = 8
+
+log = structlog.get_logger()
+
+
+class ObjectObserver(Protocol):
+    """What is told of the objects below a prefix."""
+
+    def take_listing(self, listing: Listing, away_seconds: float) -> None:
+        """Take the whole list; the store did not answer for ``away_seconds``."""
+        ...
+
+    def take_change(self, change: ChangedObject) -> None:
+        """Take one object that changed."""
+        ...
+
+
+class ObjectFollower:
+    """Keeps one observer up to date until cancelled."""
+
+    def __init__(
+        self,
+        store: FollowedStore,
+        prefix: str,
+        observer: ObjectObserver,
+        wait_seconds: float,
+        random: random.Random,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._observer = observer
+        self._wait_seconds = wait_seconds
+        self._random = random
+        self._read_clock = read_clock
+        self._revision = 0
+        self._failures = 0
+        self._failing_since: float | None = None
+        # Whether the list was read at least once.
+        self.loaded = asyncio.Event()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if not await self._load():
+                await asyncio.sleep(self._draw_retry())
+                continue
+            await self._follow()
+
+    async def _load(self) -> bool:
+        asked = self._read_clock()
+        answer = await self._store.list(self._prefix)
+        if isinstance(answer, Err):
+            self._note_failure(asked, str(answer.err_value))
+            return False
+        listing = answer.ok_value
+        if listing.revision < self._revision:
+            self._note_failure(asked, f"revision {listing.revision} is an older one")
+            return False
+        self._observer.take_listing(listing, self._note_answer())
+        self._revision = listing.revision
+        self.loaded.set()
+        return True
+
+    async def _follow(self) -> None:
+        """Watch until something fails."""
+        while True:
+            asked = self._read_clock()
+            answer = await self._store.watch_values(
+                self._prefix, self._revision, self._wait_seconds
+            )
+            if isinstance(answer, Err):
+                fault = answer.err_value
+                if isinstance(fault, WatchGapError):
+                    log.info("watch gap", prefix=self._prefix, revision=self._revision)
+                    return
+                self._note_failure(asked, str(fault))
+                await asyncio.sleep(self._draw_retry())
+                return
+            self._note_answer()
+            batch = answer.ok_value
+            for change in batch.changes:
+                self._observer.take_change(change)
+            self._revision = max(self._revision, batch.revision)
+
+    def _note_failure(self, asked: float, reason: str) -> None:
+        self._failures += 1
+        if self._failing_since is None:
+            self._failing_since = asked
+            log.warning("store lost", prefix=self._prefix, reason=reason)
+
+    def _note_answer(self) -> float:
+        """Return for how long the store had not answered."""
+        self._failures = 0
+        if self._failing_since is None:
+            return 0.0
+        away = self._read_clock() - self._failing_since
+        self._failing_since = None
+        log.info("store regained", prefix=self._prefix, away_seconds=round(away, 3))
+        return away
+
+    def _draw_retry(self) -> float:
+        doublings = min(self._failures - 1, _MAX_DOUBLINGS)
+        longest = min(LONGEST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2.0**doublings)
+        return self._random.uniform(longest / 2, longest)
--- a/libraries/platform/src/bamboopier_platform/objects.py
+++ b/libraries/objects/src/bamboopier_objects/objects.py
@@ -73,3 +73,42 @@
     ) -> Result[WatchBatch, PlatformError]:
         """Wait up to ``timeout`` seconds for changes later than revision ``after``."""
         ...
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All objects below a prefix, as they were at ``revision``."""
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ChangedObject:
+    """A watched object as it is now; ``value`` is None once it is deleted."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeBatch:
+    """Changes with their values, up to and including ``revision``."""
+
+    revision: int
+    changes: tuple[ChangedObject, ...]
+
+
+class FollowedStore(Protocol):
+    """A store whose lists name their revision and whose watches carry values."""
+
+    async def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Return all objects whose key starts with ``prefix``."""
+        ...
+
+    async def watch_values(
+        self, prefix: str, after: int, timeout: float
+    ) -> Result[ChangeBatch, PlatformError]:
+        """Wait up to ``timeout`` seconds for changes later than revision ``after``."""
+        ...
--- a/libraries/platform/tests/builders.py
+++ b/libraries/objects/tests/builders.py
@@ -11,24 +11,24 @@
 from result import Err, Ok, Result
 
 from bamboopier_configuration.model import Configuration, Drains, Model, Workspace
-from bamboopier_platform.errors import (
+from bamboopier_objects.errors import (
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
     VersionConflictError,
     WatchGapError,
 )
-from bamboopier_platform.follower import ConfigurationFollower
-from bamboopier_platform.objects import Change, StoredObject, WatchBatch
-from bamboopier_platform.parts import HEAD_KEY, Head
-from bamboopier_platform.publisher import Publisher
-from bamboopier_platform.vms import Vm, VmAnswer
+from bamboopier_objects.follower import ConfigurationFollower
+from bamboopier_objects.objects import Change, StoredObject, WatchBatch
+from bamboopier_objects.parts import HEAD_KEY, Head
+from bamboopier_objects.publisher import Publisher
+from bamboopier_objects.vms import Vm, VmAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
     from bamboopier_configuration.directory import Directory
-    from bamboopier_platform.generations import Generation, GenerationStore
+    from bamboopier_objects.generations import Generation, GenerationStore
 
 KEPT_GENERATIONS = 2
 BYTES_PER_VM = 145
--- a/libraries/platform/tests/test_generations.py
+++ b/libraries/objects/tests/test_generations.py
@@ -8,13 +8,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from result import Err, Ok
 
-from bamboopier_platform.errors import (
+from bamboopier_objects.errors import (
     PlatformOutcomeUnknownError,
     VersionConflictError,
 )
-from bamboopier_platform.objects import StoredObject
-from bamboopier_platform.parts import PART_PREFIX
-from bamboopier_platform.publisher import Publisher
+from bamboopier_objects.objects import StoredObject
+from bamboopier_objects.parts import PART_PREFIX
+from bamboopier_objects.publisher import Publisher
 
 from .builders import (
     KEPT_GENERATIONS,
--- a/libraries/platform/tests/test_http_platform.py
+++ b/libraries/objects/tests/test_http_platform.py
@@ -9,8 +9,8 @@
 import asyncio
 import unittest
 
-from bamboopier_platform.errors import PlatformOutcomeUnknownError
-from bamboopier_platform.http_platform import HttpPlatform
+from bamboopier_objects.errors import PlatformOutcomeUnknownError
+from bamboopier_objects.http_platform import HttpPlatform
 
 CONFLICT = b"HTTP/1.1 412 Conflict\r\nObject-Version: 1\r\nContent-Length: 0\r\n\r\n"
 
--- a/libraries/platform/tests/test_vm_board.py
+++ b/libraries/objects/tests/test_vm_board.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from bamboopier_platform.vm_board import VmBoard
+from bamboopier_objects.vm_board import VmBoard
 
 from .builders import VmListFake, build_vm
 
--- a/libraries/platform/tests/test_vm_follower.py
+++ b/libraries/objects/tests/test_vm_follower.py
@@ -6,12 +6,12 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from bamboopier_platform.vm_follower import BUDGET_BYTES, SPREAD, VmListFollower
+from bamboopier_objects.vm_follower import BUDGET_BYTES, SPREAD, VmListFollower
 
 from .builders import VmListFake, build_vm
 
 if TYPE_CHECKING:
-    from bamboopier_platform.vms import Vm
+    from bamboopier_objects.vms import Vm
 
 DESIGN_SIZE = 1143
 
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -0,0 +1,103 @@
+"""The agent process beside a target: the one that gives it orders."""
+
+from __future__ import annotations
+
+import os
+import random
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import structlog
+from prometheus_client import CollectorRegistry
+
+from bamboopier_agent.lease import LeaseKeeper
+from bamboopier_agent.load_slots import LoadSlots
+from bamboopier_configuration.settings import Address
+from bamboopier_daemon.daemon import keep_running, serve_administration
+from bamboopier_daemon.stopping import StopSignals
+from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+from bamboopier_decisions.membership.lease import Lease
+from bamboopier_objects.object_follower import ObjectFollower
+
+from .clock import read_clock
+from .hint_socket import HintSocket
+from .observers import WeightsObserver
+from .roster import Roster
+from .target_directory import TargetDirectory
+from .weight_roller import WeightRoller
+
+if TYPE_CHECKING:
+    from .settings import ProxySettings
+    from .target_orders import TargetOrders
+    from .vocabulary import Store, Vocabulary
+
+# Seconds that one watch for new weights lasts.
+WATCH_SECONDS = 4.0
+# Seconds a slot is held at most by an agent that was killed: longer than a load.
+SLOT_SECONDS = 8.0
+
+log = structlog.get_logger()
+
+
+async def run_agent(
+    settings: ProxySettings, store: Store, vocabulary: Vocabulary, orders: TargetOrders
+) -> None:
+    """Keep the target's weights as named until SIGTERM."""
+    if settings.target is None:
+        raise ValueError("an agent needs the address of its target")
+    generator = random.Random(f"{settings.vm}:{os.getpid()}:{read_clock()}")
+    weights = WeightVersions(settings.version_seconds)
+    place = str(settings.target)
+    lease = LeaseKeeper(
+        store,
+        f"{vocabulary.leases_prefix}{place}",
+        Lease(settings.vm, settings.host, settings.lease_seconds),
+    )
+    slots = LoadSlots(
+        store,
+        settings.target_service,
+        settings.vm,
+        generator,
+        prefix=vocabulary.slots_prefix,
+        lease_seconds=SLOT_SECONDS,
+    )
+    roster = Roster(store, vocabulary.gateways_prefix, generator, lambda _: None)
+    directory = TargetDirectory(store, vocabulary, settings.target_service)
+    registry = CollectorRegistry()
+    async with AsyncExitStack() as stack:
+        with StopSignals() as signals:
+            socket = await stack.enter_async_context(
+                HintSocket(settings.host, settings.first_port, lambda *_: None)
+            )
+            roller = WeightRoller(
+                settings.vm,
+                settings.target,
+                orders,
+                weights,
+                lease,
+                slots,
+                roster,
+                socket,
+                directory,
+                generator,
+            )
+            follower = ObjectFollower(
+                store,
+                vocabulary.weights_prefix,
+                WeightsObserver(vocabulary, weights, roller.changed.set),
+                WATCH_SECONDS,
+                generator,
+                read_clock,
+            )
+            await stack.enter_async_context(keep_running(follower.run()))
+            await stack.enter_async_context(keep_running(roller.run()))
+            await stack.enter_async_context(
+                serve_administration(
+                    Address(settings.metrics.host, settings.metrics.port),
+                    registry,
+                    follower.loaded.is_set,
+                )
+            )
+            log.info("agent started", vm=settings.vm, target=place)
+            await signals.wait_for_first()
+            log.info("agent stopped", vm=settings.vm)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/caller_listener.py
@@ -0,0 +1,120 @@
+"""Listens for callers with the operator's limits."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Self
+
+import structlog
+from aiohttp import web
+
+from bamboopier_gateway.connection import CallerConnection
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from types import TracebackType
+
+    from bamboopier_decisions.forwarding.model import CallerLimits
+
+    from .settings import Endpoint
+
+    Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# Connections that may wait to be taken; a burst of callers after a restart.
+BACKLOG = 1024
+# Open connections: the smallest machine has 4,100 descriptors, of which targets and
+# the system's own take a part.
+MAX_CONNECTIONS = 2800
+# Seconds a peer may be silent with bytes unacknowledged.
+SILENCE_SECONDS = 5.0
+# How long the rest of a refused body is read and dropped.
+LINGERING_SECONDS = 1.0
+MAX_HEADERS = 100
+
+log = structlog.get_logger()
+
+
+class _Limits:
+    """The operator's limits in the form that a connection asks for."""
+
+    __slots__ = ("header_timeout_seconds", "idle_timeout_seconds")
+    write_timeout_seconds = SILENCE_SECONDS
+
+    def __init__(self, limits: CallerLimits) -> None:
+        self.header_timeout_seconds = limits.header_seconds
+        self.idle_timeout_seconds = limits.idle_seconds
+
+
+class CallerListener:
+    """Listens while its context is open."""
+
+    def __init__(
+        self,
+        listen: Endpoint,
+        handle: Handle,
+        read_limits: Callable[[], CallerLimits],
+    ) -> None:
+        self._listen = listen
+        self._read_limits = read_limits
+        self._server: asyncio.Server | None = None
+        self._manager = web.Server(handle, handler_cancellation=True)
+        self._count = 0
+
+    async def __aenter__(self) -> Self:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_connection,
+            self._listen.host,
+            self._listen.port,
+            backlog=BACKLOG,
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        await self._manager.shutdown(0.2)
+
+    def add(self) -> bool:
+        """Note a connection that opened; False when there are too many."""
+        if self._count >= MAX_CONNECTIONS:
+            log.warning("connection refused", open=self._count)
+            return False
+        self._count += 1
+        return True
+
+    def remove(self) -> None:
+        """Note a connection that is gone."""
+        self._count -= 1
+
+    def _make_connection(self) -> asyncio.Protocol:
+        limits = self._read_limits()
+        return CallerConnection(
+            self._manager,
+            _Limits(limits),
+            self,
+            access_log=None,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            max_headers=MAX_HEADERS,
+            lingering_time=LINGERING_SECONDS,
+            auto_decompress=False,
+        )
+
+
+async def serve_readiness(
+    listen: Endpoint, is_ready: Callable[[], bool]
+) -> asyncio.Server:
+    """Answer every request with 200 while ``is_ready``, else with 503."""
+
+    async def answer(_: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if is_ready() else 503)
+
+    manager = web.Server(answer, access_log=None)
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(manager, listen.host, listen.port)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/delivery.py
@@ -0,0 +1,86 @@
+"""Writes a target's answer to its caller, so that a part never looks whole."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from bamboopier_daemon.headers import drop_hop_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .messages import HeaderList
+
+# Seconds a caller may take no byte of its answer.
+WRITE_SECONDS = 5.0
+
+
+class CallerGoneError(Exception):
+    """The caller left, or takes nothing more."""
+
+
+class Delivery:
+    """One caller's answer: whole at once, or a head and then pieces."""
+
+    def __init__(
+        self, request: web.BaseRequest, is_stopping: Callable[[], bool]
+    ) -> None:
+        self._request = request
+        self._is_stopping = is_stopping
+        # The connection cannot be used again.
+        self.closing = False
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Say whether the caller has received anything."""
+        return self._response is not None
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """Return the response for the HTTP server."""
+        if self._response is None:
+            raise RuntimeError("no answer was begun")
+        return self._response
+
+    async def send(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Send a whole answer."""
+        response = web.Response(status=status, body=body)
+        response.headers.popall("Content-Type", None)
+        await self._begin(response, headers)
+        await self._guard(response.write_eof())
+
+    async def begin(self, status: int, headers: HeaderList) -> None:
+        """Send the head of a stream."""
+        await self._begin(web.StreamResponse(status=status), headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a stream."""
+        await self._guard(self.response.write(data))
+
+    async def finish(self) -> None:
+        """End a whole stream."""
+        await self._guard(self.response.write_eof())
+
+    def cut(self) -> None:
+        """End the connection: what was sent is a part and must look like one."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _begin(self, response: web.StreamResponse, headers: HeaderList) -> None:
+        for name, value in drop_hop_headers(headers):
+            response.headers.add(name, value)
+        if self.closing or self._is_stopping():
+            response.force_close()
+        self._response = response
+        await self._guard(response.prepare(self._request))
+
+    async def _guard(self, work: Awaitable[object]) -> None:
+        try:
+            async with asyncio.timeout(WRITE_SECONDS):
+                await work
+        except (TimeoutError, ConnectionError) as error:
+            raise CallerGoneError(str(error) or type(error).__name__) from error
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/dialect.py
@@ -0,0 +1,36 @@
+"""How requests and answers are marked on the wire; an adapter provides it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from result import Result
+
+    from .messages import AnswerMarks, CallerMarks, HeaderList, SendMarks
+
+
+class Dialect(Protocol):
+    """Reads and writes the headers that carry meaning."""
+
+    def read_caller(
+        self, headers: Iterable[tuple[str, str]]
+    ) -> Result[CallerMarks, str]:
+        """Return what a caller's headers say, or what is wrong with them."""
+        ...
+
+    def write_send(self, marks: SendMarks) -> HeaderList:
+        """Return the headers that this system sets on a request to a target."""
+        ...
+
+    def read_answer(
+        self, status: int, headers: Iterable[tuple[str, str]]
+    ) -> AnswerMarks:
+        """Return what a target's answer says."""
+        ...
+
+    def name_request_id(self) -> str:
+        """Return the name of the header that carries a request's id."""
+        ...
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -0,0 +1,211 @@
+"""One request at one target: what was sent, and what is known of its run."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from bamboopier_decisions.routing.messages import Ran
+
+from .answer import BrokenAnswerError
+from .clock import read_clock
+from .event_splitter import EventSplitter
+from .target_pool import ConnectError
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import Fleet, Sent
+
+    from .answer import Answer
+    from .delivery import Delivery
+    from .dialect import Dialect
+    from .messages import AnswerMarks, Call, SendMarks
+    from .target_connection import TargetConnection
+    from .target_pool import TargetPool
+
+# Plain answers up to this size are held until they are whole, so that a broken one
+# becomes an error and not a cut connection.
+MAX_HELD_BYTES = 1024 * 1024
+
+
+class Cause(StrEnum):
+    """Why a send ended without an answer for the caller."""
+
+    NONE = ""
+    CONNECT = "connect"
+    CLOSED = "target-closed"
+    NOT_RUN = "not-run"
+    MISDIRECTED = "misdirected"
+    BROKEN = "broken"
+    UNSEALED = "unsealed"
+    TIMEOUT = "timeout"
+
+
+@dataclass(slots=True)
+class SendResult:
+    """How one send ended. ``ran`` is the truth as far as it is known."""
+
+    ran: Ran
+    cause: Cause = Cause.NONE
+    detail: str = ""
+    status: int = 0
+    # The caller has the whole answer.
+    delivered: bool = False
+    # A whole answer of the target's own that reports a failure; may be passed on.
+    failure: HeldAnswer | None = None
+    weight_version: int = 0
+    first_byte: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeldAnswer:
+    """A whole answer that has not been passed on."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Exchange:
+    """Sends calls to targets and passes their answers on."""
+
+    def __init__(self, pool: TargetPool, fleet: Fleet, dialect: Dialect) -> None:
+        self._pool = pool
+        self._fleet = fleet
+        self._dialect = dialect
+
+    async def send(
+        self, call: Call, sent: Sent, marks: SendMarks, delivery: Delivery
+    ) -> SendResult:
+        """Send ``call`` to the target of ``sent`` and pass its answer on."""
+        entry = sent.state.entry
+        fresh = not call.route.repeat.may_run_again
+        try:
+            connection = await self._pool.take(entry, fresh=fresh)
+        except ConnectError as error:
+            return SendResult(Ran.NO, Cause.CONNECT, str(error))
+        if not self._fleet.is_open(sent.state, read_clock()):
+            self._pool.give_back_unused(entry, connection)
+            return SendResult(Ran.NO, Cause.CLOSED)
+        done = False
+        try:
+            async with asyncio.timeout(call.timeout - read_clock()):
+                result = await self._ask(call, sent, marks, connection, delivery)
+            done = True
+        except TimeoutError:
+            result = SendResult(Ran.UNKNOWN, Cause.TIMEOUT)
+        except BrokenAnswerError as error:
+            result = SendResult(Ran.UNKNOWN, Cause.BROKEN, str(error))
+        finally:
+            if done:
+                self._pool.give_back(entry, connection)
+            else:
+                self._pool.drop(entry, connection)
+        return result
+
+    async def _ask(
+        self,
+        call: Call,
+        sent: Sent,
+        marks: SendMarks,
+        connection: TargetConnection,
+        delivery: Delivery,
+    ) -> SendResult:
+        started = read_clock()
+        head = self._write_head(call, marks)
+        answer = await connection.ask(head, call.body, call.request_id, call.method)
+        said = self._dialect.read_answer(answer.status, answer.headers)
+        self._note_marks(call, sent, said)
+        if said.not_run or said.misdirected:
+            await answer.read_all(MAX_HELD_BYTES)
+            cause = Cause.MISDIRECTED if said.misdirected else Cause.NOT_RUN
+            return SendResult(
+                Ran.NO,
+                cause,
+                f"status {answer.status}, target {said.target}",
+                answer.status,
+                weight_version=said.weight_version,
+            )
+        if not said.sealed and answer.status < 500:
+            detail = f"status {answer.status} without a seal"
+            return SendResult(Ran.UNKNOWN, Cause.UNSEALED, detail, answer.status)
+        if call.route.streams and answer.status == 200:
+            result = await self._pass_stream(call, sent, answer, delivery, started)
+        else:
+            result = await self._pass_whole(call, answer, said, delivery, started)
+        result.weight_version = said.weight_version
+        return result
+
+    async def _pass_whole(
+        self,
+        call: Call,
+        answer: Answer,
+        said: AnswerMarks,
+        delivery: Delivery,
+        started: float,
+    ) -> SendResult:
+        body = await answer.read_all(MAX_HELD_BYTES)
+        result = SendResult(Ran.YES, status=answer.status)
+        result.first_byte = read_clock() - started
+        held = HeldAnswer(answer.status, answer.headers, body)
+        if answer.status >= 500:
+            # A safe request may find another target that does not fail it.
+            result.failure = held
+            return result
+        await delivery.send(held.status, held.headers, held.body)
+        result.delivered = True
+        return result
+
+    async def _pass_stream(
+        self,
+        call: Call,
+        sent: Sent,
+        answer: Answer,
+        delivery: Delivery,
+        started: float,
+    ) -> SendResult:
+        result = SendResult(Ran.YES, status=answer.status)
+        splitter = EventSplitter()
+        try:
+            while data := await answer.read():
+                whole = splitter.feed(data)
+                if not whole:
+                    continue
+                if not result.first_byte:
+                    result.first_byte = read_clock() - started
+                    self._fleet.note_read(sent)
+                if not delivery.begun:
+                    await delivery.begin(answer.status, answer.headers)
+                await delivery.write(whole)
+                call.last_event = splitter.last_event
+        except BrokenAnswerError as error:
+            result.ran = Ran.UNKNOWN
+            result.cause = Cause.BROKEN
+            result.detail = str(error)
+            return result
+        if splitter.rest:
+            result.ran = Ran.UNKNOWN
+            result.cause = Cause.BROKEN
+            result.detail = "the stream ended within an event"
+            return result
+        if not delivery.begun:
+            await delivery.begin(answer.status, answer.headers)
+        await delivery.finish()
+        result.delivered = True
+        return result
+
+    def _write_head(self, call: Call, marks: SendMarks) -> bytes:
+        lines = [f"{call.method} {call.raw_path} HTTP/1.1", f"Host: {call.host}"]
+        lines += [f"{name}: {value}" for name, value in call.headers]
+        lines += [f"{name}: {value}" for name, value in self._dialect.write_send(marks)]
+        if call.body or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            lines.append(f"Content-Length: {len(call.body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    def _note_marks(self, call: Call, sent: Sent, said: AnswerMarks) -> None:
+        state = sent.state
+        if call.prompt is not None and said.weight_version and not said.misdirected:
+            state.note_version(call.prompt.model, said.weight_version)
+        if said.cold_seconds > 0:
+            state.cold.start(read_clock(), said.cold_seconds)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -0,0 +1,284 @@
+"""Carries a call through its sends until the caller has its final answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from bamboopier_decisions.forwarding.model import Repeat
+from bamboopier_decisions.forwarding.placement import Demand, Placement, place
+from bamboopier_decisions.forwarding.retry_share import RetryShare
+from bamboopier_decisions.forwarding.waiting import draw_return, limit_wait
+
+from .clock import read_clock
+from .exchange import Cause
+from .messages import SendMarks
+from .refusals import CallerError, ErrorCode, Ran
+
+if TYPE_CHECKING:
+    import random
+
+    from bamboopier_decisions.forwarding.fleet import Fleet, Sent
+    from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+
+    from .delivery import Delivery
+    from .exchange import Exchange, SendResult
+    from .knowledge import Knowledge
+    from .messages import Call
+    from .metrics import ProxyMetrics
+    from .settings import RetryBounds
+    from .waiting_room import WaitingRoom
+
+# Sends of one request, those included that a target turned away unrun.
+MAX_SENDS = 4
+# Seconds a target that turned a request away gets no other; it is full, stopping, or
+# loads weights.
+TURNED_AWAY_SECONDS = 0.15
+
+log = structlog.get_logger()
+
+
+class Forwarder:
+    """Places, sends, and decides what follows each end of a send."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        knowledge: Knowledge,
+        weights: WeightVersions,
+        exchange: Exchange,
+        room: WaitingRoom,
+        metrics: ProxyMetrics,
+        bounds: RetryBounds,
+        data_centre: str,
+        random: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._knowledge = knowledge
+        self._weights = weights
+        self._exchange = exchange
+        self._room = room
+        self._metrics = metrics
+        self._bounds = bounds
+        self._data_centre = data_centre
+        self._random = random
+        self._shares: dict[str, RetryShare] = {}
+
+    async def forward(self, call: Call, delivery: Delivery) -> None:
+        """Answer the caller; raises ``CallerError`` when this system must answer."""
+        share = self._find_share(call.service)
+        share.add_request(read_clock())
+        runs = 0
+        while True:
+            sent = await self._find_place(call)
+            call.tried.append(sent.state.entry.name)
+            try:
+                self._check_currency(call)
+                marks = self._make_marks(call, sent)
+                result = await self._exchange.send(call, sent, marks, delivery)
+                self._judge(sent, result)
+            except BaseException:
+                sent.state.standing.note_neutral()
+                raise
+            finally:
+                self._fleet.end(sent)
+                self._room.wake(call.service)
+            self._log_send(call, sent, marks, result)
+            if result.delivered:
+                return
+            if result.ran is not Ran.NO:
+                runs += 1
+                call.may_have_run = True
+            if not await self._goes_on(call, result, delivery, runs, share):
+                return
+
+    async def _find_place(self, call: Call) -> Sent:
+        """Return a place at a target; raises ``CallerError`` when there is none."""
+        demand = Demand(call.service, call.priority, call.prompt)
+        tried = set(call.tried)
+        placement = self._place(call, demand, tried)
+        if placement.state is not None:
+            return self._fleet.begin(read_clock(), placement.state, call.prompt)
+        if placement.known == 0:
+            raise self._refuse(call, ErrorCode.NO_TARGET, placement)
+        started = read_clock()
+        seconds = limit_wait(call.route.aim, call.timeout - started)
+
+        def find() -> Sent | None:
+            found = self._place(call, demand, tried)
+            if found.state is None:
+                return None
+            return self._fleet.begin(read_clock(), found.state, call.prompt)
+
+        sent = await self._room.wait(call.service, call.priority, seconds, find)
+        waited = read_clock() - started
+        self._metrics.waited.labels(call.service).observe(waited)
+        if sent is None:
+            placement = self._place(call, demand, tried)
+            raise self._refuse(call, ErrorCode.OVERLOADED, placement)
+        return sent
+
+    def _place(self, call: Call, demand: Demand, tried: set[str]) -> Placement:
+        now = read_clock()
+        oldest = 0
+        if call.prompt is not None:
+            oldest = self._weights.find_oldest_allowed(now, call.prompt.model)
+        return place(
+            now, self._fleet, demand, tried, oldest, self._data_centre, self._random
+        )
+
+    def _refuse(self, call: Call, code: ErrorCode, placement: Placement) -> CallerError:
+        now = read_clock()
+        log.info(
+            "no place",
+            request_id=call.request_id,
+            service=call.service,
+            known=placement.known,
+            usable=placement.usable,
+            open=placement.open,
+            waiting=self._room.count(call.service),
+            tried=call.tried,
+        )
+        if call.may_have_run:
+            return CallerError(ErrorCode.OUTCOME_UNKNOWN, code.value, Ran.UNKNOWN)
+        wait = draw_return(call.timeout - now, self._random)
+        return CallerError(code, "no target has room", Ran.NO, wait)
+
+    def _check_currency(self, call: Call) -> None:
+        """Refuse a request with a key once the key may have been taken away."""
+        if call.workspace is None:
+            return
+        now = read_clock()
+        if self._knowledge.currency.covers(now):
+            return
+        if call.may_have_run:
+            message = "the configuration became too old to send this again"
+            raise CallerError(ErrorCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
+        raise make_stale_refusal(self._knowledge, now)
+
+    def _make_marks(self, call: Call, sent: Sent) -> SendMarks:
+        entry = sent.state.entry
+        workspace = call.workspace
+        prompt = call.prompt
+        version = sent.state.versions.get(prompt.model, 0) if prompt else 0
+        scope = ""
+        if prompt is not None:
+            owner = workspace.name if workspace and workspace.isolated else ""
+            scope = f"{owner}/{version}" if version else f"{owner}/{entry.name}"
+        return SendMarks(
+            target=entry.name,
+            seconds_left=max(0.001, min(call.timeout, call.deadline) - read_clock()),
+            workspace=workspace.name if workspace else "",
+            cache_scope=scope,
+            priority=min(9, call.priority) if prompt else None,
+            weight_version=version,
+            last_event=call.last_event,
+        )
+
+    def _judge(self, sent: Sent, result: SendResult) -> None:
+        """Take in what a send says of its target."""
+        state = sent.state
+        now = read_clock()
+        match result.cause:
+            case Cause.NONE if result.failure is not None:
+                state.standing.note_failure(now)
+            case Cause.NONE:
+                state.standing.note_answer()
+            case Cause.CONNECT:
+                state.standing.note_unreachable(now)
+            case Cause.NOT_RUN:
+                state.busy_until = now + TURNED_AWAY_SECONDS
+                state.standing.note_neutral()
+            case Cause.MISDIRECTED | Cause.CLOSED:
+                state.standing.note_neutral()
+            case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
+                state.standing.note_failure(now)
+
+    async def _goes_on(
+        self,
+        call: Call,
+        result: SendResult,
+        delivery: Delivery,
+        runs: int,
+        share: RetryShare,
+    ) -> bool:
+        """Say whether another send follows; if not, the caller has its answer."""
+        if self._may_send_again(call, result, delivery, runs):
+            free = result.cause in (Cause.CONNECT, Cause.CLOSED)
+            if free or share.take(read_clock(), self._fleet.gateways):
+                return True
+        if delivery.begun:
+            delivery.cut()
+            return False
+        if result.failure is not None:
+            held = result.failure
+            await delivery.send(held.status, held.headers, held.body)
+            return False
+        if call.may_have_run:
+            code = ErrorCode.DEADLINE
+            if result.cause is not Cause.TIMEOUT:
+                code = ErrorCode.OUTCOME_UNKNOWN
+            raise CallerError(code, result.cause.value, Ran.UNKNOWN)
+        wait = draw_return(call.timeout - read_clock(), self._random)
+        raise CallerError(ErrorCode.OVERLOADED, result.cause.value, Ran.NO, wait)
+
+    def _may_send_again(
+        self, call: Call, result: SendResult, delivery: Delivery, runs: int
+    ) -> bool:
+        if len(call.tried) >= MAX_SENDS or read_clock() >= call.timeout:
+            return False
+        if result.cause is Cause.TIMEOUT:
+            return False
+        if result.ran is Ran.NO:
+            return not delivery.begun or call.last_event is not None
+        if runs >= call.route.max_targets:
+            return False
+        match call.route.repeat:
+            case Repeat.SAFE:
+                return not delivery.begun
+            case Repeat.RESUMABLE:
+                return not delivery.begun or call.last_event is not None
+            case Repeat.ONCE:
+                return False
+
+    def _find_share(self, service: str) -> RetryShare:
+        share = self._shares.get(service)
+        if share is None:
+            bounds = self._bounds
+            share = RetryShare(bounds.ratio, bounds.slack, bounds.window_seconds)
+            self._shares[service] = share
+        return share
+
+    def _log_send(
+        self, call: Call, sent: Sent, marks: SendMarks, result: SendResult
+    ) -> None:
+        self._metrics.sends.labels(call.service, result.cause.value).inc()
+        if result.first_byte:
+            elapsed = read_clock() - call.arrived
+            self._metrics.first_byte.labels(call.service).observe(elapsed)
+        state = sent.state
+        log.info(
+            "sent",
+            request_id=call.request_id,
+            service=call.service,
+            target=state.entry.name,
+            ran=result.ran.value,
+            cause=result.cause.value,
+            detail=result.detail,
+            status=result.status,
+            first_byte=round(result.first_byte, 4),
+            weight_version=marks.weight_version,
+            requests=state.requests,
+            unread=state.unread,
+            memory=state.memory,
+            configuration=call.version,
+            proof_age=round(self._knowledge.currency.find_age(read_clock()), 3),
+        )
+
+
+def make_stale_refusal(knowledge: Knowledge, now: float) -> CallerError:
+    """Return the refusal for keys that may have been taken away meanwhile."""
+    age = knowledge.currency.find_age(now)
+    message = f"the configuration was last confirmed {age:.1f} s ago"
+    return CallerError(ErrorCode.STALE_CONFIGURATION, message, Ran.NO, 1.0)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -0,0 +1,195 @@
+"""The gateway process: forwards callers' requests until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import structlog
+
+from bamboopier_configuration.settings import Address
+from bamboopier_daemon.daemon import keep_running, serve_administration
+from bamboopier_daemon.stopping import StopSignals
+from bamboopier_decisions.forwarding.fleet import Fleet
+from bamboopier_decisions.forwarding.model import CallerLimits
+from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+from bamboopier_decisions.quarantine.quarantine import Quarantine
+from bamboopier_objects.object_follower import ObjectFollower
+
+from .caller_listener import CallerListener, serve_readiness
+from .clock import read_clock
+from .configuration_poll import ConfigurationPoll
+from .exchange import Exchange
+from .forwarder import Forwarder
+from .gossip import Gossip
+from .ingress import Ingress
+from .knowledge import Knowledge
+from .metrics import ProxyMetrics
+from .observers import ClosureObserver, TargetObserver, WeightsObserver
+from .roster import GatewayEntry, Roster
+from .store_health import StoreHealth
+from .target_pool import TargetPool
+from .waiting_room import WaitingRoom
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.model import Declared
+
+    from .dialect import Dialect
+    from .settings import ProxySettings
+    from .vocabulary import Store, Vocabulary
+
+# Seconds that one watch lasts. One that went silent is noticed a little later, within
+# the two seconds in which a leaving target has to be let alone.
+WATCH_SECONDS = 2.0
+# Share of the grace time after which what is still open is left to its end by SIGKILL
+# no longer: the last sixth is not counted against anybody.
+GRACE_SHARE = 0.82
+# After not-ready shows, the balancer asks twice, a second apart, before it sends new
+# connections elsewhere. Idle callers are let go only then.
+UNREADY_SECONDS = 2.6
+
+log = structlog.get_logger()
+
+
+async def run_gateway(
+    settings: ProxySettings, store: Store, vocabulary: Vocabulary, dialect: Dialect
+) -> None:
+    """Serve until SIGTERM, then let every request finish."""
+    if settings.callers is None or settings.readiness is None:
+        raise ValueError("a gateway needs addresses for callers and for readiness")
+    generator = random.Random(f"{settings.vm}:{os.getpid()}:{read_clock()}")
+    metrics = ProxyMetrics()
+    fleet = Fleet()
+    room = WaitingRoom()
+    health = StoreHealth()
+    weights = WeightVersions(settings.version_seconds)
+    quarantine = Quarantine()
+    services: list[str] = []
+
+    def apply(declared: Declared) -> None:
+        services[:] = list(declared.services)
+        fleet.set_services(declared.services)
+
+    def wake_all() -> None:
+        for service in services:
+            room.wake(service)
+
+    def take_count(count: int) -> None:
+        fleet.gateways = count
+        log.info("gateways counted", gateways=count)
+
+    knowledge = Knowledge(settings.key_seconds, apply)
+    roster = Roster(store, vocabulary.gateways_prefix, generator, take_count)
+    pool = TargetPool(dialect.name_request_id())
+    exchange = Exchange(pool, fleet, dialect)
+    gossip = Gossip(
+        settings.vm,
+        settings.host,
+        settings.first_port,
+        roster,
+        fleet,
+        knowledge,
+        quarantine,
+        generator,
+    )
+    forwarder = Forwarder(
+        fleet,
+        knowledge,
+        weights,
+        exchange,
+        room,
+        metrics,
+        settings.retries,
+        settings.data_centre,
+        generator,
+    )
+    ingress = Ingress(
+        dialect, knowledge, forwarder, metrics, settings.memory_bytes, generator
+    )
+    targets = ObjectFollower(
+        store,
+        vocabulary.targets_prefix,
+        TargetObserver(vocabulary, fleet, health, wake_all),
+        WATCH_SECONDS,
+        generator,
+        read_clock,
+    )
+    named = ObjectFollower(
+        store,
+        vocabulary.weights_prefix,
+        WeightsObserver(vocabulary, weights, lambda: None),
+        WATCH_SECONDS,
+        generator,
+        read_clock,
+    )
+    closures = ObjectFollower(
+        store,
+        vocabulary.closures_prefix,
+        ClosureObserver(vocabulary, fleet),
+        WATCH_SECONDS,
+        generator,
+        read_clock,
+    )
+    poll = ConfigurationPoll(store, vocabulary, knowledge, health, generator)
+
+    def is_ready() -> bool:
+        return (
+            not ingress.stopping
+            and targets.loaded.is_set()
+            and knowledge.currency.covers(read_clock())
+        )
+
+    def read_limits() -> CallerLimits:
+        table = knowledge.table
+        return table.declared.limits if table is not None else CallerLimits()
+
+    async with AsyncExitStack() as stack:
+        with StopSignals() as signals:
+            await stack.enter_async_context(pool)
+            await stack.enter_async_context(gossip)
+            entry = GatewayEntry(settings.host, settings.first_port, gossip.born)
+            for work in (
+                poll.run(),
+                targets.run(),
+                named.run(),
+                closures.run(),
+                roster.register(settings.vm, entry),
+                roster.run(),
+                gossip.run(),
+                room.run(),
+                pool.run(),
+            ):
+                await stack.enter_async_context(keep_running(work))
+            await stack.enter_async_context(
+                serve_administration(
+                    Address(settings.metrics.host, settings.metrics.port),
+                    metrics.registry,
+                    is_ready,
+                )
+            )
+            readiness = await serve_readiness(settings.readiness, is_ready)
+            stack.callback(readiness.close)
+            await stack.enter_async_context(
+                CallerListener(settings.callers, ingress.handle, read_limits)
+            )
+            log.info("gateway started", vm=settings.vm, listen=str(settings.callers))
+            await signals.wait_for_first()
+            await _stop(settings, ingress)
+
+
+async def _stop(settings: ProxySettings, ingress: Ingress) -> None:
+    """Finish what is open; callers that still come are served, too."""
+    started = read_clock()
+    ingress.stopping = True
+    log.info("gateway stopping", open_requests=ingress.open_requests)
+    await asyncio.sleep(UNREADY_SECONDS)
+    left = settings.grace_seconds * GRACE_SHARE - (read_clock() - started)
+    try:
+        async with asyncio.timeout(left):
+            await ingress.idle.wait()
+    except TimeoutError:
+        log.warning("requests cut", open_requests=ingress.open_requests)
+    log.info("gateway stopped", open_requests=ingress.open_requests)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/gossip.py
@@ -0,0 +1,229 @@
+"""Gateways tell each other what they have under way, and how fresh they are.
+
+Load pattern: several gateways send to the same few engines. Each counts its own
+requests at once; without the others' it would take an engine full of their requests
+for idle. A hint every quarter second is younger than the time a prompt takes to be
+read and answered.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+import structlog
+
+from bamboopier_decisions.forwarding.target_state import Load
+
+from .clock import read_clock
+from .hint_socket import HintSocket
+from .hints import (
+    BreakHint,
+    Hint,
+    LoadHint,
+    OrderHint,
+    ProofAnswer,
+    ProofQuestion,
+    TargetLoadHint,
+)
+from .settings import Endpoint
+
+if TYPE_CHECKING:
+    import random
+    from types import TracebackType
+    from typing import Self
+
+    from bamboopier_decisions.forwarding.fleet import Fleet
+    from bamboopier_decisions.quarantine.quarantine import Quarantine
+
+    from .knowledge import Knowledge
+    from .roster import Roster
+
+# Seconds between two hints, and after which one says nothing any more.
+HINT_SECONDS = 0.25
+STALE_SECONDS = 1.2
+# Peers that get a hint each time; at 340 gateways each hears of each other one within
+# some seconds, and sends 32 datagrams of at most 1.4 KB a second.
+MAX_PEERS = 8
+# Targets named in one hint, the busiest first: what fits a datagram.
+MAX_TARGETS = 24
+# Age of the own proof from which others are asked for theirs, in seconds.
+ASK_AGE_SECONDS = 1.6
+# Seconds in which an answer to a question is awaited.
+QUESTION_SECONDS = 2.0
+# Breaks told again in each hint for so long: datagrams are lost.
+BREAK_SECONDS = 2.0
+
+log = structlog.get_logger()
+
+
+class Gossip:
+    """This gateway's hints, and what the others told."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        roster: Roster,
+        fleet: Fleet,
+        knowledge: Knowledge,
+        quarantine: Quarantine,
+        random: random.Random,
+    ) -> None:
+        self._name = name
+        self._roster = roster
+        self._fleet = fleet
+        self._knowledge = knowledge
+        self._quarantine = quarantine
+        self._random = random
+        self._socket = HintSocket(host, port, self._receive)
+        self._port = port
+        self._born = int(time.time() * 1000)
+        self._numbers = itertools.count(1)
+        self._nonces = itertools.count(random.getrandbits(32))
+        # When each question was asked.
+        self._questions: dict[int, float] = {}
+        self._heard: dict[str, tuple[float, LoadHint]] = {}
+        self._breaks: list[tuple[float, BreakHint]] = []
+
+    @property
+    def born(self) -> int:
+        """Return the milliseconds since 1970 of this start."""
+        return self._born
+
+    async def __aenter__(self) -> Self:
+        await self._socket.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._socket.__aexit__(kind, error, traceback)
+
+    def note_break(self, fingerprint: bytes, target: str) -> None:
+        """Tell the others of a target that broke while it had a request."""
+        now = read_clock()
+        self._quarantine.note_break(now, fingerprint, target)
+        self._breaks.append((now, BreakHint(fingerprint, target)))
+
+    async def run(self) -> None:
+        """Send hints until cancelled."""
+        while True:
+            await asyncio.sleep(HINT_SECONDS)
+            self._send_loads()
+            self._ask_for_proof()
+            self._apply_loads()
+
+    def _send_loads(self) -> None:
+        now = read_clock()
+        self._breaks = [b for b in self._breaks if now - b[0] < BREAK_SECONDS]
+        hint = LoadHint(
+            self._name,
+            next(self._numbers),
+            self._born,
+            self._list_loads(),
+            [b for _, b in self._breaks[:8]],
+        )
+        for peer in self._draw_peers():
+            self._socket.send(hint, peer)
+
+    def _list_loads(self) -> list[TargetLoadHint]:
+        states = (self._fleet.find(name) for name in self._fleet.names)
+        busy = [s for s in states if s is not None and s.own.requests]
+        busy.sort(key=lambda s: -s.own.requests)
+        return [
+            TargetLoadHint(s.entry.name, s.own.requests, s.own.memory, s.own.unread)
+            for s in busy[:MAX_TARGETS]
+        ]
+
+    def _draw_peers(self) -> list[Endpoint]:
+        peers = list(self._roster.peers.values())
+        if len(peers) <= MAX_PEERS:
+            return peers
+        return self._random.sample(peers, MAX_PEERS)
+
+    def _ask_for_proof(self) -> None:
+        now = read_clock()
+        old = [n for n, at in self._questions.items() if now - at > QUESTION_SECONDS]
+        for nonce in old:
+            del self._questions[nonce]
+        if self._knowledge.version == 0:
+            return
+        if self._knowledge.currency.find_age(now) < ASK_AGE_SECONDS:
+            return
+        nonce = next(self._nonces)
+        self._questions[nonce] = now
+        for peer in self._draw_peers():
+            self._socket.send(ProofQuestion(self._name, nonce), peer)
+
+    def _receive(self, hint: Hint, sender: tuple[str, int]) -> None:
+        match hint:
+            case LoadHint():
+                self._take_loads(hint, sender)
+            case OrderHint():
+                self._take_order(hint)
+            case ProofQuestion():
+                self._answer(hint, sender)
+            case ProofAnswer():
+                self._take_proof(hint)
+
+    def _take_loads(self, hint: LoadHint, sender: tuple[str, int]) -> None:
+        known = self._heard.get(hint.sender)
+        if known is not None:
+            before = (known[1].born, known[1].number)
+            if (hint.born, hint.number) <= before:
+                return
+        now = read_clock()
+        self._heard[hint.sender] = (now, hint)
+        self._roster.note_heard(hint.sender, *sender)
+        for found in hint.breaks:
+            self._quarantine.note_break(now, found.fingerprint, found.target)
+
+    def _take_order(self, hint: OrderHint) -> None:
+        state = self._fleet.find(hint.target)
+        if state is None:
+            return
+        now = read_clock()
+        state.busy_until = now + hint.busy_ms / 1000
+        if hint.version:
+            state.note_version(hint.model, hint.version)
+        log.info(
+            "weights of a target",
+            target=hint.target,
+            model=hint.model,
+            weight_version=hint.version,
+            busy_ms=hint.busy_ms,
+        )
+
+    def _answer(self, question: ProofQuestion, sender: tuple[str, int]) -> None:
+        age = self._knowledge.currency.find_age(read_clock())
+        if age > ASK_AGE_SECONDS * 3 or self._knowledge.version == 0:
+            return
+        # Rounded up: the proof must not look younger than it is.
+        answer = ProofAnswer(
+            question.nonce, self._knowledge.version, int(age * 1000) + 1
+        )
+        self._socket.send(answer, Endpoint(*sender))
+
+    def _take_proof(self, answer: ProofAnswer) -> None:
+        asked = self._questions.get(answer.nonce)
+        if asked is not None:
+            self._knowledge.confirm(answer.version, asked - answer.age_ms / 1000)
+
+    def _apply_loads(self) -> None:
+        now = read_clock()
+        loads: dict[str, Load] = {}
+        for name, (heard, hint) in list(self._heard.items()):
+            if now - heard > STALE_SECONDS:
+                del self._heard[name]
+                continue
+            for told in hint.loads:
+                load = loads.setdefault(told.target, Load())
+                load.add(Load(told.requests, told.memory, told.unread))
+        self._fleet.set_others(loads)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/hint_socket.py
@@ -0,0 +1,67 @@
+"""Sends and receives hints on one UDP port."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Self, cast
+
+import structlog
+
+from .hints import Hint, decode, encode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+
+    from .settings import Endpoint
+
+    Receive = Callable[[Hint, tuple[str, int]], None]
+
+log = structlog.get_logger()
+
+
+class HintSocket(asyncio.DatagramProtocol):
+    """Open while its context is."""
+
+    def __init__(self, host: str, port: int, receive: Receive) -> None:
+        self._host = host
+        self._port = port
+        self._receive = receive
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def __aenter__(self) -> Self:
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._host, self._port)
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, hint: Hint, to: Endpoint) -> None:
+        """Send a hint; nobody waits for it."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(encode(hint), (to.host, to.port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast("asyncio.DatagramTransport", transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Decode and hand on."""
+        hint = decode(data)
+        if hint is None:
+            log.warning("datagram dropped", sender=addr[0], size=len(data))
+            return
+        self._receive(hint, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Take in that a peer does not listen: hints to it are lost, as they may be."""
+        log.debug("hint not delivered", error=str(exc))
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -0,0 +1,84 @@
+"""What processes of the system tell each other in datagrams.
+
+Everything here is a hint with a short life: a datagram that is lost, late or doubled
+costs a worse choice, never a wrong one. Only the answer to a question carries a proof,
+and it counts from when the question was asked.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+# Larger datagrams are cut into fragments, and lost if one of them is.
+MAX_BYTES = 1400
+
+
+class TargetLoadHint(msgspec.Struct, array_like=True):
+    """What one gateway has under way at one target."""
+
+    target: str
+    requests: int
+    memory: int
+    unread: int
+
+
+class BreakHint(msgspec.Struct, array_like=True):
+    """A target that broke while it had a request."""
+
+    fingerprint: bytes
+    target: str
+
+
+class LoadHint(msgspec.Struct, array_like=True, tag="load"):
+    """What one gateway has under way, and what broke lately."""
+
+    sender: str
+    # Grows with each hint of one start; a late one is dropped.
+    number: int
+    # Milliseconds since 1970 of the sender's start.
+    born: int
+    loads: list[TargetLoadHint]
+    breaks: list[BreakHint]
+
+
+class OrderHint(msgspec.Struct, array_like=True, tag="order"):
+    """A target loads weights for so long, or has loaded them."""
+
+    target: str
+    model: str
+    # The version in force; 0 while it loads.
+    version: int
+    busy_ms: int
+
+
+class ProofQuestion(msgspec.Struct, array_like=True, tag="ask"):
+    """Asks how long ago the configuration was proved current."""
+
+    sender: str
+    nonce: int
+
+
+class ProofAnswer(msgspec.Struct, array_like=True, tag="proof"):
+    """Version in force at the answering gateway, and the age of its proof."""
+
+    nonce: int
+    version: int
+    age_ms: int
+
+
+Hint = LoadHint | OrderHint | ProofQuestion | ProofAnswer
+
+_decoder = msgspec.msgpack.Decoder(Hint)
+
+
+def encode(hint: Hint) -> bytes:
+    """Return a hint as it is sent."""
+    return msgspec.msgpack.encode(hint)
+
+
+def decode(data: bytes) -> Hint | None:
+    """Return a hint, or None for bytes that are none."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -0,0 +1,94 @@
+"""What a caller asked, what a target is told, and what is known of its answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.model import Route, Workspace
+    from bamboopier_decisions.forwarding.prompt import Prompt
+
+HeaderList = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerMarks:
+    """What a caller's headers say."""
+
+    request_id: str
+    # Seconds the caller waits; None where it does not say.
+    deadline_seconds: float | None
+    key: str | None
+    prompt: Prompt | None
+    # The caller has the events up to this one of a stream that broke off.
+    last_event: str | None
+    # End-to-end headers that go on unchanged.
+    passed: HeaderList
+
+
+@dataclass(slots=True)
+class Call:
+    """One request with all that decides how it is treated.
+
+    Times are seconds on the clock that counts while a machine is suspended.
+    """
+
+    request_id: str
+    method: str
+    # As it stands in the request line, with its query.
+    raw_path: str
+    host: str
+    headers: HeaderList
+    body: bytes
+    route: Route
+    service: str
+    workspace: Workspace | None
+    prompt: Prompt | None
+    priority: int
+    arrived: float
+    # When the caller leaves.
+    deadline: float
+    # When the operator wants a final answer, not after ``deadline``.
+    timeout: float
+    # Version of the configuration that let it in.
+    version: int
+    last_event: str | None = None
+    # Names of targets it was sent to.
+    tried: list[str] = field(default_factory=list)
+    # A target began to work on it, or may have.
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SendMarks:
+    """What a target is told beside the caller's own headers."""
+
+    target: str
+    seconds_left: float
+    workspace: str
+    # Requests find cached parts only under the same text.
+    cache_scope: str
+    # 0 is served first; None for services that know no priorities.
+    priority: int | None
+    # The target is to refuse under another weight version; 0 for any.
+    weight_version: int
+    last_event: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerMarks:
+    """What a target's answer says beside status and body."""
+
+    request_id: str
+    # The target vouches for this answer.
+    sealed: bool
+    # The target says that it did not run the request and never will.
+    not_run: bool
+    # The answer comes from another target than the one expected, or from one with
+    # other weights.
+    misdirected: bool
+    target: str
+    weight_version: int
+    # Seconds that the target stays cold.
+    cold_seconds: float
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/metrics.py
@@ -0,0 +1,62 @@
+"""Counters and latency histograms of a proxy gateway."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+# Seconds; the operators' aims lie between 0.1 and 0.6 s, deadlines at 12 s.
+LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 12.0)
+
+
+class ProxyMetrics:
+    """All metrics of one gateway process."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "bamboopier_requests",
+            "Requests by route and final status",
+            ["route", "status"],
+            registry=self.registry,
+        )
+        self.sends = Counter(
+            "bamboopier_sends",
+            "Requests sent to targets, by service and cause of their end",
+            ["service", "cause"],
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "bamboopier_refusals",
+            "Requests that this process refused, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.first_byte = Histogram(
+            "bamboopier_first_byte_seconds",
+            "Seconds from a request's arrival to the first byte of its answer",
+            ["service"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.waited = Histogram(
+            "bamboopier_waited_seconds",
+            "Seconds that requests waited here for room at a target",
+            ["service"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.held_body_bytes = Gauge(
+            "bamboopier_held_body_bytes",
+            "Bytes of request bodies held by open requests",
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            "bamboopier_open_requests",
+            "Requests without a final answer",
+            registry=self.registry,
+        )
+        self.dropped_lines = Gauge(
+            "bamboopier_log_lines_dropped",
+            "Log lines that were dropped to stay within bounds",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -0,0 +1,156 @@
+"""Take what others write in the store into what this process believes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+from result import Err
+
+from .clock import read_clock
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bamboopier_decisions.forwarding.fleet import Fleet
+    from bamboopier_decisions.forwarding.model import TargetEntry
+    from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+    from bamboopier_objects.objects import ChangedObject, Listing
+
+    from .store_health import StoreHealth
+    from .vocabulary import Vocabulary
+
+log = structlog.get_logger()
+
+
+class TargetObserver:
+    """Keeps the fleet as the targets' entries say."""
+
+    def __init__(
+        self,
+        vocabulary: Vocabulary,
+        fleet: Fleet,
+        health: StoreHealth,
+        wake: Callable[[], None],
+    ) -> None:
+        self._vocabulary = vocabulary
+        self._fleet = fleet
+        self._health = health
+        self._wake = wake
+
+    def take_listing(self, listing: Listing, away_seconds: float) -> None:
+        """Take all entries."""
+        now = read_clock()
+        self._health.note_return(now, away_seconds)
+        returning = self._health.is_returning(now)
+        entries = []
+        for found in listing.objects:
+            entry = self._decode(found.key, found.value)
+            if entry is not None:
+                entries.append(entry)
+        known = set(self._fleet.names)
+        self._fleet.replace(now, entries, returning)
+        log.info(
+            "targets listed",
+            revision=listing.revision,
+            targets=len(entries),
+            missing=sorted(known - {e.name for e in entries}),
+            returning=returning,
+        )
+        self._wake()
+
+    def take_change(self, change: ChangedObject) -> None:
+        """Take one entry that changed or is gone."""
+        now = read_clock()
+        name = change.key.removeprefix(self._vocabulary.targets_prefix)
+        if change.value is None:
+            returning = self._health.is_returning(now)
+            self._fleet.remove(now, name, returning)
+            log.info(
+                "target gone", target=name, returning=returning, version=change.version
+            )
+            return
+        entry = self._decode(change.key, change.value)
+        if entry is None:
+            # Whoever wrote it, it names no target that may be used.
+            self._fleet.remove(now, name, store_was_away=False)
+            return
+        self._fleet.put(now, entry)
+        log.info(
+            "target changed",
+            target=name,
+            service=entry.service,
+            leaving=entry.leaving,
+            cold_seconds=entry.cold_seconds,
+            versions=entry.versions,
+            version=change.version,
+        )
+        self._wake()
+
+    def _decode(self, key: str, value: bytes) -> TargetEntry | None:
+        name = key.removeprefix(self._vocabulary.targets_prefix)
+        decoded = self._vocabulary.decode_target(name, value)
+        if isinstance(decoded, Err):
+            log.warning("entry set aside", target=name, reason=decoded.err_value)
+            return None
+        return decoded.ok_value
+
+
+class WeightsObserver:
+    """Keeps the weight versions that the operator named."""
+
+    def __init__(
+        self,
+        vocabulary: Vocabulary,
+        weights: WeightVersions,
+        changed: Callable[[], None],
+    ) -> None:
+        self._vocabulary = vocabulary
+        self._weights = weights
+        self._changed = changed
+
+    def take_listing(self, listing: Listing, away_seconds: float) -> None:
+        """Take all named versions."""
+        for found in listing.objects:
+            self._take(found.key, found.value)
+
+    def take_change(self, change: ChangedObject) -> None:
+        """Take a newly named version."""
+        if change.value is not None:
+            self._take(change.key, change.value)
+
+    def _take(self, key: str, value: bytes) -> None:
+        decoded = self._vocabulary.decode_weights(value)
+        if isinstance(decoded, Err):
+            log.warning("entry set aside", key=key, reason=decoded.err_value)
+            return
+        named = decoded.ok_value
+        if self._weights.name(read_clock(), named.model, named.version):
+            log.info("weights named", model=named.model, weight_version=named.version)
+            self._changed()
+
+
+class ClosureObserver:
+    """Keeps the data centres that are to get nothing."""
+
+    def __init__(self, vocabulary: Vocabulary, fleet: Fleet) -> None:
+        self._vocabulary = vocabulary
+        self._fleet = fleet
+        self._closed: set[str] = set()
+
+    def take_listing(self, listing: Listing, away_seconds: float) -> None:
+        """Take all closures."""
+        prefix = self._vocabulary.closures_prefix
+        self._apply({found.key.removeprefix(prefix) for found in listing.objects})
+
+    def take_change(self, change: ChangedObject) -> None:
+        """Take one closure, or its end."""
+        name = change.key.removeprefix(self._vocabulary.closures_prefix)
+        closed = self._closed - {name}
+        self._apply(closed | {name} if change.value is not None else closed)
+
+    def _apply(self, closed: set[str]) -> None:
+        if closed != self._closed:
+            log.info("data centres closed", data_centres=sorted(closed))
+        self._closed = closed
+        self._fleet.close_data_centres(closed)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -0,0 +1,144 @@
+"""Which gateways there are: each registers once, all read the list now and then.
+
+Nothing in the store lapses by itself, so an entry outlives a machine that was taken
+away. Entries are counted until their gateway has been silent for long: counting one too
+many makes each gateway's part of a shared limit smaller, which is the safe side.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from result import Err
+
+from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.objects import ABSENT
+
+from .clock import read_clock
+from .settings import Endpoint
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from bamboopier_objects.objects import StoredObject
+
+    from .vocabulary import Store
+
+# Seconds between two reads of the list: gateways come and go a few times an hour.
+READ_SECONDS = 8.0
+RETRY_SECONDS = 0.4
+# Seconds of silence after which a registered gateway is no longer counted.
+SILENT_SECONDS = 20.0
+
+log = structlog.get_logger()
+
+
+class GatewayEntry(msgspec.Struct):
+    """Where a gateway takes hints."""
+
+    host: str
+    port: int
+    # Milliseconds since 1970 of its start.
+    born: int
+
+
+class Roster:
+    """The registered gateways, without this process itself."""
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        random: random.Random,
+        count_changed: Callable[[int], None],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._random = random
+        self._count_changed = count_changed
+        self._own: str | None = None
+        self._peers: dict[str, Endpoint] = {}
+        # When each was first read here or last heard of.
+        self._heard: dict[str, float] = {}
+        self._count = 0
+        self.loaded = asyncio.Event()
+
+    @property
+    def peers(self) -> dict[str, Endpoint]:
+        """Return the other gateways that were heard of lately, by name."""
+        self._drop_silent()
+        return self._peers
+
+    def note_heard(self, name: str, host: str, port: int) -> None:
+        """Take in that a gateway sent a hint."""
+        if name != self._own:
+            self._peers[name] = Endpoint(host, port)
+            self._heard[name] = read_clock()
+            self._tell_count()
+
+    async def register(self, name: str, entry: GatewayEntry) -> None:
+        """Write this gateway's entry, again and again until it stands."""
+        self._own = name
+        key = self._prefix + name
+        value = msgspec.json.encode(entry)
+        version = ABSENT
+        while True:
+            written = await self._store.write(key, value, version)
+            if not isinstance(written, Err):
+                log.info("gateway registered", gateway=name)
+                return
+            fault = written.err_value
+            if isinstance(fault, VersionConflictError):
+                version = fault.found
+                continue
+            await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.0))
+
+    async def read(self) -> bool:
+        """Read the list once; False when it failed."""
+        listing = await self._store.list(self._prefix)
+        if isinstance(listing, Err):
+            return False
+        now = read_clock()
+        for found in listing.ok_value.objects:
+            self._take(found, now)
+        self.loaded.set()
+        self._tell_count()
+        return True
+
+    async def run(self) -> None:
+        """Read at intervals until cancelled."""
+        while True:
+            pause = READ_SECONDS if await self.read() else RETRY_SECONDS
+            await asyncio.sleep(pause * self._random.uniform(0.8, 1.0))
+            self._drop_silent()
+
+    def _take(self, found: StoredObject, now: float) -> None:
+        name = found.key.removeprefix(self._prefix)
+        if name == self._own or name in self._peers:
+            return
+        try:
+            entry = msgspec.json.decode(found.value, type=GatewayEntry)
+        except msgspec.MsgspecError as error:
+            log.warning("entry set aside", gateway=name, reason=str(error))
+            return
+        if now - self._heard.setdefault(name, now) < SILENT_SECONDS:
+            self._peers[name] = Endpoint(entry.host, entry.port)
+
+    def _drop_silent(self) -> None:
+        now = read_clock()
+        silent = [n for n in self._peers if now - self._heard[n] >= SILENT_SECONDS]
+        for name in silent:
+            del self._peers[name]
+            log.info("gateway silent", gateway=name)
+        if silent:
+            self._tell_count()
+
+    def _tell_count(self) -> None:
+        count = len(self._peers) + 1
+        if count != self._count:
+            self._count = count
+            self._count_changed(count)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/target_connection.py
@@ -0,0 +1,254 @@
+"""One HTTP connection to a target: a request at a time, and no byte of another answer.
+
+Failures answered: a second answer that comes late where the next one is due (its id
+tells), bytes after a whole answer (the connection is not used again), an answer that
+breaks off (never taken for whole), a connection that went silent (the kernel's user
+timeout ends it).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from .answer import Answer, BrokenAnswerError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+# Milliseconds that bytes may stay unacknowledged, and the seconds of silence before a
+# connection is probed: a peer that is gone shows within about two seconds.
+USER_TIMEOUT_MS = 1500
+PROBE_SECONDS = 1
+PROBES = 2
+# Answers under another request's id that are read and dropped before giving up.
+MAX_FOREIGN = 2
+# Seconds an idle connection is kept where the target does not say.
+DEFAULT_IDLE_SECONDS = 3.0
+# The target counts from its last byte and closes at a whole second.
+IDLE_MARGIN_SECONDS = 0.8
+
+
+class TargetConnection(asyncio.Protocol):
+    """A connection that is idle, or carries one request and its answer."""
+
+    def __init__(self, id_header: str, read_clock: Callable[[], float]) -> None:
+        self._id_header = id_header.lower()
+        self._read_clock = read_clock
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[str, str]] = []
+        self._head: asyncio.Future[Answer] | None = None
+        self._answer: Answer | None = None
+        self._request_id = ""
+        self._method = ""
+        self._foreign = 0
+        self._skipping = False
+        self._framed = False
+        self._spoiled = False
+        self._closed = False
+        self._keep = True
+        # Seconds it may stay idle before the target closes it.
+        self.idle_limit = DEFAULT_IDLE_SECONDS
+        self.idle_since = 0.0
+        self.served = 0
+
+    # What the pool and the exchange use.
+
+    @property
+    def is_open(self) -> bool:
+        """Say whether a request may be sent now."""
+        return (
+            not self._closed
+            and not self._spoiled
+            and self._keep
+            and self._head is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    async def ask(
+        self, head: bytes, body: bytes, request_id: str, method: str
+    ) -> Answer:
+        """Send a request and return its answer once status and headers are there.
+
+        Raises ``BrokenAnswerError`` when there will be none.
+        """
+        if self._transport is None:
+            raise BrokenAnswerError("not connected")
+        self._request_id = request_id
+        self._method = method
+        self._foreign = 0
+        self.served += 1
+        self._head = asyncio.get_running_loop().create_future()
+        self._transport.write(head + body)
+        return await self._head
+
+    def release(self) -> bool:
+        """Free the connection after a whole answer; False when it cannot be reused."""
+        whole = self._answer is not None and self._answer.complete
+        transport = self._transport
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        self._head = None
+        self._answer = None
+        if not whole or unsent or self._spoiled or not self._keep or self._closed:
+            self.abort()
+            return False
+        self.idle_since = self._read_clock()
+        return True
+
+    def abort(self) -> None:
+        """End the connection now; a target drops what it was working on."""
+        self._closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound how long a silent peer goes unnoticed."""
+        self._transport = cast("asyncio.Transport", transport)
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            bound_silence(connection)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; anything that comes while no answer is due spoils the connection."""
+        if self._head is None or (self._answer is not None and self._answer.complete):
+            self._spoil()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._break(f"no HTTP: {error}")
+
+    def eof_received(self) -> bool:
+        """Take in the target's end of the connection."""
+        if self._answer is not None and not self._framed and not self._skipping:
+            self._answer.finish()
+        self._break("the connection was closed")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take in that the connection is gone."""
+        self._closed = True
+        self._break(str(exc) if exc else "the connection was closed")
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; a second one on top of a whole one belongs to nobody."""
+        self._headers = []
+        if self._answer is not None and self._answer.complete:
+            self._spoiled = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Hand the answer on, or skip one that belongs to another request."""
+        status = self._parser.get_status_code()
+        if self._spoiled or status < 200:
+            return
+        named = self._find_header(self._id_header)
+        # A success without an id cannot be told from another request's answer.
+        foreign = named != self._request_id if named else status < 300
+        if foreign:
+            self._skip()
+            return
+        self._skipping = False
+        self._framed = self._is_framed(status)
+        self._keep = self._parser.should_keep_alive() and self._framed
+        self._note_idle_limit()
+        self._answer = Answer(status, tuple(self._headers), self._pause)
+        if self._head is not None and not self._head.done():
+            self._head.set_result(self._answer)
+        if self._method == "HEAD":
+            self._keep = False
+            self._answer.finish()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+        if self._answer is not None and not self._skipping and not self._spoiled:
+            self._answer.feed(body)
+
+    def on_message_complete(self) -> None:
+        """Take in the end of an answer."""
+        if self._parser.get_status_code() < 200 or self._spoiled:
+            return
+        if self._skipping:
+            self._skipping = False
+        elif self._answer is not None:
+            self._answer.finish()
+
+    # Inside
+
+    def _skip(self) -> None:
+        self._foreign += 1
+        self._skipping = True
+        # Whatever the target mixed up, no further request goes this way.
+        self._keep = False
+        if self._foreign > MAX_FOREIGN:
+            self._break("answers of other requests")
+
+    def _spoil(self) -> None:
+        self._spoiled = True
+        if self._head is None:
+            self.abort()
+
+    def _break(self, reason: str) -> None:
+        self._keep = False
+        if self._answer is not None:
+            self._answer.fail(reason)
+        elif self._head is not None and not self._head.done():
+            self._head.set_exception(BrokenAnswerError(reason))
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.close()
+
+    def _pause(self, stop: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if stop:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _find_header(self, name: str) -> str:
+        return next((v for n, v in self._headers if n.lower() == name), "")
+
+    def _is_framed(self, status: int) -> bool:
+        if status in (204, 304):
+            return True
+        if self._find_header("content-length"):
+            return True
+        return "chunked" in self._find_header("transfer-encoding").lower()
+
+    def _note_idle_limit(self) -> None:
+        seconds = DEFAULT_IDLE_SECONDS
+        for word in self._find_header("keep-alive").split(","):
+            name, _, value = word.strip().partition("=")
+            if name.lower() == "timeout" and value.isdecimal():
+                seconds = max(0.0, int(value) - IDLE_MARGIN_SECONDS)
+        self.idle_limit = seconds
+
+
+def bound_silence(connection: socket.socket) -> None:
+    """Let the kernel end a connection whose peer is gone without a word.
+
+    Without it a request that was sent on such a connection waits for its deadline.
+    """
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, name, value in options:
+        connection.setsockopt(level, name, value)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/target_directory.py
@@ -0,0 +1,49 @@
+"""How many targets a service has, and which one stands at an address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.model import TargetEntry
+    from bamboopier_objects.objects import FollowedStore
+
+    from .vocabulary import Vocabulary
+
+
+class TargetDirectory:
+    """Reads the registered targets of one service when they are needed."""
+
+    def __init__(
+        self, store: FollowedStore, vocabulary: Vocabulary, service: str
+    ) -> None:
+        self._store = store
+        self._vocabulary = vocabulary
+        self._service = service
+        self._entries: list[TargetEntry] = []
+
+    @property
+    def count(self) -> int:
+        """Return the number of targets last read, at least one."""
+        return max(1, len(self._entries))
+
+    async def read(self) -> bool:
+        """Read the list; False when the store did not answer."""
+        listing = await self._store.list(self._vocabulary.targets_prefix)
+        if isinstance(listing, Err):
+            return False
+        entries = []
+        for found in listing.ok_value.objects:
+            name = found.key.removeprefix(self._vocabulary.targets_prefix)
+            decoded = self._vocabulary.decode_target(name, found.value)
+            if isinstance(decoded, Ok) and decoded.ok_value.service == self._service:
+                entries.append(decoded.ok_value)
+        self._entries = entries
+        return True
+
+    def find_name(self, host: str, port: int) -> str:
+        """Return the name of the target at an address; empty when there is none."""
+        found = [e for e in self._entries if e.host == host and e.port == port]
+        return max(found, key=lambda e: e.born).name if found else ""
--- a/tools/capacity/followers.py
+++ b/tools/capacity/followers.py
@@ -17,9 +17,9 @@
 import msgspec
 
 from bamboopier_daemon.daemon import keep_running
-from bamboopier_platform.follower import ConfigurationFollower
-from bamboopier_platform.http_platform import HttpPlatform
-from bamboopier_platform.publisher import Publisher
+from bamboopier_objects.follower import ConfigurationFollower
+from bamboopier_objects.http_platform import HttpPlatform
+from bamboopier_objects.publisher import Publisher
 
 if TYPE_CHECKING:
     from bamboopier_configuration.directory import Directory
--- a/tools/capacity/projection.py
+++ b/tools/capacity/projection.py
@@ -19,8 +19,8 @@
     WATCH_SECONDS as QUARANTINE_WATCH_SECONDS,
 )
 from bamboopier_gateway.target_poll import POLLS_PER_SECOND
-from bamboopier_platform.follower import WATCH_SECONDS
-from bamboopier_platform.vm_follower import POLL_SECONDS
+from bamboopier_objects.follower import WATCH_SECONDS
+from bamboopier_objects.vm_follower import POLL_SECONDS
 
 from . import size
 
--- a/tools/capacity/workload.py
+++ b/tools/capacity/workload.py
@@ -16,8 +16,8 @@
 
 from bamboopier_configuration.collection import collect, find_files
 from bamboopier_configuration.model import Configuration, Workspace
-from bamboopier_platform.http_platform import HttpPlatform
-from bamboopier_platform.publisher import Publisher
+from bamboopier_objects.http_platform import HttpPlatform
+from bamboopier_objects.publisher import Publisher
 
 from .usage import read_cpu
 
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -16,10 +16,11 @@
     "standins": set(),
     "replay": {"configuration"},
     "daemon": {"configuration"},
-    "platform": {"configuration", "protocol"},
-    "gateway": {"configuration", "daemon", "decisions", "platform", "protocol"},
-    "agent": {"configuration", "daemon", "decisions", "platform", "protocol"},
-    "cli": {"agent", "configuration", "daemon", "decisions", "gateway", "platform"}
+    "objects": {"configuration", "protocol"},
+    "gateway": {"configuration", "daemon", "decisions", "objects", "protocol"},
+    "agent": {"configuration", "daemon", "decisions", "objects", "protocol"},
+    "proxy": {"agent", "configuration", "daemon", "decisions", "gateway", "objects"},
+    "cli": {"agent", "configuration", "daemon", "decisions", "gateway", "objects"}
     | {"protocol", "replay"},
 }
 # What the decision library may use: pure computation only.
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -21,7 +21,7 @@
 from bamboopier_agent.claims import ClaimTable
 from bamboopier_configuration.model import Service
 from bamboopier_decisions.claims.table import Verdict
-from bamboopier_platform.http_platform import HttpPlatform
+from bamboopier_objects.http_platform import HttpPlatform
 from bamboopier_standins.platform import PlatformStandIn
 
 DISPATCH = Service(name="dispatch", kind="plain")
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -322,10 +322,10 @@
     ),
     Mutation(
         "the platform client never sends a change again by itself",
-        "libraries/platform/src/bamboopier_platform/http_platform.py",
+        "libraries/objects/src/bamboopier_objects/http_caller.py",
         "timeout=timeout, connector=connector, middlewares=(_send_once,)",
         "timeout=timeout, connector=connector",
-        "libraries/platform",
+        "libraries/objects",
         "tests.test_http_platform",
     ),
 )
