Hand out each port once; tell a caller to come back while nothing is known

Ports are now handed out once per process and from a slice per process; waiting for a daemon that ended fails at once with its last line. SIGTERM ends the demo that stays. Memory of shared parts is counted once per target while requests need them.

--- a/libraries/cli/src/bamboopier_cli/commands/explain.py
+++ b/libraries/cli/src/bamboopier_cli/commands/explain.py
@@ -48,7 +48,8 @@
     """Say why a request went where it went, or why it was refused.
 
     REQUEST-ID is what the caller got as X-Request-Id; its beginning is enough. LOGS are
-    files with the lines that gateways and agents wrote on standard error, in any order;
+    files with the lines that gateways and agents wrote on standard output, in any
+    order;
     without LOGS, or for "-", standard input is read.
     """
     with ExitStack() as stack:
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -26,11 +26,12 @@
 class Sent:
     """One request at one target, from its sending to its end."""
 
-    __slots__ = ("load", "service", "state")
+    __slots__ = ("load", "prompt", "service", "state")
 
-    def __init__(self, state: TargetState, load: Load) -> None:
+    def __init__(self, state: TargetState, load: Load, prompt: Prompt | None) -> None:
         self.state = state
         self.load = load
+        self.prompt = prompt
         self.service = state.service.name
 
 
@@ -135,13 +136,12 @@
         load = Load(requests=1)
         if prompt is not None:
             load.unread = state.count_unread(prompt)
-            own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
-            load.memory = max(load.unread, own) + prompt.tokens_out
+            load.memory = state.pin(prompt)
             state.parts.add(prompt)
         state.own.add(load)
         state.cold.note_sent(now)
         state.standing.note_sent()
-        return Sent(state, load)
+        return Sent(state, load, prompt)
 
     def note_read(self, sent: Sent) -> None:
         """Take in that the prompt has been read: the first event came."""
@@ -152,7 +152,8 @@
         """Take in that the request is over."""
         own = sent.state.own
         own.requests -= sent.load.requests
-        own.memory -= sent.load.memory
+        if sent.prompt is not None:
+            own.memory -= sent.state.unpin(sent.prompt)
         own.unread -= sent.load.unread
 
     def set_others(self, loads: Mapping[str, Load]) -> None:
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -112,8 +112,7 @@
         return True
     if state.requests >= state.slots:
         return False
-    unread = state.count_unread(demand.prompt)
-    memory = unread + demand.prompt.tokens_out
+    memory = state.count_memory(demand.prompt)
     if state.memory + memory > engine.memory_tokens * MEMORY_SHARE:
         return False
     return state.unread / READ_RATE <= demand.unread_seconds
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from .cold_ramp import ColdRamp
@@ -44,6 +45,7 @@
         "own",
         "others",
         "parts",
+        "pinned",
         "service",
         "standing",
         "versions",
@@ -61,6 +63,9 @@
         self.versions = dict(entry.versions)
         memory = service.engine.memory_tokens if service.engine else 0
         self.parts = PartMemory(int(memory * CACHE_SHARE))
+        # Requests of this gateway under way that need each shared part: while there
+        # is one, the engine cannot evict it.
+        self.pinned: Counter[str] = Counter()
 
     @property
     def slots(self) -> int:
@@ -96,6 +101,28 @@
             if known:
                 self.parts.clear()
 
+    def count_memory(self, prompt: Prompt) -> int:
+        """Return the tokens of memory that ``prompt`` needs beside what is pinned.
+
+        A part that several requests share is held once.
+        """
+        held = sum(p.tokens for p in prompt.shared_parts if self.pinned[p.name])
+        return max(1, prompt.tokens_in - held) + prompt.tokens_out
+
+    def pin(self, prompt: Prompt) -> int:
+        """Take in that ``prompt`` is sent; return the memory it adds."""
+        memory = self.count_memory(prompt)
+        self.pinned.update(part.name for part in prompt.shared_parts)
+        return memory
+
+    def unpin(self, prompt: Prompt) -> int:
+        """Take in that ``prompt`` is over; return the memory that falls free."""
+        self.pinned.subtract(part.name for part in prompt.shared_parts)
+        for part in prompt.shared_parts:
+            if self.pinned[part.name] <= 0:
+                del self.pinned[part.name]
+        return self.count_memory(prompt)
+
     def count_unread(self, prompt: Prompt) -> int:
         """Return the tokens of ``prompt`` that it probably has to read."""
         return max(1, prompt.tokens_in - self.parts.count_cached(prompt))
--- a/libraries/gateway/src/bamboopier_gateway/application.py
+++ b/libraries/gateway/src/bamboopier_gateway/application.py
@@ -39,6 +39,9 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # For the last answers of requests that are cut when the process ends.
 CUT_SECONDS = 2.0
+# Seconds after which a caller should come back to a gateway that knows nothing yet:
+# the platform's first answer takes less, and the balancer sends callers elsewhere.
+STARTING_SECONDS = 1.0
 REQUEST_ID_HEADER = "X-Request-Id"
 
 log = structlog.get_logger()
@@ -121,6 +124,18 @@
             body=msgspec.json.encode(found), content_type="application/json"
         )
 
+    def _check_known(self) -> None:
+        """Refuse while no configuration is known.
+
+        A gateway that starts while the platform hangs knows no key: it would answer
+        401 to a good one, and the caller would not come back.
+        """
+        if self._follower.directory.generation == 0:
+            message = "no configuration is known yet"
+            raise CallerError(
+                ErrorCode.STALE_CONFIGURATION, message, retry_after=STARTING_SECONDS
+            )
+
     async def _serve_model(self, request: web.Request) -> web.StreamResponse:
         return await self._serve(request, self._reader.read_model_call)
 
@@ -129,6 +144,7 @@
 
     async def _list_models(self, request: web.Request) -> web.StreamResponse:
         """Answer with the models that the caller's workspace may use."""
+        self._check_known()
         directory = self._follower.directory
         workspace = authenticate(request, directory)
         body = msgspec.json.encode(list_models(directory, workspace))
@@ -140,6 +156,7 @@
     ) -> web.StreamResponse:
         if self._stopping:
             raise CallerError(ErrorCode.STOPPING, "shutting down", retry_after=1.0)
+        self._check_known()
         self._open += 1
         self._metrics.open_requests.set(self._open)
         self._idle.clear()
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -272,6 +272,8 @@
             requests=state.requests,
             unread=state.unread,
             memory=state.memory,
+            tokens_in=call.prompt.tokens_in if call.prompt else 0,
+            tokens_out=call.prompt.tokens_out if call.prompt else 0,
             configuration=call.version,
             proof_age=round(self._knowledge.currency.find_age(read_clock()), 3),
         )
--- a/tests/order_lab.py
+++ b/tests/order_lab.py
@@ -168,6 +168,7 @@
             limit = time.monotonic() + HANG_SECONDS
             answered = 0
             while answered < 4 and time.monotonic() < limit:
+                self.installation.check_alive(gateway)
                 answered += self._ask(gateway)
 
     def count_runs(self, order: Order) -> int:
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,30 @@
+"""What the development tools promise of the processes they start."""
+
+from __future__ import annotations
+
+import unittest
+
+from processes import Installation, StartError, find_port
+
+
+class PortTests(unittest.TestCase):
+    def test_no_port_is_handed_out_twice(self) -> None:
+        # Two daemons are given ports before either listens. Both ports are free, and
+        # were they the same, the second daemon would end with "address in use".
+        ports = [find_port() for _ in range(200)]
+        self.assertEqual(len(set(ports)), len(ports))
+
+
+class EndedDaemonTests(unittest.TestCase):
+    def test_waiting_for_a_daemon_that_ended_fails_at_once(self) -> None:
+        # A gateway ends while it starts. Whoever waits for it must be told its last
+        # line, and not wait for an answer until the time limit.
+        with Installation() as installation:
+            daemon = installation.start_process("gone", ["-c", "raise SystemExit('x')"])
+            daemon.process.wait(20)
+            with self.assertRaisesRegex(StartError, "gone ended: x"):
+                installation.check_alive("gone")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 import time
 import urllib.error
@@ -164,7 +165,10 @@
     url = installation.gateways["gateway-1"]
     print(f"\ncurl -N {url}/v1/completions -H 'Authorization: Bearer {FOSSE_KEY}' \\")
     print('  -d \'{"model":"pillar-8b","prompt":"is the box live?","stream":true}\'')
-    print(f"platform: {installation.platform_url}   stop with Ctrl-C")
+    print(f"platform: {installation.platform_url}   stop with Ctrl-C or SIGTERM")
+    # SIGTERM ends only this process unless it is turned into an exit: the others would
+    # stay.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         while True:
             time.sleep(1)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -28,6 +28,8 @@
 STOP_SECONDS = 20.0
 HOST = "127.0.0.1"
 LISTEN_PORTS = range(12_000, 32_000)
+# Test files run as processes beside each other: each draws from a slice of its own.
+PORT_SLICES = 40
 
 
 class StartError(Exception):
@@ -45,9 +47,13 @@
 
     def read_log(self) -> list[dict[str, Any]]:
         """Return the JSON lines the process has logged."""
-        lines = self.errors.read_text().splitlines()
+        lines = self.output.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    def read_end(self) -> str:
+        """Return the last lines the process wrote."""
+        return (self.errors.read_text() or self.output.read_text())[-2000:]
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process only."""
         self.process.send_signal(number)
@@ -214,6 +220,14 @@
         for name, url in self.admin.items():
             self._wait_for(name, f"{url}/readyz")
 
+    def check_alive(self, *names: str) -> None:
+        """Raise ``StartError`` if one of these processes has ended by itself.
+
+        Whoever waits for a process that is gone waits for its whole time limit.
+        """
+        for name in names:
+            self._check_alive(self.daemons[name])
+
     def read_target_log(self, name: str) -> list[dict[str, Any]]:
         """Return what reached a target, as the target itself recorded it."""
         return list(json.loads(fetch(f"{self.targets[name]}/log")))
@@ -248,8 +262,7 @@
 
     def _check_alive(self, daemon: Daemon) -> None:
         if daemon.process.poll() is not None:
-            text = daemon.errors.read_text()[-2000:]
-            raise StartError(f"{daemon.name} ended: {text}")
+            raise StartError(f"{daemon.name} ended: {daemon.read_end()}")
 
 
 def _describe_place(
@@ -267,13 +280,20 @@
 
 
 def find_port() -> int:
-    """Return a loopback port that was free a moment ago.
+    """Return a loopback port that is free and was not handed out before.
 
     It lies below those that the system gives to outgoing connections: one of them could
-    take a port from there before the process that is to listen on it has started.
+    take a port from there before the process that is to listen on it has started. A
+    port that is free may already be promised to a process that has not started yet.
     """
+    size = len(LISTEN_PORTS) // PORT_SLICES
+    start = os.getpid() % PORT_SLICES * size
+    own = LISTEN_PORTS[start : start + size]
     while True:
-        port = secrets.choice(LISTEN_PORTS)
+        port = secrets.choice(own)
+        if port in _handed_out:
+            continue
+        _handed_out.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
@@ -282,6 +302,9 @@
             return port
 
 
+_handed_out: set[int] = set()
+
+
 def fetch(url: str) -> bytes:
     """Return the body at ``url``."""
     with urllib.request.urlopen(url, timeout=10) as response:
