Write down when weights were named; load them in an order all share

Ruled out: the rule's stretch of stability (the core was stable from 17.6 s on). Change: the first gateways to hear of a version write the time of day below a kind of their own; one that starts reads it, 3 s older for clocks that differ; unknown is old. Loads go oldest first in an order that agents and gateways compute alike, and long answers avoid the engines whose turn is near. Output without an estimate is expected at 0.35 of its limit (mean of the callers' streams; 0.1 was a guess). Tests of the decisions.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..routing.rendezvous import rank
+from .roll_order import list_near
 
 if TYPE_CHECKING:
     import random
@@ -41,6 +43,11 @@
 FAILING_SECONDS = 2.0
 # Seconds that older weights count as: an answer made on them is worth a fifth less.
 OLD_SECONDS = 0.1
+# An answer is long from this many expected tokens: it holds up a target that is to load
+# new weights for half a second and more.
+LONG_OUTPUT = 100
+# Seconds that such a target counts as slower for a long answer: what the load waits.
+NEAR_SECONDS = 0.5
 # A target is full when requests under way need this share of its memory.
 MEMORY_SHARE = 1.0
 # Seconds of unread prompts above which no more are sent, by the request's priority:
@@ -71,6 +78,14 @@
         return UNREAD_SECONDS[min(max(self.priority, 0), len(UNREAD_SECONDS) - 1)]
 
 
+@dataclass(frozen=True, slots=True)
+class WantedWeights:
+    """The newest version of a model and the oldest that may still serve; 0 for any."""
+
+    newest: int = 0
+    oldest: int = 0
+
+
 class Placement:
     """The outcome of looking for a target."""
 
@@ -92,13 +107,13 @@
     fleet: Fleet,
     demand: Demand,
     tried: Set[str],
-    oldest_version: int,
+    weights: WantedWeights,
     data_centre: str,
     random: random.Random,
 ) -> Placement:
     """Return the target with the least expected time to the first byte.
 
-    Targets with weights older than ``oldest_version`` are left out.
+    Targets with weights older than the oldest that is allowed are left out.
     """
     known = fleet.list_service(demand.service, now)
     usable = [
@@ -106,10 +121,11 @@
         for state in known
         if state.entry.name not in tried
         and _may_try(now, fleet, state)
-        and _serves(state, demand, oldest_version)
+        and _serves(state, demand, weights.oldest)
     ]
     room = [state for state in usable if has_room(state, demand)]
-    best = _choose(room, demand, data_centre, random) if room else None
+    near = _find_near(known, demand, weights.newest)
+    best = _choose(room, demand, near, data_centre, random) if room else None
     return Placement(best, len(known), len(room), len(usable))
 
 
@@ -141,15 +157,28 @@
     return state.versions.get(demand.prompt.model, 0) >= oldest_version
 
 
+def _find_near(known: list[TargetState], demand: Demand, newest: int) -> frozenset[str]:
+    """Return the targets that load new weights soon."""
+    if demand.prompt is None or not newest:
+        return frozenset()
+    model = demand.prompt.model
+    versions = {s.entry.name: s.versions.get(model, 0) for s in known}
+    if min(versions.values(), default=newest) >= newest:
+        return frozenset()
+    return list_near(versions, newest)
+
+
 def _choose(
     states: list[TargetState],
     demand: Demand,
+    near: Set[str],
     data_centre: str,
     random: random.Random,
 ) -> TargetState:
     prompt = demand.prompt
     owner = ""
     newest = 0
+    is_long = prompt is not None and prompt.tokens_out >= LONG_OUTPUT
     if prompt is not None:
         newest = max(state.versions.get(prompt.model, 0) for state in states)
     if prompt is not None and prompt.affinity:
@@ -172,6 +201,8 @@
         waiting = (state.unread + own + moved + again * AGAIN_WEIGHT) / READ_RATE
         running = state.requests * RUNNING_SECONDS
         old = OLD_SECONDS if state.versions.get(prompt.model, 0) < newest else 0.0
+        if is_long and state.entry.name in near:
+            old += NEAR_SECONDS
         return waiting + running + outside + failing + old + chance
 
     return min(states, key=expect)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/prompt.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/prompt.py
@@ -8,8 +8,8 @@
 # this multiple.
 HINT_FACTOR = 1.5
 # Share of the allowed output that an answer takes where its caller gives no estimate;
-# limits are set for the longest answer, and means lie at a twentieth.
-UNHINTED_SHARE = 0.1
+# limits are set for the longest answer, and means lie at a third of them.
+UNHINTED_SHARE = 0.35
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/roll_order.py
@@ -0,0 +1,45 @@
+"""The order in which targets load newly named weights, the same at every process.
+
+Load pattern: all engines of a service have to load within seconds, a third of them at a
+time, and each first lets its running streams end. A long stream holds a place to load
+for its whole length. Everybody computes the same order, so gateways can keep long
+answers away from the engines whose turn comes next.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..membership.load_slots import count_slots
+from ..routing.rendezvous import weigh
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Targets of a service for each one that may load at the same time: a load takes longer
+# while more than about a third of the engines do so.
+TARGETS_PER_LOAD = 3
+# Turns ahead of the one that loads whose targets get no long answers.
+TURNS_AHEAD = 1
+
+
+def count_loads(targets: int) -> int:
+    """Return how many of ``targets`` may load at the same time."""
+    return count_slots(max(1, targets // TARGETS_PER_LOAD), max(2, targets))
+
+
+def list_order(versions: Mapping[str, int], newest: int) -> list[str]:
+    """Return the targets that have still to load ``newest``, the next one first.
+
+    ``versions`` holds each target's version. The oldest come first: the time allowed
+    runs out for them before it does for those that have a version in between.
+    """
+    behind = [name for name, version in versions.items() if version < newest]
+    key = str(newest).encode()
+    return sorted(behind, key=lambda name: (versions[name], weigh(key, name)))
+
+
+def list_near(versions: Mapping[str, int], newest: int) -> frozenset[str]:
+    """Return the targets whose turn has come or comes next."""
+    near = count_loads(len(versions)) * (1 + TURNS_AHEAD)
+    return frozenset(list_order(versions, newest)[:near])
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -8,29 +8,45 @@
 from __future__ import annotations
 
 # Seconds before the end of the time allowed for a new version from which the older one
-# gets no requests. They cover a second until this process heard of it, and the time in
+# gets no requests. They cover the time until this process heard of it, and the time in
 # which a request that was sent waits at the engine before it begins.
-END_SECONDS = 1.8
+END_SECONDS = 2.6
 
 
 class WeightVersions:
     """The newest version named for each model, and when that was heard."""
 
-    __slots__ = ("_allowed", "_named")
+    __slots__ = ("_ages", "_allowed", "_named")
 
     def __init__(self, allowed_seconds: float) -> None:
         self._allowed = allowed_seconds
-        # Versions of each model with the time each was first heard of, oldest first.
+        # Versions of each model with the time since which each is taken to be named,
+        # oldest first.
         self._named: dict[str, list[tuple[int, float]]] = {}
+        # The same as others wrote it down, of versions that were named before.
+        self._ages: dict[tuple[str, int], float] = {}
 
-    def name(self, now: float, model: str, version: int) -> bool:
-        """Take in a named version; True if it is newer than those known."""
+    def name(
+        self, now: float, model: str, version: int, *, was_there: bool = False
+    ) -> bool:
+        """Take in a named version; True if it is newer than those known.
+
+        One that was there when this process first looked may have been named long ago.
+        Unless somebody wrote down when, it is taken for that.
+        """
         versions = self._named.setdefault(model, [])
         if versions and version <= versions[-1][0]:
             return False
-        versions.append((version, now))
+        since = now
+        if was_there:
+            since = self._ages.get((model, version), float("-inf"))
+        versions.append((version, since))
         return True
 
+    def learn_age(self, model: str, version: int, since: float) -> None:
+        """Take in since when a version is named; before ``name`` is called for it."""
+        self._ages[model, version] = since
+
     def find_newest(self, model: str) -> int:
         """Return the newest version; 0 when none was named."""
         versions = self._named.get(model)
--- /dev/null
+++ b/libraries/decisions/tests/forwarding/test_bounds.py
@@ -0,0 +1,135 @@
+"""Bounds that several gateways share without a call: repeats, cold targets, keys."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_decisions.forwarding.cold_ramp import ColdRamp
+from bamboopier_decisions.forwarding.currency import SEND_MARGIN, Currency
+from bamboopier_decisions.forwarding.retry_share import RetryShare
+from bamboopier_decisions.forwarding.standing import Standing
+
+
+class RetryShareTests(unittest.TestCase):
+    def test_gateways_together_stay_within_the_bound(self) -> None:
+        # Every request of a service fails and each of four gateways would repeat it.
+        # In every window of ten seconds the repeats of all of them stay below a fifth
+        # of the requests and the slack.
+        gateways = [RetryShare(0.2, 54, 10.0) for _ in range(4)]
+        repeats: list[float] = []
+        for step in range(3000):
+            now = step * 0.01
+            share = gateways[step % 4]
+            share.add_request(now)
+            if share.take(now, 4):
+                repeats.append(now)
+        for start in range(20):
+            inside = [t for t in repeats if start <= t < start + 10]
+            self.assertLessEqual(len(inside), 0.2 * 1000 + 54)
+        self.assertGreater(len(repeats), 300)
+
+    def test_a_restart_of_one_gateway_does_not_break_the_bound(self) -> None:
+        # One of four gateways restarts in the window and has forgotten its repeats.
+        spent = 0
+        for shares in ([RetryShare(0.2, 54, 10.0) for _ in range(5)],):
+            for share in shares:
+                while share.take(1.0, 4):
+                    spent += 1
+        self.assertLessEqual(spent, 54)
+
+
+class ColdRampTests(unittest.TestCase):
+    def test_all_gateways_together_respect_the_rate(self) -> None:
+        # Five gateways send to an engine that is cold, as fast as they may. In no
+        # second does it get more than 18 requests.
+        ramps = [ColdRamp() for _ in range(5)]
+        sent: list[float] = []
+        for ramp in ramps:
+            ramp.start(0.0, 3.0)
+        for step in range(300):
+            now = step * 0.01
+            for ramp in ramps:
+                if ramp.may_send(now, 18.0, 5):
+                    ramp.note_sent(now)
+                    sent.append(now)
+        for start in range(200):
+            inside = [t for t in sent if start * 0.01 <= t < start * 0.01 + 1]
+            self.assertLessEqual(len(inside), 18)
+        self.assertGreater(len(sent), 30)
+
+    def test_a_warm_target_has_no_bound(self) -> None:
+        ramp = ColdRamp()
+        for _ in range(100):
+            self.assertTrue(ramp.may_send(5.0, 18.0, 1))
+            ramp.note_sent(5.0)
+
+
+class CurrencyTests(unittest.TestCase):
+    def test_a_proof_counts_from_its_question(self) -> None:
+        # The answer to a question of second 10 arrives at second 14. A key could have
+        # been taken away at 10.1, so at 15 the proof is five seconds old.
+        currency = Currency(5.0)
+        self.assertFalse(currency.covers(1.0))
+        currency.prove(10.0)
+        self.assertTrue(currency.covers(14.0))
+        self.assertFalse(currency.covers(15.0 - SEND_MARGIN))
+
+    def test_an_older_proof_takes_nothing_back(self) -> None:
+        currency = Currency(5.0)
+        currency.prove(10.0)
+        currency.prove(3.0)
+        self.assertTrue(currency.covers(14.0))
+
+    def test_without_a_bound_one_proof_is_enough(self) -> None:
+        currency = Currency(None)
+        self.assertFalse(currency.covers(1.0))
+        currency.prove(0.0)
+        self.assertTrue(currency.covers(1e6))
+
+
+class StandingTests(unittest.TestCase):
+    def test_a_target_that_fails_half_is_passed_over(self) -> None:
+        standing = Standing()
+        for step in range(30):
+            now = step * 0.05
+            if not standing.may_try(now):
+                break
+            standing.note_sent()
+            if step % 2:
+                standing.note_failure(now)
+            else:
+                standing.note_answer()
+        self.assertFalse(standing.may_try(now))
+
+    def test_few_failures_change_nothing(self) -> None:
+        standing = Standing()
+        for step in range(200):
+            now = step * 0.05
+            self.assertTrue(standing.may_try(now))
+            standing.note_sent()
+            if step % 10 == 0:
+                standing.note_failure(now)
+            else:
+                standing.note_answer()
+
+    def test_it_is_tried_again_with_one_request(self) -> None:
+        standing = Standing()
+        standing.note_unreachable(0.0)
+        self.assertFalse(standing.may_try(0.1))
+        self.assertTrue(standing.may_try(1.0))
+        standing.note_sent()
+        self.assertFalse(standing.may_try(1.0))
+        standing.note_answer()
+        self.assertTrue(standing.may_try(1.0))
+
+    def test_a_failed_try_doubles_the_pause(self) -> None:
+        standing = Standing()
+        standing.note_unreachable(0.0)
+        standing.note_sent()
+        standing.note_failure(1.0)
+        self.assertFalse(standing.may_try(1.55))
+        self.assertTrue(standing.may_try(1.7))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -84,7 +84,7 @@
             follower = ObjectFollower(
                 store,
                 vocabulary.weights_prefix,
-                WeightsObserver(vocabulary, weights, roller.changed.set),
+                WeightsObserver(vocabulary, weights, lambda _: roller.changed.set()),
                 WATCH_SECONDS,
                 generator,
                 read_clock,
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -7,7 +7,12 @@
 import structlog
 
 from bamboopier_decisions.forwarding.model import Repeat
-from bamboopier_decisions.forwarding.placement import Demand, Placement, place
+from bamboopier_decisions.forwarding.placement import (
+    Demand,
+    Placement,
+    WantedWeights,
+    place,
+)
 from bamboopier_decisions.forwarding.retry_share import RetryShare
 from bamboopier_decisions.forwarding.waiting import draw_return, limit_wait
 
@@ -127,11 +132,15 @@
 
     def _place(self, call: Call, demand: Demand, tried: set[str]) -> Placement:
         now = read_clock()
-        oldest = 0
+        wanted = WantedWeights()
         if call.prompt is not None:
-            oldest = self._weights.find_oldest_allowed(now, call.prompt.model)
+            model = call.prompt.model
+            wanted = WantedWeights(
+                self._weights.find_newest(model),
+                self._weights.find_oldest_allowed(now, model),
+            )
         return place(
-            now, self._fleet, demand, tried, oldest, self._data_centre, self._random
+            now, self._fleet, demand, tried, wanted, self._data_centre, self._random
         )
 
     def _refuse(self, call: Call, code: ErrorCode, placement: Placement) -> CallerError:
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -35,6 +35,7 @@
 from .store_health import StoreHealth
 from .target_pool import TargetPool
 from .waiting_room import WaitingRoom
+from .weight_ages import WeightAges
 
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.model import Declared
@@ -92,6 +93,7 @@
 
     knowledge = Knowledge(settings.key_seconds, apply)
     roster = Roster(store, vocabulary.gateways_prefix, generator, take_count)
+    ages = WeightAges(store, vocabulary.ages_prefix, weights, generator)
     pool = TargetPool(dialect.name_request_id())
     exchange = Exchange(pool, fleet, dialect)
     gossip = Gossip(
@@ -130,7 +132,11 @@
     named = ObjectFollower(
         store,
         vocabulary.weights_prefix,
-        WeightsObserver(vocabulary, weights, lambda: None),
+        WeightsObserver(
+            vocabulary,
+            weights,
+            lambda named: ages.note_named(named.model, named.version),
+        ),
         WATCH_SECONDS,
         generator,
         read_clock,
@@ -145,10 +151,15 @@
     )
     poll = ConfigurationPoll(store, vocabulary, knowledge, health, generator)
 
+    async def follow_weights() -> None:
+        await ages.read()
+        await named.run()
+
     def is_ready() -> bool:
         return (
             not ingress.stopping
             and targets.loaded.is_set()
+            and named.loaded.is_set()
             and knowledge.currency.covers(read_clock())
         )
 
@@ -164,7 +175,7 @@
             for work in (
                 poll.run(),
                 targets.run(),
-                named.run(),
+                follow_weights(),
                 closures.run(),
                 roster.register(settings.vm, entry),
                 roster.run(),
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -18,7 +18,7 @@
     from bamboopier_objects.objects import ChangedObject, Listing
 
     from .store_health import StoreHealth
-    from .vocabulary import Vocabulary
+    from .vocabulary import NamedWeights, Vocabulary
 
 log = structlog.get_logger()
 
@@ -103,31 +103,41 @@
         self,
         vocabulary: Vocabulary,
         weights: WeightVersions,
-        changed: Callable[[], None],
+        changed: Callable[[NamedWeights], None],
     ) -> None:
         self._vocabulary = vocabulary
         self._weights = weights
         self._changed = changed
+        self._listed = False
 
     def take_listing(self, listing: Listing, away_seconds: float) -> None:
-        """Take all named versions."""
+        """Take all named versions; the first list says nothing of their age."""
         for found in listing.objects:
-            self._take(found.key, found.value)
+            self._take(found.key, found.value, was_there=not self._listed)
+        self._listed = True
 
     def take_change(self, change: ChangedObject) -> None:
         """Take a newly named version."""
         if change.value is not None:
-            self._take(change.key, change.value)
+            self._take(change.key, change.value, was_there=False)
 
-    def _take(self, key: str, value: bytes) -> None:
+    def _take(self, key: str, value: bytes, *, was_there: bool) -> None:
         decoded = self._vocabulary.decode_weights(value)
         if isinstance(decoded, Err):
             log.warning("entry set aside", key=key, reason=decoded.err_value)
             return
         named = decoded.ok_value
-        if self._weights.name(read_clock(), named.model, named.version):
-            log.info("weights named", model=named.model, weight_version=named.version)
-            self._changed()
+        now = read_clock()
+        if not self._weights.name(now, named.model, named.version, was_there=was_there):
+            return
+        log.info(
+            "weights named",
+            model=named.model,
+            weight_version=named.version,
+            was_there=was_there,
+        )
+        if not was_there:
+            self._changed(named)
 
 
 class ClosureObserver:
--- a/libraries/proxy/src/bamboopier_proxy/target_directory.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_directory.py
@@ -43,10 +43,13 @@
         self._entries = entries
         return True
 
-    def find_oldest(self, model: str) -> int:
-        """Return the oldest version of a model that a target has; 0 for none."""
-        versions = [e.versions[model] for e in self._entries if model in e.versions]
-        return min(versions, default=0)
+    def list_versions(self, model: str) -> dict[str, int]:
+        """Return the version of a model that each target has."""
+        return {
+            entry.name: entry.versions[model]
+            for entry in self._entries
+            if model in entry.versions and not entry.leaving
+        }
 
     def find_name(self, host: str, port: int) -> str:
         """Return the name of the target at an address; empty when there is none."""
--- a/libraries/proxy/src/bamboopier_proxy/vocabulary.py
+++ b/libraries/proxy/src/bamboopier_proxy/vocabulary.py
@@ -39,6 +39,8 @@
     leases_prefix: str
     # Where the places to load weights are held.
     slots_prefix: str
+    # Where it is written when weights were named.
+    ages_prefix: str
 
     def decode_configuration(self, value: bytes) -> Result[Declared, str]:
         """Return a configuration, or what is wrong with it."""
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -0,0 +1,100 @@
+"""Writes down when weights were named, for processes that start later.
+
+Failure answered: all gateways lose power just after new weights were named. Those that
+start anew find the version in the store, but not for how long it has been there, and
+would let older weights serve for the whole time allowed once more.
+
+The time of day is the only clock that outlives a machine. It may be off by seconds, so
+a time read from the store is taken as ``CLOCK_ERROR_SECONDS`` older than it says.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from result import Err
+
+from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.objects import ABSENT
+
+from .clock import read_clock
+
+if TYPE_CHECKING:
+    import random
+
+    from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+
+    from .vocabulary import Store
+
+# Machines' times of day jump by a few seconds at the most, and jump back.
+CLOCK_ERROR_SECONDS = 3.0
+# Gateways write a little apart, so that most find the entry written.
+SPREAD_SECONDS = 0.4
+RETRY_SECONDS = 0.4
+TRIES = 5
+
+log = structlog.get_logger()
+
+
+class NamedAt(msgspec.Struct):
+    """When a version was first heard of, in seconds since 1970."""
+
+    seconds: float
+
+
+class WeightAges:
+    """Entries below a prefix, one for each model and version."""
+
+    def __init__(
+        self, store: Store, prefix: str, weights: WeightVersions, random: random.Random
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._weights = weights
+        self._random = random
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def note_named(self, model: str, version: int) -> None:
+        """Take in that a version was named just now; write it down."""
+        task = asyncio.create_task(self._write(model, version))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def read(self) -> None:
+        """Read all entries, again and again until the store answers."""
+        while True:
+            listing = await self._store.list(self._prefix)
+            if not isinstance(listing, Err):
+                break
+            await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.0))
+        for found in listing.ok_value.objects:
+            self._take(found.key.removeprefix(self._prefix), found.value)
+
+    def _take(self, name: str, value: bytes) -> None:
+        model, _, version = name.rpartition("/")
+        try:
+            named = msgspec.json.decode(value, type=NamedAt)
+            number = int(version)
+        except (msgspec.MsgspecError, ValueError) as error:
+            log.warning("entry set aside", key=name, reason=str(error))
+            return
+        age = max(0.0, time.time() - named.seconds) + CLOCK_ERROR_SECONDS
+        self._weights.learn_age(model, number, read_clock() - age)
+        log.info("weights known", model=model, weight_version=number, age=round(age, 1))
+
+    async def _write(self, model: str, version: int) -> None:
+        named_at = time.time()
+        await asyncio.sleep(self._random.uniform(0, SPREAD_SECONDS))
+        key = f"{self._prefix}{model}/{version}"
+        value = msgspec.json.encode(NamedAt(named_at))
+        for _ in range(TRIES):
+            written = await self._store.write(key, value, ABSENT)
+            fault = written.err_value if isinstance(written, Err) else None
+            if fault is None or isinstance(fault, VersionConflictError):
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+        log.warning("naming not written", model=model, weight_version=version)
--- a/libraries/proxy/src/bamboopier_proxy/weight_roller.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_roller.py
@@ -15,7 +15,7 @@
 import structlog
 from result import Err, Ok
 
-from bamboopier_decisions.membership.load_slots import count_slots
+from bamboopier_decisions.forwarding.roll_order import count_loads, list_order
 
 from .clock import read_clock
 from .hints import OrderHint
@@ -34,17 +34,14 @@
     from .target_directory import TargetDirectory
     from .target_orders import TargetOrders, TargetReport
 
-# Targets of a service for each one that may load at the same time: a load takes longer
-# while more than about a third of the engines do so.
-TARGETS_PER_LOAD = 3
 # Seconds between two looks at the target while nothing is to be done: it may have come
 # back with older weights. Its report costs nothing on its own machine.
 REVIEW_SECONDS = 1.0
-# Seconds for which a target lets those with older weights load first; one of them may
-# have nobody who orders it.
+# Seconds for which a target waits for its turn; one before it may have nobody who
+# orders it.
 YIELD_SECONDS = 5.0
 # Seconds for which the list of targets is taken as it was read.
-DIRECTORY_SECONDS = 1.5
+DIRECTORY_SECONDS = 0.5
 # Seconds until the next try for a slot, and between two looks at a load.
 SLOT_SECONDS = 0.25
 LOOK_SECONDS = 0.08
@@ -114,26 +111,23 @@
             return True
         if not await self._refresh_directory():
             return True
-        if self._yields(report, wanted[0]):
-            return True
         self._target = report.name or self._directory.find_name(
             self._place.host, self._place.port
         )
-        targets = self._directory.count
-        count = count_slots(max(1, targets // TARGETS_PER_LOAD), targets)
+        count = count_loads(self._directory.count)
+        if self._yields(wanted, count):
+            return True
         async with self._slots.take(count) as slot:
             if slot is None:
                 return True
             await self._load(wanted, slot)
         return True
 
-    def _yields(self, report: TargetReport, model: str) -> bool:
-        """Say whether targets with older weights than this one load before it.
-
-        Versions are named in a row, and the time runs from each: a target that has
-        the first of them may serve for longer than one that has none.
-        """
-        if self._directory.find_oldest(model) >= report.versions[model]:
+    def _yields(self, wanted: tuple[str, int], count: int) -> bool:
+        """Say whether other targets load before this one."""
+        model, newest = wanted
+        order = list_order(self._directory.list_versions(model), newest)
+        if self._target in order[:count] or self._target not in order:
             self._yielding_since = None
             return False
         now = read_clock()
