Close idle connections of a stopping gateway for good

Ruled out: the listener (kept open, the same requests hung). Change: idle connections are closed by force, streams that end while stopping close theirs, who still comes hears 503 'not run' at once.

--- a/libraries/gateway/src/bamboopier_gateway/connection.py
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -108,6 +108,15 @@
                 self._header_timeout, self._give_up_headers
             )
 
+    def let_go(self) -> None:
+        """Close if no request is under way.
+
+        aiohttp's own ``close`` ends the task that reads requests and leaves the
+        transport open: what the caller sends then is never answered.
+        """
+        if self._waits_for_request():
+            self.force_close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/libraries/proxy/src/bamboopier_proxy/caller_listener.py
+++ b/libraries/proxy/src/bamboopier_proxy/caller_listener.py
@@ -80,16 +80,11 @@
             self._server.close()
         await self._manager.shutdown(0.2)
 
-    def stop(self) -> None:
-        """Take no new connection, and let the open ones go after their request.
-
-        A request that is read late in a shutdown may be cut by its end; one that meets
-        a closed connection was never read, and its caller asks elsewhere.
-        """
-        if self._server is not None:
-            self._server.close()
+    def let_go(self) -> None:
+        """Close idle connections; the others close after their request."""
         for connection in self._manager.connections:
-            connection.close()
+            if isinstance(connection, CallerConnection):
+                connection.let_go()
 
     def add(self) -> bool:
         """Note a connection that opened; False when there are too many."""
--- a/libraries/proxy/src/bamboopier_proxy/delivery.py
+++ b/libraries/proxy/src/bamboopier_proxy/delivery.py
@@ -63,6 +63,8 @@
 
     async def finish(self) -> None:
         """End a whole stream."""
+        if self._is_stopping():
+            self.response.force_close()
         await self._guard(self.response.write_eof())
 
     def cut(self) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -210,7 +210,10 @@
     ingress.stopping = True
     log.info("gateway stopping", open_requests=ingress.open_requests)
     await asyncio.sleep(UNREADY_SECONDS)
-    listener.stop()
+    # Callers may still come: a listener that is closed leaves those that are already
+    # connected without a word until the process ends.
+    ingress.refusing = True
+    listener.let_go()
     left = settings.grace_seconds * GRACE_SHARE - (read_clock() - started)
     try:
         async with asyncio.timeout(left):
--- a/libraries/proxy/src/bamboopier_proxy/ingress.py
+++ b/libraries/proxy/src/bamboopier_proxy/ingress.py
@@ -40,6 +40,8 @@
 BODY_MEMORY_SHARE = 0.15
 # Seconds after which a caller should come back to a process that knows nothing yet.
 STARTING_SECONDS = 0.5
+# Seconds after which a caller should come back to another process.
+STOPPING_SECONDS = 0.05
 # Methods that belong to a connection and not to a resource.
 REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
 
@@ -67,7 +69,10 @@
             int(memory_bytes * BODY_MEMORY_SHARE), metrics.held_body_bytes
         )
         self._open = 0
+        # Answers say that their connection closes.
         self.stopping = False
+        # What comes now could be cut by the end of this process; another one takes it.
+        self.refusing = False
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -117,6 +122,9 @@
         arrived: float,
         trace: _Trace,
     ) -> None:
+        if self.refusing:
+            message = "this process is stopping"
+            raise CallerError(ErrorCode.STOPPING, message, Ran.NO, STOPPING_SECONDS)
         table = self._knowledge.table
         if table is None:
             message = "no configuration is known yet"
