--- a/libraries/cli/src/bamboopier_cli/decision_log.py
+++ b/libraries/cli/src/bamboopier_cli/decision_log.py
@@ -1,4 +1,4 @@
-"""Reads the decision lines that gateways and agents write on standard error."""
+"""Reads the decision lines that gateways and agents write on standard output."""
 
 from __future__ import annotations
 
--- a/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
@@ -55,7 +55,13 @@
 class Quarantine:
     """One gateway's evidence and what the others have found."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        min_targets: int = MIN_TARGETS,
+        refused_seconds: float = QUARANTINE_SECONDS,
+    ) -> None:
+        self._min_targets = min_targets
+        self._refused_seconds = refused_seconds
         self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
         self._by_target: dict[str, set[bytes]] = {}
         self._last_break: dict[str, float] = {}
@@ -85,13 +91,13 @@
         until = self._learned.get(fingerprint, 0.0)
         suspect = self._suspects.get(fingerprint)
         if suspect is not None and self._is_convicted(now, fingerprint, suspect):
-            until = max(until, suspect.last + QUARANTINE_SECONDS)
+            until = max(until, suspect.last + self._refused_seconds)
         return max(0.0, until - now)
 
     def list_unpublished(self, now: float) -> list[Sentence]:
         """Return what others should know, once the evidence has settled."""
         return [
-            Sentence(fingerprint, suspect.last + QUARANTINE_SECONDS)
+            Sentence(fingerprint, suspect.last + self._refused_seconds)
             for fingerprint, suspect in self._suspects.items()
             if not suspect.published
             and now - suspect.last >= SETTLE_SECONDS
@@ -107,9 +113,9 @@
 
     def _is_convicted(self, now: float, fingerprint: bytes, suspect: _Suspect) -> bool:
         """Say whether it broke enough targets and no other request broke them all."""
-        if now - suspect.last >= QUARANTINE_SECONDS:
+        if now - suspect.last >= self._refused_seconds:
             return False
-        if len(suspect.targets) < MIN_TARGETS:
+        if len(suspect.targets) < self._min_targets:
             return False
         sharing = (self._by_target[target] for target in suspect.targets)
         return set.intersection(*sharing) == {fingerprint}
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -56,6 +56,8 @@
     failure: HeldAnswer | None = None
     weight_version: int = 0
     first_byte: float = 0.0
+    # Another target than the one expected answered.
+    other_target: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +128,7 @@
                 f"status {answer.status}, target {said.target}",
                 answer.status,
                 weight_version=said.weight_version,
+                other_target=bool(said.target) and said.target != marks.target,
             )
         if not said.sealed and answer.status < 500:
             detail = f"status {answer.status} without a seal"
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import structlog
 
@@ -43,9 +43,25 @@
 # loads weights.
 TURNED_AWAY_SECONDS = 0.15
 
+# Seconds for which a target is left alone at whose address another one answers. Its own
+# entry lapses after three missed heartbeats; a new start has an entry of its own.
+REPLACED_SECONDS = 5.0
+
 log = structlog.get_logger()
 
 
+class Breaks(Protocol):
+    """What is known of requests that broke targets, here and at other gateways."""
+
+    def note_break(self, fingerprint: bytes, target: str) -> None:
+        """Take in that a target broke while it had the request."""
+        ...
+
+    def find_wait(self, fingerprint: bytes) -> float:
+        """Return the seconds for which the request is refused; 0 when it is not."""
+        ...
+
+
 class Forwarder:
     """Places, sends, and decides what follows each end of a send."""
 
@@ -58,6 +74,7 @@
         room: WaitingRoom,
         kept: KeptParts,
         metrics: ProxyMetrics,
+        breaks: Breaks,
         bounds: RetryBounds,
         data_centre: str,
         random: random.Random,
@@ -69,6 +86,7 @@
         self._room = room
         self._kept = kept
         self._metrics = metrics
+        self._breaks = breaks
         self._bounds = bounds
         self._data_centre = data_centre
         self._random = random
@@ -76,6 +94,7 @@
 
     async def forward(self, call: Call, delivery: Delivery) -> None:
         """Answer the caller; raises ``CallerError`` when this system must answer."""
+        self._check_breaks(call)
         share = self._find_share(call.service)
         share.add_request(read_clock())
         runs = 0
@@ -86,7 +105,7 @@
                 self._check_currency(call)
                 marks = self._make_marks(call, sent)
                 result = await self._exchange.send(call, sent, marks, delivery)
-                self._judge(sent, result)
+                self._judge(call, sent, result)
             except BaseException:
                 sent.state.standing.note_neutral()
                 raise
@@ -215,7 +234,14 @@
         own = len(prompt.parts) - len(shared)
         return self._kept.plan(read_clock(), scope, shared, own)
 
-    def _judge(self, sent: Sent, result: SendResult) -> None:
+    def _check_breaks(self, call: Call) -> None:
+        """Refuse a request that broke the targets that ran it."""
+        wait = self._breaks.find_wait(call.fingerprint)
+        if wait > 0:
+            message = "this request broke the targets that ran it"
+            raise CallerError(ErrorCode.OVERLOADED, message, Ran.NO, wait)
+
+    def _judge(self, call: Call, sent: Sent, result: SendResult) -> None:
         """Take in what a send says of its target."""
         state = sent.state
         now = read_clock()
@@ -229,10 +255,17 @@
             case Cause.NOT_RUN:
                 state.busy_until = now + TURNED_AWAY_SECONDS
                 state.standing.note_neutral()
-            case Cause.MISDIRECTED | Cause.CLOSED:
+            case Cause.MISDIRECTED:
+                state.standing.note_neutral()
+                if result.other_target:
+                    # This start of the target is over; its entry only says so later.
+                    state.busy_until = now + REPLACED_SECONDS
+            case Cause.CLOSED:
                 state.standing.note_neutral()
             case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
                 state.standing.note_failure(now)
+                if result.cause is Cause.BROKEN and not result.status:
+                    self._breaks.note_break(call.fingerprint, state.entry.name)
 
     async def _goes_on(
         self,
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -48,6 +48,10 @@
 # Seconds that one watch lasts. One that went silent is noticed a little later, within
 # the two seconds in which a leaving target has to be let alone.
 WATCH_SECONDS = 2.0
+# Different targets that one request must have broken before it is refused, and for how
+# long: two could be chance, and a mistake must not starve a path that many ask for.
+BREAKS_TO_REFUSE = 3
+REFUSED_SECONDS = 30.0
 # Share of the grace time in which requests may end; the rest is for closing.
 GRACE_SHARE = 0.95
 # After not-ready shows, the balancer asks twice, a second apart, before it sends new
@@ -74,7 +78,7 @@
     kept = KeptParts()
     health = StoreHealth()
     weights = WeightVersions(settings.version_seconds)
-    quarantine = Quarantine()
+    quarantine = Quarantine(BREAKS_TO_REFUSE, REFUSED_SECONDS)
     services: list[str] = []
 
     def apply(declared: Declared) -> None:
@@ -114,6 +118,7 @@
         room,
         kept,
         metrics,
+        gossip,
         settings.retries,
         settings.data_centre,
         generator,
--- a/libraries/proxy/src/bamboopier_proxy/gossip.py
+++ b/libraries/proxy/src/bamboopier_proxy/gossip.py
@@ -112,6 +112,10 @@
         self._quarantine.note_break(now, fingerprint, target)
         self._breaks.append((now, BreakHint(fingerprint, target)))
 
+    def find_wait(self, fingerprint: bytes) -> float:
+        """Return the seconds for which a request is refused; 0 when it is not."""
+        return self._quarantine.find_wait(read_clock(), fingerprint)
+
     async def run(self) -> None:
         """Send hints until cancelled."""
         while True:
--- a/libraries/proxy/src/bamboopier_proxy/ingress.py
+++ b/libraries/proxy/src/bamboopier_proxy/ingress.py
@@ -15,7 +15,7 @@
 from .clock import read_clock
 from .delivery import CallerGoneError, Delivery
 from .forwarder import make_stale_refusal
-from .messages import Call
+from .messages import Call, make_fingerprint
 from .refusals import CallerError, ErrorCode, Ran, list_headers
 
 if TYPE_CHECKING:
@@ -201,6 +201,12 @@
             deadline=deadline,
             timeout=min(deadline, arrived + route.timeout),
             version=table.declared.version,
+            fingerprint=make_fingerprint(
+                request.method,
+                request.raw_path,
+                workspace.name if workspace is not None else "",
+                body,
+            ),
             last_event=marks.last_event,
         )
 
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,13 @@
     passed: HeaderList
 
 
+def make_fingerprint(method: str, raw_path: str, workspace: str, body: bytes) -> bytes:
+    """Return what is the same each time a caller sends the same request."""
+    digest = hashlib.blake2b(body, digest_size=12)
+    digest.update(f"{method} {raw_path} {workspace}".encode())
+    return digest.digest()
+
+
 @dataclass(slots=True)
 class Call:
     """One request with all that decides how it is treated.
@@ -54,6 +62,7 @@
     timeout: float
     # Version of the configuration that let it in.
     version: int
+    fingerprint: bytes
     last_event: str | None = None
     # Names of targets it was sent to.
     tried: list[str] = field(default_factory=list)
