--- a/libraries/decisions/src/bamboopier_decisions/forwarding/currency.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/currency.py
@@ -25,6 +25,10 @@
         self._limit = limit
         self.proved_at = float("-inf")
 
+    def set_limit(self, limit: float | None) -> None:
+        """Take another bound."""
+        self._limit = limit
+
     def prove(self, asked_at: float) -> None:
         """Take in that the configuration was current at ``asked_at``."""
         self.proved_at = max(self.proved_at, asked_at)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -26,6 +26,10 @@
         # The same as others wrote it down, of versions that were named before.
         self._ages: dict[tuple[str, int], float] = {}
 
+    def set_allowed(self, seconds: float) -> None:
+        """Take another time for which older versions may serve."""
+        self._allowed = seconds
+
     def name(
         self, now: float, model: str, version: int, *, was_there: bool = False
     ) -> bool:
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -23,10 +23,13 @@
 from .hint_socket import HintSocket
 from .observers import WeightsObserver
 from .roster import Roster
+from .settings_watch import SettingsWatch
 from .target_directory import TargetDirectory
 from .weight_roller import WeightRoller
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .settings import ProxySettings
     from .target_orders import TargetOrders
     from .vocabulary import Store, Vocabulary
@@ -40,7 +43,11 @@
 
 
 async def run_agent(
-    settings: ProxySettings, store: Store, vocabulary: Vocabulary, orders: TargetOrders
+    settings: ProxySettings,
+    store: Store,
+    vocabulary: Vocabulary,
+    orders: TargetOrders,
+    read_settings: Callable[[], ProxySettings],
 ) -> None:
     """Keep the target's weights as named until SIGTERM."""
     if settings.target is None:
@@ -91,6 +98,12 @@
             )
             await stack.enter_async_context(keep_running(follower.run()))
             await stack.enter_async_context(keep_running(roller.run()))
+            watch = SettingsWatch(
+                settings,
+                read_settings,
+                lambda changed: weights.set_allowed(changed.version_seconds),
+            )
+            await stack.enter_async_context(keep_running(watch.run()))
             await stack.enter_async_context(
                 serve_administration(
                     Address(settings.metrics.host, settings.metrics.port),
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -92,6 +92,10 @@
         self._random = random
         self._shares: dict[str, RetryShare] = {}
 
+    def set_bounds(self, bounds: RetryBounds) -> None:
+        """Take other bounds for repeats; services already known keep theirs."""
+        self._bounds = bounds
+
     async def forward(self, call: Call, delivery: Delivery) -> None:
         """Answer the caller; raises ``CallerError`` when this system must answer."""
         self._check_breaks(call)
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -32,12 +32,15 @@
 from .observers import ClosureObserver, TargetObserver, WeightsObserver
 from .part_follower import PartFollower
 from .roster import GatewayEntry, Roster
+from .settings_watch import SettingsWatch
 from .store_health import StoreHealth
 from .target_pool import TargetPool
 from .waiting_room import WaitingRoom
 from .weight_ages import WeightAges
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bamboopier_decisions.forwarding.model import Declared
 
     from .dialect import Dialect
@@ -67,6 +70,7 @@
     vocabulary: Vocabulary,
     dialect: Dialect,
     part_stores: PartStores,
+    read_settings: Callable[[], ProxySettings],
 ) -> None:
     """Serve until SIGTERM, then let every request finish."""
     if settings.callers is None or settings.readiness is None:
@@ -156,6 +160,13 @@
     )
     poll = ConfigurationPoll(store, vocabulary, knowledge, health, generator)
 
+    def take_settings(changed: ProxySettings) -> None:
+        knowledge.currency.set_limit(changed.key_seconds)
+        weights.set_allowed(changed.version_seconds)
+        forwarder.set_bounds(changed.retries)
+
+    watch = SettingsWatch(settings, read_settings, take_settings)
+
     async def follow_weights() -> None:
         await ages.read()
         await named.run()
@@ -187,6 +198,7 @@
                 gossip.run(),
                 PartFollower(part_stores, kept).run(),
                 room.run(),
+                watch.run(),
                 pool.run(),
             ):
                 await stack.enter_async_context(keep_running(work))
