--- a/Makefile
+++ b/Makefile
@@ -9,11 +9,14 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: reference demo demo-stay test check format types protocol mutations bench bench-load capacity bench-context
+.PHONY: reference demo demo-platform demo-stay test check format types protocol mutations bench bench-load capacity bench-context
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
 
+demo-platform: $(VENV)/ready
+	cd platform && $(abspath $(PYTHON)) -m tests.demo
+
 demo-stay: $(VENV)/ready
 	$(PYTHON) tools/demo.py --stay
 
--- /dev/null
+++ b/libraries/daemon/tests/test_log_sink.py
@@ -0,0 +1,73 @@
+"""Log lines are bounded, and a reader that stands still stops nothing."""
+
+from __future__ import annotations
+
+import os
+import unittest
+
+from bamboopier_daemon.log_sink import LINES_AT_ONCE, LINES_PER_SECOND, LogSink
+
+
+class LogSinkTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.now = 0.0
+        self.sink = LogSink(self.writer, lambda: self.now)
+
+    def tearDown(self) -> None:
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def read(self) -> bytes:
+        found = b""
+        try:
+            while data := os.read(self.reader, 65536):
+                found += data
+        except BlockingIOError:
+            pass
+        return found
+
+    def test_lines_pass_unchanged(self) -> None:
+        self.sink.write("one\n")
+        self.sink.write("two\n")
+        self.assertEqual(self.read(), b"one\ntwo\n")
+
+    def test_a_pipe_that_nobody_reads_stops_nobody(self) -> None:
+        # The collector hangs. The process writes on without waiting; what does not
+        # fit is dropped whole, and counted in a line once the collector reads again.
+        line = "x" * 500 + "\n"
+        for _ in range(400):
+            self.sink.write(line)
+        self.assertGreater(self.sink.dropped, 0)
+        first = self.read()
+        self.sink.write("after\n")
+        rest = self.read()
+        lines = (first + rest).split(b"\n")
+        told = [found for found in lines if b"log lines dropped" in found]
+        self.assertEqual(len(told), 1)
+        whole = [found for found in lines if found == b"x" * 500]
+        self.assertEqual(len(whole) + self.sink.dropped, 400)
+
+    def test_a_flood_is_cut_to_its_rate(self) -> None:
+        for _ in range(int(LINES_AT_ONCE) + 500):
+            self.sink.write("a\n")
+            self.read()
+        self.assertEqual(self.sink.dropped, 500)
+        self.now = 1.0
+        for _ in range(int(LINES_PER_SECOND)):
+            self.sink.write("a\n")
+            self.read()
+        self.assertEqual(self.sink.dropped, 500)
+
+    def test_a_reader_that_is_gone_is_no_fault(self) -> None:
+        reader, writer = os.pipe()
+        sink = LogSink(writer)
+        os.close(reader)
+        sink.write("nobody reads\n")
+        os.close(writer)
+        self.assertEqual(sink.dropped, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libraries/proxy/tests/test_event_splitter.py
@@ -0,0 +1,33 @@
+"""Streams are cut only at the end of an event."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_proxy.event_splitter import EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\nversion: 3\ndata: b id: 9\n\nid: 3\ndata: c\n\n"
+
+
+class EventSplitterTests(unittest.TestCase):
+    def test_any_cut_gives_the_same_events(self) -> None:
+        for size in range(1, len(STREAM)):
+            with self.subTest(size):
+                splitter = EventSplitter()
+                pieces = [
+                    splitter.feed(STREAM[at : at + size])
+                    for at in range(0, len(STREAM), size)
+                ]
+                self.assertEqual(b"".join(pieces), STREAM)
+                self.assertTrue(all(p.endswith(b"\n\n") for p in pieces if p))
+                self.assertEqual((splitter.last_event, splitter.rest), ("3", b""))
+
+    def test_a_part_of_an_event_is_held_back(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(STREAM[:20]), b"id: 1\ndata: a\n\n")
+        self.assertEqual(splitter.last_event, "1")
+        self.assertEqual(splitter.rest, b"id: 2")
+
+
+if __name__ == "__main__":
+    unittest.main()
