Keep a target's connection when its caller closes at once; one clock for all

A caller that has its last byte cancels the handler that waits in the final write; the connection to the target was dropped with it, and the answer logged as left. Hints of loads keep below 15 KB/s a gateway. read_clock stood twice: it is the daemon library's now.

--- a/libraries/agent/src/bamboopier_agent/lease.py
+++ b/libraries/agent/src/bamboopier_agent/lease.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.membership.lease import Lease, LeaseRecord, SeenLease
 
 if TYPE_CHECKING:
@@ -29,11 +29,6 @@
 NEED_POLL_SECONDS = 0.5
 
 
-def read_clock() -> float:
-    """Return seconds on a clock that also counts while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class LeaseKeeper:
     """Reads, takes, renews and gives up one lease object."""
 
--- a/libraries/agent/src/bamboopier_agent/load_slots.py
+++ b/libraries/agent/src/bamboopier_agent/load_slots.py
@@ -8,11 +8,12 @@
 
 from result import Err
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import keep_running
 from bamboopier_decisions.membership.lease import Lease
 from bamboopier_decisions.membership.load_slots import choose_slot
 
-from .lease import LeaseKeeper, read_clock
+from .lease import LeaseKeeper
 
 if TYPE_CHECKING:
     import random
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -13,13 +13,13 @@
 from bamboopier_agent.lease import LeaseKeeper
 from bamboopier_agent.load_slots import LoadSlots
 from bamboopier_configuration.settings import Address
+from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import keep_running, serve_administration
 from bamboopier_daemon.stopping import StopSignals
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 from bamboopier_decisions.membership.lease import Lease
 from bamboopier_objects.object_follower import ObjectFollower
 
-from .clock import read_clock
 from .hint_socket import HintSocket
 from .observers import WeightsObserver
 from .roster import Roster
--- a/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
@@ -13,7 +13,7 @@
 import structlog
 from result import Err
 
-from .clock import read_clock
+from bamboopier_daemon.clock import read_clock
 
 if TYPE_CHECKING:
     import random
--- a/libraries/proxy/src/bamboopier_proxy/delivery.py
+++ b/libraries/proxy/src/bamboopier_proxy/delivery.py
@@ -51,7 +51,7 @@
         response = web.Response(status=status, body=body)
         response.headers.popall("Content-Type", None)
         await self._begin(response, headers)
-        await self._guard(response.write_eof())
+        await self._end()
 
     async def begin(self, status: int, headers: HeaderList) -> None:
         """Send the head of a stream."""
@@ -65,7 +65,7 @@
         """End a whole stream."""
         if self._is_stopping():
             self.response.force_close()
-        await self._guard(self.response.write_eof())
+        await self._end()
 
     def cut(self) -> None:
         """End the connection: what was sent is a part and must look like one."""
@@ -80,6 +80,20 @@
         self._response = response
         await self._guard(response.prepare(self._request))
 
+    async def _end(self) -> None:
+        """Send the last bytes of a whole answer.
+
+        A caller that has them and closes at once cancels this task before it runs
+        again. The answer is served all the same: its target's connection is kept, and
+        it is counted.
+        """
+        try:
+            await self._guard(self.response.write_eof())
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None:
+                task.uncancel()
+
     async def _guard(self, work: Awaitable[object]) -> None:
         try:
             async with asyncio.timeout(WRITE_SECONDS):
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -7,10 +7,10 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.routing.messages import Ran
 
 from .answer import BrokenAnswerError
-from .clock import read_clock
 from .event_splitter import EventSplitter
 from .target_pool import ConnectError
 
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.model import Repeat
 from bamboopier_decisions.forwarding.placement import (
     Demand,
@@ -16,7 +17,6 @@
 from bamboopier_decisions.forwarding.retry_share import RetryShare
 from bamboopier_decisions.forwarding.waiting import draw_return, limit_wait
 
-from .clock import read_clock
 from .exchange import Cause
 from .messages import SendMarks
 from .refusals import CallerError, ErrorCode, Ran
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -11,6 +11,7 @@
 import structlog
 
 from bamboopier_configuration.settings import Address
+from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import keep_running, serve_administration
 from bamboopier_daemon.stopping import StopSignals
 from bamboopier_decisions.forwarding.fleet import Fleet
@@ -21,7 +22,6 @@
 from bamboopier_objects.object_follower import ObjectFollower
 
 from .caller_listener import CallerListener, serve_readiness
-from .clock import read_clock
 from .configuration_poll import ConfigurationPoll
 from .exchange import Exchange
 from .forwarder import Forwarder
--- a/libraries/proxy/src/bamboopier_proxy/gossip.py
+++ b/libraries/proxy/src/bamboopier_proxy/gossip.py
@@ -15,9 +15,9 @@
 
 import structlog
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.target_state import Load
 
-from .clock import read_clock
 from .hint_socket import HintSocket
 from .hints import (
     BreakHint,
@@ -27,6 +27,7 @@
     ProofAnswer,
     ProofQuestion,
     TargetLoadHint,
+    encode,
 )
 from .settings import Endpoint
 
@@ -44,9 +45,11 @@
 # Seconds between two hints, and after which one says nothing any more.
 HINT_SECONDS = 0.25
 STALE_SECONDS = 1.2
-# Peers that get a hint each time; at 340 gateways each hears of each other one within
-# some seconds, and sends 32 datagrams of at most 1.4 KB a second.
+# Peers that get a hint each time, at the most.
 MAX_PEERS = 8
+# Bytes a second that hints of loads may cost: two thirds of what a node may spend on
+# control. With many targets under way each hint goes to fewer peers, drawn anew.
+BYTES_PER_SECOND = 15_000
 # Targets named in one hint, the busiest first: what fits a datagram.
 MAX_TARGETS = 24
 # Age of the own proof from which others are asked for theirs, in seconds.
@@ -134,7 +137,8 @@
             self._list_loads(),
             [b for _, b in self._breaks[:8]],
         )
-        for peer in self._draw_peers():
+        allowed = BYTES_PER_SECOND * HINT_SECONDS / len(encode(hint))
+        for peer in self._draw_peers(max(1, int(allowed))):
             self._socket.send(hint, peer)
 
     def _list_loads(self) -> list[TargetLoadHint]:
@@ -146,11 +150,12 @@
             for s in busy[:MAX_TARGETS]
         ]
 
-    def _draw_peers(self) -> list[Endpoint]:
+    def _draw_peers(self, most: int = MAX_PEERS) -> list[Endpoint]:
         peers = list(self._roster.peers.values())
-        if len(peers) <= MAX_PEERS:
+        most = min(most, MAX_PEERS)
+        if len(peers) <= most:
             return peers
-        return self._random.sample(peers, MAX_PEERS)
+        return self._random.sample(peers, most)
 
     def _ask_for_proof(self) -> None:
         now = read_clock()
--- a/libraries/proxy/src/bamboopier_proxy/ingress.py
+++ b/libraries/proxy/src/bamboopier_proxy/ingress.py
@@ -9,10 +9,10 @@
 import structlog
 from result import Err
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.route_table import draw_service
 from bamboopier_gateway.body import BodyBudget, read_body
 
-from .clock import read_clock
 from .delivery import CallerGoneError, Delivery
 from .forwarder import make_stale_refusal
 from .messages import Call, make_fingerprint
--- a/libraries/proxy/src/bamboopier_proxy/part_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_follower.py
@@ -9,7 +9,7 @@
 import structlog
 from result import Err, Result
 
-from .clock import read_clock
+from bamboopier_daemon.clock import read_clock
 
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.kept_parts import KeptParts, PartNews
--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -14,10 +14,10 @@
 import structlog
 from result import Err
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_objects.errors import VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
-from .clock import read_clock
 from .settings import Endpoint
 
 if TYPE_CHECKING:
--- a/libraries/proxy/src/bamboopier_proxy/target_pool.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_pool.py
@@ -11,7 +11,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from .clock import read_clock
+from bamboopier_daemon.clock import read_clock
+
 from .target_connection import TargetConnection
 
 if TYPE_CHECKING:
--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -18,11 +18,10 @@
 import structlog
 from result import Err
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_objects.errors import VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
-from .clock import read_clock
-
 if TYPE_CHECKING:
     import random
 
--- a/libraries/proxy/src/bamboopier_proxy/weight_roller.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_roller.py
@@ -15,9 +15,9 @@
 import structlog
 from result import Err, Ok
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.roll_order import count_loads, list_order
 
-from .clock import read_clock
 from .hints import OrderHint
 from .target_orders import OrderFault, WeightOrder
 
