--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -44,9 +44,17 @@
         since = now
         if was_there:
             since = self._ages.get((model, version), float("-inf"))
+            # The store holds the newest version only. The time of those named before
+            # it goes on, too: it ends sooner for the targets that have none of them.
+            versions += self._list_before(model, version)
         versions.append((version, since))
         return True
 
+    def _list_before(self, model: str, version: int) -> list[tuple[int, float]]:
+        """Return the versions before ``version`` that somebody wrote down."""
+        known = ((v, since) for (m, v), since in self._ages.items() if m == model)
+        return sorted(found for found in known if found[0] < version)
+
     def learn_age(self, model: str, version: int, since: float) -> None:
         """Take in since when a version is named; before ``name`` is called for it."""
         self._ages[model, version] = since
--- a/libraries/decisions/tests/forwarding/test_weights.py
+++ b/libraries/decisions/tests/forwarding/test_weights.py
@@ -45,6 +45,19 @@
         fresh.name(100.0, "m", 3, was_there=True)
         self.assertEqual(fresh.find_oldest_allowed(100.0, "m"), 0)
 
+    def test_a_start_does_not_forget_versions_named_in_between(self) -> None:
+        # Versions 2 and 3 are named four seconds apart, then all gateways lose power.
+        # The store shows version 3 alone, but the time of version 2 ends first: what
+        # has neither may not serve until version 3's time is over.
+        weights = WeightVersions(12.0)
+        weights.learn_age("m", 3, 104.0)
+        weights.learn_age("m", 2, 100.0)
+        weights.learn_age("other", 2, 0.0)
+        weights.name(106.0, "m", 3, was_there=True)
+        self.assertEqual(weights.find_oldest_allowed(106.0, "m"), 0)
+        self.assertEqual(weights.find_oldest_allowed(112.0, "m"), 2)
+        self.assertEqual(weights.find_oldest_allowed(116.0, "m"), 3)
+
     def test_a_version_of_unknown_age_is_taken_for_old(self) -> None:
         weights = WeightVersions(12.0)
         weights.name(100.0, "m", 3, was_there=True)
