--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -14,6 +14,8 @@
 from bamboopier_decisions.routing.messages import Ran
 from bamboopier_protocol import agent_pb2 as pb
 
+from .delivery import find_length
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterable, Callable
 
@@ -63,6 +65,9 @@
     _result: AttemptResult = field(default_factory=lambda: AttemptResult(Ran.UNKNOWN))
     _expected_sequence: int = 0
     _body_bytes: int = 0
+    # The body's length where the target gave one, and what completes it.
+    _length: int | None = None
+    _last_chunk: bytes = b""
     _begun: bool = False
 
     async def run(self, delivery: Delivery) -> AttemptResult:
@@ -158,10 +163,16 @@
         kind = event.WhichOneof("event")
         if kind == "head":
             self._begun = True
+            self._length = find_length(event.head)
             await delivery.begin(event.head)
         elif kind == "chunk":
             self._body_bytes += len(event.chunk)
-            await delivery.write(event.chunk)
+            if self._length is not None and self._body_bytes >= self._length:
+                # A caller that counts bytes takes these for the end, and leaves before
+                # the answer is proved whole and counted.
+                self._last_chunk += event.chunk
+            else:
+                await delivery.write(event.chunk)
         elif kind == "finished":
             return await self._finish(event.finished, delivery)
         elif kind == "not_run":
@@ -181,6 +192,8 @@
         self._result.ran = Ran.YES
         self._result.finished = finished
         try:
+            if self._last_chunk:
+                await delivery.write(self._last_chunk)
             await delivery.finish()
         except asyncio.CancelledError:
             # The caller has the whole answer and closes at once, before this task runs
--- a/libraries/gateway/src/bamboopier_gateway/delivery.py
+++ b/libraries/gateway/src/bamboopier_gateway/delivery.py
@@ -50,7 +50,7 @@
         response = web.StreamResponse(status=head.status)
         for name, value in drop_hop_headers((h.name, h.value) for h in head.headers):
             response.headers.add(name, value)
-        response.content_length = _find_length(head)
+        response.content_length = find_length(head)
         response.headers["X-Request-Id"] = self._request_id
         if head.weight_version:
             response.headers["X-Weight-Version"] = head.weight_version
@@ -89,7 +89,7 @@
         return response
 
 
-def _find_length(head: ResponseHead) -> int | None:
+def find_length(head: ResponseHead) -> int | None:
     """Return the body's length where the target gave one.
 
     A caller that knows the length sees by itself that a cut answer is not whole.
