--- a/libraries/gateway/tests/test_attempt.py
+++ b/libraries/gateway/tests/test_attempt.py
@@ -90,6 +90,35 @@
                 if whole:
                     self.assertEqual(delivery.body, BODY)
 
+    async def test_the_last_bytes_wait_for_the_end(self) -> None:
+        # The target gave a length, all bytes of it arrive, and the agent is lost before
+        # it says that the answer is whole. A caller that counts must not have them all.
+        length = pb.Header(name="Content-Length", value=str(len(BODY)))
+        head = make_event(0, head=pb.ResponseHead(status=200, headers=[length]))
+        for end, whole in ((LOST, False), (None, True)):
+            events = [head, *A[1:3], *(A[3:] if whole else [])]
+            delivery = FakeDelivery()
+            stub = answer_with(FakeStream(events, end))
+            attempt = Attempt(make_call(), stub, 1, attempt_id=ATTEMPT)
+            await attempt.run(delivery)
+            self.assertEqual(delivery.body == BODY, whole)
+
+    async def test_a_caller_that_leaves_with_its_last_byte_is_served(self) -> None:
+        # The caller has the whole answer and closes; the server cancels the task that
+        # is in the final write. The result still says that the request ran.
+        class Left(FakeDelivery):
+            async def finish(self) -> None:
+                task = asyncio.current_task()
+                assert task is not None
+                task.cancel()
+                await asyncio.sleep(0)
+
+        stub = answer_with(FakeStream(A, None))
+        attempt = Attempt(make_call(), stub, 1, attempt_id=ATTEMPT)
+        result = await attempt.run(Left())
+        self.assertEqual(result.ran, Ran.YES)
+        self.assertIsNotNone(result.finished)
+
     async def test_a_silent_agent_holds_nobody_past_the_deadline(self) -> None:
         # A frozen agent keeps its connection open and says nothing.
         stream = FakeStream([], None)
