--- a/tests/order_lab.py
+++ b/tests/order_lab.py
@@ -136,7 +136,7 @@
         for relay in (relay for relays in self._relays.values() for relay in relays):
             relay.heal()
         for name, daemon in list(self.installation.daemons.items()):
-            if daemon.process.poll() is None:
+            if not daemon.has_ended():
                 daemon.send(signal.SIGCONT)
             elif name == "target":
                 self._start_target()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+import time
 import unittest
 
 from processes import Installation, StartError, find_port
@@ -25,6 +27,21 @@
             with self.assertRaisesRegex(StartError, "gone ended: x"):
                 installation.check_alive("gone")
 
+    def test_a_daemon_that_another_thread_kills_has_ended(self) -> None:
+        # A fault kills a daemon from a thread of its own, and the test looks at once
+        # which daemons it has to start anew. It must not take the dying one for alive.
+        with Installation() as installation:
+            for number in range(10):
+                name = f"dying-{number}"
+                arguments = ["-c", "import time; time.sleep(60)"]
+                daemon = installation.start_process(name, arguments)
+                killer = threading.Thread(target=daemon.kill)
+                killer.start()
+                while not daemon.killed:
+                    time.sleep(0)
+                self.assertTrue(daemon.has_ended())
+                killer.join()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -44,6 +44,8 @@
     process: subprocess.Popen[bytes]
     output: Path
     errors: Path
+    # SIGKILL is on its way; another thread may still be waiting for the end.
+    killed: bool = False
 
     def read_log(self) -> list[dict[str, Any]]:
         """Return the JSON lines the process has logged."""
@@ -65,8 +67,19 @@
             self.process.terminate()
         return self.process.wait(STOP_SECONDS)
 
+    def has_ended(self) -> bool:
+        """Say whether the process is gone, or will be at once.
+
+        While one thread waits for a process, ``poll`` in another takes it for alive:
+        who looked then would not start it anew.
+        """
+        if self.killed:
+            self.process.wait(STOP_SECONDS)
+        return self.process.poll() is not None
+
     def kill(self) -> None:
         """End the process at once."""
+        self.killed = True
         self.process.kill()
         self.process.wait(STOP_SECONDS)
 
