--- a/libraries/daemon/src/bamboopier_daemon/daemon.py
+++ b/libraries/daemon/src/bamboopier_daemon/daemon.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from contextlib import asynccontextmanager, suppress
+from functools import cache
 from typing import TYPE_CHECKING, Any, TextIO, cast
 
 import msgspec
@@ -58,14 +59,18 @@
             structlog.processors.JSONRenderer(serializer=_encode),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(file=_open_sink()),
+        logger_factory=structlog.WriteLoggerFactory(
+            # structlog only writes and flushes.
+            file=cast("TextIO", open_log_sink())
+        ),
         cache_logger_on_first_use=True,
     )
 
 
-def _open_sink() -> TextIO:
-    # structlog only writes and flushes.
-    return cast("TextIO", LogSink(sys.stdout.fileno()))
+@cache
+def open_log_sink() -> LogSink:
+    """Return where this process's log lines go."""
+    return LogSink(sys.stdout.fileno())
 
 
 def _encode(line: dict[str, object], **_: object) -> str:
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
@@ -156,10 +156,6 @@
         # The answer named the clock at its making, which is not before it was asked.
         return self._clock_ms + int((age + left) * 1000) if self._clock_ms else 0
 
-    def list_scope(self, keep: str) -> list[tuple[str, str]]:
-        """Return the parts of all scopes but ``keep``."""
-        return [key for key in self._parts if key[0] != keep]
-
     def _apply(self, change: PartChange) -> None:
         key = (change.scope, change.part)
         self._held += change.tokens - self._parts.get(key, 0)
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -15,6 +15,7 @@
 from bamboopier_configuration.settings import Address
 from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import keep_running, serve_administration
+from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_daemon.stopping import StopSignals
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 from bamboopier_decisions.membership.lease import Lease
@@ -104,6 +105,10 @@
                 lambda changed: weights.set_allowed(changed.version_seconds),
             )
             await stack.enter_async_context(keep_running(watch.run()))
+            # An agent follows no configuration, only the weights that are named.
+            add_process_metrics(
+                registry, "agent", settings, follower.loaded.is_set, lambda: 0
+            )
             await stack.enter_async_context(
                 serve_administration(
                     Address(settings.metrics.host, settings.metrics.port),
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -145,7 +145,9 @@
                 return None
             return self._fleet.begin(read_clock(), found.state, call.prompt)
 
-        sent = await self._room.wait(call.service, call.priority, seconds, find)
+        sent = await self._room.wait(
+            call.service, call.priority, seconds, find, self._fleet.end
+        )
         waited = read_clock() - started
         self._metrics.waited.labels(call.service).observe(waited)
         if sent is None:
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -12,7 +12,12 @@
 
 from bamboopier_configuration.settings import Address
 from bamboopier_daemon.clock import read_clock
-from bamboopier_daemon.daemon import keep_running, serve_administration
+from bamboopier_daemon.daemon import (
+    keep_running,
+    open_log_sink,
+    serve_administration,
+)
+from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_daemon.stopping import StopSignals
 from bamboopier_decisions.forwarding.fleet import Fleet
 from bamboopier_decisions.forwarding.kept_parts import KeptParts
@@ -183,6 +188,10 @@
         table = knowledge.table
         return table.declared.limits if table is not None else CallerLimits()
 
+    metrics.dropped_lines.set_function(lambda: open_log_sink().dropped)
+    add_process_metrics(
+        metrics.registry, "gateway", settings, is_ready, lambda: knowledge.version
+    )
     async with AsyncExitStack() as stack:
         with StopSignals() as signals:
             await stack.enter_async_context(pool)
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -33,6 +33,7 @@
 
     vm: str
     data_centre: str
+    region: str
     host: str
     # Where callers connect; None on an agent.
     callers: Endpoint | None
@@ -55,7 +56,4 @@
     # For which a holder of a target's orders must be silent before another gives one.
     lease_seconds: float
     retries: RetryBounds
-    # A cold target bears its rate times this, plus a constant, in any second.
-    cold_factor: float
-    cold_slack: float
     memory_bytes: int
--- a/libraries/proxy/src/bamboopier_proxy/target_pool.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_pool.py
@@ -42,7 +42,6 @@
         self._id_header = id_header
         self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
         self._open: dict[tuple[str, int], set[TargetConnection]] = {}
-        self.opened = 0
 
     async def __aenter__(self) -> Self:
         return self
@@ -95,10 +94,6 @@
         """End a connection whose answer is not wanted, or not whole."""
         self._forget((entry.name, entry.born), connection)
 
-    def count(self, entry: TargetEntry) -> int:
-        """Return the open connections to a target."""
-        return len(self._open.get((entry.name, entry.born), ()))
-
     def sweep(self) -> None:
         """End connections that stood idle too long."""
         now = read_clock()
@@ -131,7 +126,6 @@
         except (OSError, TimeoutError) as error:
             text = str(error) or type(error).__name__
             raise ConnectError(f"{entry.host}:{entry.port}: {text}") from error
-        self.opened += 1
         self._open.setdefault(key, set()).add(connection)
         return connection
 
--- a/libraries/proxy/src/bamboopier_proxy/waiting_room.py
+++ b/libraries/proxy/src/bamboopier_proxy/waiting_room.py
@@ -44,8 +44,14 @@
         priority: int,
         seconds: float,
         find: Callable[[], Sent | None],
+        take_back: Callable[[Sent], None],
     ) -> Sent | None:
-        """Wait until ``find`` returns a place; None when ``seconds`` have passed."""
+        """Wait until ``find`` returns a place; None when ``seconds`` have passed.
+
+        A caller may leave between the moment in which a place is counted for it and
+        the one in which its task runs again. Nobody would end that request, and its
+        target would look busier for ever: the place is given to ``take_back``.
+        """
         queue = self._queues.setdefault(service, WaitQueue())
         ticket = queue.add(priority)
         found: asyncio.Future[Sent] = asyncio.get_running_loop().create_future()
@@ -54,7 +60,12 @@
             async with asyncio.timeout(seconds):
                 return await found
         except TimeoutError:
-            return found.result() if found.done() and not found.cancelled() else None
+            return _get_place(found)
+        except asyncio.CancelledError:
+            sent = _get_place(found)
+            if sent is not None:
+                take_back(sent)
+            raise
         finally:
             del self._waiting[service, ticket]
             queue.remove(ticket)
@@ -78,3 +89,8 @@
             await asyncio.sleep(TICK_SECONDS)
             for service in self._queues:
                 self.wake(service)
+
+
+def _get_place(found: asyncio.Future[Sent]) -> Sent | None:
+    """Return the place that was found, if one was."""
+    return found.result() if found.done() and not found.cancelled() else None
--- /dev/null
+++ b/libraries/proxy/tests/test_delivery.py
@@ -0,0 +1,49 @@
+"""Answers to callers that leave."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+from typing import cast
+from unittest import mock
+
+from aiohttp import web
+
+from bamboopier_proxy.delivery import Delivery
+
+REQUEST = cast("web.BaseRequest", SimpleNamespace(transport=None))
+
+
+async def leave(*_: object) -> None:
+    """Do what aiohttp does when a caller closes during the final write."""
+    task = asyncio.current_task()
+    assert task is not None
+    task.cancel()
+    await asyncio.sleep(0)
+
+
+class LeavingCallerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_one_that_leaves_with_its_last_byte_is_served(self) -> None:
+        # The caller has the whole answer and closes, which cancels the task in its
+        # final write. The task goes on: it has to keep the target's connection and
+        # count the answer.
+        delivery = Delivery(REQUEST, lambda: False)
+        with (
+            mock.patch.object(web.Response, "prepare", mock.AsyncMock()),
+            mock.patch.object(web.Response, "write_eof", leave),
+        ):
+            await delivery.send(200, (), b"whole")
+        self.assertTrue(delivery.begun)
+
+    async def test_one_that_leaves_before_it_ends_the_work(self) -> None:
+        delivery = Delivery(REQUEST, lambda: False)
+        with (
+            mock.patch.object(web.StreamResponse, "prepare", leave),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await delivery.begin(200, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
