Drain a target of long answers before it loads weights; turns by time

Ruled out: the weight store (an engine with one run loads in 1.4 s next to two others).

Change: an agent tells the gateways that its engine takes short answers only, waits until the runs that were there have ended (2.5 s at most), takes a slot, and orders. Turns follow each other each 1.6 s, whatever others do. Agents read the list of gateways anew: those that had started after an agent's first load, or all after 20 s, were not told of a load.

--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/load_drain.py
@@ -0,0 +1,45 @@
+"""When a target that is to load new weights gets its order.
+
+Load pattern: engines that answer with long streams load new weights in turn. An order
+lets what runs end first, and the engine takes nothing else meanwhile. Ordered in the
+midst of two dozen streams, an engine is out of service for 2.6 to 4.5 s, of which the
+load itself takes 1.4 s. So it first gets short answers only: it goes on working, and
+the order then finds next to nothing to wait for.
+"""
+
+from __future__ import annotations
+
+# Seconds until every gateway has heard that a target takes short answers only and what
+# was on its way has arrived.
+HEARD_SECONDS = 0.15
+# Seconds for which a target is drained at the most. Half of the long streams end within
+# 2.2 s; the last of them are waited for by the order itself.
+LONGEST_SECONDS = 2.5
+
+
+class LoadDrain:
+    """One target on its way to an order."""
+
+    __slots__ = ("_runs", "_since", "over")
+
+    def __init__(self, now: float) -> None:
+        self._since = now
+        # The runs that the order would have to wait for; None until they are known.
+        self._runs: frozenset[str] | None = None
+        # The order may be given.
+        self.over = False
+
+    def find_age(self, now: float) -> float:
+        """Return the seconds since the drain began."""
+        return now - self._since
+
+    def take_runs(self, now: float, runs: frozenset[str]) -> None:
+        """Take the ids of the requests that run at the target now.
+
+        What began after the gateways were told is short, and not waited for.
+        """
+        age = self.find_age(now)
+        if age < HEARD_SECONDS:
+            return
+        self._runs = runs if self._runs is None else self._runs & runs
+        self.over = self.over or not self._runs or age >= LONGEST_SECONDS
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -135,6 +135,8 @@
         and _may_try(now, fleet, state)
         and _serves(state, demand, weights.oldest)
     ]
+    if _is_long(demand):
+        usable = _leave_draining(now, usable)
     room = [state for state in usable if has_room(state, demand)]
     near = _find_near(known, demand, weights.newest)
     owner = _find_owner(usable, demand)
@@ -170,6 +172,16 @@
     return state.versions.get(demand.prompt.model, 0) >= oldest_version
 
 
+def _is_long(demand: Demand) -> bool:
+    prompt = demand.prompt
+    return prompt is not None and prompt.tokens_out >= LONG_OUTPUT
+
+
+def _leave_draining(now: float, states: list[TargetState]) -> list[TargetState]:
+    """Return the targets that take long answers; all if none of them does."""
+    return [state for state in states if now >= state.short_until] or states
+
+
 def _find_near(known: list[TargetState], demand: Demand, newest: int) -> frozenset[str]:
     """Return the targets that load new weights soon."""
     if demand.prompt is None or not newest:
@@ -199,7 +211,7 @@
 ) -> TargetState:
     prompt = demand.prompt
     newest = 0
-    is_long = prompt is not None and prompt.tokens_out >= LONG_OUTPUT
+    is_long = _is_long(demand)
     if prompt is not None:
         newest = max(state.versions.get(prompt.model, 0) for state in states)
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/roll_order.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/roll_order.py
@@ -19,8 +19,10 @@
 # Targets of a service for each one that may load at the same time: a load takes longer
 # while more than about a third of the engines do so.
 TARGETS_PER_LOAD = 3
-# Turns ahead of the one that loads whose targets get no long answers.
+# Turns ahead of the one that loads whose targets get fewer long answers.
 TURNS_AHEAD = 1
+# Seconds from the start of one turn to that of the next.
+TURN_SECONDS = 1.6
 
 
 def count_loads(targets: int) -> int:
@@ -39,6 +41,17 @@
     return sorted(behind, key=lambda name: (versions[name], weigh(key, name)))
 
 
+def find_delay(versions: Mapping[str, int], newest: int, target: str) -> float:
+    """Return the seconds from the naming of ``newest`` to the turn of ``target``.
+
+    Time alone decides: a target that nobody orders holds up none behind it.
+    """
+    order = list_order(versions, newest)
+    if target not in order:
+        return 0.0
+    return order.index(target) // count_loads(len(versions)) * TURN_SECONDS
+
+
 def list_near(versions: Mapping[str, int], newest: int) -> frozenset[str]:
     """Return the targets whose turn has come or comes next."""
     near = count_loads(len(versions)) * (1 + TURNS_AHEAD)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -47,6 +47,7 @@
         "parts",
         "pinned",
         "service",
+        "short_until",
         "standing",
         "versions",
     )
@@ -60,6 +61,8 @@
         self.cold = ColdRamp()
         # Until then it turns requests away, by its own word.
         self.busy_until = float("-inf")
+        # Until then it gets short answers only: it is about to load new weights.
+        self.short_until = float("-inf")
         self.versions = dict(entry.versions)
         memory = service.engine.memory_tokens if service.engine else 0
         self.parts = PartMemory(int(memory * CACHE_SHARE))
--- a/libraries/decisions/tests/forwarding/test_weights.py
+++ b/libraries/decisions/tests/forwarding/test_weights.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from typing import TYPE_CHECKING
 
+from bamboopier_decisions.forwarding.load_drain import (
+    HEARD_SECONDS,
+    LONGEST_SECONDS,
+    LoadDrain,
+)
+from bamboopier_decisions.forwarding.placement import Demand, WantedWeights, place
 from bamboopier_decisions.forwarding.roll_order import (
+    TURN_SECONDS,
     count_loads,
+    find_delay,
     list_near,
     list_order,
 )
@@ -14,6 +24,11 @@
     WeightVersions,
 )
 
+from .builders import DESK, make_entry, make_fleet, make_prompt
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import Fleet
+
 
 class VersionTests(unittest.TestCase):
     def test_older_weights_serve_until_shortly_before_the_limit(self) -> None:
@@ -87,6 +102,68 @@
         self.assertTrue(near)
         self.assertTrue(all(versions[name] == 1 for name in near))
 
+    def test_turns_follow_each_other_though_nobody_orders_some(self) -> None:
+        # Nine engines load three at a time. Nothing happens at the first three, whose
+        # agents are dead; the others' turns come all the same.
+        versions = {f"i-{n}": 1 for n in range(9)}
+        order = list_order(versions, 2)
+        delays = [find_delay(versions, 2, name) / TURN_SECONDS for name in order]
+        self.assertEqual(delays, [0, 0, 0, 1, 1, 1, 2, 2, 2])
+        self.assertEqual(find_delay(versions, 2, "unknown"), 0.0)
+
+
+class DrainTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.drain = LoadDrain(10.0)
+
+    def test_the_order_waits_until_the_long_streams_end(self) -> None:
+        self.drain.take_runs(10.0 + HEARD_SECONDS, frozenset({"long", "short"}))
+        self.drain.take_runs(10.5, frozenset({"long", "new"}))
+        self.assertFalse(self.drain.over)
+        self.drain.take_runs(11.0, frozenset({"new", "newer"}))
+        self.assertTrue(self.drain.over)
+
+    def test_what_gateways_sent_before_they_heard_is_waited_for(self) -> None:
+        # The target looks idle when its drain begins, and a long request is on its way.
+        self.drain.take_runs(10.0, frozenset())
+        self.assertFalse(self.drain.over)
+        self.drain.take_runs(10.0 + HEARD_SECONDS, frozenset({"late"}))
+        self.assertFalse(self.drain.over)
+
+    def test_a_stream_that_does_not_end_holds_the_order_up_for_a_while_only(
+        self,
+    ) -> None:
+        self.drain.take_runs(11.0, frozenset({"long"}))
+        self.drain.take_runs(10.0 + LONGEST_SECONDS, frozenset({"long"}))
+        self.assertTrue(self.drain.over)
+
+    def test_a_drained_target_gets_short_answers_only(self) -> None:
+        # Two engines; one is about to load. Long answers go to the other even when
+        # that is busier; short ones still use both. Where no other is left, the
+        # drained one serves everything rather than nothing.
+        fleet = make_fleet([make_entry("i-1"), make_entry("i-2")])
+        drained, other = fleet.find("i-1"), fleet.find("i-2")
+        assert drained is not None
+        assert other is not None
+        drained.short_until = 20.0
+        self.assertEqual(self._place_ten(fleet, limit_out=1120), {"i-2"})
+        self.assertEqual(self._place_ten(fleet, limit_out=20), {"i-1", "i-2"})
+        other.busy_until = 20.0
+        self.assertEqual(self._place_ten(fleet, limit_out=1120), {"i-1"})
+
+    def _place_ten(self, fleet: Fleet, limit_out: int) -> set[str]:
+        """Return where prompts of ten sessions go."""
+        weights = WantedWeights(1, 1)
+        generator = random.Random(1)
+        names = set()
+        for number in range(10):
+            prompt = make_prompt(f"s{number}", limit_out=limit_out)
+            demand = Demand(DESK, 1, prompt)
+            found = place(10.0, fleet, demand, set(), weights, "z1", generator).state
+            assert found is not None
+            names.add(found.entry.name)
+        return names
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -22,8 +22,8 @@
 from bamboopier_objects.object_follower import ObjectFollower
 
 from .hint_socket import HintSocket
+from .load_announcer import LoadAnnouncer
 from .observers import WeightsObserver
-from .roster import Roster
 from .settings_watch import SettingsWatch
 from .target_directory import TargetDirectory
 from .weight_roller import WeightRoller
@@ -69,7 +69,6 @@
         prefix=vocabulary.slots_prefix,
         lease_seconds=SLOT_SECONDS,
     )
-    roster = Roster(store, vocabulary.gateways_prefix, generator, lambda _: None)
     directory = TargetDirectory(store, vocabulary, settings.target_service)
     registry = CollectorRegistry()
     async with AsyncExitStack() as stack:
@@ -84,8 +83,7 @@
                 weights,
                 lease,
                 slots,
-                roster,
-                socket,
+                LoadAnnouncer(store, vocabulary.gateways_prefix, socket),
                 directory,
                 generator,
             )
--- a/libraries/proxy/src/bamboopier_proxy/gossip.py
+++ b/libraries/proxy/src/bamboopier_proxy/gossip.py
@@ -199,15 +199,20 @@
         if state is None:
             return
         now = read_clock()
+        is_known = hint.short_ms > 0 and now < state.short_until
         state.busy_until = now + hint.busy_ms / 1000
+        state.short_until = now + hint.short_ms / 1000
         if hint.version:
             state.note_version(hint.model, hint.version)
+        if is_known:
+            return
         log.info(
             "weights of a target",
             target=hint.target,
             model=hint.model,
             weight_version=hint.version,
             busy_ms=hint.busy_ms,
+            short_ms=hint.short_ms,
         )
 
     def _answer(self, question: ProofQuestion, sender: tuple[str, int]) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -42,13 +42,16 @@
 
 
 class OrderHint(msgspec.Struct, array_like=True, tag="order"):
-    """A target loads weights for so long, or has loaded them."""
+    """A target is about to load weights, loads them, or has loaded them."""
 
     target: str
     model: str
-    # The version in force; 0 while it loads.
+    # The version in force; 0 until it is loaded.
     version: int
+    # It takes nothing for so long.
     busy_ms: int
+    # It takes short answers only for so long.
+    short_ms: int = 0
 
 
 class ProofQuestion(msgspec.Struct, array_like=True, tag="ask"):
--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -12,10 +12,10 @@
 
 import msgspec
 import structlog
-from result import Err
+from result import Err, Ok, Result
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.errors import PlatformError, VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
 from .settings import Endpoint
@@ -24,8 +24,6 @@
     import random
     from collections.abc import Callable
 
-    from bamboopier_objects.objects import StoredObject
-
     from .vocabulary import Store
 
 # Seconds between two reads of the list: gateways come and go a few times an hour.
@@ -45,6 +43,28 @@
     # Milliseconds since 1970 of its start.
     born: int
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return the address that takes hints."""
+        return Endpoint(self.host, self.port)
+
+
+async def list_gateways(
+    store: Store, prefix: str
+) -> Result[dict[str, GatewayEntry], PlatformError]:
+    """Return all gateways that ever registered, by name."""
+    listing = await store.list(prefix)
+    if isinstance(listing, Err):
+        return listing
+    entries: dict[str, GatewayEntry] = {}
+    for found in listing.ok_value.objects:
+        name = found.key.removeprefix(prefix)
+        try:
+            entries[name] = msgspec.json.decode(found.value, type=GatewayEntry)
+        except msgspec.MsgspecError as error:
+            log.warning("entry set aside", gateway=name, reason=str(error))
+    return Ok(entries)
+
 
 class Roster:
     """The registered gateways, without this process itself."""
@@ -65,7 +85,6 @@
         # When each was first read here or last heard of.
         self._heard: dict[str, float] = {}
         self._count = 0
-        self.loaded = asyncio.Event()
 
     @property
     def peers(self) -> dict[str, Endpoint]:
@@ -99,13 +118,12 @@
 
     async def read(self) -> bool:
         """Read the list once; False when it failed."""
-        listing = await self._store.list(self._prefix)
-        if isinstance(listing, Err):
+        entries = await list_gateways(self._store, self._prefix)
+        if isinstance(entries, Err):
             return False
         now = read_clock()
-        for found in listing.ok_value.objects:
-            self._take(found, now)
-        self.loaded.set()
+        for name, entry in entries.ok_value.items():
+            self._take(name, entry, now)
         self._tell_count()
         return True
 
@@ -116,17 +134,11 @@
             await asyncio.sleep(pause * self._random.uniform(0.8, 1.0))
             self._drop_silent()
 
-    def _take(self, found: StoredObject, now: float) -> None:
-        name = found.key.removeprefix(self._prefix)
+    def _take(self, name: str, entry: GatewayEntry, now: float) -> None:
         if name == self._own or name in self._peers:
             return
-        try:
-            entry = msgspec.json.decode(found.value, type=GatewayEntry)
-        except msgspec.MsgspecError as error:
-            log.warning("entry set aside", gateway=name, reason=str(error))
-            return
         if now - self._heard.setdefault(name, now) < SILENT_SECONDS:
-            self._peers[name] = Endpoint(entry.host, entry.port)
+            self._peers[name] = entry.endpoint
 
     def _drop_silent(self) -> None:
         now = read_clock()
--- a/libraries/proxy/src/bamboopier_proxy/target_orders.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_orders.py
@@ -41,6 +41,8 @@
     accepted: int
     running: int
     waiting: int
+    # Ids of the requests that run.
+    runs: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/proxy/src/bamboopier_proxy/weight_roller.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_roller.py
@@ -3,8 +3,8 @@
 Failures answered: two machines that order one target (a lease, asked again right
 before the order), an order whose answer is lost and that is carried out late (it names
 how many orders the target had accepted, so that it cannot undo a later one), all
-targets loading at once (slots), requests that wait behind a load (gateways are told
-before it begins).
+targets loading at once (slots), long answers that an order has to wait for (gateways
+are told before, and the target is drained of them first).
 """
 
 from __future__ import annotations
@@ -16,9 +16,9 @@
 from result import Err, Ok
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.forwarding.roll_order import count_loads, list_order
+from bamboopier_decisions.forwarding.load_drain import LoadDrain
+from bamboopier_decisions.forwarding.roll_order import count_loads, find_delay
 
-from .hints import OrderHint
 from .target_orders import OrderFault, WeightOrder
 
 if TYPE_CHECKING:
@@ -28,8 +28,7 @@
     from bamboopier_agent.load_slots import LoadSlots
     from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 
-    from .hint_socket import HintSocket
-    from .roster import Roster
+    from .load_announcer import LoadAnnouncer
     from .settings import Endpoint
     from .target_directory import TargetDirectory
     from .target_orders import TargetOrders, TargetReport
@@ -37,19 +36,17 @@
 # Seconds between two looks at the target while nothing is to be done: it may have come
 # back with older weights. Its report costs nothing on its own machine.
 REVIEW_SECONDS = 1.0
-# Seconds for which a target waits for its turn; one before it may have nobody who
-# orders it.
-YIELD_SECONDS = 5.0
 # Seconds for which the list of targets is taken as it was read.
 DIRECTORY_SECONDS = 0.5
-# Seconds until the next try for a slot, and between two looks at a load.
+# Seconds until the next try for a slot, and between two looks at a drain or a load.
 SLOT_SECONDS = 0.25
 LOOK_SECONDS = 0.08
 # Seconds after which a load that does not show is ordered again: three times what one
 # takes, and an order without an answer is carried out within twelve seconds or not.
 LOAD_SECONDS = 6.0
-# Seconds for which gateways are told to send nothing, renewed while the load goes on.
-BUSY_SECONDS = 1.5
+# Seconds of a drain after which the target takes everything again while it waits for a
+# slot: whoever holds the slots may be gone.
+HOPE_SECONDS = 4.0
 # Seconds between telling the gateways and the order: datagrams take a few ms.
 TELL_SECONDS = 0.03
 
@@ -67,8 +64,7 @@
         weights: WeightVersions,
         lease: LeaseKeeper,
         slots: LoadSlots,
-        roster: Roster,
-        socket: HintSocket,
+        announcer: LoadAnnouncer,
         directory: TargetDirectory,
         random: random.Random,
     ) -> None:
@@ -78,11 +74,13 @@
         self._weights = weights
         self._lease = lease
         self._slots = slots
-        self._roster = roster
-        self._socket = socket
+        self._announcer = announcer
         self._directory = directory
         self._directory_read = float("-inf")
-        self._yielding_since: float | None = None
+        # The version that the target has to load, and since when it is known here.
+        self._wanted: tuple[str, int] | None = None
+        self._wanted_since = 0.0
+        self._drain: LoadDrain | None = None
         self._target = ""
         self._random = random
         self.changed = asyncio.Event()
@@ -92,48 +90,73 @@
         while True:
             behind = await self.reconcile()
             self.changed.clear()
-            seconds = SLOT_SECONDS if behind else REVIEW_SECONDS
             try:
-                async with asyncio.timeout(seconds * self._random.uniform(0.7, 1.0)):
+                async with asyncio.timeout(self._draw_pause(behind)):
                     await self.changed.wait()
             except TimeoutError:
                 continue
 
+    def _draw_pause(self, behind: bool) -> float:
+        if self._drain is not None and not self._drain.over:
+            return LOOK_SECONDS
+        seconds = SLOT_SECONDS if behind else REVIEW_SECONDS
+        return seconds * self._random.uniform(0.7, 1.0)
+
     async def reconcile(self) -> bool:
         """Load what is named if the target has an older version; True while behind."""
         report = await self._read()
         if report is None:
             return False
         wanted = self._find_wanted(report)
+        self._note_wanted(wanted)
         if wanted is None:
             return False
-        if report.busy:
-            return True
-        if not await self._refresh_directory():
+        if report.busy or not await self._refresh_directory():
             return True
         self._target = report.name or self._directory.find_name(
             self._place.host, self._place.port
         )
-        count = count_loads(self._directory.count)
-        if self._yields(wanted, count):
+        if not await self._is_drained(wanted, report):
             return True
-        async with self._slots.take(count) as slot:
+        async with self._slots.take(count_loads(self._directory.count)) as slot:
             if slot is None:
                 return True
             await self._load(wanted, slot)
         return True
 
-    def _yields(self, wanted: tuple[str, int], count: int) -> bool:
-        """Say whether other targets load before this one."""
+    def _note_wanted(self, wanted: tuple[str, int] | None) -> None:
+        if wanted is None:
+            self._drain = None
+        if wanted != self._wanted:
+            self._wanted = wanted
+            self._wanted_since = read_clock()
+
+    def _has_turn(self, wanted: tuple[str, int]) -> bool:
         model, newest = wanted
-        order = list_order(self._directory.list_versions(model), newest)
-        if self._target in order[:count] or self._target not in order:
-            self._yielding_since = None
-            return False
+        versions = self._directory.list_versions(model)
+        delay = find_delay(versions, newest, self._target)
+        return read_clock() - self._wanted_since >= delay
+
+    async def _is_drained(self, wanted: tuple[str, int], report: TargetReport) -> bool:
+        """Say whether the order would have to wait for next to nothing."""
+        if self._drain is None:
+            if not self._has_turn(wanted):
+                return False
+            await self._announcer.refresh()
+            self._announcer.reset()
+            self._drain = LoadDrain(read_clock())
+            log.info(
+                "drain begun",
+                target=self._target,
+                weight_version=wanted[1],
+                running=report.running,
+                waited=round(read_clock() - self._wanted_since, 3),
+            )
         now = read_clock()
-        if self._yielding_since is None:
-            self._yielding_since = now
-        return now - self._yielding_since < YIELD_SECONDS
+        if self._drain.find_age(now) < HOPE_SECONDS:
+            self._announcer.announce_drain(self._target, wanted[0])
+        self._drain.take_runs(now, report.runs)
+        return self._drain.over
 
     async def _refresh_directory(self) -> bool:
         """Read the targets' list unless that was done a moment ago."""
@@ -157,9 +180,9 @@
             log.info("no lease", key=self._lease.key)
             return
         model, version = wanted
-        if self._roster.loaded.is_set() or await self._roster.read():
-            self._tell(model, 0, BUSY_SECONDS)
-            await asyncio.sleep(TELL_SECONDS)
+        self._announcer.reset()
+        self._announcer.announce_load(self._target, model)
+        await asyncio.sleep(TELL_SECONDS)
         report = await self._read()
         if report is None or report.busy:
             return
@@ -176,6 +199,7 @@
             self._target,
         )
         answer = await self._orders.order_weights(order)
+        self._drain = None
         fault = answer.err_value if isinstance(answer, Err) else None
         log.info(
             "weights ordered",
@@ -196,28 +220,19 @@
 
     async def _wait_until_loaded(self, model: str, version: int) -> None:
         started = read_clock()
-        told = started
         while read_clock() - started < LOAD_SECONDS:
             await asyncio.sleep(LOOK_SECONDS)
             report = await self._read()
             if report is None:
                 continue
+            self._announcer.announce_load(self._target, model)
             if report.versions.get(model, 0) >= version and not report.busy:
-                self._tell(model, version, 0.0)
+                self._announcer.announce_end(self._target, model, version)
                 seconds = round(read_clock() - started, 3)
                 log.info("weights loaded", weight_version=version, seconds=seconds)
                 return
-            if read_clock() - told > BUSY_SECONDS / 2:
-                told = read_clock()
-                self._tell(model, 0, BUSY_SECONDS)
         log.warning("load does not show", model=model, weight_version=version)
 
     async def _read(self) -> TargetReport | None:
         answer = await self._orders.read_report()
         return answer.ok_value if isinstance(answer, Ok) else None
-
-    def _tell(self, model: str, version: int, busy_seconds: float) -> None:
-        """Tell the gateways that the target loads, or that it has loaded."""
-        hint = OrderHint(self._target, model, version, int(busy_seconds * 1000))
-        for peer in self._roster.peers.values():
-            self._socket.send(hint, peer)
