Take changed repeat bounds for services already known; split the forwarder

Cause: after SIGHUP with other bounds, services that had been asked kept the old ones. The new test in test_bounds has no counterpart in the old code (there was no way to change a share). RetryShares holds all services' shares and changes them in place.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/retry_share.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/retry_share.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
 # Share of the common slack that is divided among the gateways. The rest covers a
 # gateway that restarts and has forgotten what it already spent in the window.
@@ -18,17 +19,32 @@
 RATIO_SHARE = 0.8
 
 
+@dataclass(frozen=True, slots=True)
+class RetryBounds:
+    """How much of a service's traffic may be repeats, over all gateways."""
+
+    # Repeats for each request.
+    ratio: float
+    # Repeats allowed beside, in each window.
+    slack: float
+    window_seconds: float
+
+
 class RetryShare:
     """Counts one service's requests and repeats of this gateway in a window."""
 
     __slots__ = ("_ratio", "_repeats", "_requests", "_slack", "_window")
 
-    def __init__(self, ratio: float, slack: float, window: float) -> None:
-        self._ratio = ratio * RATIO_SHARE
-        self._slack = slack * SLACK_SHARE
-        self._window = window
+    def __init__(self, bounds: RetryBounds) -> None:
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
+        self.set_bounds(bounds)
+
+    def set_bounds(self, bounds: RetryBounds) -> None:
+        """Take other bounds; what was counted goes on counting."""
+        self._ratio = bounds.ratio * RATIO_SHARE
+        self._slack = bounds.slack * SLACK_SHARE
+        self._window = bounds.window_seconds
 
     def add_request(self, now: float) -> None:
         """Count a caller's request."""
@@ -45,6 +61,29 @@
         return True
 
 
+class RetryShares:
+    """The shares of all services."""
+
+    __slots__ = ("_bounds", "_shares")
+
+    def __init__(self, bounds: RetryBounds) -> None:
+        self._bounds = bounds
+        self._shares: dict[str, RetryShare] = {}
+
+    def find(self, service: str) -> RetryShare:
+        """Return the share of a service."""
+        share = self._shares.get(service)
+        if share is None:
+            share = self._shares[service] = RetryShare(self._bounds)
+        return share
+
+    def set_bounds(self, bounds: RetryBounds) -> None:
+        """Take other bounds, also for the services that are already known."""
+        self._bounds = bounds
+        for share in self._shares.values():
+            share.set_bounds(bounds)
+
+
 def _drop_before(times: deque[float], start: float) -> None:
     while times and times[0] < start:
         times.popleft()
--- a/libraries/decisions/tests/forwarding/test_bounds.py
+++ b/libraries/decisions/tests/forwarding/test_bounds.py
@@ -6,16 +6,32 @@
 
 from bamboopier_decisions.forwarding.cold_ramp import ColdRamp
 from bamboopier_decisions.forwarding.currency import SEND_MARGIN, Currency
-from bamboopier_decisions.forwarding.retry_share import RetryShare
+from bamboopier_decisions.forwarding.retry_share import (
+    RetryBounds,
+    RetryShare,
+    RetryShares,
+)
 from bamboopier_decisions.forwarding.standing import Standing
 
+BOUNDS = RetryBounds(ratio=0.2, slack=54, window_seconds=10.0)
+
 
 class RetryShareTests(unittest.TestCase):
+    def test_changed_bounds_hold_for_services_already_known(self) -> None:
+        # The operator allows no more repeats beside the ratio while a service has
+        # failures. Its next failing request is not sent again.
+        shares = RetryShares(BOUNDS)
+        share = shares.find("desk")
+        self.assertTrue(share.take(1.0, 1))
+        shares.set_bounds(RetryBounds(ratio=0.2, slack=0, window_seconds=10.0))
+        self.assertIs(shares.find("desk"), share)
+        self.assertFalse(share.take(1.1, 1))
+
     def test_gateways_together_stay_within_the_bound(self) -> None:
         # Every request of a service fails and each of four gateways would repeat it.
         # In every window of ten seconds the repeats of all of them stay below a fifth
         # of the requests and the slack.
-        gateways = [RetryShare(0.2, 54, 10.0) for _ in range(4)]
+        gateways = [RetryShare(BOUNDS) for _ in range(4)]
         repeats: list[float] = []
         for step in range(3000):
             now = step * 0.01
@@ -31,7 +47,7 @@
     def test_a_restart_of_one_gateway_does_not_break_the_bound(self) -> None:
         # One of four gateways restarts in the window and has forgotten its repeats.
         spent = 0
-        for shares in ([RetryShare(0.2, 54, 10.0) for _ in range(5)],):
+        for shares in ([RetryShare(BOUNDS) for _ in range(5)],):
             for share in shares:
                 while share.take(1.0, 4):
                     spent += 1
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -8,33 +8,25 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.model import Repeat
-from bamboopier_decisions.forwarding.placement import (
-    Demand,
-    Placement,
-    WantedWeights,
-    place,
-)
-from bamboopier_decisions.forwarding.retry_share import RetryShare
+from bamboopier_decisions.forwarding.placement import place
 from bamboopier_decisions.forwarding.waiting import draw_return, limit_wait
 
 from .exchange import Cause
-from .messages import SendMarks
 from .refusals import CallerError, ErrorCode, Ran
 
 if TYPE_CHECKING:
     import random
 
     from bamboopier_decisions.forwarding.fleet import Fleet, Sent
-    from bamboopier_decisions.forwarding.kept_parts import KeptParts, PartPlan
-    from bamboopier_decisions.forwarding.prompt import Prompt
-    from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+    from bamboopier_decisions.forwarding.placement import Demand, Placement
+    from bamboopier_decisions.forwarding.retry_share import RetryShare, RetryShares
 
     from .delivery import Delivery
     from .exchange import Exchange, SendResult
     from .knowledge import Knowledge
-    from .messages import Call
+    from .messages import Call, SendMarks
     from .metrics import ProxyMetrics
-    from .settings import RetryBounds
+    from .send_planner import SendPlanner
     from .waiting_room import WaitingRoom
 
 # Sends of one request, those included that a target turned away unrun.
@@ -69,37 +61,30 @@
         self,
         fleet: Fleet,
         knowledge: Knowledge,
-        weights: WeightVersions,
+        planner: SendPlanner,
         exchange: Exchange,
         room: WaitingRoom,
-        kept: KeptParts,
         metrics: ProxyMetrics,
         breaks: Breaks,
-        bounds: RetryBounds,
+        shares: RetryShares,
         data_centre: str,
         random: random.Random,
     ) -> None:
         self._fleet = fleet
         self._knowledge = knowledge
-        self._weights = weights
+        self._planner = planner
         self._exchange = exchange
         self._room = room
-        self._kept = kept
         self._metrics = metrics
         self._breaks = breaks
-        self._bounds = bounds
+        self._shares = shares
         self._data_centre = data_centre
         self._random = random
-        self._shares: dict[str, RetryShare] = {}
-
-    def set_bounds(self, bounds: RetryBounds) -> None:
-        """Take other bounds for repeats; services already known keep theirs."""
-        self._bounds = bounds
 
     async def forward(self, call: Call, delivery: Delivery) -> None:
         """Answer the caller; raises ``CallerError`` when this system must answer."""
         self._check_breaks(call)
-        share = self._find_share(call.service)
+        share = self._shares.find(call.service)
         share.add_request(read_clock())
         runs = 0
         while True:
@@ -107,7 +92,7 @@
             call.tried.append(sent.state.entry.name)
             try:
                 self._check_currency(call)
-                marks = self._make_marks(call, sent)
+                marks = self._planner.make_marks(read_clock(), call, sent)
                 result = await self._exchange.send(call, sent, marks, delivery)
                 self._judge(call, sent, result)
             except BaseException:
@@ -127,9 +112,7 @@
 
     async def _find_place(self, call: Call) -> Sent:
         """Return a place at a target; raises ``CallerError`` when there is none."""
-        demand = Demand(
-            call.service, call.priority, call.prompt, self._count_fetched(call)
-        )
+        demand = self._planner.make_demand(read_clock(), call)
         tried = set(call.tried)
         placement = self._place(call, demand, tried)
         if placement.state is not None:
@@ -157,13 +140,7 @@
 
     def _place(self, call: Call, demand: Demand, tried: set[str]) -> Placement:
         now = read_clock()
-        wanted = WantedWeights()
-        if call.prompt is not None:
-            model = call.prompt.model
-            wanted = WantedWeights(
-                self._weights.find_newest(model),
-                self._weights.find_oldest_allowed(now, model),
-            )
+        wanted = self._planner.find_wanted(now, call)
         return place(
             now, self._fleet, demand, tried, wanted, self._data_centre, self._random
         )
@@ -197,49 +174,6 @@
             raise CallerError(ErrorCode.OUTCOME_UNKNOWN, message, Ran.UNKNOWN)
         raise make_stale_refusal(self._knowledge, now)
 
-    def _make_marks(self, call: Call, sent: Sent) -> SendMarks:
-        entry = sent.state.entry
-        workspace = call.workspace
-        prompt = call.prompt
-        version = sent.state.versions.get(prompt.model, 0) if prompt else 0
-        scope = ""
-        if prompt is not None:
-            scope = make_scope(call, version or entry.name)
-        return SendMarks(
-            target=entry.name,
-            seconds_left=max(0.001, min(call.timeout, call.deadline) - read_clock()),
-            workspace=workspace.name if workspace else "",
-            cache_scope=scope,
-            priority=min(9, call.priority) if prompt else None,
-            weight_version=version,
-            last_event=call.last_event,
-            parts=self._plan_parts(scope, version, prompt),
-        )
-
-    def _count_fetched(self, call: Call) -> int:
-        """Return the leading tokens of the prompt that a target could fetch."""
-        prompt = call.prompt
-        if prompt is None:
-            return 0
-        version = self._weights.find_newest(prompt.model)
-        scope = make_scope(call, version)
-        shared = [(part.name, part.tokens) for part in prompt.shared_parts]
-        return self._kept.count_fetched(read_clock(), scope, shared)
-
-    def _plan_parts(
-        self, scope: str, version: int, prompt: Prompt | None
-    ) -> PartPlan | None:
-        """Return where the target fetches and saves the prompt's shared parts.
-
-        Without a version that the target must have, a part could be read that other
-        weights made.
-        """
-        if prompt is None or not version or not prompt.shared_parts:
-            return None
-        shared = [(part.name, part.tokens) for part in prompt.shared_parts]
-        own = len(prompt.parts) - len(shared)
-        return self._kept.plan(read_clock(), scope, shared, own)
-
     def _check_breaks(self, call: Call) -> None:
         """Refuse a request that broke the targets that ran it."""
         wait = self._breaks.find_wait(call.fingerprint)
@@ -320,14 +254,6 @@
             case Repeat.ONCE:
                 return False
 
-    def _find_share(self, service: str) -> RetryShare:
-        share = self._shares.get(service)
-        if share is None:
-            bounds = self._bounds
-            share = RetryShare(bounds.ratio, bounds.slack, bounds.window_seconds)
-            self._shares[service] = share
-        return share
-
     def _log_send(
         self, call: Call, sent: Sent, marks: SendMarks, result: SendResult
     ) -> None:
@@ -358,16 +284,6 @@
         )
 
 
-def make_scope(call: Call, made_on: int | str) -> str:
-    """Return the text under which parts of the call's prompt are cached.
-
-    Parts made on other weights, or for a workspace that shares none, are never found.
-    """
-    workspace = call.workspace
-    owner = workspace.name if workspace and workspace.isolated else ""
-    return f"{owner}/{made_on}"
-
-
 def make_stale_refusal(knowledge: Knowledge, now: float) -> CallerError:
     """Return the refusal for keys that may have been taken away meanwhile."""
     age = knowledge.currency.find_age(now)
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -22,6 +22,7 @@
 from bamboopier_decisions.forwarding.fleet import Fleet
 from bamboopier_decisions.forwarding.kept_parts import KeptParts
 from bamboopier_decisions.forwarding.model import CallerLimits
+from bamboopier_decisions.forwarding.retry_share import RetryShares
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 from bamboopier_decisions.quarantine.quarantine import Quarantine
 from bamboopier_objects.object_follower import ObjectFollower
@@ -37,6 +38,7 @@
 from .observers import ClosureObserver, TargetObserver, WeightsObserver
 from .part_follower import PartFollower
 from .roster import GatewayEntry, Roster
+from .send_planner import SendPlanner
 from .settings_watch import SettingsWatch
 from .store_health import StoreHealth
 from .target_pool import TargetPool
@@ -88,6 +90,7 @@
     health = StoreHealth()
     weights = WeightVersions(settings.version_seconds)
     quarantine = Quarantine(BREAKS_TO_REFUSE, REFUSED_SECONDS)
+    shares = RetryShares(settings.retries)
     services: list[str] = []
 
     def apply(declared: Declared) -> None:
@@ -122,13 +125,12 @@
     forwarder = Forwarder(
         fleet,
         knowledge,
-        weights,
+        SendPlanner(weights, kept),
         exchange,
         room,
-        kept,
         metrics,
         gossip,
-        settings.retries,
+        shares,
         settings.data_centre,
         generator,
     )
@@ -168,7 +170,7 @@
     def take_settings(changed: ProxySettings) -> None:
         knowledge.currency.set_limit(changed.key_seconds)
         weights.set_allowed(changed.version_seconds)
-        forwarder.set_bounds(changed.retries)
+        shares.set_bounds(changed.retries)
 
     watch = SettingsWatch(settings, read_settings, take_settings)
 
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/send_planner.py
@@ -0,0 +1,98 @@
+"""What a call needs of a target, and what the chosen target is told."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bamboopier_decisions.forwarding.placement import Demand, WantedWeights
+
+from .messages import SendMarks
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import Sent
+    from bamboopier_decisions.forwarding.kept_parts import KeptParts, PartPlan
+    from bamboopier_decisions.forwarding.prompt import Prompt
+    from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+
+    from .messages import Call
+
+# A target serves requests with this priority last.
+LAST_PRIORITY = 9
+
+
+class SendPlanner:
+    """Knows which weights are wanted and where parts of prompts are kept."""
+
+    def __init__(self, weights: WeightVersions, kept: KeptParts) -> None:
+        self._weights = weights
+        self._kept = kept
+
+    def make_demand(self, now: float, call: Call) -> Demand:
+        """Return what the call needs of a target."""
+        fetched = self._count_fetched(now, call)
+        return Demand(call.service, call.priority, call.prompt, fetched)
+
+    def find_wanted(self, now: float, call: Call) -> WantedWeights:
+        """Return the weights on which the call may begin."""
+        if call.prompt is None:
+            return WantedWeights()
+        model = call.prompt.model
+        return WantedWeights(
+            self._weights.find_newest(model),
+            self._weights.find_oldest_allowed(now, model),
+        )
+
+    def make_marks(self, now: float, call: Call, sent: Sent) -> SendMarks:
+        """Return what the target is told beside the caller's own headers."""
+        entry = sent.state.entry
+        workspace = call.workspace
+        prompt = call.prompt
+        version = sent.state.versions.get(prompt.model, 0) if prompt else 0
+        scope = ""
+        if prompt is not None:
+            scope = make_scope(call, version or entry.name)
+        return SendMarks(
+            target=entry.name,
+            seconds_left=max(0.001, min(call.timeout, call.deadline) - now),
+            workspace=workspace.name if workspace else "",
+            cache_scope=scope,
+            priority=min(LAST_PRIORITY, call.priority) if prompt else None,
+            weight_version=version,
+            last_event=call.last_event,
+            parts=self._plan_parts(now, scope, version, prompt),
+        )
+
+    def _count_fetched(self, now: float, call: Call) -> int:
+        """Return the leading tokens of the prompt that a target could fetch."""
+        prompt = call.prompt
+        if prompt is None:
+            return 0
+        version = self._weights.find_newest(prompt.model)
+        return self._kept.count_fetched(now, make_scope(call, version), _list(prompt))
+
+    def _plan_parts(
+        self, now: float, scope: str, version: int, prompt: Prompt | None
+    ) -> PartPlan | None:
+        """Return where the target fetches and saves the prompt's shared parts.
+
+        Without a version that the target must have, a part could be read that other
+        weights made.
+        """
+        if prompt is None or not version or not prompt.shared_parts:
+            return None
+        own = len(prompt.parts) - len(prompt.shared_parts)
+        return self._kept.plan(now, scope, _list(prompt), own)
+
+
+def make_scope(call: Call, made_on: int | str) -> str:
+    """Return the text under which parts of the call's prompt are cached.
+
+    Parts made on other weights, or for a workspace that shares none, are never found.
+    """
+    workspace = call.workspace
+    owner = workspace.name if workspace and workspace.isolated else ""
+    return f"{owner}/{made_on}"
+
+
+def _list(prompt: Prompt) -> list[tuple[str, int]]:
+    return [(part.name, part.tokens) for part in prompt.shared_parts]
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.retry_share import RetryBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,17 +20,6 @@
         return f"{self.host}:{self.port}"
 
 
-@dataclass(frozen=True, slots=True)
-class RetryBounds:
-    """How much of a service's traffic may be repeats, over all gateways."""
-
-    # Repeats for each request.
-    ratio: float
-    # Repeats allowed beside, in each window.
-    slack: float
-    window_seconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
     """Settings of one process. Times are in seconds."""
