--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -108,7 +108,8 @@
     ) -> None:
         # The chosen target; None when all usable ones are full, or none is usable.
         self.state = state
-        # Targets registered and open, those that may be tried, those with room.
+        # Targets registered and open that could ever hold the request, those that may
+        # be tried, those with room.
         self.known = known
         self.usable = usable
         self.open = open_
@@ -127,7 +128,8 @@
 
     Targets with weights older than the oldest that is allowed are left out.
     """
-    known = fleet.list_service(demand.service, now)
+    listed = fleet.list_service(demand.service, now)
+    known = [state for state in listed if _fits(state, demand)]
     usable = [
         state
         for state in known
@@ -168,6 +170,18 @@
     ) and state.blind.allows_memory(now, memory, memory_room, gateways)
 
 
+def _fits(state: TargetState, demand: Demand) -> bool:
+    """Say whether an idle target could hold the request.
+
+    An engine rejects a prompt larger than its memory as if it were full, for ever. A
+    caller would wait for room that never comes, and come back for the same.
+    """
+    engine = state.service.engine
+    if engine is None or demand.prompt is None:
+        return True
+    return demand.prompt.tokens_in <= engine.memory_tokens
+
+
 def _may_try(now: float, fleet: Fleet, state: TargetState) -> bool:
     if now < state.busy_until or not state.standing.may_try(now):
         return False
