Hand the configuration on to gateways that the store turns away

Ruled out: datagrams (a configuration can have a megabyte), the metrics address (the value has keys in it).

Change: the port between gateways also takes TCP connections; registered gateways get the stored value with its revision and the age of its proof, others 403. ConfigurationIntake holds what polling and handing on share.

--- a/libraries/objects/src/bamboopier_objects/http_caller.py
+++ b/libraries/objects/src/bamboopier_objects/http_caller.py
@@ -44,15 +44,21 @@
         base_url: str,
         certificates: ssl.SSLContext | None = None,
         call_timeout: float = CALL_TIMEOUT_SECONDS,
+        source: str | None = None,
     ) -> None:
         self._certificates = certificates
         self._base_url = base_url.rstrip("/")
         self.call_timeout = call_timeout
+        # The own IP number that calls come from; None for the system's choice.
+        self._source = source
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         timeout = aiohttp.ClientTimeout(total=self.call_timeout)
-        connector = aiohttp.TCPConnector(ssl=self._certificates or True)
+        source = (self._source, 0) if self._source is not None else None
+        connector = aiohttp.TCPConnector(
+            ssl=self._certificates or True, local_addr=source
+        )
         self._session = aiohttp.ClientSession(
             timeout=timeout, connector=connector, middlewares=(_send_once,)
         )
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_handover.py
@@ -0,0 +1,133 @@
+"""Hands the configuration on between gateways.
+
+Failure answered: the store turns some gateways away while it serves the others and the
+operator, and a new version comes. Those gateways learn from the others' proofs that
+theirs is no longer current; without the new version they would refuse every request
+with a key until the store serves them again. The value is handed on as it is stored,
+with its revision and the age of its proof, so that the one who takes it knows no less
+than the one who gave it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+from aiohttp import web
+from result import Err
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_objects.objects import StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+    from typing import Self
+
+    from bamboopier_objects.http_caller import HttpCaller
+
+    from .configuration_intake import ConfigurationIntake
+    from .knowledge import Knowledge
+    from .settings import Endpoint
+
+# Seconds for one call: a configuration has a megabyte at most, and a gateway that does
+# not answer is one of several.
+CALL_SECONDS = 0.8
+# Seconds between two calls: several gateways tell of the same new version at once.
+PAUSE_SECONDS = 0.3
+REVISION_HEADER = "Configuration-Revision"
+# Milliseconds since the configuration was proved current.
+AGE_HEADER = "Proof-Age-Ms"
+
+log = structlog.get_logger()
+
+
+class ConfigurationHandover:
+    """Answers other gateways while its context is open, and asks them."""
+
+    def __init__(
+        self,
+        listen: Endpoint,
+        intake: ConfigurationIntake,
+        knowledge: Knowledge,
+        is_gateway: Callable[[str], bool],
+        caller: HttpCaller,
+    ) -> None:
+        self._listen = listen
+        self._intake = intake
+        self._knowledge = knowledge
+        # Says whether a host is one of a registered gateway.
+        self._is_gateway = is_gateway
+        self._caller = caller
+        self._server: asyncio.Server | None = None
+        self._asking: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        manager = web.Server(self._answer, access_log=None)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            manager, self._listen.host, self._listen.port
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._server is not None:
+            self._server.close()
+        if self._asking is not None:
+            self._asking.cancel()
+
+    def ask(self, gateway: Endpoint) -> None:
+        """Ask a gateway that has a newer version, unless one is being asked."""
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.create_task(self._fetch(gateway))
+
+    async def _fetch(self, gateway: Endpoint) -> None:
+        asked = read_clock()
+        url = f"http://{gateway}/configuration"
+        answer = await self._caller.call("GET", url, patience=CALL_SECONDS)
+        if isinstance(answer, Err) or answer.ok_value.status != 200:
+            reason = (
+                str(answer.err_value)
+                if isinstance(answer, Err)
+                else f"status {answer.ok_value.status}"
+            )
+            log.warning("no configuration", gateway=str(gateway), reason=reason)
+        else:
+            reply = answer.ok_value
+            try:
+                revision = int(reply.headers[REVISION_HEADER.lower()])
+                age = int(reply.headers[AGE_HEADER.lower()]) / 1000
+            except (KeyError, ValueError) as error:
+                log.warning("no configuration", gateway=str(gateway), reason=str(error))
+            else:
+                log.info(
+                    "configuration handed on",
+                    gateway=str(gateway),
+                    revision=revision,
+                    proof_age=age,
+                )
+                found = StoredObject("", revision, reply.body)
+                self._intake.take(found, asked - age)
+        await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Hand on what is in force; it has keys in it, so to gateways alone."""
+        if not self._is_gateway(request.remote or ""):
+            log.warning("configuration refused", sender=request.remote)
+            return web.Response(status=403)
+        stored = self._intake.stored
+        if stored is None:
+            return web.Response(status=503)
+        age = self._knowledge.currency.find_age(read_clock())
+        headers = {
+            REVISION_HEADER: str(stored.version),
+            # Rounded up: the proof must not look younger than it is.
+            AGE_HEADER: str(int(age * 1000) + 1),
+        }
+        return web.Response(body=stored.value, headers=headers)
--- a/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
@@ -20,7 +20,7 @@
 
     from bamboopier_objects.objects import ObjectStore
 
-    from .knowledge import Knowledge
+    from .configuration_intake import ConfigurationIntake
     from .store_health import StoreHealth
     from .vocabulary import Vocabulary
 
@@ -33,22 +33,21 @@
 
 
 class ConfigurationPoll:
-    """Keeps ``Knowledge`` current until cancelled."""
+    """Keeps the configuration current until cancelled."""
 
     def __init__(
         self,
         store: ObjectStore,
         vocabulary: Vocabulary,
-        knowledge: Knowledge,
+        intake: ConfigurationIntake,
         health: StoreHealth,
         random: random.Random,
     ) -> None:
         self._store = store
         self._vocabulary = vocabulary
-        self._knowledge = knowledge
+        self._intake = intake
         self._health = health
         self._random = random
-        self._revision = 0
         self._failing_since: float | None = None
 
     async def run(self) -> None:
@@ -69,24 +68,7 @@
         found = answer.ok_value
         if found is None:
             return False
-        if found.version < self._revision:
-            log.warning(
-                "older configuration dropped",
-                revision=found.version,
-                known=self._revision,
-            )
-            return False
-        if found.version == self._revision:
-            self._knowledge.confirm(self._knowledge.version, asked)
-            return True
-        decoded = self._vocabulary.decode_configuration(found.value)
-        if isinstance(decoded, Err):
-            # What is in force stays, but nothing proves any more that it is current.
-            log.error("configuration set aside", reason=decoded.err_value)
-            return True
-        self._revision = found.version
-        self._knowledge.take(decoded.ok_value, asked, now)
-        return True
+        return self._intake.take(found, asked)
 
     def _note_failure(self, asked: float, reason: str) -> None:
         if self._failing_since is None:
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -25,9 +25,12 @@
 from bamboopier_decisions.forwarding.retry_share import RetryShares
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 from bamboopier_decisions.quarantine.quarantine import Quarantine
+from bamboopier_objects.http_caller import HttpCaller
 from bamboopier_objects.object_follower import ObjectFollower
 
 from .caller_listener import CallerListener, serve_readiness
+from .configuration_handover import ConfigurationHandover
+from .configuration_intake import ConfigurationIntake
 from .configuration_poll import ConfigurationPoll
 from .exchange import Exchange
 from .forwarder import Forwarder
@@ -39,6 +42,7 @@
 from .part_follower import PartFollower
 from .roster import GatewayEntry, Roster
 from .send_planner import SendPlanner
+from .settings import Endpoint
 from .settings_watch import SettingsWatch
 from .store_health import StoreHealth
 from .target_pool import TargetPool
@@ -112,6 +116,11 @@
     ages = WeightAges(store, vocabulary.ages_prefix, weights, generator)
     pool = TargetPool(dialect.name_request_id())
     exchange = Exchange(pool, fleet, dialect)
+    place = Endpoint(settings.host, settings.first_port)
+    intake = ConfigurationIntake(vocabulary, knowledge)
+    # Other gateways know this one by its address.
+    caller = HttpCaller("", source=settings.host)
+    handover = ConfigurationHandover(place, intake, knowledge, roster.has_host, caller)
     gossip = Gossip(
         settings.vm,
         settings.host,
@@ -120,6 +129,7 @@
         fleet,
         knowledge,
         quarantine,
+        handover.ask,
         generator,
     )
     forwarder = Forwarder(
@@ -165,7 +175,7 @@
         generator,
         read_clock,
     )
-    poll = ConfigurationPoll(store, vocabulary, knowledge, health, generator)
+    poll = ConfigurationPoll(store, vocabulary, intake, health, generator)
 
     def take_settings(changed: ProxySettings) -> None:
         knowledge.currency.set_limit(changed.key_seconds)
@@ -197,6 +207,8 @@
     async with AsyncExitStack() as stack:
         with StopSignals() as signals:
             await stack.enter_async_context(pool)
+            await stack.enter_async_context(caller)
+            await stack.enter_async_context(handover)
             await stack.enter_async_context(gossip)
             entry = GatewayEntry(settings.host, settings.first_port, gossip.born)
             for work in (
--- a/libraries/proxy/src/bamboopier_proxy/gossip.py
+++ b/libraries/proxy/src/bamboopier_proxy/gossip.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
     from types import TracebackType
     from typing import Self
 
@@ -74,6 +75,7 @@
         fleet: Fleet,
         knowledge: Knowledge,
         quarantine: Quarantine,
+        note_newer: Callable[[Endpoint], None],
         random: random.Random,
     ) -> None:
         self._name = name
@@ -81,6 +83,8 @@
         self._fleet = fleet
         self._knowledge = knowledge
         self._quarantine = quarantine
+        # Told of a gateway that has a newer configuration.
+        self._note_newer = note_newer
         self._random = random
         self._socket = HintSocket(host, port, self._receive)
         self._port = port
@@ -180,7 +184,7 @@
             case ProofQuestion():
                 self._answer(hint, sender)
             case ProofAnswer():
-                self._take_proof(hint)
+                self._take_proof(hint, sender)
 
     def _take_loads(self, hint: LoadHint, sender: tuple[str, int]) -> None:
         known = self._heard.get(hint.sender)
@@ -225,10 +229,14 @@
         )
         self._socket.send(answer, Endpoint(*sender))
 
-    def _take_proof(self, answer: ProofAnswer) -> None:
+    def _take_proof(self, answer: ProofAnswer, sender: tuple[str, int]) -> None:
         asked = self._questions.get(answer.nonce)
-        if asked is not None:
-            self._knowledge.confirm(answer.version, asked - answer.age_ms / 1000)
+        if asked is None:
+            return
+        if answer.version > self._knowledge.version:
+            self._note_newer(Endpoint(*sender))
+            return
+        self._knowledge.confirm(answer.version, asked - answer.age_ms / 1000)
 
     def _apply_loads(self) -> None:
         now = read_clock()
--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -92,6 +92,10 @@
         self._drop_silent()
         return self._peers
 
+    def has_host(self, host: str) -> bool:
+        """Say whether another gateway that was heard of lately has this address."""
+        return any(peer.host == host for peer in self.peers.values())
+
     def note_heard(self, name: str, host: str, port: int) -> None:
         """Take in that a gateway sent a hint."""
         if name != self._own:
