Let the first eight gateways ask the stores of parts, and the others ask them

Log of eight seconds: 5,803 times "store regained", each after a 429: a store holds 12 waiting questions, and 21 gateways ask. A question that is turned away was taken for a store that may have restarted, so nothing was believed. Ruled out: links (the stores' are idle), saving (nothing was ever saved).

Change: eight gateways, the same at all, ask the stores; the others ask one of these for all stores at once and get what is new for them, with the age of the store's last answer (trust counts from that) and for how long its start is known (less the way, so that a start never looks older than it is). Up to eight gateways nothing changes. PeerServer is the port between gateways for this and for configurations.

Tests: test_part_relay (age, restart, settling, other numbering), test_part_follower (eight of 21 ask).

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from ..routing.rendezvous import weigh
@@ -27,6 +28,8 @@
 FULL_SHARE = 0.97
 # Parts below this many tokens are read anew: a fetch waits some ms before it begins.
 LEAST_TOKENS = 100
+# Changes of a store that are kept to be handed on; who is behind further gets all.
+KEPT_CHANGES = 2000
 # A save that does not show within so many seconds may be tried again.
 SAVE_SECONDS = 2.0
 
@@ -50,6 +53,10 @@
     # Milliseconds on the clock that engines and stores share; 0 if it was not told.
     clock_ms: int
     changes: tuple[PartChange, ...]
+    # ``changes`` are all parts there, not those since the last answer.
+    whole: bool = False
+    # Seconds for which this start is known to whoever handed the answer on.
+    known_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +78,7 @@
     """What is believed of one store."""
 
     __slots__ = (
-        "_clock_ms",
-        "_epoch",
+        "_changes",
         "_heard",
         "_held",
         "_parts",
@@ -80,17 +86,25 @@
         "_since",
         "address",
         "capacity",
+        "clock_ms",
+        "epoch",
+        "position",
     )
 
     def __init__(self, address: str, capacity: int) -> None:
         self.address = address
         # Tokens it has room for.
         self.capacity = capacity
-        self._epoch = 0
+        # Of the start that is believed in; 0 for none.
+        self.epoch = 0
         # When this start was first seen, and when it answered last.
         self._since = float("inf")
         self._heard = float("-inf")
-        self._clock_ms = 0
+        # Of the last answer.
+        self.clock_ms = 0
+        # Changes counted since this start was first seen here, and the last of them.
+        self.position = 0
+        self._changes: deque[PartChange] = deque(maxlen=KEPT_CHANGES)
         self._parts: dict[tuple[str, str], int] = {}
         # Parts sent there, and when.
         self._saving: dict[tuple[str, str], float] = {}
@@ -108,13 +122,16 @@
 
     def take(self, asked_at: float, news: PartNews) -> bool:
         """Take an answer to a question asked at ``asked_at``; True for a new start."""
-        restarted = news.epoch != self._epoch
+        restarted = news.epoch != self.epoch
         if restarted:
             self._forget()
-            self._epoch = news.epoch
+            self.epoch = news.epoch
             self._since = asked_at
+        elif news.whole:
+            self._forget()
+        self._since = min(self._since, asked_at - news.known_seconds)
         self._heard = max(self._heard, asked_at)
-        self._clock_ms = news.clock_ms
+        self.clock_ms = news.clock_ms
         for change in news.changes:
             self._apply(change)
         return restarted
@@ -122,7 +139,7 @@
     def lose(self) -> None:
         """Take in that a call failed: the store may be starting anew."""
         self._forget()
-        self._epoch = 0
+        self.epoch = 0
         self._since = float("inf")
         self._heard = float("-inf")
 
@@ -149,14 +166,36 @@
         """Take in that an engine is told to write the part."""
         self._saving[scope, part] = now
 
+    def find_age(self, now: float) -> float:
+        """Return the seconds since the store answered last."""
+        return now - self._heard
+
+    @property
+    def known_seconds(self) -> float:
+        """Return for how long this start had been known at the last answer."""
+        return max(0.0, self._heard - self._since)
+
+    def list_changes(self, position: int) -> list[PartChange] | None:
+        """Return the changes after ``position``; None when they are not known."""
+        count = self.position - position
+        if position < 0 or not 0 <= count <= len(self._changes):
+            return None
+        return list(self._changes)[len(self._changes) - count :]
+
+    def list_parts(self) -> list[PartChange]:
+        """Return all parts believed to lie there."""
+        return [PartChange(*key, tokens) for key, tokens in self._parts.items()]
+
     def find_limit_ms(self, now: float) -> int:
         """Return until when a fetch may go on, on the engines' clock."""
         left = self._heard + TRUST_SECONDS - now
         age = now - self._heard
         # The answer named the clock at its making, which is not before it was asked.
-        return self._clock_ms + int((age + left) * 1000) if self._clock_ms else 0
+        return self.clock_ms + int((age + left) * 1000) if self.clock_ms else 0
 
     def _apply(self, change: PartChange) -> None:
+        self.position += 1
+        self._changes.append(change)
         key = (change.scope, change.part)
         self._held += change.tokens - self._parts.get(key, 0)
         if change.tokens:
@@ -168,6 +207,7 @@
     def _forget(self) -> None:
         self._parts.clear()
         self._saving.clear()
+        self._changes.clear()
         self._held = 0
 
 
--- a/libraries/proxy/src/bamboopier_proxy/configuration_handover.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_handover.py
@@ -21,7 +21,6 @@
 from bamboopier_objects.objects import StoredObject
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from types import TracebackType
     from typing import Self
 
@@ -36,6 +35,7 @@
 CALL_SECONDS = 0.8
 # Seconds between two calls: several gateways tell of the same new version at once.
 PAUSE_SECONDS = 0.3
+PATH = "/configuration"
 REVISION_HEADER = "Configuration-Revision"
 # Milliseconds since the configuration was proved current.
 AGE_HEADER = "Proof-Age-Ms"
@@ -44,31 +44,20 @@
 
 
 class ConfigurationHandover:
-    """Answers other gateways while its context is open, and asks them."""
+    """Answers other gateways, and asks them while its context is open."""
 
     def __init__(
         self,
-        listen: Endpoint,
         intake: ConfigurationIntake,
         knowledge: Knowledge,
-        is_gateway: Callable[[str], bool],
         caller: HttpCaller,
     ) -> None:
-        self._listen = listen
         self._intake = intake
         self._knowledge = knowledge
-        # Says whether a host is one of a registered gateway.
-        self._is_gateway = is_gateway
         self._caller = caller
-        self._server: asyncio.Server | None = None
         self._asking: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        manager = web.Server(self._answer, access_log=None)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            manager, self._listen.host, self._listen.port
-        )
         return self
 
     async def __aexit__(
@@ -77,8 +66,6 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self._server is not None:
-            self._server.close()
         if self._asking is not None:
             self._asking.cancel()
 
@@ -89,7 +76,7 @@
 
     async def _fetch(self, gateway: Endpoint) -> None:
         asked = read_clock()
-        url = f"http://{gateway}/configuration"
+        url = f"http://{gateway}{PATH}"
         answer = await self._caller.call("GET", url, patience=CALL_SECONDS)
         if isinstance(answer, Err) or answer.ok_value.status != 200:
             reason = (
@@ -116,11 +103,8 @@
                 self._intake.take(found, asked - age)
         await asyncio.sleep(PAUSE_SECONDS)
 
-    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Hand on what is in force; it has keys in it, so to gateways alone."""
-        if not self._is_gateway(request.remote or ""):
-            log.warning("configuration refused", sender=request.remote)
-            return web.Response(status=403)
+    def answer(self, _: bytes) -> web.Response:
+        """Hand on what is in force, with its revision and the age of its proof."""
         stored = self._intake.stored
         if stored is None:
             return web.Response(status=503)
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -28,6 +28,7 @@
 from bamboopier_objects.http_caller import HttpCaller
 from bamboopier_objects.object_follower import ObjectFollower
 
+from . import configuration_handover, part_relay
 from .caller_listener import CallerListener, serve_readiness
 from .configuration_handover import ConfigurationHandover
 from .configuration_intake import ConfigurationIntake
@@ -40,6 +41,8 @@
 from .metrics import ProxyMetrics
 from .observers import ClosureObserver, TargetObserver, WeightsObserver
 from .part_follower import PartFollower
+from .part_relay import PartRelay
+from .peer_server import PeerServer
 from .roster import GatewayEntry, Roster
 from .send_planner import SendPlanner
 from .settings import Endpoint
@@ -120,7 +123,13 @@
     intake = ConfigurationIntake(vocabulary, knowledge)
     # Other gateways know this one by its address.
     caller = HttpCaller("", source=settings.host)
-    handover = ConfigurationHandover(place, intake, knowledge, roster.has_host, caller)
+    handover = ConfigurationHandover(intake, knowledge, caller)
+    relay = PartRelay(kept, caller)
+    peers = PeerServer(
+        place,
+        roster.has_host,
+        {configuration_handover.PATH: handover.answer, part_relay.PATH: relay.answer},
+    )
     gossip = Gossip(
         settings.vm,
         settings.host,
@@ -209,6 +218,7 @@
             await stack.enter_async_context(pool)
             await stack.enter_async_context(caller)
             await stack.enter_async_context(handover)
+            await stack.enter_async_context(peers)
             await stack.enter_async_context(gossip)
             entry = GatewayEntry(settings.host, settings.first_port, gossip.born)
             for work in (
@@ -219,7 +229,7 @@
                 roster.register(settings.vm, entry),
                 roster.run(),
                 gossip.run(),
-                PartFollower(part_stores, kept).run(),
+                PartFollower(part_stores, kept, relay, roster).run(),
                 room.run(),
                 watch.run(),
                 pool.run(),
--- a/libraries/proxy/src/bamboopier_proxy/part_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_follower.py
@@ -1,8 +1,13 @@
-"""Follows what lies whole in the stores of kept parts."""
+"""Follows what lies whole in the stores of kept parts.
+
+A store turns away questions beyond those it holds at once, so only the first few
+gateways ask the stores. The others ask one of these.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -14,6 +19,9 @@
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.kept_parts import KeptParts, PartNews
 
+    from .part_relay import PartRelay
+    from .roster import Roster
+
 # Seconds a question waits for news; stores charge for shorter ones than 0.2 s.
 WAIT_SECONDS = 0.4
 # Seconds between two looks at the declared stores.
@@ -22,6 +30,14 @@
 PAUSE_SECONDS = 0.25
 # Seconds between two questions to a store that does not answer.
 RETRY_SECONDS = 0.4
+# Gateways that ask the stores: two thirds of the questions that a store holds at once,
+# as two gateways may differ for a while in who the first are.
+DIRECT_GATEWAYS = 8
+# Seconds between two questions to another gateway.
+RELAY_SECONDS = 0.35
+
+# Names the choice of gateways that ask the stores.
+RELAY = "part-relay"
 
 log = structlog.get_logger()
 
@@ -45,15 +61,19 @@
 
 
 class PartFollower:
-    """One task for each declared store."""
+    """One task for each declared store, or one for another gateway's news."""
 
-    def __init__(self, stores: PartStores, kept: KeptParts) -> None:
+    def __init__(
+        self, stores: PartStores, kept: KeptParts, relay: PartRelay, roster: Roster
+    ) -> None:
         self._stores = stores
         self._kept = kept
+        self._relay = relay
+        self._roster = roster
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
-        """Start and end tasks as stores come and go, until cancelled."""
+        """Start and end tasks as stores and gateways come and go, until cancelled."""
         try:
             while True:
                 self._arrange()
@@ -63,11 +83,34 @@
                 task.cancel()
 
     def _arrange(self) -> None:
-        wanted = {store.address for store in self._kept.stores}
-        for address in [a for a in self._tasks if a not in wanted]:
-            self._tasks.pop(address).cancel()
-        for address in wanted - self._tasks.keys():
-            self._tasks[address] = asyncio.create_task(self._follow(address))
+        first = self._roster.list_first(RELAY, DIRECT_GATEWAYS)
+        if any(self._roster.is_own(name) for name in first):
+            wanted = {store.address for store in self._kept.stores}
+        else:
+            wanted = {RELAY}
+        for name in [n for n in self._tasks if n not in wanted]:
+            self._tasks.pop(name).cancel()
+        for name in wanted - self._tasks.keys():
+            work = self._ask_gateways() if name == RELAY else self._follow(name)
+            self._tasks[name] = asyncio.create_task(work)
+
+    async def _ask_gateways(self) -> None:
+        """Ask one of the first gateways; another when that one has no news."""
+        log.info("news of stores asked of gateways")
+        turn = random.randrange(DIRECT_GATEWAYS)
+        while True:
+            first = self._roster.list_first(RELAY, DIRECT_GATEWAYS)
+            gateway = self._roster.peers.get(first[turn % len(first)])
+            if gateway is None:
+                turn += 1
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            answer = await self._relay.ask(gateway)
+            if isinstance(answer, Err) or not answer.ok_value:
+                reason = answer.err_value if isinstance(answer, Err) else "no news"
+                log.warning("gateway without news", gateway=str(gateway), reason=reason)
+                turn += 1
+            await asyncio.sleep(RELAY_SECONDS)
 
     async def _follow(self, address: str) -> None:
         position = 0
--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.routing.rendezvous import rank
 from bamboopier_objects.errors import PlatformError, VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
@@ -92,6 +93,15 @@
         self._drop_silent()
         return self._peers
 
+    def list_first(self, key: str, count: int) -> list[str]:
+        """Return ``count`` gateways, this one included, that all choose for ``key``."""
+        names = [*self.peers, self._own or ""]
+        return rank(key.encode(), names, count)
+
+    def is_own(self, name: str) -> bool:
+        """Say whether this is the gateway's own name."""
+        return name == self._own
+
     def has_host(self, host: str) -> bool:
         """Say whether another gateway that was heard of lately has this address."""
         return any(peer.host == host for peer in self.peers.values())
--- /dev/null
+++ b/libraries/proxy/tests/test_part_follower.py
@@ -0,0 +1,86 @@
+"""Who asks the stores of parts, and who asks another gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from bamboopier_decisions.forwarding.kept_parts import KeptParts, PartNews
+from bamboopier_objects.http_caller import HttpCaller
+from bamboopier_proxy.part_follower import (
+    DIRECT_GATEWAYS,
+    PartAnswer,
+    PartFollower,
+)
+from bamboopier_proxy.part_relay import PartRelay
+from bamboopier_proxy.roster import Roster
+
+if TYPE_CHECKING:
+    from bamboopier_proxy.settings import Endpoint
+
+ADDRESS = "10.0.0.9:80"
+
+
+class CountedStores:
+    """Counts questions to the stores."""
+
+    def __init__(self) -> None:
+        self.questions = 0
+
+    async def read_news(
+        self, address: str, position: int, seconds: float
+    ) -> Result[PartAnswer, str]:
+        self.questions += 1
+        await asyncio.sleep(0.01)
+        return Ok(PartAnswer(PartNews(1, 1, ()), 0))
+
+
+class CountedRelay(PartRelay):
+    """Counts questions to other gateways."""
+
+    def __init__(self, kept: KeptParts) -> None:
+        super().__init__(kept, HttpCaller(""))
+        self.asked: set[str] = set()
+
+    async def ask(self, gateway: Endpoint) -> Result[int, str]:
+        self.asked.add(str(gateway))
+        return Err("not there")
+
+
+class FollowerTests(unittest.IsolatedAsyncioTestCase):
+    async def follow(self, gateways: int, own: str) -> tuple[int, int]:
+        """Return the questions to stores and the gateways asked in a moment."""
+        kept = KeptParts()
+        kept.set_stores({ADDRESS: 1000})
+        roster = Roster(None, "", random.Random(1), lambda _: None)  # type: ignore[arg-type]
+        roster._own = own
+        for number in range(gateways):
+            roster.note_heard(f"g-{number}", f"10.0.1.{number}", 7000)
+        stores, relay = CountedStores(), CountedRelay(kept)
+        task = asyncio.create_task(PartFollower(stores, kept, relay, roster).run())
+        await asyncio.sleep(0.2)
+        task.cancel()
+        return stores.questions, len(relay.asked)
+
+    async def test_few_gateways_ask_the_stores_themselves(self) -> None:
+        questions, asked = await self.follow(DIRECT_GATEWAYS, "g-0")
+        self.assertGreater(questions, 0)
+        self.assertEqual(asked, 0)
+
+    async def test_of_many_gateways_eight_ask_the_stores(self) -> None:
+        # Each of 21 gateways decides for itself. More than eight would be turned away
+        # by the stores, fewer than one would leave all without news.
+        direct = 0
+        for number in range(21):
+            questions, asked = await self.follow(21, f"g-{number}")
+            self.assertEqual(questions > 0, asked == 0)
+            direct += questions > 0
+        self.assertEqual(direct, DIRECT_GATEWAYS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libraries/proxy/tests/test_part_relay.py
@@ -0,0 +1,147 @@
+"""News of part stores that go from one gateway to another."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from result import Ok, Result
+
+from bamboopier_decisions.forwarding.kept_parts import (
+    SETTLE_SECONDS,
+    TRUST_SECONDS,
+    KeptParts,
+    PartChange,
+    PartNews,
+)
+from bamboopier_objects.http_caller import HttpCaller, Reply
+from bamboopier_proxy.part_relay import PartRelay
+from bamboopier_proxy.settings import Endpoint
+
+if TYPE_CHECKING:
+    from bamboopier_objects.errors import PlatformError
+
+ADDRESS = "10.0.0.9:80"
+SCOPE = "/1"
+FIRST = Endpoint("10.0.0.1", 7000)
+
+
+class DirectCaller(HttpCaller):
+    """Hands each call to another gateway's relay, some time later."""
+
+    def __init__(self) -> None:
+        super().__init__("")
+        self.other: PartRelay | None = None
+        self.sizes: list[int] = []
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        patience: float | None = None,
+    ) -> Result[Reply, PlatformError]:
+        assert self.other is not None
+        response = self.other.answer(body or b"")
+        content = response.body
+        assert isinstance(content, bytes)
+        self.sizes.append(len(content))
+        return Ok(Reply(response.status, content, {}))
+
+
+class RelayTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch(
+            "bamboopier_proxy.part_relay.read_clock", side_effect=lambda: self.now
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.caller = DirectCaller()
+        self.direct, self.other = KeptParts(), KeptParts()
+        for kept in (self.direct, self.other):
+            kept.set_stores({ADDRESS: 1_000_000})
+        self.caller.other = PartRelay(self.direct, self.caller)
+        self.relay = PartRelay(self.other, self.caller)
+
+    def hear(self, epoch: int, *changes: PartChange) -> None:
+        """Let the store answer the gateway that asks it."""
+        store = self.direct.find(ADDRESS)
+        assert store is not None
+        store.take(self.now, PartNews(epoch, 5000, changes))
+
+    async def ask(self) -> None:
+        found = await self.relay.ask(FIRST)
+        self.assertEqual(found.ok_value, 1)
+
+    def has(self, part: str) -> bool:
+        store = self.other.find(ADDRESS)
+        assert store is not None
+        return store.trusts(self.now) and store.has(SCOPE, part, 500)
+
+    async def test_changes_are_handed_on_once(self) -> None:
+        self.hear(7, *(PartChange(SCOPE, f"p{n}", 500) for n in range(100)))
+        await self.ask()
+        self.hear(7, PartChange(SCOPE, "new", 500), PartChange(SCOPE, "p1", 0))
+        await self.ask()
+        self.assertTrue(self.has("new"))
+        self.assertFalse(self.has("p1"))
+        self.assertTrue(self.has("p2"))
+        self.assertLess(self.caller.sizes[1], self.caller.sizes[0] / 10)
+
+    async def test_trust_counts_from_when_the_store_answered(self) -> None:
+        # The store goes silent. The gateway that asks it goes on answering others with
+        # what it heard last; nobody fetches from the store for longer than that one.
+        self.hear(7, PartChange(SCOPE, "p", 500))
+        self.now += 1.0
+        await self.ask()
+        self.assertTrue(self.has("p"))
+        self.now += TRUST_SECONDS - 1.0
+        self.assertFalse(self.has("p"))
+
+    async def test_a_store_that_restarts_is_believed_to_be_empty(self) -> None:
+        self.hear(7, PartChange(SCOPE, "p", 500))
+        await self.ask()
+        self.hear(8, PartChange(SCOPE, "q", 500))
+        await self.ask()
+        self.assertFalse(self.has("p"))
+        self.assertTrue(self.has("q"))
+
+    async def test_a_gateway_that_starts_may_save_in_a_store_long_known(self) -> None:
+        # The store has been up for long, which a gateway that has just started cannot
+        # know by itself. It must not save in one that may have restarted a moment ago.
+        self.hear(7)
+        await self.ask()
+        store = self.other.find(ADDRESS)
+        assert store is not None
+        self.assertFalse(store.may_save(self.now, 500))
+        self.now += SETTLE_SECONDS
+        self.hear(7)
+        self.other.set_stores({})
+        self.other.set_stores({ADDRESS: 1_000_000})
+        await self.ask()
+        store = self.other.find(ADDRESS)
+        assert store is not None
+        self.assertTrue(store.may_save(self.now, 500))
+
+    async def test_another_gateway_counts_in_its_own_way(self) -> None:
+        # The gateway that was asked is gone; another one has seen the same changes in
+        # other numbers. What is known is taken anew and not added to.
+        self.hear(7, PartChange(SCOPE, "p", 500))
+        await self.ask()
+        self.direct.set_stores({})
+        self.direct.set_stores({ADDRESS: 1_000_000})
+        self.hear(7, PartChange(SCOPE, "q", 500))
+        found = await self.relay.ask(Endpoint("10.0.0.2", 7000))
+        self.assertEqual(found.ok_value, 1)
+        self.assertFalse(self.has("p"))
+        self.assertTrue(self.has("q"))
+
+    async def test_what_cannot_be_read_is_refused(self) -> None:
+        self.assertEqual(self.relay.answer(b"\xff").status, 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
