--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -229,7 +229,7 @@
                 roster.register(settings.vm, entry),
                 roster.run(),
                 gossip.run(),
-                PartFollower(part_stores, kept, relay, roster).run(),
+                PartFollower(part_stores, kept, relay, roster, generator).run(),
                 room.run(),
                 watch.run(),
                 pool.run(),
--- a/libraries/proxy/src/bamboopier_proxy/part_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_follower.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -17,6 +16,8 @@
 from bamboopier_daemon.clock import read_clock
 
 if TYPE_CHECKING:
+    import random
+
     from bamboopier_decisions.forwarding.kept_parts import KeptParts, PartNews
 
     from .part_relay import PartRelay
@@ -64,12 +65,18 @@
     """One task for each declared store, or one for another gateway's news."""
 
     def __init__(
-        self, stores: PartStores, kept: KeptParts, relay: PartRelay, roster: Roster
+        self,
+        stores: PartStores,
+        kept: KeptParts,
+        relay: PartRelay,
+        roster: Roster,
+        random: random.Random,
     ) -> None:
         self._stores = stores
         self._kept = kept
         self._relay = relay
         self._roster = roster
+        self._random = random
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -88,7 +95,9 @@
             wanted = {store.address for store in self._kept.stores}
         else:
             wanted = {RELAY}
-        for name in [n for n in self._tasks if n not in wanted]:
+        # A task ends by itself when its store is withdrawn, and may be declared again.
+        over = [n for n, t in self._tasks.items() if n not in wanted or t.done()]
+        for name in over:
             self._tasks.pop(name).cancel()
         for name in wanted - self._tasks.keys():
             work = self._ask_gateways() if name == RELAY else self._follow(name)
@@ -97,7 +106,7 @@
     async def _ask_gateways(self) -> None:
         """Ask one of the first gateways; another when that one has no news."""
         log.info("news of stores asked of gateways")
-        turn = random.randrange(DIRECT_GATEWAYS)
+        turn = self._random.randrange(DIRECT_GATEWAYS)
         while True:
             first = self._roster.list_first(RELAY, DIRECT_GATEWAYS)
             gateway = self._roster.peers.get(first[turn % len(first)])
--- a/libraries/proxy/tests/test_part_follower.py
+++ b/libraries/proxy/tests/test_part_follower.py
@@ -56,12 +56,15 @@
         """Return the questions to stores and the gateways asked in a moment."""
         kept = KeptParts()
         kept.set_stores({ADDRESS: 1000})
-        roster = Roster(None, "", random.Random(1), lambda _: None)  # type: ignore[arg-type]
+        generator = random.Random(1)
+        roster = Roster(None, "", generator, lambda _: None)  # type: ignore[arg-type]
         roster._own = own
         for number in range(gateways):
             roster.note_heard(f"g-{number}", f"10.0.1.{number}", 7000)
         stores, relay = CountedStores(), CountedRelay(kept)
-        task = asyncio.create_task(PartFollower(stores, kept, relay, roster).run())
+        task = asyncio.create_task(
+            PartFollower(stores, kept, relay, roster, generator).run()
+        )
         await asyncio.sleep(0.2)
         task.cancel()
         return stores.questions, len(relay.asked)
