--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -0,0 +1,68 @@
+"""What a gateway believes: its configuration, targets, weights and kept parts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from bamboopier_decisions.forwarding.fleet import Fleet
+from bamboopier_decisions.forwarding.kept_parts import KeptParts
+from bamboopier_decisions.forwarding.model import CallerLimits
+from bamboopier_decisions.forwarding.retry_share import RetryShares
+from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+
+from .configuration_intake import ConfigurationIntake
+from .knowledge import Knowledge
+from .store_health import StoreHealth
+from .waiting_room import WaitingRoom
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.model import Declared
+
+    from .settings import ProxySettings
+    from .vocabulary import Vocabulary
+
+log = structlog.get_logger()
+
+
+class GatewayState:
+    """The beliefs of one gateway, and the requests that wait on them."""
+
+    def __init__(self, settings: ProxySettings, vocabulary: Vocabulary) -> None:
+        self.fleet = Fleet()
+        self.kept = KeptParts()
+        self.weights = WeightVersions(settings.version_seconds)
+        self.shares = RetryShares(settings.retries)
+        self.health = StoreHealth()
+        self.room = WaitingRoom()
+        self.knowledge = Knowledge(settings.key_seconds, self._apply)
+        self.intake = ConfigurationIntake(vocabulary, self.knowledge)
+        self._services: tuple[str, ...] = ()
+
+    def take_settings(self, changed: ProxySettings) -> None:
+        """Take the bounds of changed settings."""
+        self.knowledge.currency.set_limit(changed.key_seconds)
+        self.weights.set_allowed(changed.version_seconds)
+        self.shares.set_bounds(changed.retries)
+
+    def take_count(self, count: int) -> None:
+        """Take the number of gateways that share the bounds."""
+        self.fleet.gateways = count
+        log.info("gateways counted", gateways=count)
+
+    def wake_all(self) -> None:
+        """Look for places for all that wait: targets have changed."""
+        for service in self._services:
+            self.room.wake(service)
+
+    def read_limits(self) -> CallerLimits:
+        """Return what callers may send."""
+        table = self.knowledge.table
+        return table.declared.limits if table is not None else CallerLimits()
+
+    def _apply(self, declared: Declared) -> None:
+        self._services = tuple(declared.services)
+        self.fleet.set_services(declared.services)
+        managed = [s for s in declared.part_stores if s.managed]
+        self.kept.set_stores({s.address: s.capacity for s in managed})
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -0,0 +1,81 @@
+"""Keeps a gateway's beliefs as the platform's store says."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_objects.object_follower import ObjectFollower
+
+from .configuration_poll import ConfigurationPoll
+from .observers import ClosureObserver, TargetObserver, WeightsObserver
+from .weight_ages import WeightAges
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from bamboopier_objects.object_follower import ObjectObserver
+
+    from .gateway_state import GatewayState
+    from .vocabulary import NamedWeights, Store, Vocabulary
+
+# Seconds that one watch lasts. One that went silent is noticed a little later, within
+# the two seconds in which a leaving target has to be let alone.
+WATCH_SECONDS = 2.0
+
+
+class StoreFollowers:
+    """The configuration, targets, weights and closures of one gateway."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: Store,
+        vocabulary: Vocabulary,
+        random: random.Random,
+    ) -> None:
+        self._store = store
+        self._random = random
+        self._ages = WeightAges(store, vocabulary.ages_prefix, state.weights, random)
+        self._poll = ConfigurationPoll(
+            store, vocabulary, state.intake, state.health, random
+        )
+        self._targets = self._follow(
+            vocabulary.targets_prefix,
+            TargetObserver(vocabulary, state.fleet, state.health, state.wake_all),
+        )
+        self._weights = self._follow(
+            vocabulary.weights_prefix,
+            WeightsObserver(vocabulary, state.weights, self._note_named),
+        )
+        self._closures = self._follow(
+            vocabulary.closures_prefix, ClosureObserver(vocabulary, state.fleet)
+        )
+
+    @property
+    def loaded(self) -> bool:
+        """Say whether targets and weights were read at least once."""
+        return self._targets.loaded.is_set() and self._weights.loaded.is_set()
+
+    def list_work(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what has to run until the gateway stops."""
+        return [
+            self._poll.run(),
+            self._targets.run(),
+            self._follow_weights(),
+            self._closures.run(),
+        ]
+
+    def _follow(self, prefix: str, observer: ObjectObserver) -> ObjectFollower:
+        return ObjectFollower(
+            self._store, prefix, observer, WATCH_SECONDS, self._random, read_clock
+        )
+
+    async def _follow_weights(self) -> None:
+        await self._ages.read()
+        await self._weights.run()
+
+    def _note_named(self, named: NamedWeights) -> None:
+        self._ages.note_named(named.model, named.version)
