--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import unittest
 
 from processes import Installation
@@ -60,7 +59,7 @@
                 continue
             pid = daemon.process.pid
             folder = f"/proc/{pid}/fd"
-            links = [os.readlink(f"{folder}/{fd}") for fd in os.listdir(folder)]
+            links = list_links(folder)
             self.assertFalse([link for link in links if "io_uring" in link], name)
             self.assertFalse([link for link in links if "/dev/shm" in link], name)
             with open(f"/proc/{pid}/maps") as maps:
