--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import suppress
 
 from processes import Installation
 
@@ -71,3 +72,15 @@
         log = self.installation.read_target_log(DESK)
         ids = [entry["request_id"] for entry in log]
         self.assertEqual(len(ids), len(set(ids)))
+
+
+def list_links(folder: str) -> list[str]:
+    """Return what a daemon's descriptors lead to.
+
+    A connection may close between the listing and the look at it: it is not held.
+    """
+    links = []
+    for name in os.listdir(folder):
+        with suppress(FileNotFoundError):
+            links.append(os.readlink(f"{folder}/{name}"))
+    return links
