--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import unittest
 from contextlib import suppress
 
