Log when a process stood still, and how old named weights are taken for

Nothing told a process that was suspended from one that the store turned away, and no line showed the age that a gateway gave to the newest weights when it sent a request. Now a pause is logged and counted, 'weights named' says for how long the news may have waited to be read, and 'sent' says the newest version and its age. No decision changes.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -64,6 +64,14 @@
         versions = self._named.get(model)
         return versions[-1][0] if versions else 0
 
+    def find_since(self, model: str) -> float:
+        """Return since when the newest version is taken to be named.
+
+        Minus infinity when none was named, or when nobody knows.
+        """
+        versions = self._named.get(model)
+        return versions[-1][1] if versions else float("-inf")
+
     def find_oldest_allowed(self, now: float, model: str) -> int:
         """Return the oldest version that a request may still begin on."""
         limit = self._allowed - END_SECONDS
--- a/libraries/decisions/tests/forwarding/test_weights.py
+++ b/libraries/decisions/tests/forwarding/test_weights.py
@@ -78,6 +78,13 @@
         weights.name(100.0, "m", 3, was_there=True)
         self.assertEqual(weights.find_oldest_allowed(100.0, "m"), 3)
 
+    def test_the_age_of_the_newest_version_is_told(self) -> None:
+        weights = WeightVersions(12.0)
+        self.assertEqual(weights.find_since("m"), float("-inf"))
+        weights.name(100.0, "m", 2)
+        weights.name(104.0, "m", 3)
+        self.assertEqual(weights.find_since("m"), 104.0)
+
     def test_an_older_version_is_not_named_again(self) -> None:
         weights = WeightVersions(12.0)
         self.assertTrue(weights.name(0.0, "m", 3))
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -24,6 +24,7 @@
 from .hint_socket import HintSocket
 from .load_announcer import LoadAnnouncer
 from .observers import WeightsObserver
+from .pause_watch import PauseWatch
 from .settings_watch import SettingsWatch
 from .target_directory import TargetDirectory
 from .weight_roller import WeightRoller
@@ -71,6 +72,7 @@
     )
     directory = TargetDirectory(store, vocabulary, settings.target_service)
     registry = CollectorRegistry()
+    pause_watch = PauseWatch(registry)
     async with AsyncExitStack() as stack:
         with StopSignals() as signals:
             socket = await stack.enter_async_context(
@@ -90,11 +92,17 @@
             follower = ObjectFollower(
                 store,
                 vocabulary.weights_prefix,
-                WeightsObserver(vocabulary, weights, lambda _: roller.changed.set()),
+                WeightsObserver(
+                    vocabulary,
+                    weights,
+                    pause_watch.pauses,
+                    lambda _: roller.changed.set(),
+                ),
                 WATCH_SECONDS,
                 generator,
                 read_clock,
             )
+            await stack.enter_async_context(keep_running(pause_watch.run()))
             await stack.enter_async_context(keep_running(follower.run()))
             await stack.enter_async_context(keep_running(roller.run()))
             watch = SettingsWatch(
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -92,7 +92,8 @@
             call.tried.append(sent.state.entry.name)
             try:
                 self._check_currency(call)
-                marks = self._planner.make_marks(read_clock(), call, sent)
+                started = read_clock()
+                marks = self._planner.make_marks(started, call, sent)
                 result = await self._exchange.send(call, sent, marks, delivery)
                 self._judge(call, sent, result)
             except BaseException:
@@ -101,7 +102,7 @@
             finally:
                 self._fleet.end(sent)
                 self._room.wake(call.service)
-            self._log_send(call, sent, marks, result)
+            self._log_send(call, sent, marks, result, started)
             if result.delivered:
                 return
             if result.ran is not Ran.NO:
@@ -255,7 +256,12 @@
                 return False
 
     def _log_send(
-        self, call: Call, sent: Sent, marks: SendMarks, result: SendResult
+        self,
+        call: Call,
+        sent: Sent,
+        marks: SendMarks,
+        result: SendResult,
+        started: float,
     ) -> None:
         self._metrics.sends.labels(call.service, result.cause.value).inc()
         if result.first_byte:
@@ -273,6 +279,8 @@
             status=result.status,
             first_byte=round(result.first_byte, 4),
             weight_version=marks.weight_version,
+            newest_version=self._planner.find_wanted(started, call).newest,
+            newest_age=self._planner.find_newest_age(started, call),
             fetched_parts=marks.parts.fetched_parts if marks.parts else 0,
             requests=state.requests,
             unread=state.unread,
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -27,6 +27,7 @@
 from .gateway_state import GatewayState
 from .ingress import Ingress
 from .metrics import ProxyMetrics
+from .pause_watch import PauseWatch
 from .send_planner import SendPlanner
 from .settings_watch import SettingsWatch
 from .store_followers import StoreFollowers
@@ -62,7 +63,8 @@
         raise ValueError("a gateway needs addresses for callers and for readiness")
     generator = random.Random(f"{settings.vm}:{os.getpid()}:{read_clock()}")
     metrics = ProxyMetrics()
-    state = GatewayState(settings, vocabulary)
+    pause_watch = PauseWatch(metrics.registry)
+    state = GatewayState(settings, vocabulary, pause_watch.pauses)
     followers = StoreFollowers(state, store, vocabulary, generator)
     peers = GatewayPeers(settings, state, store, vocabulary, part_stores, generator)
     pool = TargetPool(dialect.name_request_id())
@@ -103,6 +105,7 @@
             await stack.enter_async_context(pool)
             await stack.enter_async_context(peers)
             for work in (
+                pause_watch.run(),
                 *followers.list_work(),
                 *peers.list_work(),
                 state.room.run(),
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.model import Declared
+    from bamboopier_decisions.forwarding.pauses import Pauses
 
     from .settings import ProxySettings
     from .vocabulary import Vocabulary
@@ -29,7 +30,10 @@
 class GatewayState:
     """The beliefs of one gateway, and the requests that wait on them."""
 
-    def __init__(self, settings: ProxySettings, vocabulary: Vocabulary) -> None:
+    def __init__(
+        self, settings: ProxySettings, vocabulary: Vocabulary, pauses: Pauses
+    ) -> None:
+        self.pauses = pauses
         self.fleet = Fleet()
         self.kept = KeptParts()
         self.weights = WeightVersions(settings.version_seconds)
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -14,6 +14,7 @@
 
     from bamboopier_decisions.forwarding.fleet import Fleet
     from bamboopier_decisions.forwarding.model import TargetEntry
+    from bamboopier_decisions.forwarding.pauses import Pauses
     from bamboopier_decisions.forwarding.weight_versions import WeightVersions
     from bamboopier_objects.objects import ChangedObject, Listing
 
@@ -103,10 +104,12 @@
         self,
         vocabulary: Vocabulary,
         weights: WeightVersions,
+        pauses: Pauses,
         changed: Callable[[NamedWeights], None],
     ) -> None:
         self._vocabulary = vocabulary
         self._weights = weights
+        self._pauses = pauses
         self._changed = changed
         self._listed = False
 
@@ -135,6 +138,7 @@
             model=named.model,
             weight_version=named.version,
             was_there=was_there,
+            unread_seconds=round(now - self._pauses.find_unread_since(now), 3),
         )
         if not was_there:
             self._changed(named)
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/pause_watch.py
@@ -0,0 +1,39 @@
+"""Notes when this process stood still, and tells of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+from prometheus_client import CollectorRegistry, Counter
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.pauses import TICK_SECONDS, Pauses
+
+log = structlog.get_logger()
+
+
+class PauseWatch:
+    """Ticks as long as it runs; a pause is logged when it is over."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.pauses = Pauses(read_clock())
+        self._paused = Counter(
+            "bamboopier_paused_seconds",
+            "Seconds for which this process or its machine stood still",
+            registry=registry,
+        )
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def tick(self) -> None:
+        """Take in that the process runs now."""
+        seconds = self.pauses.note_tick(read_clock())
+        if not seconds:
+            return
+        self._paused.inc(seconds)
+        log.warning("process stood still", seconds=round(seconds, 3))
--- a/libraries/proxy/src/bamboopier_proxy/send_planner.py
+++ b/libraries/proxy/src/bamboopier_proxy/send_planner.py
@@ -42,6 +42,16 @@
             self._weights.find_oldest_allowed(now, model),
         )
 
+    def find_newest_age(self, now: float, call: Call) -> float | None:
+        """Return the seconds for which the newest weights are taken to be named.
+
+        None where that is not known: they were named before this process looked.
+        """
+        if call.prompt is None:
+            return None
+        age = now - self._weights.find_since(call.prompt.model)
+        return round(age, 3) if age < float("inf") else None
+
     def make_marks(self, now: float, call: Call, sent: Sent) -> SendMarks:
         """Return what the target is told beside the caller's own headers."""
         entry = sent.state.entry
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -48,7 +48,7 @@
         )
         self._weights = self._follow(
             vocabulary.weights_prefix,
-            WeightsObserver(vocabulary, state.weights, self._note_named),
+            WeightsObserver(vocabulary, state.weights, state.pauses, self._note_named),
         )
         self._closures = self._follow(
             vocabulary.closures_prefix, ClosureObserver(vocabulary, state.fleet)
