Name failed tests as the list of known reds does

The runner named a failed test with its module and class, the list without: no line of it could ever match, and a run with a listed failure ended with an error. The new test cannot be run without the mend, which adds the function it calls.

--- /dev/null
+++ b/tests/test_run_tests.py
@@ -0,0 +1,26 @@
+"""What the runner takes for a failed test."""
+
+from __future__ import annotations
+
+import unittest
+
+from run_tests import list_failed
+
+OUTPUT = """\
+FAIL: test_outcomes (tests.test_path.PathTests.test_outcomes) (cell='x', keyed=True)
+FAIL: test_outcomes (tests.test_path.PathTests.test_outcomes) (cell='y', keyed=True)
+ERROR: test_start (tests.test_path.PathTests.test_start)
+test_stop (tests.test_path.PathTests.test_stop) ... ok
+"""
+
+
+class FailedTests(unittest.TestCase):
+    def test_a_failed_test_has_the_name_that_the_list_of_known_reds_uses(self) -> None:
+        # A test on the list fails. Named in another way than there, it would be taken
+        # for a new failure, and the run would end with an error.
+        names = ("path:test_outcomes", "path:test_start")
+        self.assertEqual(list_failed("path", OUTPUT), names)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,7 +23,8 @@
 SUITE_SECONDS = 900
 # Each system test starts some ten processes of its own.
 WORKERS = 5
-_FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+) \(([\w.]+)\)", re.MULTILINE)
+# A test's name alone: its class and module follow in brackets.
+_FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+) \([\w.]+\)", re.MULTILINE)
 _RAN = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
 
 
@@ -81,13 +82,18 @@
     )
     output = done.stdout + done.stderr
     ran = _RAN.search(output)
-    failed = tuple(sorted({f"{name}:{m[1]}" for m in _FAILED.findall(output)}))
+    failed = list_failed(name, output)
     count = int(ran.group(1)) if ran else 0
     broken = ran is None or (done.returncode != 0 and not failed)
     seconds = time.monotonic() - started
     return SuiteResult(name, count, failed, broken, output, seconds)
 
 
+def list_failed(suite: str, output: str) -> tuple[str, ...]:
+    """Return the failed tests in a suite's output as KNOWN-RED.txt names them."""
+    return tuple(sorted({f"{suite}:{test}" for test in _FAILED.findall(output)}))
+
+
 @dataclass(frozen=True)
 class KnownRed:
     """The tests listed in KNOWN-RED.txt."""
