Count the time of older weights from when newer ones may have been named

Callers were answered on weights that had been replaced 12.8 s before, where 12 s are allowed. The gateway had stood still for 3.3 s while the new version was named, heard of it when it ran again, and counted the 9.4 s for which it lets older weights serve from then.

Ruled out: the store was reachable all the while (three other gateways and seven agents heard within 4 ms of each other); no process restarted; the engine was not taken for another version, since each request names the one it expects.

A version now has the earliest time at which it may have been named: the start of the pause that hid it, or of the watch that failed; what others wrote of it narrows that for a gateway that was away for long. No source names a later time than the true one, so none can lengthen the older weights' time, whatever delayed the news. What is written for processes that start later is that time too, not the time of hearing.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -3,6 +3,10 @@
 Failure answered: an engine that missed its order goes on with old weights for ever, and
 its answers are those of a model that was replaced. Older versions serve while the newer
 is being loaded, since none would serve otherwise; after that time they get nothing.
+
+The time of a version runs from the earliest moment at which it may have been named, not
+from when this process heard of it: a process that was suspended, or whose watch went
+silent, hears late. Counted from then, older versions would serve too long there.
 """
 
 from __future__ import annotations
@@ -14,69 +18,72 @@
 
 
 class WeightVersions:
-    """The newest version named for each model, and when that was heard."""
+    """The versions named for each model, and since when each may have been."""
 
-    __slots__ = ("_ages", "_allowed", "_named")
+    __slots__ = ("_ages", "_allowed", "_heard", "_named")
 
     def __init__(self, allowed_seconds: float) -> None:
         self._allowed = allowed_seconds
-        # Versions of each model with the time since which each is taken to be named,
-        # oldest first.
-        self._named: dict[str, list[tuple[int, float]]] = {}
-        # The same as others wrote it down, of versions that were named before.
-        self._ages: dict[tuple[str, int], float] = {}
+        # For each model the versions this process heard of, and what others wrote
+        # down, each with the earliest time at which it may have been named.
+        self._heard: dict[str, dict[int, float]] = {}
+        self._ages: dict[str, dict[int, float]] = {}
+        # Both together.
+        self._named: dict[str, dict[int, float]] = {}
 
     def set_allowed(self, seconds: float) -> None:
         """Take another time for which older versions may serve."""
         self._allowed = seconds
 
-    def name(
-        self, now: float, model: str, version: int, *, was_there: bool = False
-    ) -> bool:
+    def name(self, model: str, version: int, since: float) -> bool:
         """Take in a named version; True if it is newer than those known.
 
-        One that was there when this process first looked may have been named long ago.
-        Unless somebody wrote down when, it is taken for that.
+        ``since`` is the earliest time at which it may have been named, minus infinity
+        where nothing is known of that.
         """
-        versions = self._named.setdefault(model, [])
-        if versions and version <= versions[-1][0]:
+        if version <= self.find_newest(model):
             return False
-        since = now
-        if was_there:
-            since = self._ages.get((model, version), float("-inf"))
-            # The store holds the newest version only. The time of those named before
-            # it goes on, too: it ends sooner for the targets that have none of them.
-            versions += self._list_before(model, version)
-        versions.append((version, since))
+        self._heard.setdefault(model, {})[version] = since
+        self._join(model)
         return True
 
-    def _list_before(self, model: str, version: int) -> list[tuple[int, float]]:
-        """Return the versions before ``version`` that somebody wrote down."""
-        known = ((v, since) for (m, v), since in self._ages.items() if m == model)
-        return sorted(found for found in known if found[0] < version)
-
     def learn_age(self, model: str, version: int, since: float) -> None:
-        """Take in since when a version is named; before ``name`` is called for it."""
-        self._ages[model, version] = since
+        """Take in the earliest time that somebody wrote down for a version."""
+        self._ages.setdefault(model, {})[version] = since
+        self._join(model)
 
     def find_newest(self, model: str) -> int:
         """Return the newest version; 0 when none was named."""
-        versions = self._named.get(model)
-        return versions[-1][0] if versions else 0
+        return max(self._heard.get(model, ()), default=0)
 
     def find_since(self, model: str) -> float:
-        """Return since when the newest version is taken to be named.
+        """Return the earliest time at which the newest version may have been named.
 
         Minus infinity when none was named, or when nobody knows.
         """
-        versions = self._named.get(model)
-        return versions[-1][1] if versions else float("-inf")
+        newest = self.find_newest(model)
+        return self._named.get(model, {}).get(newest, float("-inf"))
 
     def find_oldest_allowed(self, now: float, model: str) -> int:
         """Return the oldest version that a request may still begin on."""
+        versions = self._named.get(model)
+        if not versions:
+            return 0
         limit = self._allowed - END_SECONDS
-        allowed = 0
-        for version, heard in self._named.get(model, ()):
-            if now - heard >= limit:
-                allowed = version
-        return allowed
+        over = (v for v, since in versions.items() if now - since >= limit)
+        return max(over, default=0)
+
+    def _join(self, model: str) -> None:
+        """Take the latest of what is known of each version.
+
+        No source names a time later than the true one. The store shows the newest
+        version only: the time of those named before it, which others wrote down, goes
+        on as well, and ends sooner for the targets that have none of them.
+        """
+        heard = self._heard.get(model, {})
+        newest = self.find_newest(model)
+        named = dict(heard)
+        for version, since in self._ages.get(model, {}).items():
+            if version <= newest:
+                named[version] = max(since, named.get(version, since))
+        self._named[model] = named
--- a/libraries/decisions/tests/forwarding/test_weights.py
+++ b/libraries/decisions/tests/forwarding/test_weights.py
@@ -29,12 +29,15 @@
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.fleet import Fleet
 
+# Nothing is known of when a version was named.
+UNKNOWN = float("-inf")
+
 
 class VersionTests(unittest.TestCase):
     def test_older_weights_serve_until_shortly_before_the_limit(self) -> None:
         weights = WeightVersions(12.0)
-        weights.name(0.0, "m", 1, was_there=True)
-        weights.name(100.0, "m", 2)
+        weights.name("m", 1, UNKNOWN)
+        weights.name("m", 2, 100.0)
         self.assertEqual(weights.find_newest("m"), 2)
         self.assertEqual(weights.find_oldest_allowed(100.1, "m"), 1)
         self.assertEqual(weights.find_oldest_allowed(112.0 - END_SECONDS, "m"), 2)
@@ -43,8 +46,8 @@
         # Two versions are named four seconds apart. When the time of the first is over,
         # engines that have it may still serve, those that have neither may not.
         weights = WeightVersions(12.0)
-        weights.name(100.0, "m", 2)
-        weights.name(104.0, "m", 3)
+        weights.name("m", 2, 100.0)
+        weights.name("m", 3, 104.0)
         self.assertEqual(weights.find_oldest_allowed(112.0, "m"), 2)
         self.assertEqual(weights.find_oldest_allowed(116.0, "m"), 3)
 
@@ -53,11 +56,11 @@
         # starts finds the version, and knows from the store since when it is named.
         weights = WeightVersions(12.0)
         weights.learn_age("m", 3, 90.0)
-        weights.name(100.0, "m", 3, was_there=True)
+        weights.name("m", 3, UNKNOWN)
         self.assertEqual(weights.find_oldest_allowed(100.0, "m"), 3)
         fresh = WeightVersions(12.0)
         fresh.learn_age("m", 3, 98.0)
-        fresh.name(100.0, "m", 3, was_there=True)
+        fresh.name("m", 3, UNKNOWN)
         self.assertEqual(fresh.find_oldest_allowed(100.0, "m"), 0)
 
     def test_a_start_does_not_forget_versions_named_in_between(self) -> None:
@@ -68,27 +71,53 @@
         weights.learn_age("m", 3, 104.0)
         weights.learn_age("m", 2, 100.0)
         weights.learn_age("other", 2, 0.0)
-        weights.name(106.0, "m", 3, was_there=True)
+        weights.name("m", 3, UNKNOWN)
         self.assertEqual(weights.find_oldest_allowed(106.0, "m"), 0)
         self.assertEqual(weights.find_oldest_allowed(112.0, "m"), 2)
         self.assertEqual(weights.find_oldest_allowed(116.0, "m"), 3)
 
     def test_a_version_of_unknown_age_is_taken_for_old(self) -> None:
         weights = WeightVersions(12.0)
-        weights.name(100.0, "m", 3, was_there=True)
+        weights.name("m", 3, UNKNOWN)
         self.assertEqual(weights.find_oldest_allowed(100.0, "m"), 3)
 
     def test_the_age_of_the_newest_version_is_told(self) -> None:
         weights = WeightVersions(12.0)
         self.assertEqual(weights.find_since("m"), float("-inf"))
-        weights.name(100.0, "m", 2)
-        weights.name(104.0, "m", 3)
+        weights.name("m", 2, 100.0)
+        weights.name("m", 3, 104.0)
         self.assertEqual(weights.find_since("m"), 104.0)
 
+    def test_a_version_heard_of_late_gives_older_ones_no_more_time(self) -> None:
+        # A gateway stood still for 3.3 s from 100.0 on, and hears of version 2 then. It
+        # may have been named right at the start: an older one served 9.4 s from when
+        # the gateway heard would begin work 12.7 s after that.
+        weights = WeightVersions(12.0)
+        weights.name("m", 1, UNKNOWN)
+        weights.name("m", 2, 100.0)
+        self.assertEqual(weights.find_oldest_allowed(103.3, "m"), 1)
+        self.assertEqual(weights.find_oldest_allowed(109.5, "m"), 2)
+
+    def test_who_heard_in_time_spares_older_versions_for_who_did_not(self) -> None:
+        # The store turned a gateway away from 80.0 to 100.0. Alone it would refuse
+        # every engine that has not loaded yet; others wrote when they heard.
+        weights = WeightVersions(12.0)
+        weights.name("m", 2, 80.0)
+        self.assertEqual(weights.find_oldest_allowed(100.0, "m"), 2)
+        weights.learn_age("m", 2, 95.0)
+        self.assertEqual(weights.find_oldest_allowed(100.0, "m"), 0)
+        self.assertEqual(weights.find_oldest_allowed(104.5, "m"), 2)
+
+    def test_a_vaguer_time_changes_nothing(self) -> None:
+        weights = WeightVersions(12.0)
+        weights.name("m", 2, 100.0)
+        weights.learn_age("m", 2, 97.0)
+        self.assertEqual(weights.find_since("m"), 100.0)
+
     def test_an_older_version_is_not_named_again(self) -> None:
         weights = WeightVersions(12.0)
-        self.assertTrue(weights.name(0.0, "m", 3))
-        self.assertFalse(weights.name(1.0, "m", 2))
+        self.assertTrue(weights.name("m", 3, 0.0))
+        self.assertFalse(weights.name("m", 2, 1.0))
 
 
 class OrderTests(unittest.TestCase):
--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -34,12 +34,18 @@
 class ObjectObserver(Protocol):
     """What is told of the objects below a prefix."""
 
-    def take_listing(self, listing: Listing, away_seconds: float) -> None:
-        """Take the whole list; the store did not answer for ``away_seconds``."""
+    def take_listing(
+        self, listing: Listing, away_seconds: float, unseen_since: float
+    ) -> None:
+        """Take the whole list; the store did not answer for ``away_seconds``.
+
+        What is new in it may have changed at any time since ``unseen_since``: minus
+        infinity for the first list.
+        """
         ...
 
     def take_change(self, change: ChangedObject) -> None:
-        """Take one object that changed."""
+        """Take one object that changed, told by a watch as it happened."""
         ...
 
 
@@ -64,6 +70,8 @@
         self._revision = 0
         self._failures = 0
         self._failing_since: float | None = None
+        # When the call was made whose failure may have hidden changes.
+        self._unseen_since = float("-inf")
         # Whether the list was read at least once.
         self.loaded = asyncio.Event()
 
@@ -85,7 +93,8 @@
         if listing.revision < self._revision:
             self._note_failure(asked, f"revision {listing.revision} is an older one")
             return False
-        self._observer.take_listing(listing, self._note_answer())
+        away = self._note_answer()
+        self._observer.take_listing(listing, away, self._unseen_since)
         self._revision = listing.revision
         self.loaded.set()
         return True
@@ -98,6 +107,7 @@
                 self._prefix, self._revision, self._wait_seconds
             )
             if isinstance(answer, Err):
+                self._unseen_since = asked
                 fault = answer.err_value
                 if isinstance(fault, WatchGapError):
                     log.info("watch gap", prefix=self._prefix, revision=self._revision)
--- /dev/null
+++ b/libraries/objects/tests/test_object_follower.py
@@ -0,0 +1,79 @@
+"""Since when a list may hold changes that a follower could not see."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from result import Err, Ok
+
+from bamboopier_objects.errors import PlatformUnavailableError, WatchGapError
+from bamboopier_objects.object_follower import ObjectFollower
+from bamboopier_objects.objects import ChangeBatch, Listing
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from bamboopier_objects.errors import PlatformError
+
+LISTING = Ok(Listing(7, ()))
+NOTHING = Ok(ChangeBatch(7, ()))
+
+
+class UnseenTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.observer = mock.Mock()
+        self.store = mock.AsyncMock()
+        self.store.list.return_value = LISTING
+
+    async def follow(
+        self, *answers: tuple[float, Result[ChangeBatch, PlatformError]]
+    ) -> list[float]:
+        """Answer watches after the given seconds; return what the lists were told."""
+        left = list(answers)
+
+        async def watch(*_: object) -> Result[ChangeBatch, PlatformError]:
+            if not left:
+                await asyncio.sleep(3600)
+            seconds, answer = left.pop(0)
+            self.now += seconds
+            return answer
+
+        self.store.watch_values.side_effect = watch
+        follower = ObjectFollower(
+            self.store, "k/", self.observer, 2.0, random.Random(1), lambda: self.now
+        )
+        expected = 1 + sum(isinstance(answer, Err) for _, answer in answers)
+        with mock.patch("bamboopier_objects.object_follower.log"):
+            task = asyncio.create_task(follower.run())
+            async with asyncio.timeout(10):
+                while self.observer.take_listing.call_count < expected:  # noqa: ASYNC110
+                    await asyncio.sleep(0.005)
+            task.cancel()
+        return [call.args[2] for call in self.observer.take_listing.call_args_list]
+
+    async def test_the_first_list_says_nothing_of_when(self) -> None:
+        self.assertEqual(await self.follow(), [float("-inf")])
+
+    async def test_a_watch_that_went_silent_may_hide_all_since_it_was_asked(
+        self,
+    ) -> None:
+        # One watch ends as it should after two seconds. The next gets no answer for
+        # three and a half, though something changed right after it was asked.
+        failed = Err(PlatformUnavailableError("no answer"))
+        told = await self.follow((2.0, NOTHING), (3.5, failed))
+        self.assertEqual(told[1], 102.0)
+
+    async def test_a_history_that_is_gone_may_hide_all_since_the_watch_was_asked(
+        self,
+    ) -> None:
+        told = await self.follow((2.0, NOTHING), (1.0, Err(WatchGapError("gone"))))
+        self.assertEqual(told[1], 102.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -96,7 +96,7 @@
                     vocabulary,
                     weights,
                     pause_watch.pauses,
-                    lambda _: roller.changed.set(),
+                    lambda *_: roller.changed.set(),
                 ),
                 WATCH_SECONDS,
                 generator,
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -39,7 +40,9 @@
         self._health = health
         self._wake = wake
 
-    def take_listing(self, listing: Listing, away_seconds: float) -> None:
+    def take_listing(
+        self, listing: Listing, away_seconds: float, unseen_since: float
+    ) -> None:
         """Take all entries."""
         now = read_clock()
         self._health.note_return(now, away_seconds)
@@ -105,43 +108,50 @@
         vocabulary: Vocabulary,
         weights: WeightVersions,
         pauses: Pauses,
-        changed: Callable[[NamedWeights], None],
+        changed: Callable[[NamedWeights, float], None],
     ) -> None:
         self._vocabulary = vocabulary
         self._weights = weights
         self._pauses = pauses
+        # Told of a version that was named while this process ran, and since when.
         self._changed = changed
-        self._listed = False
 
-    def take_listing(self, listing: Listing, away_seconds: float) -> None:
-        """Take all named versions; the first list says nothing of their age."""
+    def take_listing(
+        self, listing: Listing, away_seconds: float, unseen_since: float
+    ) -> None:
+        """Take all named versions."""
+        since = min(unseen_since, self._find_unread_since())
         for found in listing.objects:
-            self._take(found.key, found.value, was_there=not self._listed)
-        self._listed = True
+            self._take(found.key, found.value, since)
 
     def take_change(self, change: ChangedObject) -> None:
         """Take a newly named version."""
         if change.value is not None:
-            self._take(change.key, change.value, was_there=False)
+            self._take(change.key, change.value, self._find_unread_since())
+
+    def _find_unread_since(self) -> float:
+        # News that waited while this process stood still is as old as the pause: taken
+        # for new, it lets older weights serve too long by that. Nothing waits longer.
+        return self._pauses.find_unread_since(read_clock())
 
-    def _take(self, key: str, value: bytes, *, was_there: bool) -> None:
+    def _take(self, key: str, value: bytes, since: float) -> None:
+        """Take one version that was named at ``since`` at the earliest."""
         decoded = self._vocabulary.decode_weights(value)
         if isinstance(decoded, Err):
             log.warning("entry set aside", key=key, reason=decoded.err_value)
             return
         named = decoded.ok_value
-        now = read_clock()
-        if not self._weights.name(now, named.model, named.version, was_there=was_there):
+        if not self._weights.name(named.model, named.version, since):
             return
+        age = read_clock() - self._weights.find_since(named.model)
         log.info(
             "weights named",
             model=named.model,
             weight_version=named.version,
-            was_there=was_there,
-            unread_seconds=round(now - self._pauses.find_unread_since(now), 3),
+            age_seconds=round(age, 3) if math.isfinite(age) else None,
         )
-        if not was_there:
-            self._changed(named)
+        if math.isfinite(since):
+            self._changed(named, since)
 
 
 class ClosureObserver:
@@ -152,7 +162,9 @@
         self._fleet = fleet
         self._closed: set[str] = set()
 
-    def take_listing(self, listing: Listing, away_seconds: float) -> None:
+    def take_listing(
+        self, listing: Listing, away_seconds: float, unseen_since: float
+    ) -> None:
         """Take all closures."""
         prefix = self._vocabulary.closures_prefix
         self._apply({found.key.removeprefix(prefix) for found in listing.objects})
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -77,5 +77,5 @@
         await self._ages.read()
         await self._weights.run()
 
-    def _note_named(self, named: NamedWeights) -> None:
-        self._ages.note_named(named.model, named.version)
+    def _note_named(self, named: NamedWeights, since: float) -> None:
+        self._ages.note_named(named.model, named.version, since)
--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -40,7 +40,7 @@
 
 
 class NamedAt(msgspec.Struct):
-    """When a version was first heard of, in seconds since 1970."""
+    """When a version may have been named at the earliest, in seconds since 1970."""
 
     seconds: float
 
@@ -57,12 +57,16 @@
         self._random = random
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def note_named(self, model: str, version: int) -> None:
-        """Take in that a version was named just now; write it down."""
-        task = asyncio.create_task(self._write(model, version))
+    def note_named(self, model: str, version: int, since: float) -> None:
+        """Write down that a version was named, at ``since`` at the earliest."""
+        task = asyncio.create_task(self._write(model, version, since))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def finish(self) -> None:
+        """Wait until all that is being written is written or given up."""
+        await asyncio.gather(*self._tasks)
+
     async def read(self) -> None:
         """Read all entries, again and again until the store answers."""
         while True:
@@ -85,15 +89,35 @@
         self._weights.learn_age(model, number, read_clock() - age)
         log.info("weights known", model=model, weight_version=number, age=round(age, 1))
 
-    async def _write(self, model: str, version: int) -> None:
-        named_at = time.time()
-        await asyncio.sleep(self._random.uniform(0, SPREAD_SECONDS))
+    async def _write(self, model: str, version: int, since: float) -> None:
+        age = read_clock() - since
+        named_at = time.time() - age
+        is_vague = age > CLOCK_ERROR_SECONDS
+        # Whoever heard at once knows best, and goes first.
+        earliest = SPREAD_SECONDS if is_vague else 0.0
+        await asyncio.sleep(earliest + self._random.uniform(0, SPREAD_SECONDS))
         key = f"{self._prefix}{model}/{version}"
         value = msgspec.json.encode(NamedAt(named_at))
         for _ in range(TRIES):
             written = await self._store.write(key, value, ABSENT)
             fault = written.err_value if isinstance(written, Err) else None
-            if fault is None or isinstance(fault, VersionConflictError):
+            if fault is None:
+                return
+            if isinstance(fault, VersionConflictError):
+                if is_vague:
+                    await self._learn(key)
                 return
             await asyncio.sleep(RETRY_SECONDS)
         log.warning("naming not written", model=model, weight_version=version)
+
+    async def _learn(self, key: str) -> None:
+        """Read what somebody else wrote: a process that heard late knows little.
+
+        Without it one that the store had turned away for long would refuse all older
+        versions as soon as it hears of a new one.
+        """
+        answer = await self._store.read(key)
+        if isinstance(answer, Err):
+            log.warning("naming not read", key=key, reason=str(answer.err_value))
+        elif answer.ok_value is not None:
+            self._take(key.removeprefix(self._prefix), answer.ok_value.value)
