Count a target's turn to load from the naming, not from when its agent heard

The engine beside an agent that had stood still kept older weights longer than its place in the order gives it: its turn was counted from when the agent heard of the new version. Named at 36.32 s, heard of at 39.71 s, drained from 43.58 s on, where the third turn was at 41.5 s. Callers met older weights there for two seconds more.

The agent now takes the earliest time at which the version may have been named, as gateways do; where nobody knows that, the time of hearing, as before.

--- a/libraries/proxy/src/bamboopier_proxy/weight_roller.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_roller.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -77,7 +78,7 @@
         self._announcer = announcer
         self._directory = directory
         self._directory_read = float("-inf")
-        # The version that the target has to load, and since when it is known here.
+        # The version that the target has to load, and since when it is named.
         self._wanted: tuple[str, int] | None = None
         self._wanted_since = 0.0
         self._drain: LoadDrain | None = None
@@ -129,7 +130,17 @@
             self._drain = None
         if wanted != self._wanted:
             self._wanted = wanted
-            self._wanted_since = read_clock()
+            self._wanted_since = self._find_named(wanted)
+
+    def _find_named(self, wanted: tuple[str, int] | None) -> float:
+        """Return since when ``wanted`` is named, or now where nobody knows.
+
+        The turns of all targets count from the naming. Counted from when this agent
+        heard, its target would load a turn or more after the others, and keep older
+        weights until their time is over.
+        """
+        since = self._weights.find_since(wanted[0]) if wanted else -math.inf
+        return since if math.isfinite(since) else read_clock()
 
     def _has_turn(self, wanted: tuple[str, int]) -> bool:
         model, newest = wanted
