Let an agent that starts anew keep its target's turn to load

An agent that was restarted counted its target's turn from its own start, and callers met older weights there for as much longer. It now reads, as gateways do, since when the versions it finds are named. One list more for each start of an agent.

--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -27,6 +27,7 @@
 from .pause_watch import PauseWatch
 from .settings_watch import SettingsWatch
 from .target_directory import TargetDirectory
+from .weight_ages import WeightAges, follow_weights
 from .weight_roller import WeightRoller
 
 if TYPE_CHECKING:
@@ -103,7 +104,10 @@
                 read_clock,
             )
             await stack.enter_async_context(keep_running(pause_watch.run()))
-            await stack.enter_async_context(keep_running(follower.run()))
+            ages = WeightAges(store, vocabulary.ages_prefix, weights, generator)
+            await stack.enter_async_context(
+                keep_running(follow_weights(ages, follower))
+            )
             await stack.enter_async_context(keep_running(roller.run()))
             watch = SettingsWatch(
                 settings,
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -9,7 +9,7 @@
 
 from .configuration_poll import ConfigurationPoll
 from .observers import ClosureObserver, TargetObserver, WeightsObserver
-from .weight_ages import WeightAges
+from .weight_ages import WeightAges, follow_weights
 
 if TYPE_CHECKING:
     import random
@@ -64,7 +64,7 @@
         return [
             self._poll.run(),
             self._targets.run(),
-            self._follow_weights(),
+            follow_weights(self._ages, self._weights),
             self._closures.run(),
         ]
 
@@ -73,9 +73,5 @@
             self._store, prefix, observer, WATCH_SECONDS, self._random, read_clock
         )
 
-    async def _follow_weights(self) -> None:
-        await self._ages.read()
-        await self._weights.run()
-
     def _note_named(self, named: NamedWeights, since: float) -> None:
         self._ages.note_named(named.model, named.version, since)
--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -26,6 +26,7 @@
     import random
 
     from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+    from bamboopier_objects.object_follower import ObjectFollower
 
     from .vocabulary import Store
 
@@ -45,6 +46,16 @@
     seconds: float
 
 
+async def follow_weights(ages: WeightAges, follower: ObjectFollower) -> None:
+    """Follow the named versions, once it is known since when those there are named.
+
+    Without that a gateway that starts anew refuses all older weights, and an agent
+    counts its target's turn from its own start.
+    """
+    await ages.read()
+    await follower.run()
+
+
 class WeightAges:
     """Entries below a prefix, one for each model and version."""
 
