Take a request whose caller left back from its target by a reset

Four requests reached an engine that had stood still eight seconds after their callers had left. The gateway had closed the connections in good order, so that what had not arrived was still delivered, and was run by nobody's wish. A connection with a request under way is now reset: the kernel drops what is unsent.

The new test fails without this and passes now.

--- a/libraries/proxy/src/bamboopier_proxy/target_connection.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_connection.py
@@ -11,6 +11,7 @@
 import asyncio
 import os
 import socket
+import struct
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -105,8 +106,11 @@
     def abort(self) -> None:
         """End the connection now; a target drops what it was working on."""
         self._closed = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._head is not None and not self._transport.is_closing():
+            reset_when_closed(self._transport.get_extra_info("socket"))
+        self._transport.abort()
 
     # asyncio.Protocol
 
@@ -268,3 +272,14 @@
     )
     for level, name, value in options:
         connection.setsockopt(level, name, value)
+
+
+def reset_when_closed(connection: socket.socket) -> None:
+    """Let the kernel drop what is unsent, and reset the connection, at its close.
+
+    Closed in good order, a connection still delivers its request to a target that
+    stands still: the target would run it seconds after its caller has left. A reset
+    takes back what has not arrived.
+    """
+    linger_no_seconds = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_no_seconds)
--- /dev/null
+++ b/libraries/proxy/tests/test_target_connection.py
@@ -0,0 +1,48 @@
+"""How a request whose caller has left is taken back from its target."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+import unittest
+
+from bamboopier_proxy.target_connection import TargetConnection
+
+HEAD = b"POST /orders HTTP/1.1\r\nHost: desk\r\n\r\n"
+
+
+class AbortTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        host, port = self.listener.getsockname()
+        loop = asyncio.get_running_loop()
+        _, self.connection = await loop.create_connection(
+            lambda: TargetConnection("Request-Id", time.monotonic), host, port
+        )
+        self.peer, _ = self.listener.accept()
+        self.addCleanup(self.peer.close)
+        self.peer.settimeout(5)
+
+    async def test_a_request_is_taken_back_by_a_reset(self) -> None:
+        # A target stands still with a request on its way, and the caller leaves. Closed
+        # in good order, the connection would still deliver the request: the target runs
+        # it when it goes on, seconds after its caller has left.
+        asking = asyncio.create_task(self.connection.ask(HEAD, b"", "id", "POST"))
+        await asyncio.sleep(0)
+        asking.cancel()
+        self.connection.abort()
+        await asyncio.sleep(0.05)
+        with self.assertRaises(ConnectionResetError):
+            while self.peer.recv(4096):
+                pass
+
+    async def test_an_idle_connection_is_closed_in_good_order(self) -> None:
+        self.connection.abort()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.peer.recv(4096), b"")
+
+
+if __name__ == "__main__":
+    unittest.main()
