Show where the age of named weights, of a store's start and of a gap is wrong

- Short pauses in a row, and a slow process, make news look older without end.
- After an outage of the store for all, weights named as it returns end the older ones at once, at every gateway.
- What is learned of the newest version lifts the limit for those named before it.
- Two clocks that are each off by three seconds make a version younger.
- A watch that fails after one whose empty answer was read late hides more than is told.

--- a/libraries/decisions/tests/forwarding/test_pauses.py
+++ b/libraries/decisions/tests/forwarding/test_pauses.py
@@ -11,6 +11,9 @@
     Pauses,
 )
 
+# Seconds that news may look too old by: a few of the pauses after which it is read.
+LONGEST_SECONDS = 4.0
+
 
 class PauseTests(unittest.TestCase):
     def setUp(self) -> None:
@@ -52,6 +55,28 @@
         self.pauses.note_tick(116.0)
         self.assertEqual(self.pauses.find_unread_since(116.1), 110.0)
 
+    def test_short_pauses_in_a_row_do_not_add_up_to_one_without_end(self) -> None:
+        # A process stands still for 0.7 s of every two, for a minute, and reads all in
+        # between. Then new weights are named: it takes them for as old as the first of
+        # these pauses, and callers get 503 instead of answers on older weights, though
+        # none is loaded yet. Each pause lengthens the time in which the next one
+        # belongs to it, by all there were before.
+        for second in range(100, 160, 2):
+            self.run_until(second, second + 1.2)
+        self.run_until(160.0, 160.2)
+        self.assertGreater(self.pauses.find_unread_since(160.3), 160 - LONGEST_SECONDS)
+
+    def test_a_slow_process_takes_news_for_little_older_than_they_are(self) -> None:
+        # Each turn of a slow event loop takes 0.2 s, so a tick comes every 0.6 s; what
+        # the store tells is read 0.5 s late, as measured with such a loop over HTTP.
+        # After half a minute of it newly named weights are taken for 30 s old, and
+        # callers get 503 instead of answers on older weights, though none is loaded.
+        for number in range(50):
+            self.pauses.note_tick(100.0 + number * (PAUSE_SECONDS + 0.01))
+        self.assertGreater(
+            self.pauses.find_unread_since(130.0), 130.0 - LONGEST_SECONDS
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -74,6 +74,16 @@
         told = await self.follow((2.0, NOTHING), (1.0, Err(WatchGapError("gone"))))
         self.assertEqual(told[1], 102.0)
 
+    async def test_what_changed_between_two_watches_may_be_hidden_as_well(self) -> None:
+        # A gateway stands still for four seconds. Its watch ends empty at the store in
+        # the middle, as it should after two, and new weights are named after that. It
+        # reads the empty answer when it runs again; its next watch fails after six
+        # seconds. The list then shows the new weights, taken for two seconds younger
+        # than they may be, and older ones serve callers for as much too long.
+        failed = Err(PlatformUnavailableError("no answer"))
+        told = await self.follow((4.0, NOTHING), (6.0, failed))
+        self.assertLessEqual(told[1], 102.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libraries/proxy/tests/test_part_follower.py
+++ b/libraries/proxy/tests/test_part_follower.py
@@ -6,10 +6,15 @@
 import random
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from result import Err, Ok, Result
 
-from bamboopier_decisions.forwarding.kept_parts import KeptParts, PartNews
+from bamboopier_decisions.forwarding.kept_parts import (
+    SETTLE_SECONDS,
+    KeptParts,
+    PartNews,
+)
 from bamboopier_objects.http_caller import HttpCaller
 from bamboopier_proxy.part_follower import (
     DIRECT_GATEWAYS,
@@ -51,6 +56,57 @@
         return Err("not there")
 
 
+class RestartedStore:
+    """Answers at once as a store that began anew, however late it is asked."""
+
+    def __init__(self, clock: list[float]) -> None:
+        self._clock = clock
+        self._delays = [0.0, 4.0]
+        self.asked = 0
+
+    async def read_news(
+        self, address: str, position: int, seconds: float
+    ) -> Result[PartAnswer, str]:
+        await asyncio.sleep(0)
+        self._clock[0] += self._delays.pop(0) if self._delays else 0.0
+        self.asked += 1
+        epoch = min(self.asked, 2)
+        return Ok(PartAnswer(PartNews(epoch, int(self._clock[0] * 1000), ()), 0))
+
+
+class SettleTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_start_is_not_known_longer_than_it_was_seen(self) -> None:
+        # A gateway is suspended for four seconds between taking the time of a question
+        # and sending it. A store began anew just before it wakes. The gateway takes
+        # that start for four seconds old and tells engines to write there at once,
+        # while others may still fetch what lay there before: a caller's answer could
+        # be made from half a part.
+        clock = [100.0]
+        kept = KeptParts()
+        kept.set_stores({ADDRESS: 100_000})
+        generator = random.Random(1)
+        roster = Roster(None, "", generator, lambda _: None)  # type: ignore[arg-type]
+        roster._own = "g-0"
+        module = "bamboopier_proxy.part_follower"
+        with (
+            mock.patch(f"{module}.read_clock", side_effect=lambda: clock[0]),
+            mock.patch(f"{module}.PAUSE_SECONDS", 0.01),
+            mock.patch(f"{module}.log"),
+        ):
+            stores = RestartedStore(clock)
+            follower = PartFollower(stores, kept, CountedRelay(kept), roster, generator)
+            task = asyncio.create_task(follower.run())
+            async with asyncio.timeout(5):
+                while stores.asked < 4:  # noqa: ASYNC110
+                    await asyncio.sleep(0.005)
+            task.cancel()
+        store = kept.find(ADDRESS)
+        assert store is not None
+        self.assertEqual(store.epoch, 2)
+        # The start was seen at 104.0 for the first time.
+        self.assertFalse(store.may_save(104.0 + SETTLE_SECONDS / 2, 1000))
+
+
 class FollowerTests(unittest.IsolatedAsyncioTestCase):
     async def follow(self, gateways: int, own: str) -> tuple[int, int]:
         """Return the questions to stores and the gateways asked in a moment."""
--- /dev/null
+++ b/libraries/proxy/tests/test_store_followers.py
@@ -0,0 +1,66 @@
+"""What a gateway that starts believes of weights that were named a moment ago."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import unittest
+from unittest import mock
+
+import msgspec
+from result import Ok
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.pauses import Pauses
+from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+from bamboopier_objects.objects import Listing, StoredObject
+from bamboopier_proxy.store_followers import StoreFollowers
+from bamboopier_proxy.vocabulary import NamedWeights
+from bamboopier_proxy.weight_ages import NamedAt
+
+NAMED = StoredObject("v/m", 7, b"2")
+# Seconds after which the entry that another gateway wrote should have been read.
+SETTLED_SECONDS = 2.0
+
+
+class StartTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_start_right_after_a_naming_spares_older_weights(self) -> None:
+        # New weights are named, and a gateway starts before any other has written that
+        # down, which takes up to 0.4 s. It finds the version and nobody's word on its
+        # age, takes it for as old as can be and never asks again: callers there get 503
+        # until engines have loaded, though the entry stands a moment later.
+        state = mock.Mock()
+        state.pauses = Pauses(read_clock())
+        state.weights = WeightVersions(12.0)
+        vocabulary = mock.Mock(ages_prefix="a/", weights_prefix="v/")
+        vocabulary.decode_weights.return_value = Ok(NamedWeights("m", 2))
+        entries: list[StoredObject] = []
+
+        async def read(key: str) -> Ok[StoredObject | None]:
+            return Ok(next((e for e in entries if e.key == key), None))
+
+        async def list_below(prefix: str) -> Ok[Listing]:
+            found = entries if prefix == "a/" else [NAMED]
+            return Ok(Listing(7, tuple(found)))
+
+        async def watch(*_: object) -> None:
+            await asyncio.sleep(3600)
+
+        store = mock.Mock(read=read, list=list_below, watch_values=watch)
+        followers = StoreFollowers(state, store, vocabulary, random.Random(1))
+        with (
+            mock.patch("bamboopier_proxy.observers.log"),
+            mock.patch("bamboopier_proxy.weight_ages.log"),
+        ):
+            task = asyncio.create_task(followers._follow_weights())
+            await asyncio.sleep(0.1)
+            value = msgspec.json.encode(NamedAt(time.time()))
+            entries.append(StoredObject("a/m/2", 8, value))
+            await asyncio.sleep(SETTLED_SECONDS)
+            task.cancel()
+        self.assertEqual(state.weights.find_oldest_allowed(read_clock(), "m"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libraries/proxy/tests/test_weight_ages.py
+++ b/libraries/proxy/tests/test_weight_ages.py
@@ -9,9 +9,12 @@
 import msgspec
 from result import Err, Ok
 
+from bamboopier_decisions.forwarding.pauses import Pauses
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 from bamboopier_objects.errors import VersionConflictError
-from bamboopier_objects.objects import ABSENT, StoredObject
+from bamboopier_objects.objects import ABSENT, Listing, StoredObject
+from bamboopier_proxy.observers import WeightsObserver
+from bamboopier_proxy.vocabulary import NamedWeights
 from bamboopier_proxy.weight_ages import CLOCK_ERROR_SECONDS, NamedAt, WeightAges
 
 KEY = "ages/m/2"
@@ -64,6 +67,70 @@
         self.store.read.assert_not_called()
         self.assertEqual(self.weights.find_since("m"), NOW)
 
+    async def test_who_knows_little_learns_of_each_version_named_meanwhile(
+        self,
+    ) -> None:
+        # Version 2 was named 10 s ago and version 3 one second ago; others wrote both
+        # down. A gateway that hears of version 3 alone, by a list after 15 s, reads
+        # when that was named. Engines that have neither then serve callers until the
+        # time of version 3 is over, up to 15 s after version 2 was named: 12 are
+        # allowed.
+        ages = {2: 10.0, 3: 1.0}
+        entries = {
+            f"ages/m/{version}": StoredObject(
+                f"ages/m/{version}", 5, msgspec.json.encode(NamedAt(TODAY - age))
+            )
+            for version, age in ages.items()
+        }
+        self.store.write.return_value = Err(VersionConflictError("", ABSENT, 5))
+        self.store.read.side_effect = lambda key: Ok(entries[key])
+        self.store.list.return_value = Ok(Listing(5, tuple(entries.values())))
+        self.weights.name("m", 1, float("-inf"))
+        self.weights.name("m", 3, NOW - 15.0)
+        self.ages.note_named("m", 3, NOW - 15.0)
+        await self.ages.finish()
+        self.assertEqual(self.weights.find_oldest_allowed(NOW + 2.5, "m"), 2)
+
+    async def test_weights_named_as_the_store_returns_to_all_spare_older_ones(
+        self,
+    ) -> None:
+        # The store is down for all for ten seconds, and new weights are named as it
+        # returns. Every gateway ran all the while and takes them for ten seconds old;
+        # nobody heard sooner, so nobody wrote another time. All refuse older weights at
+        # once, and callers get 503 until the first engines have loaded, 1.9 s later on
+        # a trial with idle ones. Older weights may serve for 12 s of a stable store.
+        module = "bamboopier_proxy.observers"
+        self.enterContext(mock.patch(f"{module}.read_clock", return_value=NOW))
+        self.enterContext(mock.patch(f"{module}.log"))
+        vocabulary = mock.Mock()
+        vocabulary.decode_weights.side_effect = lambda value: Ok(
+            NamedWeights("m", int(value))
+        )
+        observer = WeightsObserver(
+            vocabulary,
+            self.weights,
+            Pauses(NOW),
+            lambda named, since: self.ages.note_named(
+                named.model, named.version, since
+            ),
+        )
+        self.store.write.return_value = Ok(5)
+        before = Listing(5, (StoredObject("v/m", 5, b"1"),))
+        observer.take_listing(before, 0.0, float("-inf"))
+        after = Listing(9, (StoredObject("v/m", 9, b"2"),))
+        observer.take_listing(after, 10.0, NOW - 10.0)
+        await self.ages.finish()
+        self.assertEqual(self.weights.find_oldest_allowed(NOW + 1.0, "m"), 1)
+
+    async def test_two_clocks_that_are_off_make_no_version_younger(self) -> None:
+        # The clock of the machine that wrote an entry is three seconds ahead, that of
+        # the reader as much behind: each is off by what one may be. A gateway that
+        # heard late then takes weights named nine seconds ago for six seconds old, and
+        # callers get older ones until 12.4 s after the naming.
+        self.let_others_have_written(age=9.0 - 2 * CLOCK_ERROR_SECONDS)
+        await self.name(NOW - 9.2)
+        self.assertLessEqual(self.weights.find_since("m"), NOW - 9.0)
+
 
 if __name__ == "__main__":
     unittest.main()
