Bound how old news look to a process that pauses again and again

A gateway that stood still for 0.7 s of every two took news for as old as the first of these pauses: in a trial 16 s, and callers got 503 for eight of eight requests though older weights could have served. Each pause lengthened the time in which the next belonged to it by all there were before. Now a pause goes back to the one before it at most, and counts its own length alone.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 # Seconds between two ticks.
 TICK_SECONDS = 0.2
 # Seconds between two ticks from which the process is taken to have stood still. A busy
@@ -19,43 +21,54 @@
 CATCH_UP_SECONDS = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """One time for which the process stood still."""
+
+    began: float
+    ended: float
+
+    @property
+    def caught_up(self) -> float:
+        """Return when all that had waited has been read.
+
+        A peer whose segments were not acknowledged repeats them at doubled intervals:
+        the last comes no later after the pause than the pause was long.
+        """
+        return self.ended + (self.ended - self.began) + CATCH_UP_SECONDS
+
+
 class Pauses:
-    """The last time at which one process stood still."""
+    """The last two times at which one process stood still."""
 
-    __slots__ = ("_began", "_caught_up", "_ticked")
+    __slots__ = ("_before", "_last", "_ticked")
 
     def __init__(self, now: float) -> None:
         self._ticked = now
-        self._began = now
-        # When all that waited during the last pause has been read.
-        self._caught_up = float("-inf")
+        self._last: Pause | None = None
+        self._before: Pause | None = None
 
     def note_tick(self, now: float) -> float:
         """Take in that the process runs; return the seconds it stood still, or 0."""
         gap = now - self._ticked
-        if gap < PAUSE_SECONDS:
-            self._ticked = now
-            return 0.0
-        self._began = self._find_start()
-        # A peer whose segments were not acknowledged repeats them at doubled intervals:
-        # the last comes no later after the pause than the pause was long.
-        self._caught_up = now + (now - self._began) + CATCH_UP_SECONDS
+        if gap >= PAUSE_SECONDS:
+            self._before, self._last = self._last, Pause(self._ticked, now)
         self._ticked = now
-        return gap
+        return gap if gap >= PAUSE_SECONDS else 0.0
 
     def find_unread_since(self, now: float) -> float:
         """Return since when something that is read now may have waited.
 
         That is ``now`` unless the process stood still a moment ago.
         """
+        last, before = self._last, self._before
         if now - self._ticked >= PAUSE_SECONDS:
             # It runs again, and this is read before the tick that is due.
-            return self._find_start()
-        return self._began if now < self._caught_up else now
-
-    def _find_start(self) -> float:
-        """Return when a pause began that follows the last tick.
-
-        One that begins before the work of the pause before is done goes on with that.
-        """
-        return self._began if self._ticked < self._caught_up else self._ticked
+            last, before = Pause(self._ticked, now), self._last
+        if last is None or now >= last.caught_up:
+            return now
+        if before is not None and last.began < before.caught_up:
+            # What waited in the pause before may have been unread when this one began.
+            # No further back: a slow process would take all news for ever older ones.
+            return before.began
+        return last.began
