Know what was told by when the store made an answer, not when it was read

A watch that ended empty while its process stood still was read seconds later, and the next one failed. What changed in between was taken for younger than it may be, and older weights served callers for as much too long. An empty answer now speaks for the end of its wait at the latest, one with changes for when it was asked.

--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -70,8 +70,8 @@
         self._revision = 0
         self._failures = 0
         self._failing_since: float | None = None
-        # When the call was made whose failure may have hidden changes.
-        self._unseen_since = float("-inf")
+        # All changes until then have been told.
+        self._known_until = float("-inf")
         # Whether the list was read at least once.
         self.loaded = asyncio.Event()
 
@@ -94,7 +94,8 @@
             self._note_failure(asked, f"revision {listing.revision} is an older one")
             return False
         away = self._note_answer()
-        self._observer.take_listing(listing, away, self._unseen_since)
+        self._observer.take_listing(listing, away, self._known_until)
+        self._known_until = asked
         self._revision = listing.revision
         self.loaded.set()
         return True
@@ -107,7 +108,6 @@
                 self._prefix, self._revision, self._wait_seconds
             )
             if isinstance(answer, Err):
-                self._unseen_since = asked
                 fault = answer.err_value
                 if isinstance(fault, WatchGapError):
                     log.info("watch gap", prefix=self._prefix, revision=self._revision)
@@ -117,6 +117,10 @@
                 return
             self._note_answer()
             batch = answer.ok_value
+            # An answer that is read late says nothing of what changed after the store
+            # made it: at once when there are changes, else at the end of the wait.
+            made = asked if batch.changes else asked + self._wait_seconds
+            self._known_until = min(made, self._read_clock())
             for change in batch.changes:
                 self._observer.take_change(change)
             self._revision = max(self._revision, batch.revision)
