Close three gaps in what is written of when weights were named

- Who heard late read the entry of the newest version alone.
Versions named before it, which it never heard of, did not end: callers met version 1 until 15.4 s after version 2, where 12 are allowed.
All entries are read now.
- An entry was taken as three seconds older than it says, as if one clock could be off.
Two are involved, the writer's and the reader's: callers got older weights until 12.4 s after the naming with both off by three.
Six seconds now.
A gateway that starts just after a naming gives older weights three seconds less for it.
- A gateway that started before the entry of a naming was written took the version for as old as can be for ever, and refused older weights until engines had loaded.
It now reads once more a second after its first list.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -52,6 +52,10 @@
         self._ages.setdefault(model, {})[version] = since
         self._join(model)
 
+    def has_unknown_age(self) -> bool:
+        """Say whether nothing is known of when one of the newest was named."""
+        return any(self.find_since(model) == float("-inf") for model in self._heard)
+
     def find_newest(self, model: str) -> int:
         """Return the newest version; 0 when none was named."""
         return max(self._heard.get(model, ()), default=0)
--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -5,7 +5,7 @@
 would let older weights serve for the whole time allowed once more.
 
 The time of day is the only clock that outlives a machine. It may be off by seconds, so
-a time read from the store is taken as ``CLOCK_ERROR_SECONDS`` older than it says.
+a time read from the store is taken as ``ENTRY_ERROR_SECONDS`` older than it says.
 """
 
 from __future__ import annotations
@@ -32,10 +32,15 @@
 
 # Machines' times of day jump by a few seconds at the most, and jump back.
 CLOCK_ERROR_SECONDS = 3.0
+# Seconds by which an entry may look too young: its writer's clock was ahead, and the
+# reader's is behind.
+ENTRY_ERROR_SECONDS = 2 * CLOCK_ERROR_SECONDS
 # Gateways write a little apart, so that most find the entry written.
 SPREAD_SECONDS = 0.4
 RETRY_SECONDS = 0.4
 TRIES = 5
+# Seconds after a start until all is written that was named just before it.
+SETTLE_SECONDS = 1.0
 
 log = structlog.get_logger()
 
@@ -53,7 +58,7 @@
     counts its target's turn from its own start.
     """
     await ages.read()
-    await follower.run()
+    await asyncio.gather(follower.run(), ages.read_again(follower.loaded))
 
 
 class WeightAges:
@@ -88,6 +93,17 @@
         for found in listing.ok_value.objects:
             self._take(found.key.removeprefix(self._prefix), found.value)
 
+    async def read_again(self, loaded: asyncio.Event) -> None:
+        """Read once more after a start, if the age of a version is still unknown.
+
+        Versions named just before the start are written down just after it. Not known
+        then, they would end older weights at once for as long as this process runs.
+        """
+        await loaded.wait()
+        await asyncio.sleep(SETTLE_SECONDS)
+        if self._weights.has_unknown_age():
+            await self.read()
+
     def _take(self, name: str, value: bytes) -> None:
         model, _, version = name.rpartition("/")
         try:
@@ -96,14 +112,14 @@
         except (msgspec.MsgspecError, ValueError) as error:
             log.warning("entry set aside", key=name, reason=str(error))
             return
-        age = max(0.0, time.time() - named.seconds) + CLOCK_ERROR_SECONDS
+        age = max(0.0, time.time() - named.seconds) + ENTRY_ERROR_SECONDS
         self._weights.learn_age(model, number, read_clock() - age)
         log.info("weights known", model=model, weight_version=number, age=round(age, 1))
 
     async def _write(self, model: str, version: int, since: float) -> None:
         age = read_clock() - since
         named_at = time.time() - age
-        is_vague = age > CLOCK_ERROR_SECONDS
+        is_vague = age > ENTRY_ERROR_SECONDS
         # Whoever heard at once knows best, and goes first.
         earliest = SPREAD_SECONDS if is_vague else 0.0
         await asyncio.sleep(earliest + self._random.uniform(0, SPREAD_SECONDS))
@@ -116,19 +132,9 @@
                 return
             if isinstance(fault, VersionConflictError):
                 if is_vague:
-                    await self._learn(key)
+                    # A process that heard late knows less than the others, of this
+                    # version and of those named before it that it never heard of.
+                    await self.read()
                 return
             await asyncio.sleep(RETRY_SECONDS)
         log.warning("naming not written", model=model, weight_version=version)
-
-    async def _learn(self, key: str) -> None:
-        """Read what somebody else wrote: a process that heard late knows little.
-
-        Without it one that the store had turned away for long would refuse all older
-        versions as soon as it hears of a new one.
-        """
-        answer = await self._store.read(key)
-        if isinstance(answer, Err):
-            log.warning("naming not read", key=key, reason=str(answer.err_value))
-        elif answer.ok_value is not None:
-            self._take(key.removeprefix(self._prefix), answer.ok_value.value)
--- a/libraries/proxy/tests/test_store_followers.py
+++ b/libraries/proxy/tests/test_store_followers.py
@@ -17,7 +17,7 @@
 from bamboopier_objects.objects import Listing, StoredObject
 from bamboopier_proxy.store_followers import StoreFollowers
 from bamboopier_proxy.vocabulary import NamedWeights
-from bamboopier_proxy.weight_ages import NamedAt
+from bamboopier_proxy.weight_ages import NamedAt, follow_weights
 
 NAMED = StoredObject("v/m", 7, b"2")
 # Seconds after which the entry that another gateway wrote should have been read.
@@ -53,7 +53,8 @@
             mock.patch("bamboopier_proxy.observers.log"),
             mock.patch("bamboopier_proxy.weight_ages.log"),
         ):
-            task = asyncio.create_task(followers._follow_weights())
+            follow = follow_weights(followers._ages, followers._weights)
+            task = asyncio.create_task(follow)
             await asyncio.sleep(0.1)
             value = msgspec.json.encode(NamedAt(time.time()))
             entries.append(StoredObject("a/m/2", 8, value))
--- a/libraries/proxy/tests/test_weight_ages.py
+++ b/libraries/proxy/tests/test_weight_ages.py
@@ -15,7 +15,12 @@
 from bamboopier_objects.objects import ABSENT, Listing, StoredObject
 from bamboopier_proxy.observers import WeightsObserver
 from bamboopier_proxy.vocabulary import NamedWeights
-from bamboopier_proxy.weight_ages import CLOCK_ERROR_SECONDS, NamedAt, WeightAges
+from bamboopier_proxy.weight_ages import (
+    CLOCK_ERROR_SECONDS,
+    ENTRY_ERROR_SECONDS,
+    NamedAt,
+    WeightAges,
+)
 
 KEY = "ages/m/2"
 # Of the steady clock and of the time of day.
@@ -43,7 +48,8 @@
         """Let the entry stand, written for ``age`` seconds ago."""
         value = msgspec.json.encode(NamedAt(TODAY - age))
         self.store.write.return_value = Err(VersionConflictError(KEY, ABSENT, 5))
-        self.store.read.return_value = Ok(StoredObject(KEY, 5, value))
+        listing = Listing(5, (StoredObject(KEY, 5, value),))
+        self.store.list.return_value = Ok(listing)
 
     async def test_the_earliest_time_is_written_not_that_of_hearing(self) -> None:
         # A gateway that stood still is the only one left, and one that starts later
@@ -59,12 +65,12 @@
         self.let_others_have_written(age=1.0)
         await self.name(NOW - 9.0)
         since = self.weights.find_since("m")
-        self.assertAlmostEqual(since, NOW - 1.0 - CLOCK_ERROR_SECONDS)
+        self.assertAlmostEqual(since, NOW - 1.0 - ENTRY_ERROR_SECONDS)
 
     async def test_who_heard_at_once_asks_nobody(self) -> None:
         self.let_others_have_written(age=1.0)
         await self.name(NOW)
-        self.store.read.assert_not_called()
+        self.store.list.assert_not_called()
         self.assertEqual(self.weights.find_since("m"), NOW)
 
     async def test_who_knows_little_learns_of_each_version_named_meanwhile(
@@ -83,13 +89,12 @@
             for version, age in ages.items()
         }
         self.store.write.return_value = Err(VersionConflictError("", ABSENT, 5))
-        self.store.read.side_effect = lambda key: Ok(entries[key])
         self.store.list.return_value = Ok(Listing(5, tuple(entries.values())))
         self.weights.name("m", 1, float("-inf"))
         self.weights.name("m", 3, NOW - 15.0)
         self.ages.note_named("m", 3, NOW - 15.0)
         await self.ages.finish()
-        self.assertEqual(self.weights.find_oldest_allowed(NOW + 2.5, "m"), 2)
+        self.assertEqual(self.weights.find_oldest_allowed(NOW + 1.0, "m"), 2)
 
     async def test_weights_named_as_the_store_returns_to_all_spare_older_ones(
         self,
