Take weights for named now when the store returns to a process

Nobody can name weights while the store is away for all, so the time runs from its return. That is a guess: where the store was away for one gateway alone, what the others wrote goes before it. A pause of the process still counts in full, and so does a single watch that went silent.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -11,12 +11,23 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 # Seconds before the end of the time allowed for a new version from which the older one
 # gets no requests. They cover the time until this process heard of it, and the time in
 # which a request that was sent waits at the engine before it begins.
 END_SECONDS = 2.6
 
 
+@dataclass(frozen=True, slots=True)
+class HeardVersion:
+    """A version that this process heard of."""
+
+    # It was not named before this, or that is a guess.
+    since: float
+    guessed: bool
+
+
 class WeightVersions:
     """The versions named for each model, and since when each may have been."""
 
@@ -24,9 +35,9 @@
 
     def __init__(self, allowed_seconds: float) -> None:
         self._allowed = allowed_seconds
-        # For each model the versions this process heard of, and what others wrote
-        # down, each with the earliest time at which it may have been named.
-        self._heard: dict[str, dict[int, float]] = {}
+        # The versions of each model that this process heard of.
+        self._heard: dict[str, dict[int, HeardVersion]] = {}
+        # The earliest times at which they may have been named, as others wrote them.
         self._ages: dict[str, dict[int, float]] = {}
         # Both together.
         self._named: dict[str, dict[int, float]] = {}
@@ -35,15 +46,18 @@
         """Take another time for which older versions may serve."""
         self._allowed = seconds
 
-    def name(self, model: str, version: int, since: float) -> bool:
+    def name(
+        self, model: str, version: int, since: float, *, guessed: bool = False
+    ) -> bool:
         """Take in a named version; True if it is newer than those known.
 
         ``since`` is the earliest time at which it may have been named, minus infinity
-        where nothing is known of that.
+        where nothing is known of that. A guess may be too late, and gives way to what
+        others wrote.
         """
         if version <= self.find_newest(model):
             return False
-        self._heard.setdefault(model, {})[version] = since
+        self._heard.setdefault(model, {})[version] = HeardVersion(since, guessed)
         self._join(model)
         return True
 
@@ -56,6 +70,11 @@
         """Say whether nothing is known of when one of the newest was named."""
         return any(self.find_since(model) == float("-inf") for model in self._heard)
 
+    def is_guessed(self, model: str, version: int) -> bool:
+        """Say whether the time of a version is a guess."""
+        heard = self._heard.get(model, {}).get(version)
+        return heard is not None and heard.guessed
+
     def find_newest(self, model: str) -> int:
         """Return the newest version; 0 when none was named."""
         return max(self._heard.get(model, ()), default=0)
@@ -78,16 +97,22 @@
         return max(over, default=0)
 
     def _join(self, model: str) -> None:
-        """Take the latest of what is known of each version.
+        """Put together what is known of each version.
 
-        No source names a time later than the true one. The store shows the newest
-        version only: the time of those named before it, which others wrote down, goes
-        on as well, and ends sooner for the targets that have none of them.
+        The store shows the newest version only: the time of those named before it,
+        which others wrote down, goes on as well, and ends sooner for the targets that
+        have none of them.
         """
         heard = self._heard.get(model, {})
         newest = self.find_newest(model)
-        named = dict(heard)
-        for version, since in self._ages.get(model, {}).items():
-            if version <= newest:
-                named[version] = max(since, named.get(version, since))
+        named = {version: found.since for version, found in heard.items()}
+        for version, written in self._ages.get(model, {}).items():
+            if version > newest:
+                continue
+            known = heard.get(version)
+            if known is None or known.guessed:
+                named[version] = written
+            else:
+                # Neither is later than the true time, so the later one is nearer.
+                named[version] = max(known.since, written)
         self._named[model] = named
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -22,6 +22,10 @@
     from .store_health import StoreHealth
     from .vocabulary import NamedWeights, Vocabulary
 
+# Seconds for which the store did not answer from which it is taken to have been away:
+# longer than one watch whose connection went silent.
+OUTAGE_SECONDS = 4.0
+
 log = structlog.get_logger()
 
 
@@ -119,29 +123,40 @@
     def take_listing(
         self, listing: Listing, away_seconds: float, unseen_since: float
     ) -> None:
-        """Take all named versions."""
-        since = min(unseen_since, self._find_unread_since())
+        """Take all named versions.
+
+        After an outage of the store they are taken to be named now: nobody could name
+        any while it was away for all. Where it was away for this process alone, what
+        the others wrote says more.
+        """
+        now = read_clock()
+        since = self._find_unread_since(now)
+        was_away = away_seconds >= OUTAGE_SECONDS and since == now
+        guessed = was_away and math.isfinite(unseen_since)
+        if not guessed:
+            since = min(since, unseen_since)
         for found in listing.objects:
-            self._take(found.key, found.value, since)
+            self._take(found.key, found.value, since, guessed)
 
     def take_change(self, change: ChangedObject) -> None:
         """Take a newly named version."""
         if change.value is not None:
-            self._take(change.key, change.value, self._find_unread_since())
+            since = self._find_unread_since(read_clock())
+            self._take(change.key, change.value, since, False)
 
-    def _find_unread_since(self) -> float:
+    def _find_unread_since(self, now: float) -> float:
         # News that waited while this process stood still is as old as the pause: taken
-        # for new, it lets older weights serve too long by that. Nothing waits longer.
-        return self._pauses.find_unread_since(read_clock())
+        # for new, it lets older weights serve too long by that.
+        return self._pauses.find_unread_since(now)
 
-    def _take(self, key: str, value: bytes, since: float) -> None:
+    def _take(self, key: str, value: bytes, since: float, guessed: bool) -> None:
         """Take one version that was named at ``since`` at the earliest."""
         decoded = self._vocabulary.decode_weights(value)
         if isinstance(decoded, Err):
             log.warning("entry set aside", key=key, reason=decoded.err_value)
             return
         named = decoded.ok_value
-        if not self._weights.name(named.model, named.version, since):
+        if not self._weights.name(named.model, named.version, since, guessed=guessed):
             return
         age = read_clock() - self._weights.find_since(named.model)
         log.info(
@@ -149,6 +164,7 @@
             model=named.model,
             weight_version=named.version,
             age_seconds=round(age, 3) if math.isfinite(age) else None,
+            guessed=guessed,
         )
         if math.isfinite(since):
             self._changed(named, since)
--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -119,7 +119,7 @@
     async def _write(self, model: str, version: int, since: float) -> None:
         age = read_clock() - since
         named_at = time.time() - age
-        is_vague = age > ENTRY_ERROR_SECONDS
+        is_vague = age > ENTRY_ERROR_SECONDS or self._weights.is_guessed(model, version)
         # Whoever heard at once knows best, and goes first.
         earliest = SPREAD_SECONDS if is_vague else 0.0
         await asyncio.sleep(earliest + self._random.uniform(0, SPREAD_SECONDS))
