Remove what was written of weights named long ago

Nothing in the store lapses by itself, and every start reads all entries of named weights: in two years of 18 models thousands. A start now removes those older than an hour but for the newest of them, which still says that what is older may not serve.

--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -27,6 +27,7 @@
 
     from bamboopier_decisions.forwarding.weight_versions import WeightVersions
     from bamboopier_objects.object_follower import ObjectFollower
+    from bamboopier_objects.objects import StoredObject
 
     from .vocabulary import Store
 
@@ -39,6 +40,9 @@
 SPREAD_SECONDS = 0.4
 RETRY_SECONDS = 0.4
 TRIES = 5
+# Seconds for which entries are kept whose time is over: longer than any day's clock
+# error and any time allowed for older weights.
+KEEP_SECONDS = 3600.0
 # Seconds after a start until all is written that was named just before it.
 SETTLE_SECONDS = 1.0
 
@@ -90,8 +94,17 @@
             if not isinstance(listing, Err):
                 break
             await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.0))
+        old: dict[str, list[tuple[int, StoredObject]]] = {}
         for found in listing.ok_value.objects:
-            self._take(found.key.removeprefix(self._prefix), found.value)
+            entry = self._decode(found)
+            if entry is None:
+                continue
+            model, version, age = entry
+            self._learn(model, version, age)
+            if age > KEEP_SECONDS:
+                old.setdefault(model, []).append((version, found))
+        for entries in old.values():
+            await self._remove_but_newest(entries)
 
     async def read_again(self, loaded: asyncio.Event) -> None:
         """Read once more after a start, if the age of a version is still unknown.
@@ -104,17 +117,40 @@
         if self._weights.has_unknown_age():
             await self.read()
 
-    def _take(self, name: str, value: bytes) -> None:
+    def _decode(self, found: StoredObject) -> tuple[str, int, float] | None:
+        """Return an entry's model, version and age in seconds; None if it is broken."""
+        name = found.key.removeprefix(self._prefix)
         model, _, version = name.rpartition("/")
         try:
-            named = msgspec.json.decode(value, type=NamedAt)
+            named = msgspec.json.decode(found.value, type=NamedAt)
             number = int(version)
         except (msgspec.MsgspecError, ValueError) as error:
             log.warning("entry set aside", key=name, reason=str(error))
-            return
+            return None
         age = max(0.0, time.time() - named.seconds) + ENTRY_ERROR_SECONDS
-        self._weights.learn_age(model, number, read_clock() - age)
-        log.info("weights known", model=model, weight_version=number, age=round(age, 1))
+        return model, number, age
+
+    def _learn(self, model: str, version: int, age: float) -> None:
+        self._weights.learn_age(model, version, read_clock() - age)
+        log.info(
+            "weights known", model=model, weight_version=version, age=round(age, 1)
+        )
+
+    async def _remove_but_newest(self, entries: list[tuple[int, StoredObject]]) -> None:
+        """Remove entries of a model whose time is long over, but for the newest.
+
+        That one still says that what is older may not serve. Nothing in the store
+        lapses by itself: a start would read all that were ever named.
+        """
+        newest = max(version for version, _ in entries)
+        for version, found in entries:
+            if version == newest:
+                continue
+            removed = await self._store.delete(found.key, found.version)
+            if isinstance(removed, Err):
+                # Another process was faster, or the next start tries again.
+                reason = str(removed.err_value)
+                log.info("old naming not removed", key=found.key, reason=reason)
 
     async def _write(self, model: str, version: int, since: float) -> None:
         age = read_clock() - since
--- a/libraries/proxy/tests/test_weight_ages.py
+++ b/libraries/proxy/tests/test_weight_ages.py
@@ -127,6 +127,23 @@
         await self.ages.finish()
         self.assertEqual(self.weights.find_oldest_allowed(NOW + 1.0, "m"), 1)
 
+    async def test_entries_that_say_nothing_any_more_are_removed(self) -> None:
+        # Weights are named for two years, and nothing in the store lapses by itself. A
+        # start would read thousands of entries. Of those that are long over, the
+        # newest still says that what is older may not serve.
+        ages = {1: 9000.0, 2: 8000.0, 3: 7000.0, 4: 60.0}
+        entries = [
+            StoredObject(
+                f"ages/m/{version}", version, msgspec.json.encode(NamedAt(TODAY - age))
+            )
+            for version, age in ages.items()
+        ]
+        self.store.list.return_value = Ok(Listing(9, tuple(entries)))
+        self.store.delete.return_value = Ok(None)
+        await self.ages.read()
+        removed = [call.args for call in self.store.delete.call_args_list]
+        self.assertEqual(removed, [("ages/m/1", 1), ("ages/m/2", 2)])
+
     async def test_two_clocks_that_are_off_make_no_version_younger(self) -> None:
         # The clock of the machine that wrote an entry is three seconds ahead, that of
         # the reader as much behind: each is off by what one may be. A gateway that
