Show that a call which gRPC never sent is told "unknown"; red until the mend

Cause, shown by the new test: the channel stands when the gateway asks (`Agents.reach`), is cut, and gRPC notices before the call is handed over. gRPC then connects anew, is refused and gives the call up with "failed to connect to all addresses". `Attempt` takes every failure for one that proves nothing.

Two tests beside it, green already, hold the other direction: cut after the agent had the request, and an agent that fails with the same words about a call of its own.

--- /dev/null
+++ b/libraries/gateway/tests/test_lost_connections.py
@@ -0,0 +1,159 @@
+"""What is known of a call whose connection to its agent was cut, on real gRPC.
+
+A gateway finds the connection standing and hands the call to gRPC. Cut before that, the
+request reaches no connection: gRPC connects anew, is refused and gives the call up. Cut
+after it, the agent may have the request. Both fail with one status, and the caller must
+be told "not run" of the first and never of the second, which might run twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from contextlib import asynccontextmanager, suppress
+from typing import TYPE_CHECKING, Any
+
+import grpc
+
+from bamboopier_decisions.routing.messages import Ran
+from bamboopier_gateway.agents import OPTIONS
+from bamboopier_gateway.attempt import Attempt
+from bamboopier_protocol import agent_pb2 as pb
+from bamboopier_protocol.agent_pb2_grpc import (
+    AgentServicer,
+    AgentStub,
+    add_AgentServicer_to_server,
+)
+
+from .builders import FakeDelivery, make_call, make_event
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+HOST = "127.0.0.1"
+BUFFER = 65536
+# Only reached by a test that would hang.
+HANG_SECONDS = 10.0
+NO_CONNECTION = "failed to connect to all addresses; last error: refused"
+
+
+class Relay:
+    """Passes connections to an agent until it is cut, and refuses them from then on."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server
+
+    async def start(self) -> str:
+        """Listen; return the address."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    def cut(self) -> None:
+        """Refuse connections and drop those there are."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(HOST, self._port)
+        self._writers += [writer, far_writer]
+        await asyncio.gather(
+            self._pass(reader, far_writer), self._pass(far_reader, writer)
+        )
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(ConnectionError):
+            while data := await reader.read(BUFFER):
+                writer.write(data)
+        writer.transport.abort()
+
+
+class Agent(AgentServicer):
+    """Notes what it is given, then does as it is told."""
+
+    def __init__(self, act: Callable[[], Awaitable[None]]) -> None:
+        self._act = act
+        self.received: list[str] = []
+
+    async def Serve(  # noqa: N802 (the name is the protocol's)
+        self, request: pb.ServeRequest, context: Any
+    ) -> AsyncIterator[pb.ServeEvent]:
+        self.received.append(request.attempt_id)
+        await self._act()
+        yield make_event(0, request.attempt_id, not_run=pb.NotRun())
+
+
+@asynccontextmanager
+async def start_agent(agent: Agent) -> AsyncIterator[tuple[Relay, grpc.aio.Channel]]:
+    """Start an agent behind a relay; give a channel whose connection stands."""
+    server = grpc.aio.server()
+    add_AgentServicer_to_server(agent, server)
+    relay = Relay(server.add_insecure_port(f"{HOST}:0"))
+    await server.start()
+    address = await relay.start()
+    async with grpc.aio.insecure_channel(address, options=OPTIONS) as channel:
+        await channel.channel_ready()
+        yield relay, channel
+    relay.cut()
+    await server.stop(None)
+
+
+async def stay_silent() -> None:
+    await asyncio.Event().wait()
+
+
+class LostConnectionTests(unittest.IsolatedAsyncioTestCase):
+    async def test_cut_before_the_request_was_sent(self) -> None:
+        # The agent's connection is cut right after it was found standing, and gRPC
+        # notices before the call is handed to it. The caller was told "unknown" of a
+        # request that was never sent, and no other agent was tried.
+        agent = Agent(stay_silent)
+        async with (
+            asyncio.timeout(HANG_SECONDS),
+            start_agent(agent) as (relay, channel),
+        ):
+            attempt = Attempt(make_call(), AgentStub(channel), 1)
+            relay.cut()
+            await channel.wait_for_state_change(grpc.ChannelConnectivity.READY)
+            result = await attempt.run(FakeDelivery())
+        self.assertEqual((result.ran, agent.received), (Ran.NO, []))
+        self.assertEqual((result.cause, result.broken), (pb.CONNECTION_LOST, True))
+
+    async def test_cut_after_the_agent_had_the_request(self) -> None:
+        # The agent has the request when its connection is cut, and nobody listens any
+        # more, as in the other case. It runs there: "not run" would be false, and a
+        # second agent would run it again.
+        async def cut() -> None:
+            relay.cut()
+            await stay_silent()
+
+        agent = Agent(cut)
+        async with (
+            asyncio.timeout(HANG_SECONDS),
+            start_agent(agent) as (relay, channel),
+        ):
+            attempt = Attempt(make_call(), AgentStub(channel), 1)
+            result = await attempt.run(FakeDelivery())
+        self.assertEqual(agent.received, [attempt.attempt_id])
+        self.assertEqual((result.ran, result.cause), (Ran.UNKNOWN, pb.CONNECTION_LOST))
+
+    async def test_an_agent_that_fails_at_a_connection_of_its_own(self) -> None:
+        # The agent has the request and fails with an error of a call that it makes
+        # itself. What gRPC says of that call says nothing about this one.
+        async def fail() -> None:
+            none = grpc.aio.Metadata()
+            status = grpc.StatusCode.UNAVAILABLE
+            raise grpc.aio.AioRpcError(status, none, none, NO_CONNECTION)
+
+        agent = Agent(fail)
+        async with asyncio.timeout(HANG_SECONDS), start_agent(agent) as (_, channel):
+            attempt = Attempt(make_call(), AgentStub(channel), 1)
+            result = await attempt.run(FakeDelivery())
+        self.assertEqual(agent.received, [attempt.attempt_id])
+        self.assertEqual(result.ran, Ran.UNKNOWN)
