Say "not run" of a request that gRPC gave to no connection

Callers saw: 502 outcome_unknown of a dispatch that was never sent, and no other agent was tried for it, when the agent's connection was cut just after it was found standing.

Cause: gRPC notices the cut before the call is handed over, connects anew, is refused and gives the call up with "failed to connect to all addresses"; `Attempt` took that for a connection lost under way. The words are gRPC's own for a call that got no connection. Its retries are off, so a call that had a connection never waits for another. Other words, another status or an event received leave the outcome unknown as before.

Not mended: a connection that is cut while gRPC has not read the cut yet. The request is written to it and fails with "socket closed" or "broken pipe", as one that was on its way may.

--- a/libraries/gateway/src/bamboopier_gateway/attempt.py
+++ b/libraries/gateway/src/bamboopier_gateway/attempt.py
@@ -28,6 +28,9 @@
 # The agent answers a passed deadline itself and knows whether the request ran; this is
 # how long its word is waited for. A frozen agent says nothing.
 GRACE_SECONDS = 0.25
+# gRPC's word for a call that waited for a connection and got none. With its retries off
+# (``agents.OPTIONS``) a call is given to one connection at most, so none had it.
+_NO_CONNECTION = "failed to connect to all addresses"
 # An answer that has begun may go on past the deadline for as long as it makes progress.
 STALL_SECONDS = 30.0
 
@@ -223,12 +226,27 @@
     def _classify(self, error: grpc.aio.AioRpcError) -> AttemptResult:
         """Say what a failed call proves about the request.
 
-        The connection stood when the request was sent, so any failure after that
-        leaves open how far it came.
+        A connection stood when the request was handed to gRPC. Once gRPC has given it
+        to one, any failure leaves open how far it came.
         """
         broken = self._break(f"{error.code().name}: {error.details()}")
-        if error.code() is grpc.StatusCode.PERMISSION_DENIED:
-            # Only the agent's check of this gateway's certificate answers so, and it
-            # comes before anything else.
+        # Only the agent's check of this gateway's certificate refuses permission, and
+        # it comes before anything else.
+        refused = error.code() is grpc.StatusCode.PERMISSION_DENIED
+        if refused or self._was_never_sent(error):
             broken.ran = Ran.NO
         return broken
+
+    def _was_never_sent(self, error: grpc.aio.AioRpcError) -> bool:
+        """Say whether gRPC found no connection to send the request on.
+
+        A connection that was just cut still shows as ready, and gRPC may notice before
+        the call is its own. Taken for lost under way, a dispatch that was never sent
+        ends "unknown" and is tried at no other agent. gRPC tells the two apart in
+        words only; other words than these end "unknown", which is never false.
+        """
+        return (
+            error.code() is grpc.StatusCode.UNAVAILABLE
+            and self._expected_sequence == 0
+            and (error.details() or "").startswith(_NO_CONNECTION)
+        )
