Give the wait for a connection a test that turns red without it

The mutation "the gateway sends only on a connection that stands" named code that is no longer there ("the code to change stands 0 times"), so it showed nothing. What the wait still has to guard is an agent that stands still, whose kernel takes the connection; no test showed that. The new test does, and the mutation names it.

The other stale mutation, "the slot of a killed agent is waited out", is not touched here.

--- a/libraries/gateway/tests/test_agents.py
+++ b/libraries/gateway/tests/test_agents.py
@@ -13,6 +13,9 @@
     add_AgentServicer_to_server,
 )
 
+# Only reached by a test that would hang.
+HANG_SECONDS = 10.0
+
 
 async def start_agent(address: str) -> tuple[grpc.aio.Server, int]:
     """Return an agent's server and the port it listens on."""
@@ -44,6 +47,25 @@
             self.assertEqual(tries, after_asking)
         server.close()
 
+    async def test_an_agent_that_stands_still_is_sent_nothing(self) -> None:
+        # A frozen VM's kernel still takes connections, and nothing answers on them. A
+        # call handed to gRPC would wait there until its deadline and end "unknown";
+        # found without a connection in time, it is "not run" and goes elsewhere.
+        accepted = asyncio.Event()
+
+        async def stand_still(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            accepted.set()
+            await asyncio.sleep(HANG_SECONDS)
+
+        server = await asyncio.start_server(stand_still, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with Agents() as agents, asyncio.timeout(HANG_SECONDS):
+            self.assertIsNone(await agents.reach(address))
+        self.assertTrue(accepted.is_set())
+        server.close()
+
     async def test_an_agent_that_came_up_since_the_last_failure_is_reached(
         self,
     ) -> None:
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -250,11 +250,10 @@
     Mutation(
         "the gateway sends only on a connection that stands",
         "libraries/gateway/src/bamboopier_gateway/agents.py",
-        "                if not await _is_ready(channel):\n"
-        "                    return None\n",
-        "                channel.get_state(try_to_connect=True)\n",
-        ".",
-        "tests.test_outcomes.OutcomeTests.test_what_the_caller_is_told_is_true",
+        "                if await _is_ready(channel):\n",
+        "                if channel.get_state(try_to_connect=True):\n",
+        "libraries/gateway",
+        "tests.test_agents.AgentsTests.test_an_agent_that_stands_still_is_sent_nothing",
     ),
     Mutation(
         "a request that no connection had is told as not run",
