--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -250,11 +250,43 @@
     Mutation(
         "the gateway sends only on a connection that stands",
         "libraries/gateway/src/bamboopier_gateway/agents.py",
-        "                if not await _is_ready(channel):\n"
-        "                    return None\n",
-        "                channel.get_state(try_to_connect=True)\n",
-        ".",
-        "tests.test_outcomes.OutcomeTests.test_what_the_caller_is_told_is_true",
+        "                if await _is_ready(channel):\n",
+        "                if channel.get_state(try_to_connect=True):\n",
+        "libraries/gateway",
+        "tests.test_agents.AgentsTests.test_an_agent_that_stands_still_is_sent_nothing",
+    ),
+    Mutation(
+        "a request that no connection had is told as not run",
+        "libraries/gateway/src/bamboopier_gateway/attempt.py",
+        "        if refused or self._was_never_sent(error):\n",
+        "        if refused:\n",
+        "libraries/gateway",
+        "tests.test_lost_connections",
+    ),
+    Mutation(
+        "a request that a connection had is not told as not run",
+        "libraries/gateway/src/bamboopier_gateway/attempt.py",
+        '            and (error.details() or "").startswith(_NO_CONNECTION)\n',
+        "",
+        "libraries/gateway",
+        "tests.test_lost_connections",
+    ),
+    Mutation(
+        "an error of the agent's own is not taken for one of the connection",
+        "libraries/gateway/src/bamboopier_gateway/attempt.py",
+        "            error.code() is grpc.StatusCode.UNAVAILABLE\n"
+        "            and self._expected_sequence == 0\n",
+        "            self._expected_sequence == 0\n",
+        "libraries/gateway",
+        "tests.test_attempt.AttemptTests.test_every_stream",
+    ),
+    Mutation(
+        "a request that was answered in part is not told as not run",
+        "libraries/gateway/src/bamboopier_gateway/attempt.py",
+        "            and self._expected_sequence == 0\n",
+        "",
+        "libraries/gateway",
+        "tests.test_attempt.AttemptTests.test_every_stream",
     ),
     Mutation(
         "a request that broke two targets is not sent to a third",
