Bring the mutation of a killed agent's slot up to date

The code it takes out had been changed: it stood nowhere, and the whole run of mutations failed on it. Brought up to date it is red (run alone).

--- a/tools/safeguards/orders.py
+++ b/tools/safeguards/orders.py
@@ -143,8 +143,8 @@
     Mutation(
         "the slot of a killed agent is waited out",
         "libraries/agent/src/bamboopier_agent/load_slots.py",
-        "Lease(self._holder, self._holder, SLOT_LEASE_SECONDS)",
-        "Lease(self._holder, self._service, SLOT_LEASE_SECONDS)",
+        "Lease(self._holder, self._holder, self._lease_seconds)",
+        "Lease(self._holder, self._service, self._lease_seconds)",
         "libraries/agent",
         "tests.test_weights.WeightsTests."
         "test_a_slot_of_a_killed_agent_comes_back_after_its_lease",
