--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -17,7 +17,7 @@
 
 import fire
 from mutations import MUTATIONS
-from safeguards import at_most_once, configuration, orders, places
+from safeguards import ages, at_most_once, configuration, orders, places
 
 if TYPE_CHECKING:
     from mutations import Mutation
@@ -28,6 +28,7 @@
 WORKERS = 4
 ALL = (
     *MUTATIONS,
+    *ages.MUTATIONS,
     *at_most_once.MUTATIONS,
     *configuration.MUTATIONS,
     *orders.MUTATIONS,
--- /dev/null
+++ b/tools/safeguards/ages.py
@@ -0,0 +1,44 @@
+"""Safeguards of what is heard late: ages of weights, and callers that have left."""
+
+from __future__ import annotations
+
+from mutations import Mutation
+
+PROXY = "libraries/proxy/src/bamboopier_proxy"
+OBSERVER = "tests.test_weights_observer.WeightsObserverTests"
+AGES = "tests.test_weight_ages.WeightAgesTests"
+
+MUTATIONS = (
+    Mutation(
+        "weights heard of after a pause may be as old as that",
+        f"{PROXY}/observers.py",
+        "        return self._pauses.find_unread_since(now)\n",
+        "        return now\n",
+        "libraries/proxy",
+        f"{OBSERVER}.test_what_was_told_during_a_pause_may_be_as_old_as_that",
+    ),
+    Mutation(
+        "weights found by a list may be as old as the watch that failed",
+        f"{PROXY}/observers.py",
+        "            since = min(since, unseen_since)\n",
+        "            pass\n",
+        "libraries/proxy",
+        f"{OBSERVER}.test_a_list_after_a_silent_watch_goes_back_to_its_start",
+    ),
+    Mutation(
+        "what is written is the earliest time, not that of hearing",
+        f"{PROXY}/weight_ages.py",
+        "        named_at = time.time() - age\n",
+        "        named_at = time.time()\n",
+        "libraries/proxy",
+        f"{AGES}.test_the_earliest_time_is_written_not_that_of_hearing",
+    ),
+    Mutation(
+        "a request whose caller has left is taken back by a reset",
+        f"{PROXY}/target_connection.py",
+        '            reset_when_closed(self._transport.get_extra_info("socket"))\n',
+        "            pass\n",
+        "libraries/proxy",
+        "tests.test_target_connection.AbortTests.test_a_request_is_taken_back_by_a_reset",
+    ),
+)
