Date a store's start by when it was read of, at whoever reads it

Seen: writing to a store was allowed 1.25 s after its new start was first seen, where 2.5 s are due. Others may still fetch what lay there before, so that a caller's answer could be made from half a part.

Cause: a start was dated by when the question was asked. A gateway suspended with the question open took a start of this moment for seconds old. Relayed news had the same fault: they were dated by the age of the answer whenever the start was known for less time than the call took, and for a start seen in the last answer that time was told as 0 though the answer had been asked for before.

Ruled out: dating all by the reading. Trust, and until when a fetch may go on, would then last too long; they still count from the question, and a test holds it. Adding the way of relayed news to a start's age: it could look older than it is.

Why it holds: what tells of a start was made after it, so the time of reading is never before it. A gateway hands on the time from its reading to its answer, and the reader counts that back from its own reading, which is not before that answer. Both parts are rounded so that their sum is not larger than the truth. Saves begin later by at most the calls. The form of the relayed news is as before; a negative number is taken by a gateway without this change for 0, which is what it was told so far.

Tests: calls of take in two files name both times now; what they expect is unchanged. New ones: news read late, late at either gateway, and what later news add.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
@@ -55,7 +55,7 @@
     changes: tuple[PartChange, ...]
     # ``changes`` are all parts there, not those since the last answer.
     whole: bool = False
-    # Seconds for which this start is known to whoever handed the answer on.
+    # Seconds for which this start was known to whoever handed the answer on.
     known_seconds: float = 0.0
 
 
@@ -97,7 +97,8 @@
         self.capacity = capacity
         # Of the start that is believed in; 0 for none.
         self.epoch = 0
-        # When this start was first seen, and when it answered last.
+        # When this start was first seen, never too early, and when it answered last,
+        # never too late: in doubt saves begin later, and trust ends sooner.
         self._since = float("inf")
         self._heard = float("-inf")
         # Of the last answer.
@@ -120,16 +121,23 @@
         """Return the tokens believed to lie there."""
         return self._held
 
-    def take(self, asked_at: float, news: PartNews) -> bool:
-        """Take an answer to a question asked at ``asked_at``; True for a new start."""
+    def take(self, asked_at: float, read_at: float, news: PartNews) -> bool:
+        """Take an answer asked for and read at these times; True for a new start.
+
+        Failure answered: a gateway is suspended for seconds with a question open, in
+        which the store begins anew. Dated by the question, that start would be old
+        enough to be written to at once, while others still fetch what lay there before:
+        they could read half a part. It began before the answer was read, so that what
+        counts from then on waits long enough.
+        """
         restarted = news.epoch != self.epoch
         if restarted:
             self._forget()
             self.epoch = news.epoch
-            self._since = asked_at
+            self._since = read_at
         elif news.whole:
             self._forget()
-        self._since = min(self._since, asked_at - news.known_seconds)
+        self._since = min(self._since, read_at - news.known_seconds)
         self._heard = max(self._heard, asked_at)
         self.clock_ms = news.clock_ms
         for change in news.changes:
@@ -172,8 +180,11 @@
 
     @property
     def known_seconds(self) -> float:
-        """Return for how long this start had been known at the last answer."""
-        return max(0.0, self._heard - self._since)
+        """Return for how long this start had been known as the last answer was asked.
+
+        It is below 0 as long as only the answer that told of the start is known.
+        """
+        return self._heard - self._since
 
     def list_changes(self, position: int) -> list[PartChange] | None:
         """Return the changes after ``position``; None when they are not known."""
--- a/libraries/decisions/tests/forwarding/test_kept_parts.py
+++ b/libraries/decisions/tests/forwarding/test_kept_parts.py
@@ -20,7 +20,7 @@
     """Let every store answer, and say that these parts lie whole in it."""
     changes = tuple(PartChange(SCOPE, name, tokens) for name, tokens in parts)
     for store in kept.stores:
-        store.take(now, PartNews(epoch, int(now * 1000) + 500_000, changes))
+        store.take(now, now, PartNews(epoch, int(now * 1000) + 500_000, changes))
 
 
 class KeptPartTests(unittest.TestCase):
@@ -84,6 +84,19 @@
             now += 0.1
         self.assertLess(fetch_end, 10.0 + SETTLE_SECONDS)
 
+    def test_an_answer_that_is_read_late_is_taken_on_the_safe_side(self) -> None:
+        # The gateway is suspended with a question open. What it was told ends as if the
+        # store had answered at once; a start that it was told of is as new as if the
+        # store had answered last.
+        store = self.kept.find("10.0.0.1:1")
+        assert store is not None
+        store.take(10.0, 11.0, PartNews(7, 500_000, ()))
+        self.assertTrue(store.trusts(9.99 + TRUST_SECONDS))
+        self.assertFalse(store.trusts(10.01 + TRUST_SECONDS))
+        store.take(13.0, 14.0, PartNews(7, 503_000, ()))
+        self.assertFalse(store.may_save(10.99 + SETTLE_SECONDS, 500))
+        self.assertTrue(store.may_save(11.01 + SETTLE_SECONDS, 500))
+
     def test_a_new_start_holds_nothing(self) -> None:
         hear(self.kept, 0.0, 7)
         hear(self.kept, 10.0, 7, *PARTS)
@@ -93,7 +106,7 @@
     def test_a_store_without_a_clock_is_not_fetched_from(self) -> None:
         changes = tuple(PartChange(SCOPE, name, tokens) for name, tokens in PARTS)
         for store in self.kept.stores:
-            store.take(10.0, PartNews(7, 0, changes))
+            store.take(10.0, 10.0, PartNews(7, 0, changes))
         self.assertIsNone(self.kept.plan(10.1, SCOPE, PARTS, 1))
 
     def test_a_full_store_gets_nothing_more(self) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/part_relay.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_relay.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -45,7 +46,7 @@
     position: int
     # Since the store answered last.
     heard_ms: int
-    # For how long this start of it had been known then.
+    # For how long this start of it had been known then; below 0 if it was seen later.
     known_ms: int
     clock_ms: int
     # ``changes`` are all parts there, not those after the position.
@@ -108,16 +109,18 @@
             news = _answers.decode(answer.ok_value.body)
         except msgspec.MsgspecError as error:
             return Err(str(error))
+        read_at = read_clock()
         for found in news:
-            self._take(asked_at, found)
+            self._take(asked_at, read_at, found)
         return Ok(len(news))
 
-    def _take(self, asked_at: float, found: StoreNews) -> None:
+    def _take(self, asked_at: float, read_at: float, found: StoreNews) -> None:
         store = self._kept.find(found.address)
         if store is None:
             return
-        # The way here is taken off: a start must not look older than it is.
-        known = found.known_ms / 1000 - (read_clock() - asked_at)
+        # Until the answer was made. The way here is not added: a start must not look
+        # older than it is.
+        known = (found.heard_ms + found.known_ms) / 1000
         news = PartNews(
             found.epoch,
             found.clock_ms,
@@ -125,7 +128,7 @@
             found.whole,
             max(0.0, known),
         )
-        store.take(asked_at - found.heard_ms / 1000, news)
+        store.take(asked_at - found.heard_ms / 1000, read_at, news)
         self._positions[found.address] = found.position
 
 
@@ -141,7 +144,9 @@
         store.position,
         # Rounded up: the answer must not look younger than it is.
         int(store.find_age(now) * 1000) + 1,
-        int(store.known_seconds * 1000),
+        # Rounded down, and by what the age was rounded up: their sum must not make the
+        # start look older than it is.
+        math.floor(store.known_seconds * 1000) - 1,
         store.clock_ms,
         whole,
         [(change.scope, change.part, change.tokens) for change in listed],
--- a/libraries/proxy/tests/test_part_relay.py
+++ b/libraries/proxy/tests/test_part_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import itertools
 import unittest
 from typing import TYPE_CHECKING
 from unittest import mock
@@ -20,6 +22,8 @@
 from bamboopier_proxy.settings import Endpoint
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bamboopier_objects.errors import PlatformError
 
 ADDRESS = "10.0.0.9:80"
@@ -33,6 +37,8 @@
     def __init__(self) -> None:
         super().__init__("")
         self.other: PartRelay | None = None
+        # Run before and after the other gateway answers.
+        self.travel: Callable[[], None] = lambda: None
         self.sizes: list[int] = []
 
     async def call(
@@ -44,7 +50,9 @@
         patience: float | None = None,
     ) -> Result[Reply, PlatformError]:
         assert self.other is not None
+        self.travel()
         response = self.other.answer(body or b"")
+        self.travel()
         content = response.body
         assert isinstance(content, bytes)
         self.sizes.append(len(content))
@@ -70,12 +78,15 @@
         """Let the store answer the gateway that asks it."""
         store = self.direct.find(ADDRESS)
         assert store is not None
-        store.take(self.now, PartNews(epoch, 5000, changes))
+        store.take(self.now, self.now, PartNews(epoch, 5000, changes))
 
     async def ask(self) -> None:
         found = await self.relay.ask(FIRST)
         self.assertEqual(found.ok_value, 1)
 
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
     def has(self, part: str) -> bool:
         store = self.other.find(ADDRESS)
         assert store is not None
@@ -126,6 +137,48 @@
         assert store is not None
         self.assertTrue(store.may_save(self.now, 500))
 
+    async def test_a_start_looks_no_older_than_the_first_gateway_saw_it(self) -> None:
+        # Answers come late, at the gateway that asks the store as well as at the one
+        # that asks that gateway. A store that restarted a moment before the first one
+        # read of it is written to by neither of them too early.
+        direct, other = (k.find(ADDRESS) for k in (self.direct, self.other))
+        assert direct is not None
+        assert other is not None
+        epoch = 7
+        for late, way, rest in itertools.product(
+            (0.0, 0.0007, 0.4, 1.2), (0.0, 0.0003, 0.1, 0.3), (0.0, 0.0011, 0.05)
+        ):
+            with self.subTest(late=late, way=way, rest=rest):
+                epoch += 1
+                self.caller.travel = functools.partial(self.pass_time, way)
+                asked = self.now
+                self.pass_time(late)
+                direct.take(asked, self.now, PartNews(epoch, 5000, ()))
+                seen = self.now
+                self.pass_time(rest)
+                await self.ask()
+                for now in (seen + SETTLE_SECONDS - 1e-6, seen + SETTLE_SECONDS + 1):
+                    # It still answers, under the same start.
+                    other.take(now, now, PartNews(epoch, 5000, ()))
+                    self.assertEqual(other.may_save(now, 500), now > seen + 3)
+
+    async def test_a_start_is_known_from_what_is_heard_of_it_later(self) -> None:
+        # The first news told little of how long the start is known. Later ones that
+        # come quickly tell more, and never more than is true.
+        self.caller.travel = functools.partial(self.pass_time, 0.3)
+        self.hear(7)
+        seen = self.now
+        await self.ask()
+        self.caller.travel = functools.partial(self.pass_time, 0.001)
+        while self.now < seen + SETTLE_SECONDS - 0.1:
+            self.hear(7)
+            await self.ask()
+            self.pass_time(0.1)
+        store = self.other.find(ADDRESS)
+        assert store is not None
+        self.assertFalse(store.may_save(seen + SETTLE_SECONDS - 1e-6, 500))
+        self.assertTrue(store.may_save(seen + SETTLE_SECONDS + 0.01, 500))
+
     async def test_another_gateway_counts_in_its_own_way(self) -> None:
         # The gateway that was asked is gone; another one has seen the same changes in
         # other numbers. What is known is taken anew and not added to.
