Judge whether the store was away by all calls of a gateway

Callers' requests were sent to a target for 2.2 s more after the list that no longer had it, when only the connection of the watch of targets had gone silent. Each follower counted for itself how long it had no answer, from when its watch was made, and one second of that was taken for an outage in which entries lapse.

Ruled out: a higher limit for the watch (an outage of a second does make entries lapse); the configuration's read alone (one read whose connection goes silent takes 1.5 s); the time of an answer as proof (a store that takes no call still ends watches that it holds, as the stand-in does, so that an outage would be hidden).

The mend holds because an entry can lapse only while no call is taken: what counts is the time between two calls that were taken, of the configuration's read, the lists and the watches, if a read or a list failed in between. It starts at the call before the failure, so that no outage is taken for shorter than it was. A watch that fails does not count: the list that follows at once does. Entries that a watch shows as gone before another call is answered keep a while as well, which they did not before.

Not told apart: two connections of one gateway that go silent at once, and a store that is away, or that turns away this gateway alone.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
@@ -64,21 +64,22 @@
         if isinstance(answer, Err):
             self._note_failure(asked, str(answer.err_value))
             return False
-        self._note_answer(now)
+        self._note_answer(asked, now)
         found = answer.ok_value
         if found is None:
             return False
         return self._intake.take(found, asked)
 
     def _note_failure(self, asked: float, reason: str) -> None:
+        self._health.note_failure(asked)
         if self._failing_since is None:
             self._failing_since = asked
             log.warning("store lost", key="configuration", reason=reason)
 
-    def _note_answer(self, now: float) -> None:
+    def _note_answer(self, asked: float, now: float) -> None:
+        self._health.note_answer(asked, now)
         if self._failing_since is None:
             return
         away = now - self._failing_since
         self._failing_since = None
-        self._health.note_return(now, away)
         log.info("store regained", key="configuration", away_seconds=round(away, 3))
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -43,9 +43,12 @@
     def take_listing(
         self, listing: Listing, away_seconds: float, unseen_since: float
     ) -> None:
-        """Take all entries."""
+        """Take all entries.
+
+        For how long this one follower went without an answer does not count: the store
+        may have served all others meanwhile.
+        """
         now = read_clock()
-        self._health.note_return(now, away_seconds)
         returning = self._health.is_returning(now)
         entries = []
         for found in listing.objects:
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -8,6 +8,7 @@
 from bamboopier_objects.object_follower import ObjectFollower
 
 from .configuration_poll import ConfigurationPoll
+from .heard_store import HeardStore
 from .observers import ClosureObserver, TargetObserver, WeightsObserver
 from .weight_ages import WeightAges, follow_weights
 
@@ -36,7 +37,7 @@
         vocabulary: Vocabulary,
         random: random.Random,
     ) -> None:
-        self._store = store
+        self._store = HeardStore(store, state.health)
         self._random = random
         self._ages = WeightAges(store, vocabulary.ages_prefix, state.weights, random)
         self._poll = ConfigurationPoll(
--- a/libraries/proxy/src/bamboopier_proxy/store_health.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_health.py
@@ -1,7 +1,11 @@
-"""Whether the store was away a moment ago.
+"""Whether the store was away a moment ago, judged by all calls of this process.
 
 Failure answered: entries of targets lapse while the store is away, though the targets
 live. Taken for gone at the store's return, they would leave no target for two seconds.
+
+An entry can lapse only while the store takes calls from nobody. So one call that fails
+proves little: what counts is the time between two calls that the store took, when one
+failed in between. Load pattern: some three calls a second.
 """
 
 from __future__ import annotations
@@ -15,16 +19,41 @@
 class StoreHealth:
     """Remembers the store's last return."""
 
-    __slots__ = ("_returned",)
+    __slots__ = ("_failed", "_returned", "_served")
 
     def __init__(self) -> None:
+        # The last time at which the store is known to have taken a call.
+        self._served = float("-inf")
+        # When the first call was made that failed and that no answered one followed.
+        self._failed: float | None = None
         self._returned = float("-inf")
 
-    def note_return(self, now: float, away_seconds: float) -> None:
-        """Take in that the store answers again after ``away_seconds``."""
-        if away_seconds >= LEAST_AWAY_SECONDS:
-            self._returned = now
+    def note_failure(self, asked: float) -> None:
+        """Take in that a call failed that was made at ``asked``."""
+        if self._served == float("-inf"):
+            self._served = asked
+        if self._failed is None:
+            self._failed = asked
+
+    def note_answer(self, asked: float, taken: float) -> None:
+        """Take in that a call made at ``asked`` was taken, at ``taken`` at the latest.
+
+        A watch is taken when it is made: a store that takes no new calls may still end
+        those it holds, and that is no sign of its return.
+        """
+        if self._failed is not None and asked >= self._failed:
+            # Counted from the call before the failure: the outage may have begun right
+            # after it, and one taken for shorter would drop entries that lapsed.
+            if taken - self._served >= LEAST_AWAY_SECONDS:
+                self._returned = taken
+            self._failed = None
+        self._served = max(self._served, asked)
 
     def is_returning(self, now: float) -> bool:
         """Say whether missing entries may come back."""
-        return now - self._returned < RETURNING_SECONDS
+        return self._is_away(now) or now - self._returned < RETURNING_SECONDS
+
+    def _is_away(self, now: float) -> bool:
+        # At the return a watch may tell of entries that lapsed before any other call
+        # is answered. They keep a while, too.
+        return self._failed is not None and now - self._served >= LEAST_AWAY_SECONDS
--- a/libraries/proxy/tests/test_store_health.py
+++ b/libraries/proxy/tests/test_store_health.py
@@ -6,12 +6,14 @@
 import unittest
 from unittest import mock
 
-from result import Ok
+from result import Err, Ok
 
 from bamboopier_decisions.forwarding.fleet import Fleet
 from bamboopier_decisions.forwarding.model import TargetEntry
+from bamboopier_objects.errors import PlatformUnavailableError
 from bamboopier_objects.objects import Listing, StoredObject
 from bamboopier_proxy.configuration_poll import ConfigurationPoll
+from bamboopier_proxy.heard_store import HeardStore
 from bamboopier_proxy.observers import TargetObserver
 from bamboopier_proxy.store_health import StoreHealth
 
@@ -47,6 +49,80 @@
             observer.take_listing(Listing(9, ()), 3.5, 100.0)
         self.assertEqual(fleet.list_service("chat", 103.6), [])
 
+    def test_a_store_that_takes_no_call_for_a_second_was_away(self) -> None:
+        # Its last call was taken at 100.0 and the next at 101.2; entries have lapsed.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        health.note_failure(100.7)
+        health.note_failure(100.9)
+        health.note_answer(101.2, 101.2)
+        self.assertTrue(health.is_returning(101.2))
+        self.assertFalse(health.is_returning(103.5))
+
+    def test_one_call_that_fails_among_others_is_no_outage(self) -> None:
+        # A read's connection goes silent for the 1.5 s that it may last, while watches
+        # are made and answered.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        for asked in (100.6, 101.3):
+            health.note_answer(asked, asked)
+        health.note_failure(100.5)
+        self.assertFalse(health.is_returning(102.0))
+        health.note_answer(102.0, 102.0)
+        self.assertFalse(health.is_returning(102.0))
+
+    def test_a_watch_that_ends_in_an_outage_does_not_hide_it(self) -> None:
+        # A store that takes no call still ends a watch that it held.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        health.note_failure(100.5)
+        health.note_answer(99.5, 99.5)
+        health.note_answer(101.5, 101.5)
+        self.assertTrue(health.is_returning(101.5))
+
+    def test_entries_that_lapse_before_the_first_answer_may_come_back(self) -> None:
+        # A watch that outlived the outage tells of them before another call is taken.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        health.note_failure(100.5)
+        self.assertFalse(health.is_returning(100.9))
+        self.assertTrue(health.is_returning(101.1))
+
+    def test_a_store_that_answers_slowly_is_not_away(self) -> None:
+        # Each answer takes 0.3 s, and each read follows the last after 0.9 s.
+        health = StoreHealth()
+        for asked in (100.0, 101.2, 102.4, 103.6):
+            health.note_answer(asked, asked + 0.3)
+            self.assertFalse(health.is_returning(asked + 0.3))
+
+
+class HeardStoreTests(unittest.IsolatedAsyncioTestCase):
+    async def hear(self, **answers: object) -> StoreHealth:
+        """Let a list, or a watch, fail or not at 103.5, after one taken at 100.0."""
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        module = "bamboopier_proxy.heard_store.read_clock"
+        store = HeardStore(mock.AsyncMock(**answers), health)
+        with mock.patch(module, return_value=103.5):
+            await store.watch_values("t/", 7, 2.0)
+            await store.list("t/")
+        return health
+
+    async def test_a_watch_that_fails_is_no_sign_of_an_outage(self) -> None:
+        failed = Err(PlatformUnavailableError("no answer"))
+        listing = Ok(Listing(9, ()))
+        health = await self.hear(
+            **{"watch_values.return_value": failed, "list.return_value": listing}
+        )
+        self.assertFalse(health.is_returning(103.5))
+
+    async def test_a_list_that_fails_is_one(self) -> None:
+        failed = Err(PlatformUnavailableError("status 503"))
+        health = await self.hear(
+            **{"watch_values.return_value": failed, "list.return_value": failed}
+        )
+        self.assertTrue(health.is_returning(103.5))
+
 
 if __name__ == "__main__":
     unittest.main()
