Leave a gateway's own pause out of what counts as the store's outage

A gateway that had been suspended for 4 s sent callers' requests to an engine for more than a second after its entry was removed, 1.5 s after the gateway ran again: calls under way had run out of time during the pause, and that was taken for an outage of the store.

This takes the rest: a read under way when the process stood still, and a call that fails on a connection that was closed meanwhile, each with the pause counted as time in which the store took nothing.

Ruled out: dropping each failure for some time after a pause (an outage that follows it would be missed); Pauses.find_unread_since as the measure (it tells when a pause began and stays in force for the pause's length after it, so the same).

The mend holds because the seconds of a pause are taken from the time between two calls, and failures of calls made before its end do not count, while those made after do: an outage before, around or after a pause still counts with the seconds in which the process ran. Not covered: an outage that lies wholly within the pause, which the process cannot see; entries that lapsed in it are taken for gone until they are back.

Red before, green now: proxy.store_health: a gateway that stood still takes the store for there (red without the pause being noted).

--- a/libraries/proxy/src/bamboopier_proxy/pause_watch.py
+++ b/libraries/proxy/src/bamboopier_proxy/pause_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import structlog
 from prometheus_client import CollectorRegistry, Counter
@@ -10,6 +11,9 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.pauses import TICK_SECONDS, Pauses
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 log = structlog.get_logger()
 
 
@@ -23,6 +27,8 @@
             "Seconds for which this process or its machine stood still",
             registry=registry,
         )
+        # Each is told when a pause ended, and its seconds.
+        self.listeners: list[Callable[[float, float], None]] = []
 
     async def run(self) -> None:
         """Tick until cancelled."""
@@ -32,8 +38,11 @@
 
     def tick(self) -> None:
         """Take in that the process runs now."""
-        seconds = self.pauses.note_tick(read_clock())
+        now = read_clock()
+        seconds = self.pauses.note_tick(now)
         if not seconds:
             return
+        for listener in self.listeners:
+            listener(now, seconds)
         self._paused.inc(seconds)
         log.warning("process stood still", seconds=round(seconds, 3))
--- a/libraries/proxy/src/bamboopier_proxy/store_health.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_health.py
@@ -19,7 +19,7 @@
 class StoreHealth:
     """Remembers the store's last return."""
 
-    __slots__ = ("_failed", "_returned", "_served")
+    __slots__ = ("_failed", "_resumed", "_returned", "_served")
 
     def __init__(self) -> None:
         # The last time at which the store is known to have taken a call.
@@ -27,9 +27,25 @@
         # When the first call was made that failed and that no answered one followed.
         self._failed: float | None = None
         self._returned = float("-inf")
+        # When this process last ran again after it had stood still.
+        self._resumed = float("-inf")
+
+    def note_pause(self, now: float, seconds: float) -> None:
+        """Take in that this process stood still for ``seconds`` until ``now``.
+
+        Failure answered: a gateway is suspended, and the store serves all the while. As
+        it runs again its calls under way have run out of time; counted, these seconds
+        would be an outage, and targets that go after it would get requests for two
+        seconds. They do not count, and neither do calls made before: what a store that
+        is away goes on to refuse are the next ones, which follow at once.
+        """
+        self._resumed = now
+        self._served = min(self._served + seconds, now)
 
     def note_failure(self, asked: float) -> None:
         """Take in that a call failed that was made at ``asked``."""
+        if asked < self._resumed:
+            return
         if self._served == float("-inf"):
             self._served = asked
         if self._failed is None:
--- a/libraries/proxy/tests/test_pause_watch.py
+++ b/libraries/proxy/tests/test_pause_watch.py
@@ -20,10 +20,17 @@
             mock.patch(f"{module}.log") as log,
         ):
             watch = PauseWatch(registry)
+            told = mock.Mock()
+            watch.listeners.append(told)
             watch.tick()
             log.warning.assert_not_called()
+            told.assert_not_called()
             watch.tick()
         log.warning.assert_called_once_with("process stood still", seconds=3.3)
+        told.assert_called_once()
+        now, seconds = told.call_args.args
+        self.assertEqual(now, 103.5)
+        self.assertAlmostEqual(seconds, 3.3)
         name = "bamboopier_paused_seconds_total"
         self.assertAlmostEqual(registry.get_sample_value(name) or 0.0, 3.3)
 
--- a/libraries/proxy/tests/test_store_health.py
+++ b/libraries/proxy/tests/test_store_health.py
@@ -95,6 +95,37 @@
             health.note_answer(asked, asked + 0.3)
             self.assertFalse(health.is_returning(asked + 0.3))
 
+    def test_a_gateway_that_stood_still_takes_the_store_for_there(self) -> None:
+        # It is suspended from 100.5 to 104.5, with a read under way. That runs out of
+        # time as the gateway runs again; the next is answered. A connection that the
+        # store closed meanwhile makes a further call fail.
+        health = StoreHealth()
+        health.note_answer(100.4, 100.4)
+        health.note_pause(104.5, 4.0)
+        health.note_failure(100.5)
+        health.note_failure(104.6)
+        health.note_answer(104.8, 104.8)
+        self.assertFalse(health.is_returning(104.8))
+
+    def test_a_pause_does_not_hide_an_outage(self) -> None:
+        # The store is away from 100.0 to 106.0, and the gateway stands still meanwhile.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        health.note_failure(100.5)
+        health.note_pause(105.0, 4.0)
+        health.note_failure(105.1)
+        health.note_answer(106.0, 106.0)
+        self.assertTrue(health.is_returning(106.0))
+
+    def test_an_outage_that_begins_after_a_pause_is_noted(self) -> None:
+        # A call is answered before the gateway notes that it stood still.
+        health = StoreHealth()
+        health.note_answer(104.4, 104.4)
+        health.note_pause(104.5, 4.0)
+        health.note_failure(104.6)
+        health.note_answer(105.7, 105.7)
+        self.assertTrue(health.is_returning(105.7))
+
 
 class HeardStoreTests(unittest.IsolatedAsyncioTestCase):
     async def hear(self, **answers: object) -> StoreHealth:
