Count from the store's return how long missing entries are kept

An engine that went 1.5 s after the store had come back still got callers' requests 2.9 s after the return: each entry that went missing in the 2.2 s after a return was kept for 2.2 s of its own, 4.4 s after the return at worst.

The cause was that the fleet was told only that the store had been away, not since when it is back. It is now told the time of the return, and keeps a missing entry until 2.2 s after that. What lapsed while the store was away is back by then, whenever it was missed.

Ruled out: a shorter time for each entry (one that is missing from the first list needs all of it). The two constants of 2.2 s are now one.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -18,9 +18,11 @@
     from .model import TargetEntry
     from .prompt import Prompt
 
-# An entry that was missing when the store came back may only have lapsed while the
-# store was away; targets that live are listed again within two seconds.
+# Seconds after the store's return in which an entry that is missing may only have
+# lapsed while the store was away: targets that live are listed again within two.
 RETURN_SECONDS = 2.2
+# For ``store_returned``: the store was not away.
+NEVER = float("-inf")
 
 
 class Sent:
@@ -90,14 +92,14 @@
         self._arrange()
 
     def replace(
-        self, now: float, entries: Iterable[TargetEntry], store_was_away: bool
+        self, now: float, entries: Iterable[TargetEntry], store_returned: float = NEVER
     ) -> None:
         """Take the whole list; those missing after an outage keep a while."""
         listed = {entry.name: entry for entry in entries}
         for entry in listed.values():
             self.put(now, entry)
         for name in [n for n in self._states if n not in listed]:
-            self.remove(now, name, store_was_away)
+            self.remove(now, name, store_returned)
         self._arrange()
 
     def put(self, now: float, entry: TargetEntry) -> None:
@@ -119,13 +121,19 @@
         self._states[entry.name] = state
         self._arrange()
 
-    def remove(self, now: float, name: str, store_was_away: bool) -> None:
-        """Take in that an entry is gone."""
+    def remove(self, now: float, name: str, store_returned: float = NEVER) -> None:
+        """Take in that an entry is gone.
+
+        Failure answered: a target goes seconds after the store's return, and is sent
+        requests as one that may only have lapsed. Counted from the return, its time is
+        over when those that did lapse are back, however late it goes.
+        """
         state = self._states.get(name)
         if state is None:
             return
-        if store_was_away and not state.entry.leaving:
-            self._missing.setdefault(name, now + RETURN_SECONDS)
+        until = store_returned + RETURN_SECONDS
+        if now < until and not state.entry.leaving:
+            self._missing.setdefault(name, until)
             return
         self._missing.pop(name, None)
         del self._states[name]
@@ -166,7 +174,7 @@
         if not self._missing:
             return
         for name in [n for n, until in self._missing.items() if now >= until]:
-            self.remove(now, name, store_was_away=False)
+            self.remove(now, name)
 
     def _arrange(self) -> None:
         by_service: dict[str, list[TargetState]] = {}
--- a/libraries/decisions/tests/forwarding/builders.py
+++ b/libraries/decisions/tests/forwarding/builders.py
@@ -55,7 +55,7 @@
     """Return a fleet that knows these entries."""
     fleet = Fleet()
     fleet.set_services(make_services())
-    fleet.replace(now, entries, store_was_away=False)
+    fleet.replace(now, entries)
     return fleet
 
 
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -56,7 +56,7 @@
             if entry is not None:
                 entries.append(entry)
         known = set(self._fleet.names)
-        self._fleet.replace(now, entries, returning)
+        self._fleet.replace(now, entries, self._health.find_return(now))
         log.info(
             "targets listed",
             revision=listing.revision,
@@ -72,7 +72,7 @@
         name = change.key.removeprefix(self._vocabulary.targets_prefix)
         if change.value is None:
             returning = self._health.is_returning(now)
-            self._fleet.remove(now, name, returning)
+            self._fleet.remove(now, name, self._health.find_return(now))
             log.info(
                 "target gone", target=name, returning=returning, version=change.version
             )
@@ -80,7 +80,7 @@
         entry = self._decode(change.key, change.value)
         if entry is None:
             # Whoever wrote it, it names no target that may be used.
-            self._fleet.remove(now, name, store_was_away=False)
+            self._fleet.remove(now, name)
             return
         self._fleet.put(now, entry)
         log.info(
--- a/libraries/proxy/src/bamboopier_proxy/store_health.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_health.py
@@ -10,10 +10,10 @@
 
 from __future__ import annotations
 
+from bamboopier_decisions.forwarding.fleet import NEVER, RETURN_SECONDS
+
 # Shorter gaps cannot make entries lapse: a target has three heartbeats before.
 LEAST_AWAY_SECONDS = 1.0
-# Seconds after a return in which a missing entry may still come back.
-RETURNING_SECONDS = 2.2
 
 
 class StoreHealth:
@@ -23,12 +23,12 @@
 
     def __init__(self) -> None:
         # The last time at which the store is known to have taken a call.
-        self._served = float("-inf")
+        self._served = NEVER
         # When the first call was made that failed and that no answered one followed.
         self._failed: float | None = None
-        self._returned = float("-inf")
+        self._returned = NEVER
         # When this process last ran again after it had stood still.
-        self._resumed = float("-inf")
+        self._resumed = NEVER
 
     def note_pause(self, now: float, seconds: float) -> None:
         """Take in that this process stood still for ``seconds`` until ``now``.
@@ -46,7 +46,7 @@
         """Take in that a call failed that was made at ``asked``."""
         if asked < self._resumed:
             return
-        if self._served == float("-inf"):
+        if self._served == NEVER:
             self._served = asked
         if self._failed is None:
             self._failed = asked
@@ -65,9 +65,13 @@
             self._failed = None
         self._served = max(self._served, asked)
 
+    def find_return(self, now: float) -> float:
+        """Return when the store was last back: ``now`` if it is not known to be yet."""
+        return now if self._is_away(now) else self._returned
+
     def is_returning(self, now: float) -> bool:
         """Say whether missing entries may come back."""
-        return self._is_away(now) or now - self._returned < RETURNING_SECONDS
+        return now - self.find_return(now) < RETURN_SECONDS
 
     def _is_away(self, now: float) -> bool:
         # At the return a watch may tell of entries that lapsed before any other call
