Keep entries that lapsed when the store was silent for a moment

The list that lacks them was answered before the read of the configuration had failed, which takes 1.5 s, so that no failure was known.

A read or a list that has had no answer for 0.6 s now counts as one that fails, also if it is answered after that. A list follows 1.52 s or more after the silence began, and a read was made 0.9 s or less after, so one of at least 0.6 s is under way. Whether it was an outage is still judged by the time between two calls that were taken, without pauses.

Ruled out: a watch that fails as a sign (one that is silent alone would be an outage again); the time between two calls alone (a read each 0.9 s and one silent watch are 1.2 s apart at a slow store). Left: a store that takes more than 0.6 s for one answer, as on a new connection while it is slow, may be taken for away if no other call was taken for a second; missing entries are then kept for 2.2 s.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_poll.py
@@ -59,6 +59,7 @@
     async def read(self) -> bool:
         """Read once; False when it must be tried again soon."""
         asked = read_clock()
+        self._health.note_asked(asked)
         answer = await self._store.read(self._vocabulary.configuration_key)
         now = read_clock()
         if isinstance(answer, Err):
--- a/libraries/proxy/src/bamboopier_proxy/heard_store.py
+++ b/libraries/proxy/src/bamboopier_proxy/heard_store.py
@@ -27,6 +27,7 @@
     async def list(self, prefix: str) -> Result[Listing, PlatformError]:
         """Return all objects whose key starts with ``prefix``."""
         asked = read_clock()
+        self._health.note_asked(asked)
         answer = await self._store.list(prefix)
         if isinstance(answer, Err):
             self._health.note_failure(asked)
--- a/libraries/proxy/src/bamboopier_proxy/store_health.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_health.py
@@ -14,12 +14,15 @@
 
 # Shorter gaps cannot make entries lapse: a target has three heartbeats before.
 LEAST_AWAY_SECONDS = 1.0
+# Seconds after which a read or a list without an answer counts as one that fails. A
+# slow store takes 0.3 s.
+OVERDUE_SECONDS = 0.6
 
 
 class StoreHealth:
     """Remembers the store's last return."""
 
-    __slots__ = ("_failed", "_resumed", "_returned", "_served")
+    __slots__ = ("_failed", "_resumed", "_returned", "_served", "_under_way")
 
     def __init__(self) -> None:
         # The last time at which the store is known to have taken a call.
@@ -27,6 +30,8 @@
         # When the first call was made that failed and that no answered one followed.
         self._failed: float | None = None
         self._returned = NEVER
+        # When the reads and lists were made that have no answer yet.
+        self._under_way: list[float] = []
         # When this process last ran again after it had stood still.
         self._resumed = NEVER
 
@@ -42,8 +47,13 @@
         self._resumed = now
         self._served = min(self._served + seconds, now)
 
+    def note_asked(self, asked: float) -> None:
+        """Take in that a read or a list is made."""
+        self._under_way.append(asked)
+
     def note_failure(self, asked: float) -> None:
-        """Take in that a call failed that was made at ``asked``."""
+        """Take in that a read or a list failed that was made at ``asked``."""
+        self._end(asked)
         if asked < self._resumed:
             return
         if self._served == NEVER:
@@ -57,7 +67,9 @@
         A watch is taken when it is made: a store that takes no new calls may still end
         those it holds, and that is no sign of its return.
         """
-        if self._failed is not None and asked >= self._failed:
+        failed = self._find_failed(taken)
+        self._end(asked)
+        if failed is not None and asked >= failed:
             # Counted from the call before the failure: the outage may have begun right
             # after it, and one taken for shorter would drop entries that lapsed.
             if taken - self._served >= LEAST_AWAY_SECONDS:
@@ -76,4 +88,21 @@
     def _is_away(self, now: float) -> bool:
         # At the return a watch may tell of entries that lapsed before any other call
         # is answered. They keep a while, too.
-        return self._failed is not None and now - self._served >= LEAST_AWAY_SECONDS
+        failed = self._find_failed(now)
+        return failed is not None and now - self._served >= LEAST_AWAY_SECONDS
+
+    def _find_failed(self, now: float) -> float | None:
+        """Return when the first call was made that failed or is overdue.
+
+        Failure answered: a store that answers nobody for a second or two is back before
+        a call of 1.5 s has failed, and entries that lapsed would be dropped at once.
+        """
+        latest = now - OVERDUE_SECONDS
+        found = [a for a in self._under_way if self._resumed <= a <= latest]
+        if self._failed is not None:
+            found.append(self._failed)
+        return min(found, default=None)
+
+    def _end(self, asked: float) -> None:
+        if asked in self._under_way:
+            self._under_way.remove(asked)
--- a/libraries/proxy/tests/test_store_health.py
+++ b/libraries/proxy/tests/test_store_health.py
@@ -70,6 +70,35 @@
         health.note_answer(102.0, 102.0)
         self.assertFalse(health.is_returning(102.0))
 
+    def test_an_outage_that_ends_before_a_call_has_failed_is_noted(self) -> None:
+        # The store answers nobody from 100.0 to 101.3. A read made at 100.8 has not yet
+        # failed as a list is answered.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        health.note_asked(100.8)
+        health.note_asked(101.5)
+        health.note_answer(101.5, 101.5)
+        self.assertTrue(health.is_returning(101.5))
+
+    def test_a_read_that_waits_for_the_store_s_return_tells_of_it(self) -> None:
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        health.note_asked(100.2)
+        self.assertFalse(health.is_returning(100.9))
+        self.assertTrue(health.is_returning(101.2))
+        health.note_answer(100.2, 101.3)
+        self.assertTrue(health.is_returning(101.4))
+
+    def test_a_read_that_waited_through_a_pause_tells_of_no_outage(self) -> None:
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        health.note_asked(100.5)
+        health.note_pause(104.5, 4.0)
+        self.assertFalse(health.is_returning(105.4))
+        health.note_asked(104.6)
+        health.note_answer(104.6, 104.9)
+        self.assertFalse(health.is_returning(104.9))
+
     def test_a_watch_that_ends_in_an_outage_does_not_hide_it(self) -> None:
         # A store that takes no call still ends a watch that it held.
         health = StoreHealth()
@@ -91,6 +120,8 @@
         # Each answer takes 0.3 s, and each read follows the last after 0.9 s.
         health = StoreHealth()
         for asked in (100.0, 101.2, 102.4, 103.6):
+            health.note_asked(asked)
+            self.assertFalse(health.is_returning(asked + 0.3))
             health.note_answer(asked, asked + 0.3)
             self.assertFalse(health.is_returning(asked + 0.3))
 
