--- a/libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py
@@ -1,4 +1,4 @@
-"""When this process stood still, and since when what it reads may have been waiting.
+"""When this process paused, and since when what it reads may have been waiting.
 
 Failure answered: a process is suspended for seconds, and takes what it reads after that
 for news of this moment. Load pattern: a tick five times a second, and a question for
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Pause:
-    """One time for which the process stood still."""
+    """One time for which the process paused."""
 
     began: float
     ended: float
@@ -39,7 +39,7 @@
 
 
 class Pauses:
-    """The last two times at which one process stood still."""
+    """The last two times at which one process paused."""
 
     __slots__ = ("_before", "_last", "_ticked")
 
@@ -59,7 +59,7 @@
     def find_unread_since(self, now: float) -> float:
         """Return since when something that is read now may have waited.
 
-        That is ``now`` unless the process stood still a moment ago.
+        That is ``now`` unless the process paused a moment ago.
         """
         last, before = self._last, self._before
         if now - self._ticked >= PAUSE_SECONDS:
--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -35,12 +35,12 @@
     """What is told of the objects below a prefix."""
 
     def take_listing(
-        self, listing: Listing, away_seconds: float, unseen_since: float
+        self, listing: Listing, away_seconds: float, known_until: float
     ) -> None:
         """Take the whole list; the store did not answer for ``away_seconds``.
 
-        What is new in it may have changed at any time since ``unseen_since``: minus
-        infinity for the first list.
+        All changes until ``known_until`` have been told: what is new in the list may
+        have changed at any time since. It is minus infinity for the first list.
         """
         ...
 
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -45,7 +45,7 @@
         self._wake = wake
 
     def take_listing(
-        self, listing: Listing, away_seconds: float, unseen_since: float
+        self, listing: Listing, away_seconds: float, known_until: float
     ) -> None:
         """Take all entries.
 
@@ -124,7 +124,7 @@
         self._changed = changed
 
     def take_listing(
-        self, listing: Listing, away_seconds: float, unseen_since: float
+        self, listing: Listing, away_seconds: float, known_until: float
     ) -> None:
         """Take all named versions.
 
@@ -135,9 +135,9 @@
         now = read_clock()
         since = self._find_unread_since(now)
         was_away = away_seconds >= OUTAGE_SECONDS and since == now
-        guessed = was_away and math.isfinite(unseen_since)
+        guessed = was_away and math.isfinite(known_until)
         if not guessed:
-            since = min(since, unseen_since)
+            since = min(since, known_until)
         for found in listing.objects:
             self._take(found.key, found.value, since, guessed)
 
@@ -148,7 +148,7 @@
             self._take(change.key, change.value, since, False)
 
     def _find_unread_since(self, now: float) -> float:
-        # News that waited while this process stood still is as old as the pause: taken
+        # News that waited while this process paused is as old as the pause: taken
         # for new, it lets older weights serve too long by that.
         return self._pauses.find_unread_since(now)
 
@@ -182,7 +182,7 @@
         self._closed: set[str] = set()
 
     def take_listing(
-        self, listing: Listing, away_seconds: float, unseen_since: float
+        self, listing: Listing, away_seconds: float, known_until: float
     ) -> None:
         """Take all closures."""
         prefix = self._vocabulary.closures_prefix
--- a/libraries/proxy/src/bamboopier_proxy/pause_watch.py
+++ b/libraries/proxy/src/bamboopier_proxy/pause_watch.py
@@ -1,4 +1,4 @@
-"""Notes when this process stood still, and tells of it."""
+"""Notes when this process paused, and tells of it."""
 
 from __future__ import annotations
 
@@ -45,4 +45,4 @@
         for listener in self.listeners:
             listener(now, seconds)
         self._paused.inc(seconds)
-        log.warning("process stood still", seconds=round(seconds, 3))
+        log.warning("process paused", seconds=round(seconds, 3))
--- a/libraries/proxy/src/bamboopier_proxy/store_health.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_health.py
@@ -36,7 +36,7 @@
         self._resumed = NEVER
 
     def note_pause(self, now: float, seconds: float) -> None:
-        """Take in that this process stood still for ``seconds`` until ``now``.
+        """Take in that this process paused for ``seconds`` until ``now``.
 
         Failure answered: a gateway is suspended, and the store serves all the while. As
         it runs again its calls under way have run out of time; counted, these seconds
--- a/libraries/proxy/tests/test_pause_watch.py
+++ b/libraries/proxy/tests/test_pause_watch.py
@@ -26,7 +26,7 @@
             log.warning.assert_not_called()
             told.assert_not_called()
             watch.tick()
-        log.warning.assert_called_once_with("process stood still", seconds=3.3)
+        log.warning.assert_called_once_with("process paused", seconds=3.3)
         told.assert_called_once()
         now, seconds = told.call_args.args
         self.assertEqual(now, 103.5)
--- a/libraries/proxy/tests/test_weights_observer.py
+++ b/libraries/proxy/tests/test_weights_observer.py
@@ -39,10 +39,10 @@
         """Tell of a version as a watch does."""
         self.observer.take_change(ChangedObject("v/m", 9, str(version).encode()))
 
-    def list(self, version: int, unseen_since: float) -> None:
+    def list(self, version: int, known_until: float) -> None:
         """Tell of a version as a list does."""
         found = StoredObject("v/m", 9, str(version).encode())
-        self.observer.take_listing(Listing(9, (found,)), 0.0, unseen_since)
+        self.observer.take_listing(Listing(9, (found,)), 0.0, known_until)
 
     def test_what_a_watch_tells_was_named_just_now(self) -> None:
         self.tell(2)
