Show that a request is judged before its connection is made, not when it is sent

A connection to a target takes up to 0.9 s where a packet is lost, and longer where the gateway is suspended meanwhile. What callers see: the target is told of time that is no longer left; an order goes out after the time of its route; a request with a key runs on a proof that has run out; one begins on weights whose time is over.

--- /dev/null
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -0,0 +1,189 @@
+"""A forwarder before one target, with a clock that tests move."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any, cast
+from unittest import mock
+
+from bamboopier_decisions.forwarding.fleet import Fleet
+from bamboopier_decisions.forwarding.kept_parts import KeptParts
+from bamboopier_decisions.forwarding.model import (
+    CallerLimits,
+    Declared,
+    EngineSpec,
+    Repeat,
+    Route,
+    ServiceSpec,
+    TargetEntry,
+    WeightedService,
+    Workspace,
+)
+from bamboopier_decisions.forwarding.prompt import Prompt, PromptPart
+from bamboopier_decisions.forwarding.retry_share import RetryBounds, RetryShares
+from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+from bamboopier_proxy.answer import Answer
+from bamboopier_proxy.exchange import Exchange
+from bamboopier_proxy.forwarder import Forwarder
+from bamboopier_proxy.knowledge import Knowledge
+from bamboopier_proxy.messages import AnswerMarks, Call, SendMarks
+from bamboopier_proxy.metrics import ProxyMetrics
+from bamboopier_proxy.send_planner import SendPlanner
+from bamboopier_proxy.waiting_room import WaitingRoom
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MODEL, SERVICE = "m1", "desk"
+# Seconds for which a configuration may be relied on, and for which older weights serve.
+KEY_SECONDS, VERSION_SECONDS = 5.0, 12.0
+TIMEOUT_SECONDS = 3.0
+WORKSPACE = Workspace("midlands", ("k1",), None, isolated=False)
+
+
+class Clock:
+    """Stands still unless it is moved."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def read(self) -> float:
+        return self.now
+
+
+class SlowPool:
+    """Lets something happen while a connection is made; keeps what was sent on it."""
+
+    def __init__(self, happen: Callable[[], None]) -> None:
+        self._happen = happen
+        self.heads: list[str] = []
+        self.unused = 0
+
+    async def take(self, *_: object, **__: object) -> SlowPool:
+        self._happen()
+        return self
+
+    async def ask(self, head: bytes, *_: object) -> Answer:
+        self.heads.append(head.decode())
+        answer = Answer(200, (), lambda _: None)
+        answer.finish()
+        return answer
+
+    def give_back_unused(self, *_: object) -> None:
+        self.unused += 1
+
+    def give_back(self, *_: object) -> None:
+        """Take a used connection."""
+
+
+class PlainDialect:
+    """Writes what a target is told as plain headers; all answers are whole."""
+
+    def write_send(self, marks: SendMarks) -> tuple[tuple[str, str], ...]:
+        return (
+            ("Seconds-Left", f"{marks.seconds_left:.3f}"),
+            ("Wanted-Weights", str(marks.weight_version)),
+        )
+
+    def read_answer(self, *_: object) -> AnswerMarks:
+        return AnswerMarks("r1", True, False, False, "i-1", 0, 0.0)
+
+
+class ForwarderLab:
+    """A forwarder, what it believes, and what reached its one target."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.happen: Callable[[], None] = lambda: None
+        self.pool = SlowPool(lambda: self.happen())
+        self.weights = WeightVersions(VERSION_SECONDS)
+        self.knowledge = Knowledge(KEY_SECONDS, lambda _: None)
+        self.knowledge.take(make_declared(), self.clock.now, self.clock.now)
+        self.fleet = Fleet()
+        self.fleet.set_services(make_declared().services)
+        self.fleet.put(self.clock.now, make_entry())
+        dialect = cast("Any", PlainDialect())
+        breaks = mock.Mock()
+        breaks.find_wait.return_value = 0.0
+        self.breaks = breaks
+        self.forwarder = Forwarder(
+            self.fleet,
+            self.knowledge,
+            SendPlanner(self.weights, KeptParts()),
+            Exchange(cast("Any", self.pool), self.fleet, dialect),
+            WaitingRoom(),
+            ProxyMetrics(),
+            breaks,
+            RetryShares(RetryBounds(0.2, 54.0, 10.0)),
+            "z1",
+            random.Random(1),
+        )
+
+    async def forward(self, *, keyed: bool = True, prompt: bool = False) -> mock.Mock:
+        """Forward one request; return its caller's delivery."""
+        delivery = mock.Mock(has_left=False, begun=False)
+        delivery.send = mock.AsyncMock()
+        call = make_call(self.clock.now, keyed=keyed, prompt=prompt)
+        with (
+            mock.patch("bamboopier_proxy.forwarder.read_clock", self.clock.read),
+            mock.patch("bamboopier_proxy.exchange.read_clock", self.clock.read),
+        ):
+            await self.forwarder.forward(call, delivery)
+        return delivery
+
+
+def make_route() -> Route:
+    """Return the one route, whose requests may run once."""
+    return Route(
+        name="desk",
+        host="desk.example",
+        prefix="/",
+        repeat=Repeat.ONCE,
+        streams=False,
+        timeout=TIMEOUT_SECONDS,
+        aim=0.4,
+        priority=1,
+        services=(WeightedService(SERVICE),),
+        max_targets=2,
+        public=False,
+        carries_prompt=True,
+    )
+
+
+def make_declared() -> Declared:
+    """Return a configuration with one route, service and workspace."""
+    engine = EngineSpec(slots=8, memory_tokens=10_000, models=(MODEL,))
+    service = ServiceSpec(SERVICE, "/healthz", 100, 0.0, 0.0, engine)
+    return Declared(
+        1, (make_route(),), {SERVICE: service}, CallerLimits(), (WORKSPACE,)
+    )
+
+
+def make_entry() -> TargetEntry:
+    """Return the one target's entry."""
+    return TargetEntry(
+        "i-1", 1, SERVICE, "10.0.0.1", 80, "z1", 8, False, 0.0, {MODEL: 1}
+    )
+
+
+def make_call(now: float, *, keyed: bool, prompt: bool) -> Call:
+    """Return a request that has just arrived."""
+    parts = (PromptPart("aa", 100), PromptPart("bb", 50))
+    return Call(
+        request_id="r1",
+        method="POST",
+        raw_path="/x",
+        host="desk.example",
+        headers=(),
+        body=b"{}",
+        route=make_route(),
+        service=SERVICE,
+        workspace=WORKSPACE if keyed else None,
+        prompt=Prompt(MODEL, 150, 20, parts) if prompt else None,
+        priority=1,
+        arrived=now,
+        deadline=now + TIMEOUT_SECONDS,
+        timeout=now + TIMEOUT_SECONDS,
+        version=1,
+        fingerprint=b"",
+    )
