Judge a request right before it is sent, when its connection stands

What callers saw: a connection to a target takes up to 0.9 s where a packet is lost, and as long as the gateway is suspended. Time left, the proof of a key, the end of older weights and of the route were all looked at before it; only the target's entry and the caller's leaving after it. An order could go out for a caller who was told the end, or work on weights whose time was over.

Ruled out: a margin for the connection, which a suspension exceeds, and a second check beside the first, since one right before the send covers both.

Change: the connection is taken first, then all is judged and written without a wait between. A request whose time is over is 'late': not run, no mark against its target. The log says the age of named weights at the send, not before the connection.

--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from result import Err
+
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.routing.messages import Ran
 
@@ -16,6 +18,10 @@
 from .target_pool import ConnectError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
     from bamboopier_decisions.forwarding.fleet import Fleet, Sent
 
     from .answer import Answer
@@ -36,6 +42,8 @@
     NONE = ""
     CONNECT = "connect"
     CLOSED = "target-closed"
+    # The time of its route was over before it was sent.
+    LATE = "late"
     NOT_RUN = "not-run"
     MISDIRECTED = "misdirected"
     BROKEN = "broken"
@@ -59,6 +67,9 @@
     first_byte: float = 0.0
     # Another target than the one expected answered.
     other_target: bool = False
+    # What the target was told, and when; None where nothing was sent.
+    marks: SendMarks | None = None
+    sent_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,11 +90,17 @@
         self._dialect = dialect
 
     async def send(
-        self, call: Call, sent: Sent, marks: SendMarks, delivery: Delivery
+        self,
+        call: Call,
+        sent: Sent,
+        prepare: Callable[[], Result[SendMarks, Cause]],
+        delivery: Delivery,
     ) -> SendResult:
         """Send ``call`` to the target of ``sent`` and pass its answer on.
 
-        Raises ``CallerGoneError`` when nobody waits for the answer.
+        ``prepare`` is asked right before the send what the target is told, or why
+        nothing may be sent; it may raise. Raises ``CallerGoneError`` when nobody waits
+        for the answer.
         """
         entry = sent.state.entry
         fresh = not call.route.repeat.may_run_again
@@ -91,15 +108,23 @@
             connection = await self._pool.take(entry, fresh=fresh)
         except ConnectError as error:
             return SendResult(Ran.NO, Cause.CONNECT, str(error))
-        if not self._fleet.is_open(sent.state, read_clock()):
+        # Nothing may be awaited between these checks and the send: a connection takes
+        # up to a second, or as long as this process is suspended, and what held before
+        # it may not hold any more.
+        try:
+            if delivery.has_left:
+                raise CallerGoneError("left before the request was sent")
+            prepared = prepare()
+        except BaseException:
             self._pool.give_back_unused(entry, connection)
-            return SendResult(Ran.NO, Cause.CLOSED)
-        if delivery.has_left:
+            raise
+        if isinstance(prepared, Err):
             self._pool.give_back_unused(entry, connection)
-            raise CallerGoneError("left before the request was sent")
+            return SendResult(Ran.NO, prepared.err_value)
+        marks, sent_at = prepared.unwrap(), read_clock()
         done = False
         try:
-            async with asyncio.timeout(call.timeout - read_clock()):
+            async with asyncio.timeout(call.timeout - sent_at):
                 result = await self._ask(call, sent, marks, connection, delivery)
             done = True
         except TimeoutError:
@@ -111,6 +136,7 @@
                 self._pool.give_back(entry, connection)
             else:
                 self._pool.drop(entry, connection)
+        result.marks, result.sent_at = marks, sent_at
         return result
 
     async def _ask(
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 import structlog
+from result import Err, Ok
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.model import Repeat
@@ -17,6 +18,8 @@
 if TYPE_CHECKING:
     import random
 
+    from result import Result
+
     from bamboopier_decisions.forwarding.fleet import Fleet, Sent
     from bamboopier_decisions.forwarding.placement import Demand, Placement
     from bamboopier_decisions.forwarding.retry_share import RetryShare, RetryShares
@@ -91,10 +94,7 @@
             sent = await self._find_place(call)
             call.tried.append(sent.state.entry.name)
             try:
-                self._check_currency(call)
-                started = read_clock()
-                marks = self._planner.make_marks(started, call, sent)
-                result = await self._exchange.send(call, sent, marks, delivery)
+                result = await self._send(call, sent, delivery)
                 self._judge(call, sent, result)
             except BaseException:
                 sent.state.standing.note_neutral()
@@ -102,7 +102,7 @@
             finally:
                 self._fleet.end(sent)
                 self._room.wake(call.service)
-            self._log_send(call, sent, marks, result, started)
+            self._log_send(call, sent, result)
             if result.delivered:
                 return
             if result.ran is not Ran.NO:
@@ -111,6 +111,26 @@
             if not await self._goes_on(call, result, delivery, runs, share):
                 return
 
+    async def _send(self, call: Call, sent: Sent, delivery: Delivery) -> SendResult:
+        def prepare() -> Result[SendMarks, Cause]:
+            return self._prepare(call, sent)
+
+        return await self._exchange.send(call, sent, prepare, delivery)
+
+    def _prepare(self, call: Call, sent: Sent) -> Result[SendMarks, Cause]:
+        """Return what the target is told, or why nothing may be sent now.
+
+        Raises ``CallerError`` once the request's key may have been taken away.
+        """
+        now = read_clock()
+        if now >= call.timeout:
+            return Err(Cause.LATE)
+        self._check_currency(call, now)
+        is_open = self._fleet.is_open(sent.state, now)
+        if not is_open or not self._planner.may_begin(now, call, sent):
+            return Err(Cause.CLOSED)
+        return Ok(self._planner.make_marks(now, call, sent))
+
     async def _find_place(self, call: Call) -> Sent:
         """Return a place at a target; raises ``CallerError`` when there is none."""
         demand = self._planner.make_demand(read_clock(), call)
@@ -163,11 +183,10 @@
         wait = draw_return(call.timeout - now, self._random)
         return CallerError(code, "no target has room", Ran.NO, wait)
 
-    def _check_currency(self, call: Call) -> None:
+    def _check_currency(self, call: Call, now: float) -> None:
         """Refuse a request with a key once the key may have been taken away."""
         if call.workspace is None:
             return
-        now = read_clock()
         if self._knowledge.currency.covers(now):
             return
         if call.may_have_run:
@@ -201,7 +220,7 @@
                 if result.other_target:
                     # This start of the target is over; its entry only says so later.
                     state.busy_until = now + REPLACED_SECONDS
-            case Cause.CLOSED:
+            case Cause.CLOSED | Cause.LATE:
                 state.standing.note_neutral()
             case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
                 state.standing.note_failure(now)
@@ -230,10 +249,13 @@
             return False
         if call.may_have_run:
             code = ErrorCode.DEADLINE
-            if result.cause is not Cause.TIMEOUT:
+            if result.cause not in (Cause.TIMEOUT, Cause.LATE):
                 code = ErrorCode.OUTCOME_UNKNOWN
             raise CallerError(code, result.cause.value, Ran.UNKNOWN)
-        wait = draw_return(call.timeout - read_clock(), self._random)
+        now = read_clock()
+        # The caller may wait longer than its route allows, and come back.
+        end = call.timeout if now < call.timeout else call.deadline
+        wait = draw_return(max(0.0, end - now), self._random)
         raise CallerError(ErrorCode.OVERLOADED, result.cause.value, Ran.NO, wait)
 
     def _may_send_again(
@@ -255,19 +277,15 @@
             case Repeat.ONCE:
                 return False
 
-    def _log_send(
-        self,
-        call: Call,
-        sent: Sent,
-        marks: SendMarks,
-        result: SendResult,
-        started: float,
-    ) -> None:
+    def _log_send(self, call: Call, sent: Sent, result: SendResult) -> None:
         self._metrics.sends.labels(call.service, result.cause.value).inc()
         if result.first_byte:
             elapsed = read_clock() - call.arrived
             self._metrics.first_byte.labels(call.service).observe(elapsed)
         state = sent.state
+        now = read_clock()
+        marks, sent_at = result.marks, result.sent_at or now
+        parts = marks.parts if marks else None
         log.info(
             "sent",
             request_id=call.request_id,
@@ -278,17 +296,17 @@
             detail=result.detail,
             status=result.status,
             first_byte=round(result.first_byte, 4),
-            weight_version=marks.weight_version,
-            newest_version=self._planner.find_wanted(started, call).newest,
-            newest_age=self._planner.find_newest_age(started, call),
-            fetched_parts=marks.parts.fetched_parts if marks.parts else 0,
+            weight_version=marks.weight_version if marks else 0,
+            newest_version=self._planner.find_wanted(sent_at, call).newest,
+            newest_age=self._planner.find_newest_age(sent_at, call),
+            fetched_parts=parts.fetched_parts if parts else 0,
             requests=state.requests,
             unread=state.unread,
             memory=state.memory,
             tokens_in=call.prompt.tokens_in if call.prompt else 0,
             tokens_out=call.prompt.tokens_out if call.prompt else 0,
             configuration=call.version,
-            proof_age=round(self._knowledge.currency.find_age(read_clock()), 3),
+            proof_age=round(self._knowledge.currency.find_age(now), 3),
         )
 
 
--- a/libraries/proxy/src/bamboopier_proxy/send_planner.py
+++ b/libraries/proxy/src/bamboopier_proxy/send_planner.py
@@ -42,6 +42,13 @@
             self._weights.find_oldest_allowed(now, model),
         )
 
+    def may_begin(self, now: float, call: Call, sent: Sent) -> bool:
+        """Say whether the call may begin on the weights that the target has now."""
+        if call.prompt is None:
+            return True
+        version = sent.state.versions.get(call.prompt.model, 0)
+        return version >= self.find_wanted(now, call).oldest
+
     def find_newest_age(self, now: float, call: Call) -> float | None:
         """Return the seconds for which the newest weights are taken to be named.
 
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -7,6 +7,7 @@
 PROXY = "libraries/proxy/src/bamboopier_proxy"
 OBSERVER = "tests.test_weights_observer.WeightsObserverTests"
 AGES = "tests.test_weight_ages.WeightAgesTests"
+SENDS = "tests.test_sends.SendTests"
 
 MUTATIONS = (
     Mutation(
@@ -20,7 +21,7 @@
     Mutation(
         "weights found by a list may be as old as the watch that failed",
         f"{PROXY}/observers.py",
-        "            since = min(since, unseen_since)\n",
+        "            since = min(since, known_until)\n",
         "            pass\n",
         "libraries/proxy",
         f"{OBSERVER}.test_a_list_after_a_silent_watch_goes_back_to_its_start",
@@ -41,4 +42,28 @@
         "libraries/proxy",
         "tests.test_target_connection.AbortTests.test_a_request_is_taken_back_by_a_reset",
     ),
+    Mutation(
+        "nothing is sent after the time of its route",
+        f"{PROXY}/forwarder.py",
+        "            return Err(Cause.LATE)\n",
+        "            pass\n",
+        "libraries/proxy",
+        f"{SENDS}.test_nothing_is_sent_after_the_time_of_its_route",
+    ),
+    Mutation(
+        "a key's proof is looked at right before the send",
+        f"{PROXY}/forwarder.py",
+        "        self._check_currency(call, now)\n",
+        "",
+        "libraries/proxy",
+        f"{SENDS}.test_a_key_whose_proof_has_run_out_meanwhile_is_refused",
+    ),
+    Mutation(
+        "the time of older weights is looked at right before the send",
+        f"{PROXY}/forwarder.py",
+        "        if not is_open or not self._planner.may_begin(now, call, sent):\n",
+        "        if not is_open:\n",
+        "libraries/proxy",
+        f"{SENDS}.test_weights_whose_time_is_over_meanwhile_get_nothing",
+    ),
 )
