--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -14,6 +14,7 @@
 
 from .exchange import Cause
 from .refusals import CallerError, ErrorCode, Ran
+from .send_log import SendLog
 
 if TYPE_CHECKING:
     import random
@@ -78,6 +79,7 @@
         self._planner = planner
         self._exchange = exchange
         self._room = room
+        self._send_log = SendLog(planner, knowledge, metrics)
         self._metrics = metrics
         self._breaks = breaks
         self._shares = shares
@@ -102,7 +104,7 @@
             finally:
                 self._fleet.end(sent)
                 self._room.wake(call.service)
-            self._log_send(call, sent, result)
+            self._send_log.note(call, sent, result)
             if result.delivered:
                 return
             if result.ran is not Ran.NO:
@@ -277,38 +279,6 @@
             case Repeat.ONCE:
                 return False
 
-    def _log_send(self, call: Call, sent: Sent, result: SendResult) -> None:
-        self._metrics.sends.labels(call.service, result.cause.value).inc()
-        if result.first_byte:
-            elapsed = read_clock() - call.arrived
-            self._metrics.first_byte.labels(call.service).observe(elapsed)
-        state = sent.state
-        now = read_clock()
-        marks, sent_at = result.marks, result.sent_at or now
-        parts = marks.parts if marks else None
-        log.info(
-            "sent",
-            request_id=call.request_id,
-            service=call.service,
-            target=state.entry.name,
-            ran=result.ran.value,
-            cause=result.cause.value,
-            detail=result.detail,
-            status=result.status,
-            first_byte=round(result.first_byte, 4),
-            weight_version=marks.weight_version if marks else 0,
-            newest_version=self._planner.find_wanted(sent_at, call).newest,
-            newest_age=self._planner.find_newest_age(sent_at, call),
-            fetched_parts=parts.fetched_parts if parts else 0,
-            requests=state.requests,
-            unread=state.unread,
-            memory=state.memory,
-            tokens_in=call.prompt.tokens_in if call.prompt else 0,
-            tokens_out=call.prompt.tokens_out if call.prompt else 0,
-            configuration=call.version,
-            proof_age=round(self._knowledge.currency.find_age(now), 3),
-        )
-
 
 def make_stale_refusal(knowledge: Knowledge, now: float) -> CallerError:
     """Return the refusal for keys that may have been taken away meanwhile."""
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/send_log.py
@@ -0,0 +1,63 @@
+"""Says of each send how it ended, and what it rested on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from bamboopier_daemon.clock import read_clock
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import Sent
+
+    from .exchange import SendResult
+    from .knowledge import Knowledge
+    from .messages import Call
+    from .metrics import ProxyMetrics
+    from .send_planner import SendPlanner
+
+log = structlog.get_logger()
+
+
+class SendLog:
+    """Counts and logs the ends of sends."""
+
+    def __init__(
+        self, planner: SendPlanner, knowledge: Knowledge, metrics: ProxyMetrics
+    ) -> None:
+        self._planner = planner
+        self._knowledge = knowledge
+        self._metrics = metrics
+
+    def note(self, call: Call, sent: Sent, result: SendResult) -> None:
+        """Take in that a send has ended."""
+        now = read_clock()
+        self._metrics.sends.labels(call.service, result.cause.value).inc()
+        if result.first_byte:
+            self._metrics.first_byte.labels(call.service).observe(now - call.arrived)
+        state = sent.state
+        marks, sent_at = result.marks, result.sent_at or now
+        parts = marks.parts if marks else None
+        log.info(
+            "sent",
+            request_id=call.request_id,
+            service=call.service,
+            target=state.entry.name,
+            ran=result.ran.value,
+            cause=result.cause.value,
+            detail=result.detail,
+            status=result.status,
+            first_byte=round(result.first_byte, 4),
+            weight_version=marks.weight_version if marks else 0,
+            newest_version=self._planner.find_wanted(sent_at, call).newest,
+            newest_age=self._planner.find_newest_age(sent_at, call),
+            fetched_parts=parts.fetched_parts if parts else 0,
+            requests=state.requests,
+            unread=state.unread,
+            memory=state.memory,
+            tokens_in=call.prompt.tokens_in if call.prompt else 0,
+            tokens_out=call.prompt.tokens_out if call.prompt else 0,
+            configuration=call.version,
+            proof_age=round(self._knowledge.currency.find_age(now), 3),
+        )
