Show that gateways that wake together each take all a cold engine bears

What callers would see: all gateways are suspended for over 20 s and go on at once, and an engine is cold. Each takes the others for gone and sends the engine all that it bears in a second; it crashes, and callers get 502. The same count divides the repeats that all share.

The test builds four gateways' peers on a network of its own, lets time pass by 25 s, and looks before their hints have arrived: the engine gets 72 requests in 0.25 s, where the rule allows 1.5 x 18 + 5 = 32 a second from all. Two more hold that it makes no difference which task runs first after the pause, and that a gateway that is really gone is dropped by the time for which this one ran, neither sooner nor never.

--- /dev/null
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -0,0 +1,169 @@
+"""How many gateways each one counts, and what a cold target gets from all of them."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
+
+import msgspec
+from result import Ok
+
+from bamboopier_decisions.forwarding.cold_ramp import ColdRamp
+from bamboopier_decisions.forwarding.pauses import TICK_SECONDS, Pauses
+from bamboopier_decisions.forwarding.retry_share import RetryBounds
+from bamboopier_objects.objects import Listing, StoredObject
+from bamboopier_proxy.gateway_peers import GatewayPeers
+from bamboopier_proxy.gateway_state import GatewayState
+from bamboopier_proxy.roster import SILENT_SECONDS, GatewayEntry
+from bamboopier_proxy.settings import Endpoint
+
+if TYPE_CHECKING:
+    from bamboopier_proxy.hints import Hint
+
+GATEWAYS = 4
+PORT = 7000
+PREFIX = "gateways/"
+# What the rules of a site allow a cold target: requests a second, times 1.5, plus 5.
+COLD_PER_SECOND = 18.0
+COLD_MOST = COLD_PER_SECOND * 1.5 + 5
+
+
+class Gateway:
+    """One of several gateways on a network that hands on hints, or loses them."""
+
+    def __init__(self, number: int, now: float, store: mock.AsyncMock) -> None:
+        self.name = f"g-{number}"
+        self.host = f"10.0.0.{number}"
+        self.pauses = Pauses(now)
+        self.ramp = ColdRamp()
+        settings = mock.Mock(
+            vm=self.name,
+            host=self.host,
+            first_port=PORT,
+            version_seconds=9.0,
+            key_seconds=None,
+            retries=RetryBounds(0.2, 54, 10.0),
+        )
+        vocabulary = mock.Mock(gateways_prefix=PREFIX)
+        self.state = GatewayState(settings, vocabulary, self.pauses)
+        self.peers = GatewayPeers(
+            settings, self.state, store, vocabulary, mock.Mock(), random.Random(number)
+        )
+        self.gossip = self.peers.gossip
+        self.roster = self.peers._roster
+
+    @property
+    def counted(self) -> int:
+        """Return how many gateways this one divides shared limits by."""
+        return self.state.fleet.gateways
+
+
+class GatewayCountTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.now = 1000.0
+        self.lost = False
+        for module in ("gossip", "roster"):
+            patch = mock.patch(
+                f"bamboopier_proxy.{module}.read_clock", side_effect=lambda: self.now
+            )
+            patch.start()
+            self.addCleanup(patch.stop)
+        store = mock.AsyncMock()
+        store.write.return_value = Ok(1)
+        self.gateways = [Gateway(n, self.now, store) for n in range(GATEWAYS)]
+        entries = {g.name: GatewayEntry(g.host, PORT, 1) for g in self.gateways}
+        store.list.return_value = Ok(
+            Listing(
+                1,
+                tuple(
+                    StoredObject(PREFIX + name, 1, msgspec.json.encode(entry))
+                    for name, entry in entries.items()
+                ),
+            )
+        )
+        for gateway in self.gateways:
+            self.connect(gateway)
+            await gateway.roster.register(gateway.name, entries[gateway.name])
+            await gateway.roster.read()
+        self.run_all(5.0)
+
+    def connect(self, gateway: Gateway) -> None:
+        """Let a gateway's datagrams arrive at once, unless they are lost."""
+
+        def send(hint: Hint, to: Endpoint) -> None:
+            for other in self.gateways:
+                if Endpoint(other.host, PORT) == to and not self.lost:
+                    other.gossip._receive(hint, (gateway.host, PORT))
+
+        patch = mock.patch.object(gateway.gossip._socket, "send", side_effect=send)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def run_all(self, seconds: float, running: list[Gateway] | None = None) -> None:
+        """Let gateways tick and send hints."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_SECONDS
+            for gateway in self.gateways if running is None else running:
+                gateway.pauses.note_tick(self.now)
+                gateway.gossip._send_loads()
+
+    def count_all(self) -> list[int]:
+        """Return how many gateways each counts."""
+        return [gateway.counted for gateway in self.gateways]
+
+    def flood_cold_target(self, seconds: float) -> int:
+        """Let all send what they may to a target that is cold; return how many."""
+        sent = 0
+        for gateway in self.gateways:
+            gateway.ramp.start(self.now, 10.0)
+        for step in range(int(seconds * 100)):
+            for gateway in self.gateways:
+                now = self.now + step * 0.01
+                if gateway.ramp.may_send(now, COLD_PER_SECOND, gateway.counted):
+                    gateway.ramp.note_sent(now)
+                    sent += 1
+        return sent
+
+    async def test_gateways_that_wake_together_share_what_a_cold_target_bears(
+        self,
+    ) -> None:
+        # All gateways are suspended for a while and go on at once, and their hints
+        # take a moment to arrive. Callers wait for an engine that is cold. Each gateway
+        # takes the others for gone, since it heard of none of them, and sends the
+        # engine all it bears in a second: it crashes, and callers get 502.
+        self.now += SILENT_SECONDS + 5
+        self.lost = True
+        for gateway in self.gateways:
+            gateway.gossip._send_loads()
+        self.assertLessEqual(self.flood_cold_target(0.25), COLD_MOST)
+        self.assertEqual(self.count_all(), [GATEWAYS] * GATEWAYS)
+
+    async def test_a_pause_known_before_the_list_is_looked_at_is_no_silence(
+        self,
+    ) -> None:
+        # As above, but what notes pauses runs first.
+        self.now += SILENT_SECONDS + 5
+        self.lost = True
+        for gateway in self.gateways:
+            gateway.pauses.note_tick(self.now)
+            gateway.gossip._send_loads()
+        self.assertEqual(self.count_all(), [GATEWAYS] * GATEWAYS)
+
+    async def test_a_gateway_that_is_gone_is_counted_no_longer(self) -> None:
+        # A machine is taken away. The others' parts grow once it has been silent for
+        # long, also if one of them is suspended for a moment meanwhile: its own time
+        # counts before and after that.
+        rest = self.gateways[1:]
+        self.run_all(SILENT_SECONDS / 2, rest)
+        self.now += 3.0
+        self.run_all(SILENT_SECONDS / 2 - 1.0, rest)
+        self.assertEqual([g.counted for g in rest], [GATEWAYS] * 3)
+        self.run_all(2.0, rest)
+        self.assertEqual([g.counted for g in rest], [GATEWAYS - 1] * 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
