Count the silence of other gateways only while this one runs

What callers would see: gateways that were suspended for over 20 s and go on together each sent a cold engine all it bears, and could repeat what all may together. The engine gets 72 requests in 0.25 s where 32 a second are allowed; it crashes, and callers get 502.

Cause: silence was counted on the clock that runs on while the process is suspended. The first look at the list after a pause, mostly to choose whom to send a hint, dropped all other gateways.

Change: the pauses of a process give a clock that stands still during them, also before the tick that notes a pause, and the list of gateways counts silence by it.

Ruled out: moving the marks when a pause is noted (the list may be looked at before the tick that notes it; the test of that fails so); counting a gateway for good (a machine that is taken away would hold its part for ever). Why it suffices: a mark is never older by this clock than the time for which this process ran since. It may be too young by 0.6 s or, in a process whose every turn takes longer than that, by more: gateways that are gone are then counted for longer, which makes all parts smaller.

Tests: those of the part follower make the list with the pauses now, in one place for both; what they expect is unchanged.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py
@@ -39,22 +39,38 @@
 
 
 class Pauses:
-    """The last two times at which one process paused."""
+    """The last two times at which one process paused, and how long it ran."""
 
-    __slots__ = ("_before", "_last", "_ticked")
+    __slots__ = ("_before", "_last", "_paused", "_ticked")
 
     def __init__(self, now: float) -> None:
         self._ticked = now
         self._last: Pause | None = None
         self._before: Pause | None = None
+        # Seconds of all pauses.
+        self._paused = 0.0
 
     def note_tick(self, now: float) -> float:
         """Take in that the process runs; return the seconds it stood still, or 0."""
+        began, self._ticked = self._ticked, now
+        gap = now - began
+        if gap < PAUSE_SECONDS:
+            return 0.0
+        self._before, self._last = self._last, Pause(began, now)
+        self._paused += gap
+        return gap
+
+    def read_run(self, now: float) -> float:
+        """Return seconds on a clock that stands still while the process does.
+
+        What is measured by it is never longer than the time that passed, pauses left
+        out. It can be too short by up to ``PAUSE_SECONDS``: the clock runs on until a
+        pause shows, and then goes back.
+        """
         gap = now - self._ticked
-        if gap >= PAUSE_SECONDS:
-            self._before, self._last = self._last, Pause(self._ticked, now)
-        self._ticked = now
-        return gap if gap >= PAUSE_SECONDS else 0.0
+        # It may run again, and this is read before the tick that is due.
+        pending = gap if gap >= PAUSE_SECONDS else 0.0
+        return now - self._paused - pending
 
     def find_unread_since(self, now: float) -> float:
         """Return since when something that is read now may have waited.
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -48,7 +48,11 @@
     ) -> None:
         self._settings = settings
         self._roster = Roster(
-            store, vocabulary.gateways_prefix, random, state.take_count
+            store,
+            vocabulary.gateways_prefix,
+            random,
+            state.take_count,
+            state.pauses,
         )
         # Other gateways know this one by its address.
         self._caller = HttpCaller("", source=settings.host)
--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -3,6 +3,11 @@
 Nothing in the store lapses by itself, so an entry outlives a machine that was taken
 away. Entries are counted until their gateway has been silent for long: counting one too
 many makes each gateway's part of a shared limit smaller, which is the safe side.
+
+Failure answered: gateways are suspended for long and go on together. Each heard nothing
+of the others meanwhile; taken for gone, these would get no hints either, and each would
+send a cold target, or repeat, what all may together. So silence is counted only while
+this process runs: what was not heard in its own pause says nothing of the others.
 """
 
 from __future__ import annotations
@@ -25,12 +30,14 @@
     import random
     from collections.abc import Callable
 
+    from bamboopier_decisions.forwarding.pauses import Pauses
+
     from .vocabulary import Store
 
 # Seconds between two reads of the list: gateways come and go a few times an hour.
 READ_SECONDS = 8.0
 RETRY_SECONDS = 0.4
-# Seconds of silence after which a registered gateway is no longer counted.
+# Seconds of silence, own pauses left out, after which a gateway is no longer counted.
 SILENT_SECONDS = 20.0
 
 log = structlog.get_logger()
@@ -76,14 +83,16 @@
         prefix: str,
         random: random.Random,
         count_changed: Callable[[int], None],
+        pauses: Pauses,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._random = random
         self._count_changed = count_changed
+        self._pauses = pauses
         self._own: str | None = None
         self._peers: dict[str, Endpoint] = {}
-        # When each was first read here or last heard of.
+        # When each was first read here or last heard of, by the time this process ran.
         self._heard: dict[str, float] = {}
         self._count = 0
 
@@ -110,7 +119,7 @@
         """Take in that a gateway sent a hint."""
         if name != self._own:
             self._peers[name] = Endpoint(host, port)
-            self._heard[name] = read_clock()
+            self._heard[name] = self._read_run()
             self._tell_count()
 
     async def register(self, name: str, entry: GatewayEntry) -> None:
@@ -135,7 +144,7 @@
         entries = await list_gateways(self._store, self._prefix)
         if isinstance(entries, Err):
             return False
-        now = read_clock()
+        now = self._read_run()
         for name, entry in entries.ok_value.items():
             self._take(name, entry, now)
         self._tell_count()
@@ -155,7 +164,7 @@
             self._peers[name] = entry.endpoint
 
     def _drop_silent(self) -> None:
-        now = read_clock()
+        now = self._read_run()
         silent = [n for n in self._peers if now - self._heard[n] >= SILENT_SECONDS]
         for name in silent:
             del self._peers[name]
@@ -163,6 +172,9 @@
         if silent:
             self._tell_count()
 
+    def _read_run(self) -> float:
+        return self._pauses.read_run(read_clock())
+
     def _tell_count(self) -> None:
         count = len(self._peers) + 1
         if count != self._count:
--- a/libraries/proxy/tests/test_part_follower.py
+++ b/libraries/proxy/tests/test_part_follower.py
@@ -10,11 +10,13 @@
 
 from result import Err, Ok, Result
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.kept_parts import (
     SETTLE_SECONDS,
     KeptParts,
     PartNews,
 )
+from bamboopier_decisions.forwarding.pauses import Pauses
 from bamboopier_objects.http_caller import HttpCaller
 from bamboopier_proxy.part_follower import (
     DIRECT_GATEWAYS,
@@ -30,6 +32,12 @@
 ADDRESS = "10.0.0.9:80"
 
 
+def make_roster(generator: random.Random) -> Roster:
+    """Return a list of gateways that reads no store."""
+    store = mock.AsyncMock()
+    return Roster(store, "", generator, lambda _: None, Pauses(read_clock()))
+
+
 class CountedStores:
     """Counts questions to the stores."""
 
@@ -85,7 +93,7 @@
         kept = KeptParts()
         kept.set_stores({ADDRESS: 100_000})
         generator = random.Random(1)
-        roster = Roster(None, "", generator, lambda _: None)  # type: ignore[arg-type]
+        roster = make_roster(generator)
         roster._own = "g-0"
         module = "bamboopier_proxy.part_follower"
         with (
@@ -113,7 +121,7 @@
         kept = KeptParts()
         kept.set_stores({ADDRESS: 1000})
         generator = random.Random(1)
-        roster = Roster(None, "", generator, lambda _: None)  # type: ignore[arg-type]
+        roster = make_roster(generator)
         roster._own = own
         for number in range(gateways):
             roster.note_heard(f"g-{number}", f"10.0.1.{number}", 7000)
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -1,4 +1,4 @@
-"""Safeguards of what is heard late: ages of weights, and callers that have left."""
+"""Safeguards of what is heard late: ages, silences, and callers that have left."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 PROXY = "libraries/proxy/src/bamboopier_proxy"
 OBSERVER = "tests.test_weights_observer.WeightsObserverTests"
 AGES = "tests.test_weight_ages.WeightAgesTests"
+PEERS = "tests.test_gateway_peers.GatewayCountTests"
+PAUSES = "libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py"
 
 MUTATIONS = (
     Mutation(
@@ -41,4 +43,28 @@
         "libraries/proxy",
         "tests.test_target_connection.AbortTests.test_a_request_is_taken_back_by_a_reset",
     ),
+    Mutation(
+        "a gateway's own pause is no silence of the others",
+        f"{PROXY}/roster.py",
+        "        return self._pauses.read_run(read_clock())\n",
+        "        return read_clock()\n",
+        "libraries/proxy",
+        f"{PEERS}.test_gateways_that_wake_together_share_what_a_cold_target_bears",
+    ),
+    Mutation(
+        "a pause that has not been noted yet is no silence of the others",
+        PAUSES,
+        "        return now - self._paused - pending\n",
+        "        return now - self._paused\n",
+        "libraries/proxy",
+        f"{PEERS}.test_gateways_that_wake_together_share_what_a_cold_target_bears",
+    ),
+    Mutation(
+        "a pause that was noted is no silence of the others",
+        PAUSES,
+        "        self._paused += gap\n",
+        "        pass\n",
+        "libraries/proxy",
+        f"{PEERS}.test_a_pause_known_before_the_list_is_looked_at_is_no_silence",
+    ),
 )
