Show that gateways cut off from each other for 20 s stay so

What callers would see: hints between gateways are lost for over 20 s, as when a data centre is cut off. Each is alone then, and stays alone when the cut is over: all send hints only to gateways they heard of, and the store's list adds none that has been silent. From then on every gateway takes whole shares of what all may send to a cold engine and of repeats, and takes engines full of the others' requests for idle, until gateways restart.

Found while the suspicion about suspended gateways was tested.

--- a/libraries/proxy/tests/test_gateway_peers.py
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -16,7 +16,7 @@
 from bamboopier_objects.objects import Listing, StoredObject
 from bamboopier_proxy.gateway_peers import GatewayPeers
 from bamboopier_proxy.gateway_state import GatewayState
-from bamboopier_proxy.roster import SILENT_SECONDS, GatewayEntry
+from bamboopier_proxy.roster import READ_SECONDS, SILENT_SECONDS, GatewayEntry
 from bamboopier_proxy.settings import Endpoint
 
 if TYPE_CHECKING:
@@ -164,6 +164,21 @@
         self.run_all(2.0, rest)
         self.assertEqual([g.counted for g in rest], [GATEWAYS - 1] * 3)
 
+    async def test_gateways_that_were_cut_off_find_each_other_again(self) -> None:
+        # No hint arrives for longer than a silent gateway is counted: all are alone.
+        # When hints arrive again, nobody sends any, since each knows of no other one.
+        # From then on each takes whole shares of what all may send to a cold engine or
+        # repeat, and counts nothing of the others' load, until gateways restart.
+        self.lost = True
+        self.run_all(SILENT_SECONDS + 5)
+        self.assertEqual(self.count_all(), [1] * GATEWAYS)
+        self.lost = False
+        self.run_all(READ_SECONDS)
+        for gateway in self.gateways:
+            await gateway.roster.read()
+        self.run_all(1.0)
+        self.assertEqual(self.count_all(), [GATEWAYS] * GATEWAYS)
+
 
 if __name__ == "__main__":
     unittest.main()
