Show that a gateway goes back to a store's former start

What callers would see, with more than eight gateways: a store of parts begins anew, and a gateway that asks others hears of that from one of them. It then asks another one (the first is gone or has no news), which has not heard of the new start and still trusts the former. It takes that one's news: prompts go out with fetches of parts that the store lost, and their callers wait longer; and since the former start has been known for long, parts are written to the store at once, 0.4 s after its new start was read of where 2.5 s are due. Others may still fetch by what they know of the former start: an answer could be made from half a part.

Four tests with three gateways: two show the above, and two hold what has to stay, that a start later than the known one is taken, and that nothing of a former one is left in it. Epochs are drawn so that their size orders nothing.

--- a/libraries/proxy/tests/test_part_relay.py
+++ b/libraries/proxy/tests/test_part_relay.py
@@ -29,6 +29,7 @@
 ADDRESS = "10.0.0.9:80"
 SCOPE = "/1"
 FIRST = Endpoint("10.0.0.1", 7000)
+SECOND = Endpoint("10.0.0.2", 7000)
 
 
 class DirectCaller(HttpCaller):
@@ -196,5 +197,96 @@
         self.assertEqual(self.relay.answer(b"\xff").status, 400)
 
 
+class FormerStartTests(unittest.IsolatedAsyncioTestCase):
+    """Two gateways ask a store that begins anew; a third one asks them in turn."""
+
+    async def asyncSetUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch(
+            "bamboopier_proxy.part_relay.read_clock", side_effect=lambda: self.now
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.caller = DirectCaller()
+        self.quick, self.slow, self.third = KeptParts(), KeptParts(), KeptParts()
+        for kept in (self.quick, self.slow, self.third):
+            kept.set_stores({ADDRESS: 1_000_000})
+        self.relay = PartRelay(self.third, self.caller)
+        # Epochs are said to change at a restart, not to grow.
+        self.former, self.latest = 7, 3
+        for _ in range(10):
+            self.now += 0.4
+            self.hear(self.quick, self.former, PartChange(SCOPE, "lost", 500))
+            self.hear(self.slow, self.former, PartChange(SCOPE, "lost", 500))
+        await self.ask(self.quick, FIRST)
+        self.assertTrue(self.fetches("lost"))
+        # The store begins anew. One of the two hears of it, and the third from that.
+        self.now += 0.3
+        self.hear(self.quick, self.latest)
+        self.began = self.now
+        await self.ask(self.quick, FIRST)
+        self.assertFalse(self.fetches("lost"))
+
+    def hear(self, kept: KeptParts, epoch: int, *changes: PartChange) -> None:
+        """Let the store answer one that asks it."""
+        store = kept.find(ADDRESS)
+        assert store is not None
+        clock_ms = int(self.now * 1000)
+        store.take(self.now, self.now, PartNews(epoch, clock_ms, changes))
+
+    async def ask(self, kept: KeptParts, gateway: Endpoint) -> None:
+        """Let the third gateway ask one of the two."""
+        self.now += 0.2
+        self.caller.other = PartRelay(kept, self.caller)
+        found = await self.relay.ask(gateway)
+        self.assertEqual(found.ok_value, 1)
+
+    def fetches(self, part: str) -> bool:
+        plan = self.third.plan(self.now, SCOPE, [(part, 500)], 0)
+        return plan is not None and bool(plan.fetch[0])
+
+    def saves(self, part: str) -> bool:
+        plan = self.third.plan(self.now, SCOPE, [(part, 500)], 0)
+        return plan is not None and bool(plan.save[0])
+
+    async def test_a_part_that_was_lost_is_not_believed_there_again(self) -> None:
+        # The gateway that told of the new start is gone, so the third one asks the
+        # other, which has not heard of it yet. A prompt whose shared part the store
+        # lost at its restart is sent with a fetch from there: the engine finds nothing,
+        # and its caller waits longer. The former start would also be trusted, and
+        # handed on, for as long after the answer of the new one as after its own.
+        await self.ask(self.slow, SECOND)
+        self.assertFalse(self.fetches("lost"))
+
+    async def test_nothing_is_saved_soon_after_a_start_that_was_known(self) -> None:
+        # As above. The former start has been known for long, so the third gateway has
+        # parts written to the store at once, while others may still fetch by what they
+        # know of that start: they could read half a part, and a caller's answer would
+        # be made from it.
+        await self.ask(self.slow, SECOND)
+        self.assertFalse(self.saves("new"))
+        # From then on the store is known as from any answer of its new start.
+        while self.now < self.began + SETTLE_SECONDS:
+            self.hear(self.slow, self.latest)
+            await self.ask(self.slow, SECOND)
+            self.assertEqual(self.saves("new"), self.now >= self.began + SETTLE_SECONDS)
+
+    async def test_a_start_later_than_the_known_one_is_taken(self) -> None:
+        # The other one has heard more by now, and of one more start.
+        self.now += 0.1
+        self.hear(self.slow, self.former - 1, PartChange(SCOPE, "new", 500))
+        await self.ask(self.slow, SECOND)
+        self.assertTrue(self.fetches("new"))
+
+    async def test_changes_are_whole_after_news_that_were_not_taken(self) -> None:
+        # The other one hears of the new start after it was asked once. All that it
+        # knows of that start is believed, and nothing of the former one.
+        await self.ask(self.slow, SECOND)
+        self.hear(self.slow, self.latest, PartChange(SCOPE, "new", 500))
+        await self.ask(self.slow, SECOND)
+        self.assertTrue(self.fetches("new"))
+        self.assertFalse(self.fetches("lost"))
+
+
 if __name__ == "__main__":
     unittest.main()
