Set news of a store's former start aside when they are handed on

What callers would see, with more than eight gateways: a gateway that has heard of a store's new start asks another one that has not, and believes the former start again. Parts that the store lost are fetched there in vain, so that callers wait longer; and parts are saved 0.4 s after the new start was read of, where 2.5 s are due: others may still fetch by the former start, and an answer could be made from half a part.

Cause: any other epoch was taken for a newer start. Trust was then counted from the later answer of the new start, and the age of the start from the former one.

Change: both answers name the clock that engines and stores share. Every answer of a start is made before any of the next, so news with another epoch and an earlier clock are of a start before the known one, and are not taken.

Answers of a store itself are not checked: they are asked one after the other. Left: if the stores' clock jumps back, gateways that ask others take a new start later by as much, and prompts are read anew meanwhile; if it jumps forward right before a restart, the former start can be taken as before.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py
@@ -101,7 +101,7 @@
         # never too late: in doubt saves begin later, and trust ends sooner.
         self._since = float("inf")
         self._heard = float("-inf")
-        # Of the last answer.
+        # Of the last answer, also of a start that is no longer believed in.
         self.clock_ms = 0
         # Changes counted since this start was first seen here, and the last of them.
         self.position = 0
@@ -144,6 +144,20 @@
             self._apply(change)
         return restarted
 
+    def is_former(self, news: PartNews) -> bool:
+        """Say whether news that were handed on are of a start before the known one.
+
+        Failure answered: a gateway heard of a store's new start, and then asks one that
+        has not. Taken as news, the former start would be believed in again, with parts
+        that are lost, and for so long known that it may be written to at once.
+
+        An epoch orders nothing. Both answers name the clock of all stores at their
+        making, and no answer of a start is made after one of the next: one with an
+        earlier time and another epoch is of a start before. If that clock jumps back, a
+        start is taken later by as much, and prompts are read anew meanwhile.
+        """
+        return news.epoch != self.epoch and news.clock_ms < self.clock_ms
+
     def lose(self) -> None:
         """Take in that a call failed: the store may be starting anew."""
         self._forget()
--- a/libraries/decisions/tests/forwarding/test_kept_parts.py
+++ b/libraries/decisions/tests/forwarding/test_kept_parts.py
@@ -103,6 +103,27 @@
         hear(self.kept, 10.5, 8)
         self.assertEqual(self.kept.count_fetched(10.6, SCOPE, PARTS), 0)
 
+    def test_starts_are_ordered_by_the_clock_of_the_stores(self) -> None:
+        # Two others hand on what a store said: one lags behind. Only what it said under
+        # a start before the known one is set aside, also when a call has just failed,
+        # so that no start is believed in.
+        hear(self.kept, 10.0, 7)
+        hear(self.kept, 11.0, 3)
+        store = self.kept.stores[0]
+        for lost in (False, True):
+            with self.subTest(lost=lost):
+                if lost:
+                    store.lose()
+                self.assertTrue(store.is_former(PartNews(7, 510_900, ())))
+                self.assertFalse(store.is_former(PartNews(5, 511_100, ())))
+        hear(self.kept, 12.0, 3)
+        self.assertFalse(store.is_former(PartNews(3, 511_000, ())))
+
+    def test_a_store_that_never_told_its_clock_has_no_order_of_starts(self) -> None:
+        store = self.kept.stores[0]
+        store.take(10.0, 10.0, PartNews(7, 0, ()))
+        self.assertFalse(store.is_former(PartNews(3, 0, ())))
+
     def test_a_store_without_a_clock_is_not_fetched_from(self) -> None:
         changes = tuple(PartChange(SCOPE, name, tokens) for name, tokens in PARTS)
         for store in self.kept.stores:
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -8,6 +8,7 @@
 OBSERVER = "tests.test_weights_observer.WeightsObserverTests"
 AGES = "tests.test_weight_ages.WeightAgesTests"
 PEERS = "tests.test_gateway_peers.GatewayCountTests"
+STARTS = "tests.test_part_relay.FormerStartTests"
 PAUSES = "libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py"
 
 MUTATIONS = (
@@ -75,4 +76,20 @@
         "libraries/proxy",
         f"{PEERS}.test_gateways_that_were_cut_off_find_each_other_again",
     ),
+    Mutation(
+        "news of a store's former start are not taken when they are handed on",
+        f"{PROXY}/part_relay.py",
+        "        if store.is_former(news):\n            return\n",
+        "",
+        "libraries/proxy",
+        f"{STARTS}.test_nothing_is_saved_soon_after_a_start_that_was_known",
+    ),
+    Mutation(
+        "a start that is later by the stores' clock is taken when it is handed on",
+        "libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py",
+        " and news.clock_ms < self.clock_ms\n",
+        "\n",
+        "libraries/proxy",
+        f"{STARTS}.test_a_start_later_than_the_known_one_is_taken",
+    ),
 )
