--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -1,4 +1,4 @@
-"""Safeguards of what is heard late: ages of weights, and callers that have left."""
+"""Safeguards of what is heard late: ages, silences, and callers that have left."""
 
 from __future__ import annotations
 
@@ -8,6 +8,9 @@
 OBSERVER = "tests.test_weights_observer.WeightsObserverTests"
 AGES = "tests.test_weight_ages.WeightAgesTests"
 SENDS = "tests.test_sends.SendTests"
+PEERS = "tests.test_gateway_peers.GatewayCountTests"
+STARTS = "tests.test_part_relay.FormerStartTests"
+PAUSES = "libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py"
 
 MUTATIONS = (
     Mutation(
@@ -66,4 +69,52 @@
         "libraries/proxy",
         f"{SENDS}.test_weights_whose_time_is_over_meanwhile_get_nothing",
     ),
+    Mutation(
+        "a gateway's own pause is no silence of the others",
+        f"{PROXY}/roster.py",
+        "        return self._pauses.read_run(read_clock())\n",
+        "        return read_clock()\n",
+        "libraries/proxy",
+        f"{PEERS}.test_gateways_that_wake_together_share_what_a_cold_target_bears",
+    ),
+    Mutation(
+        "a pause that has not been noted yet is no silence of the others",
+        PAUSES,
+        "        return now - self._paused - pending\n",
+        "        return now - self._paused\n",
+        "libraries/proxy",
+        f"{PEERS}.test_gateways_that_wake_together_share_what_a_cold_target_bears",
+    ),
+    Mutation(
+        "a pause that was noted is no silence of the others",
+        PAUSES,
+        "        self._paused += gap\n",
+        "        pass\n",
+        "libraries/proxy",
+        f"{PEERS}.test_a_pause_known_before_the_list_is_looked_at_is_no_silence",
+    ),
+    Mutation(
+        "registered gateways that are silent get hints",
+        f"{PROXY}/gossip.py",
+        ", *silent]:\n",
+        "]:\n",
+        "libraries/proxy",
+        f"{PEERS}.test_gateways_that_were_cut_off_find_each_other_again",
+    ),
+    Mutation(
+        "news of a store's former start are not taken when they are handed on",
+        f"{PROXY}/part_relay.py",
+        "        if store.is_former(news):\n            return\n",
+        "",
+        "libraries/proxy",
+        f"{STARTS}.test_nothing_is_saved_soon_after_a_start_that_was_known",
+    ),
+    Mutation(
+        "a start that is later by the stores' clock is taken when it is handed on",
+        "libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py",
+        " and news.clock_ms < self.clock_ms\n",
+        "\n",
+        "libraries/proxy",
+        f"{STARTS}.test_a_start_later_than_the_known_one_is_taken",
+    ),
 )
