Show that one gateway's pause ends older weights at all others; red until the mend

After an outage of the store for all, a gateway that paused for 0.7 s near its end dates weights named at the return back to the start of the outage. If that is at most six seconds ago its entry does not count as vague and is written first; all gateways that ran read it, add six seconds for clocks, and refuse older weights at once: callers get 503 there though older weights may serve for 12 s.

--- a/libraries/proxy/tests/test_weight_ages.py
+++ b/libraries/proxy/tests/test_weight_ages.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 import msgspec
@@ -22,6 +24,9 @@
     WeightAges,
 )
 
+if TYPE_CHECKING:
+    from result import Result
+
 KEY = "ages/m/2"
 # Of the steady clock and of the time of day.
 NOW, TODAY = 100.0, 1_000_000.0
@@ -154,5 +159,75 @@
         self.assertLessEqual(self.weights.find_since("m"), NOW - 9.0)
 
 
+class SharedAgesTests(unittest.IsolatedAsyncioTestCase):
+    """Gateways that write to one store."""
+
+    def setUp(self) -> None:
+        self.entries: dict[str, bytes] = {}
+        self.store = mock.AsyncMock()
+        self.store.write.side_effect = self.write
+        self.store.list.side_effect = self.read_all
+        for name in ("weight_ages", "observers"):
+            module = f"bamboopier_proxy.{name}"
+            self.enterContext(mock.patch(f"{module}.read_clock", return_value=NOW))
+            self.enterContext(mock.patch(f"{module}.log"))
+        module = "bamboopier_proxy.weight_ages"
+        self.enterContext(mock.patch(f"{module}.time.time", return_value=TODAY))
+        self.enterContext(mock.patch(f"{module}.SPREAD_SECONDS", 0.05))
+
+    async def write(
+        self, key: str, value: bytes, _: int
+    ) -> Result[int, VersionConflictError]:
+        if key in self.entries:
+            return Err(VersionConflictError(key, ABSENT, 5))
+        self.entries[key] = value
+        return Ok(5)
+
+    async def read_all(self, _: str) -> Result[Listing, VersionConflictError]:
+        found = (StoredObject(key, 5, value) for key, value in self.entries.items())
+        return Ok(Listing(5, tuple(found)))
+
+    async def hear_after_an_outage(
+        self, seconds: float, *gateways: Pauses
+    ) -> list[WeightVersions]:
+        """Let gateways hear by a list, after an outage for all, of version 2."""
+        heard, written = [], []
+        vocabulary = mock.Mock()
+        vocabulary.decode_weights.side_effect = lambda value: Ok(
+            NamedWeights("m", int(value))
+        )
+        for pauses in gateways:
+            weights = WeightVersions(12.0)
+            ages = WeightAges(self.store, "ages/", weights, random.Random(1))
+
+            def note(named: NamedWeights, since: float, to: WeightAges = ages) -> None:
+                to.note_named(named.model, named.version, since)
+
+            observer = WeightsObserver(vocabulary, weights, pauses, note)
+            before = Listing(5, (StoredObject("v/m", 5, b"1"),))
+            observer.take_listing(before, 0.0, float("-inf"))
+            after = Listing(9, (StoredObject("v/m", 9, b"2"),))
+            observer.take_listing(after, seconds, NOW - seconds)
+            heard.append(weights)
+            written.append(ages.finish())
+        await asyncio.gather(*written)
+        return heard
+
+    async def test_one_gateway_s_pause_ends_no_older_weights_at_all_others(
+        self,
+    ) -> None:
+        # The store is down for all for five seconds; weights are named as it returns.
+        # Those gateways that ran take them for named now. One that stood still for
+        # 0.7 s takes them for five seconds old, and as that is little it writes first;
+        # the others read it, add six seconds for clocks, and refuse older weights at
+        # once: callers get 503 there until the first engines have loaded.
+        paused = Pauses(NOW - 0.8)
+        paused.note_tick(NOW - 0.1)
+        ran = Pauses(NOW), Pauses(NOW)
+        heard = await self.hear_after_an_outage(5.0, *ran, paused)
+        allowed = [w.find_oldest_allowed(NOW + 1.0, "m") for w in heard]
+        self.assertEqual(allowed, [1, 1, 1])
+
+
 if __name__ == "__main__":
     unittest.main()
