Show that weights named seconds after a pause end older ones at once; red until the mend

For as long as a pause lasted, and a second, all that a gateway hears counts as old as the pause, though lists and watches made after it have shown that nothing was named until a moment ago. After a pause of six seconds, weights named 4.2 s later are taken for 10.2 s old: callers get 503 from this gateway at once, until it has read what others wrote.

--- a/libraries/proxy/tests/test_weights_observer.py
+++ b/libraries/proxy/tests/test_weights_observer.py
@@ -2,17 +2,36 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
-from result import Ok
+from result import Err, Ok
 
-from bamboopier_decisions.forwarding.pauses import Pauses
+from bamboopier_decisions.forwarding.pauses import TICK_SECONDS, Pauses
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
-from bamboopier_objects.objects import ChangedObject, Listing, StoredObject
+from bamboopier_objects.errors import PlatformUnavailableError
+from bamboopier_objects.object_follower import ObjectFollower
+from bamboopier_objects.objects import (
+    ChangeBatch,
+    ChangedObject,
+    Listing,
+    StoredObject,
+)
 from bamboopier_proxy.observers import WeightsObserver
 from bamboopier_proxy.vocabulary import NamedWeights
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from bamboopier_objects.errors import PlatformError
+
+    Answer = Result[ChangeBatch, PlatformError]
+
 NEVER = float("-inf")
 
 
@@ -76,5 +95,89 @@
         self.assertEqual(self.weights.find_since("m"), 100.0)
 
 
+class FollowedWeightsTests(unittest.IsolatedAsyncioTestCase):
+    """Told by a follower, as in a process."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        module = "bamboopier_proxy.observers"
+        self.enterContext(
+            mock.patch(f"{module}.read_clock", side_effect=lambda: self.now)
+        )
+        self.enterContext(mock.patch(f"{module}.log"))
+        self.enterContext(mock.patch("bamboopier_objects.object_follower.log"))
+        vocabulary = mock.Mock()
+        vocabulary.decode_weights.side_effect = lambda value: Ok(
+            NamedWeights("m", int(value))
+        )
+        self.pauses = Pauses(self.now)
+        self.weights = WeightVersions(12.0)
+        self.observer = WeightsObserver(
+            vocabulary, self.weights, self.pauses, mock.Mock()
+        )
+
+    def run_for(self, seconds: float) -> None:
+        """Let the process run."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + TICK_SECONDS)
+            self.pauses.note_tick(self.now)
+
+    def pause_for(self, seconds: float) -> None:
+        """Let the process stand still."""
+        self.now += seconds
+        self.pauses.note_tick(self.now)
+
+    async def follow(self, *watches: Callable[[], Answer]) -> None:
+        """Answer the watches that follow a list of version 1."""
+        left = list(watches)
+        listing = Listing(7, (StoredObject("v/m", 7, b"1"),))
+        store = mock.AsyncMock()
+        store.list.return_value = Ok(listing)
+
+        async def watch(*_: object) -> Answer:
+            if not left:
+                await asyncio.sleep(3600)
+            return left.pop(0)()
+
+        store.watch_values.side_effect = watch
+        follower = ObjectFollower(
+            store, "v/", self.observer, 2.0, random.Random(1), lambda: self.now
+        )
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(10):
+            while self.weights.find_newest("m") < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        task.cancel()
+
+    def fail_after_a_pause(self) -> Answer:
+        self.pause_for(6.0)
+        return Err(PlatformUnavailableError("no answer"))
+
+    def end_empty(self) -> Answer:
+        self.run_for(2.0)
+        return Ok(ChangeBatch(7, ()))
+
+    def name_after(self, seconds: float) -> Answer:
+        self.run_for(seconds)
+        return Ok(ChangeBatch(9, (ChangedObject("v/m", 9, b"2"),)))
+
+    async def test_weights_named_after_a_pause_spare_older_ones_for_their_time(
+        self,
+    ) -> None:
+        # A gateway stands still for six seconds. It then lists the weights and watches
+        # them, and two watches end empty as they should. Weights are named 4.2 s after
+        # the pause, and are told 0.2 s after a watch was made. Taken for as old as the
+        # pause, 10.2 s, they end older ones at once: callers get 503 from this gateway
+        # though it knew 0.2 s before that nothing was named.
+        await self.follow(
+            self.fail_after_a_pause,
+            self.end_empty,
+            self.end_empty,
+            lambda: self.name_after(0.2),
+        )
+        self.assertEqual(self.weights.find_oldest_allowed(self.now, "m"), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
