--- a/libraries/proxy/tests/test_weights_observer.py
+++ b/libraries/proxy/tests/test_weights_observer.py
@@ -178,6 +178,16 @@
         )
         self.assertEqual(self.weights.find_oldest_allowed(self.now, "m"), 1)
 
+    async def test_what_a_watch_tells_late_may_be_as_old_as_the_watch(self) -> None:
+        # Weights are named as a gateway makes a watch of two seconds. The answer is
+        # held up until 2.75 s later, just before the watch would be given up.
+        # Counted from the reading, callers are answered on older weights up to 12.15 s
+        # after the naming, and later by what their requests wait at the engine: 12 are
+        # allowed. A watch that is given up is dated right, this one is not.
+        named = self.now
+        await self.follow(lambda: self.name_after(2.75))
+        self.assertEqual(self.weights.find_oldest_allowed(named + 12.1, "m"), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
