Show that removing old entries delays a start; red until the mend

A start now removes the entries of weights named over an hour ago, one call after the other, before it reads which weights are named. A gateway is not ready until the last of these calls is answered or has run out of time: 40 entries at a slow store's 0.3 s are twelve seconds, and every gateway and agent that starts at the same time makes them all.

--- a/libraries/proxy/tests/test_weight_ages.py
+++ b/libraries/proxy/tests/test_weight_ages.py
@@ -22,6 +22,7 @@
     ENTRY_ERROR_SECONDS,
     NamedAt,
     WeightAges,
+    follow_weights,
 )
 
 if TYPE_CHECKING:
@@ -149,6 +150,30 @@
         removed = [call.args for call in self.store.delete.call_args_list]
         self.assertEqual(removed, [("ages/m/1", 1), ("ages/m/2", 2)])
 
+    async def test_removing_what_is_long_over_delays_no_start(self) -> None:
+        # Weights were named 40 times in a day, and the store takes 0.3 s for a call. A
+        # gateway starts, removes the entries that are long over one after the other,
+        # and only then reads which weights are named: callers find it not ready for
+        # twelve seconds. Here the store answers no removal at all.
+        ages = {version: 90_000.0 - 2000.0 * version for version in range(1, 41)}
+        entries = [
+            StoredObject(
+                f"ages/m/{version}", version, msgspec.json.encode(NamedAt(TODAY - age))
+            )
+            for version, age in ages.items()
+        ]
+        self.store.list.return_value = Ok(Listing(50, tuple(entries)))
+
+        async def answer_nothing(*_: object) -> None:
+            await asyncio.sleep(3600)
+
+        self.store.delete.side_effect = answer_nothing
+        follower = mock.AsyncMock(loaded=asyncio.Event())
+        task = asyncio.create_task(follow_weights(self.ages, follower))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        follower.run.assert_called_once_with()
+
     async def test_two_clocks_that_are_off_make_no_version_younger(self) -> None:
         # The clock of the machine that wrote an entry is three seconds ahead, that of
         # the reader as much behind: each is off by what one may be. A gateway that
