--- a/libraries/proxy/tests/test_weight_ages.py
+++ b/libraries/proxy/tests/test_weight_ages.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 import msgspec
@@ -20,8 +22,12 @@
     ENTRY_ERROR_SECONDS,
     NamedAt,
     WeightAges,
+    follow_weights,
 )
 
+if TYPE_CHECKING:
+    from result import Result
+
 KEY = "ages/m/2"
 # Of the steady clock and of the time of day.
 NOW, TODAY = 100.0, 1_000_000.0
@@ -144,6 +150,30 @@
         removed = [call.args for call in self.store.delete.call_args_list]
         self.assertEqual(removed, [("ages/m/1", 1), ("ages/m/2", 2)])
 
+    async def test_removing_what_is_long_over_delays_no_start(self) -> None:
+        # Weights were named 40 times in a day, and the store takes 0.3 s for a call. A
+        # gateway starts, removes the entries that are long over one after the other,
+        # and only then reads which weights are named: callers find it not ready for
+        # twelve seconds. Here the store answers no removal at all.
+        ages = {version: 90_000.0 - 2000.0 * version for version in range(1, 41)}
+        entries = [
+            StoredObject(
+                f"ages/m/{version}", version, msgspec.json.encode(NamedAt(TODAY - age))
+            )
+            for version, age in ages.items()
+        ]
+        self.store.list.return_value = Ok(Listing(50, tuple(entries)))
+
+        async def answer_nothing(*_: object) -> None:
+            await asyncio.sleep(3600)
+
+        self.store.delete.side_effect = answer_nothing
+        follower = mock.AsyncMock(loaded=asyncio.Event())
+        task = asyncio.create_task(follow_weights(self.ages, follower))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        follower.run.assert_called_once_with()
+
     async def test_two_clocks_that_are_off_make_no_version_younger(self) -> None:
         # The clock of the machine that wrote an entry is three seconds ahead, that of
         # the reader as much behind: each is off by what one may be. A gateway that
@@ -154,5 +184,75 @@
         self.assertLessEqual(self.weights.find_since("m"), NOW - 9.0)
 
 
+class SharedAgesTests(unittest.IsolatedAsyncioTestCase):
+    """Gateways that write to one store."""
+
+    def setUp(self) -> None:
+        self.entries: dict[str, bytes] = {}
+        self.store = mock.AsyncMock()
+        self.store.write.side_effect = self.write
+        self.store.list.side_effect = self.read_all
+        for name in ("weight_ages", "observers"):
+            module = f"bamboopier_proxy.{name}"
+            self.enterContext(mock.patch(f"{module}.read_clock", return_value=NOW))
+            self.enterContext(mock.patch(f"{module}.log"))
+        module = "bamboopier_proxy.weight_ages"
+        self.enterContext(mock.patch(f"{module}.time.time", return_value=TODAY))
+        self.enterContext(mock.patch(f"{module}.SPREAD_SECONDS", 0.05))
+
+    async def write(
+        self, key: str, value: bytes, _: int
+    ) -> Result[int, VersionConflictError]:
+        if key in self.entries:
+            return Err(VersionConflictError(key, ABSENT, 5))
+        self.entries[key] = value
+        return Ok(5)
+
+    async def read_all(self, _: str) -> Result[Listing, VersionConflictError]:
+        found = (StoredObject(key, 5, value) for key, value in self.entries.items())
+        return Ok(Listing(5, tuple(found)))
+
+    async def hear_after_an_outage(
+        self, seconds: float, *gateways: Pauses
+    ) -> list[WeightVersions]:
+        """Let gateways hear by a list, after an outage for all, of version 2."""
+        heard, written = [], []
+        vocabulary = mock.Mock()
+        vocabulary.decode_weights.side_effect = lambda value: Ok(
+            NamedWeights("m", int(value))
+        )
+        for pauses in gateways:
+            weights = WeightVersions(12.0)
+            ages = WeightAges(self.store, "ages/", weights, random.Random(1))
+
+            def note(named: NamedWeights, since: float, to: WeightAges = ages) -> None:
+                to.note_named(named.model, named.version, since)
+
+            observer = WeightsObserver(vocabulary, weights, pauses, note)
+            before = Listing(5, (StoredObject("v/m", 5, b"1"),))
+            observer.take_listing(before, 0.0, float("-inf"))
+            after = Listing(9, (StoredObject("v/m", 9, b"2"),))
+            observer.take_listing(after, seconds, NOW - seconds)
+            heard.append(weights)
+            written.append(ages.finish())
+        await asyncio.gather(*written)
+        return heard
+
+    async def test_one_gateway_s_pause_ends_no_older_weights_at_all_others(
+        self,
+    ) -> None:
+        # The store is down for all for five seconds; weights are named as it returns.
+        # Those gateways that ran take them for named now. One that stood still for
+        # 0.7 s takes them for five seconds old, and as that is little it writes first;
+        # the others read it, add six seconds for clocks, and refuse older weights at
+        # once: callers get 503 there until the first engines have loaded.
+        paused = Pauses(NOW - 0.8)
+        paused.note_tick(NOW - 0.1)
+        ran = Pauses(NOW), Pauses(NOW)
+        heard = await self.hear_after_an_outage(5.0, *ran, paused)
+        allowed = [w.find_oldest_allowed(NOW + 1.0, "m") for w in heard]
+        self.assertEqual(allowed, [1, 1, 1])
+
+
 if __name__ == "__main__":
     unittest.main()
