Remove old entries of named weights apart from what a start waits for

What callers saw: a gateway that started removed the entries that are long over, one call after the other, before it read which weights are named, and was not ready until then; all that started together did the same. By calculation 40 entries at 0.3 s are 12 s.

Cause: the removal was part of the reading that a start waits for. Ruled out: removing several at once, which only shortens the wait, and leaving them, since nothing lapses.

Change: a start learns and goes on; it removes some time within 20 s, by a list read then, so that what another removed is not tried again. A late hearer learns and removes nothing.

Runs: test_removing_what_is_long_over_delays_no_start red before, green now; the test of what is removed is as it was.

--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -31,6 +31,9 @@
 
     from .vocabulary import Store
 
+    # Versions with their entries, by model.
+    OldEntries = dict[str, list[tuple[int, StoredObject]]]
+
 # Machines' times of day jump by a few seconds at the most, and jump back.
 CLOCK_ERROR_SECONDS = 3.0
 # Seconds by which an entry may look too young: its writer's clock was ahead, and the
@@ -45,6 +48,9 @@
 KEEP_SECONDS = 3600.0
 # Seconds after a start until all is written that was named just before it.
 SETTLE_SECONDS = 1.0
+# Seconds within which a start removes what is long over: processes that start together
+# find it removed by the first of them.
+TIDY_SECONDS = 20.0
 
 log = structlog.get_logger()
 
@@ -59,10 +65,11 @@
     """Follow the named versions, once it is known since when those there are named.
 
     Without that a gateway that starts anew refuses all older weights, and an agent
-    counts its target's turn from its own start.
+    counts its target's turn from its own start. Nothing else is waited for: a process
+    that removed old entries first would not be ready until the store has taken all.
     """
-    await ages.read()
-    await asyncio.gather(follower.run(), ages.read_again(follower.loaded))
+    await ages.learn()
+    await asyncio.gather(follower.run(), ages.read_again(follower.loaded), ages.tidy())
 
 
 class WeightAges:
@@ -88,13 +95,26 @@
         await asyncio.gather(*self._tasks)
 
     async def read(self) -> None:
-        """Read all entries, again and again until the store answers."""
+        """Read all entries, and remove those that say nothing any more."""
+        for entries in (await self.learn()).values():
+            await self._remove_but_newest(entries)
+
+    async def tidy(self) -> None:
+        """Remove old entries some time after a start."""
+        await asyncio.sleep(self._random.uniform(0, TIDY_SECONDS))
+        await self.read()
+
+    async def learn(self) -> OldEntries:
+        """Read all entries, again and again until the store answers.
+
+        Returns those whose time is long over, by model.
+        """
         while True:
             listing = await self._store.list(self._prefix)
             if not isinstance(listing, Err):
                 break
             await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.0))
-        old: dict[str, list[tuple[int, StoredObject]]] = {}
+        old: OldEntries = {}
         for found in listing.ok_value.objects:
             entry = self._decode(found)
             if entry is None:
@@ -103,8 +123,7 @@
             self._learn(model, version, age)
             if age > KEEP_SECONDS:
                 old.setdefault(model, []).append((version, found))
-        for entries in old.values():
-            await self._remove_but_newest(entries)
+        return old
 
     async def read_again(self, loaded: asyncio.Event) -> None:
         """Read once more after a start, if the age of a version is still unknown.
@@ -115,7 +134,7 @@
         await loaded.wait()
         await asyncio.sleep(SETTLE_SECONDS)
         if self._weights.has_unknown_age():
-            await self.read()
+            await self.learn()
 
     def _decode(self, found: StoredObject) -> tuple[str, int, float] | None:
         """Return an entry's model, version and age in seconds; None if it is broken."""
@@ -170,7 +189,7 @@
                 if is_vague:
                     # A process that heard late knows less than the others, of this
                     # version and of those named before it that it never heard of.
-                    await self.read()
+                    await self.learn()
                 return
             await asyncio.sleep(RETRY_SECONDS)
         log.warning("naming not written", model=model, weight_version=version)
