Let guesses of when weights were named yield to what is known

What callers saw: 503 at all gateways for older weights as soon as newer ones were named, or answers on older weights for longer than allowed at one. After an outage for all, a gateway that also paused for 0.7 s dated weights to the outage's start and wrote that first; the others added six seconds for clocks to it. The other way round, the guess of a gateway that was cut off ('named now') was taken for a bound by one that knew better, and a guess that could not be written was never corrected, though the list could be read.

Cause: entries did not say how their writer knew, and whoever had a small age wrote first.

Change: those that heard within a second write first, then those that guess, then the others; an entry says that it is a guess, and a guess never makes a known time younger; a writer that the store refuses reads what others wrote. Versions that decide nothing any more are forgotten: every request looked through all that were ever named.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -19,9 +19,14 @@
 END_SECONDS = 2.6
 
 
+# Versions whose time is over that are kept: the newest of them is the bound, and the
+# one before it takes its place should it turn out to be named later.
+KEPT_OVER = 2
+
+
 @dataclass(frozen=True, slots=True)
-class HeardVersion:
-    """A version that this process heard of."""
+class NamingTime:
+    """When a version was named, as somebody knows it."""
 
     # It was not named before this, or that is a guess.
     since: float
@@ -36,9 +41,9 @@
     def __init__(self, allowed_seconds: float) -> None:
         self._allowed = allowed_seconds
         # The versions of each model that this process heard of.
-        self._heard: dict[str, dict[int, HeardVersion]] = {}
+        self._heard: dict[str, dict[int, NamingTime]] = {}
         # The earliest times at which they may have been named, as others wrote them.
-        self._ages: dict[str, dict[int, float]] = {}
+        self._ages: dict[str, dict[int, NamingTime]] = {}
         # Both together.
         self._named: dict[str, dict[int, float]] = {}
 
@@ -57,13 +62,15 @@
         """
         if version <= self.find_newest(model):
             return False
-        self._heard.setdefault(model, {})[version] = HeardVersion(since, guessed)
+        self._heard.setdefault(model, {})[version] = NamingTime(since, guessed)
         self._join(model)
         return True
 
-    def learn_age(self, model: str, version: int, since: float) -> None:
-        """Take in the earliest time that somebody wrote down for a version."""
-        self._ages.setdefault(model, {})[version] = since
+    def learn_age(
+        self, model: str, version: int, since: float, *, guessed: bool = False
+    ) -> None:
+        """Take in the earliest time, or the guess, that somebody wrote down."""
+        self._ages.setdefault(model, {})[version] = NamingTime(since, guessed)
         self._join(model)
 
     def has_unknown_age(self) -> bool:
@@ -93,8 +100,25 @@
         if not versions:
             return 0
         limit = self._allowed - END_SECONDS
-        over = (v for v, since in versions.items() if now - since >= limit)
-        return max(over, default=0)
+        over = sorted(v for v, since in versions.items() if now - since >= limit)
+        if len(over) > KEPT_OVER:
+            self._forget_before(model, over[-KEPT_OVER])
+        return over[-1] if over else 0
+
+    def count_versions(self, model: str) -> int:
+        """Return the number of versions of which anything is kept."""
+        return len(self._named.get(model, ()))
+
+    def _forget_before(self, model: str, version: int) -> None:
+        """Forget versions that decide nothing any more.
+
+        Weights are named for as long as a process runs, and every request looks through
+        all that are known.
+        """
+        for known in (self._heard, self._ages, self._named):
+            versions = known.get(model, {})
+            for old in [v for v in versions if v < version]:
+                del versions[old]
 
     def _join(self, model: str) -> None:
         """Put together what is known of each version.
@@ -107,12 +131,20 @@
         newest = self.find_newest(model)
         named = {version: found.since for version, found in heard.items()}
         for version, written in self._ages.get(model, {}).items():
-            if version > newest:
-                continue
-            known = heard.get(version)
-            if known is None or known.guessed:
-                named[version] = written
-            else:
-                # Neither is later than the true time, so the later one is nearer.
-                named[version] = max(known.since, written)
+            if version <= newest:
+                named[version] = _choose_time(heard.get(version), written)
         self._named[model] = named
+
+
+def _choose_time(known: NamingTime | None, written: NamingTime) -> float:
+    """Return the earliest time of a naming by what is known here and was written.
+
+    A guess may be too late: taken for more than a time that is known, it would let
+    older weights serve too long.
+    """
+    if known is None or known.guessed:
+        return written.since
+    if written.guessed and known.since > float("-inf"):
+        return known.since
+    # Neither is later than the true time, so the later one is nearer.
+    return max(known.since, written.since)
--- a/libraries/decisions/tests/forwarding/test_weights.py
+++ b/libraries/decisions/tests/forwarding/test_weights.py
@@ -51,6 +51,34 @@
         self.assertEqual(weights.find_oldest_allowed(112.0, "m"), 2)
         self.assertEqual(weights.find_oldest_allowed(116.0, "m"), 3)
 
+    def test_a_guess_of_another_makes_no_version_younger_than_is_known(self) -> None:
+        # Weights were named while one gateway was cut off from the store and another
+        # was suspended. The first takes them for named at its return, and writes that;
+        # the second knows that they may be five seconds old. By the other's guess it
+        # would send on older weights until after their time.
+        weights = WeightVersions(12.0)
+        weights.name("m", 2, 100.0)
+        weights.learn_age("m", 2, 104.0, guessed=True)
+        self.assertEqual(weights.find_since("m"), 100.0)
+        # One that starts knows nothing better.
+        fresh = WeightVersions(12.0)
+        fresh.learn_age("m", 2, 104.0, guessed=True)
+        fresh.name("m", 2, UNKNOWN)
+        self.assertEqual(fresh.find_since("m"), 104.0)
+
+    def test_versions_that_may_serve_no_more_are_forgotten(self) -> None:
+        # Weights are named all day long for years, and every request looks through the
+        # versions known: it would wait longer each day.
+        weights = WeightVersions(12.0)
+        for number in range(1, 1001):
+            weights.name("m", number, number * 60.0)
+            weights.learn_age("m", number, number * 60.0)
+            weights.find_oldest_allowed(number * 60.0 + 30.0, "m")
+        self.assertLessEqual(weights.count_versions("m"), 3)
+        self.assertEqual(weights.find_oldest_allowed(60_030.0, "m"), 1000)
+        # The one before stays, should the newest turn out to be named later.
+        self.assertEqual(weights.find_oldest_allowed(60_000.0, "m"), 999)
+
     def test_a_process_that_starts_does_not_begin_the_time_anew(self) -> None:
         # All gateways lose power ten seconds after new weights were named. One that
         # starts finds the version, and knows from the store since when it is named.
--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import time
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -41,6 +42,8 @@
 ENTRY_ERROR_SECONDS = 2 * CLOCK_ERROR_SECONDS
 # Gateways write a little apart, so that most find the entry written.
 SPREAD_SECONDS = 0.4
+# Seconds after a naming within which a process heard of it at once.
+PROMPT_SECONDS = 1.0
 RETRY_SECONDS = 0.4
 TRIES = 5
 # Seconds for which entries are kept whose time is over: longer than any day's clock
@@ -59,6 +62,26 @@
     """When a version may have been named at the earliest, in seconds since 1970."""
 
     seconds: float
+    # Its writer did not know, and may be wrong by any time.
+    guessed: bool = False
+
+
+class Created(StrEnum):
+    """What became of the wish to write an entry."""
+
+    YES = "yes"
+    # It was there.
+    FOUND = "found"
+    # The store took none.
+    REFUSED = "refused"
+
+
+class _Entry(msgspec.Struct):
+    model: str
+    version: int
+    # Seconds.
+    age: float
+    guessed: bool
 
 
 async def follow_weights(ages: WeightAges, follower: ObjectFollower) -> None:
@@ -119,10 +142,9 @@
             entry = self._decode(found)
             if entry is None:
                 continue
-            model, version, age = entry
-            self._learn(model, version, age)
-            if age > KEEP_SECONDS:
-                old.setdefault(model, []).append((version, found))
+            self._learn(entry)
+            if entry.age > KEEP_SECONDS:
+                old.setdefault(entry.model, []).append((entry.version, found))
         return old
 
     async def read_again(self, loaded: asyncio.Event) -> None:
@@ -136,8 +158,8 @@
         if self._weights.has_unknown_age():
             await self.learn()
 
-    def _decode(self, found: StoredObject) -> tuple[str, int, float] | None:
-        """Return an entry's model, version and age in seconds; None if it is broken."""
+    def _decode(self, found: StoredObject) -> _Entry | None:
+        """Return what an entry says; None if it is broken."""
         name = found.key.removeprefix(self._prefix)
         model, _, version = name.rpartition("/")
         try:
@@ -147,12 +169,19 @@
             log.warning("entry set aside", key=name, reason=str(error))
             return None
         age = max(0.0, time.time() - named.seconds) + ENTRY_ERROR_SECONDS
-        return model, number, age
+        return _Entry(model, number, age, named.guessed)
 
-    def _learn(self, model: str, version: int, age: float) -> None:
-        self._weights.learn_age(model, version, read_clock() - age)
+    def _learn(self, entry: _Entry) -> None:
+        since = read_clock() - entry.age
+        self._weights.learn_age(
+            entry.model, entry.version, since, guessed=entry.guessed
+        )
         log.info(
-            "weights known", model=model, weight_version=version, age=round(age, 1)
+            "weights known",
+            model=entry.model,
+            weight_version=entry.version,
+            age=round(entry.age, 1),
+            guessed=entry.guessed,
         )
 
     async def _remove_but_newest(self, entries: list[tuple[int, StoredObject]]) -> None:
@@ -174,22 +203,39 @@
     async def _write(self, model: str, version: int, since: float) -> None:
         age = read_clock() - since
         named_at = time.time() - age
-        is_vague = age > ENTRY_ERROR_SECONDS or self._weights.is_guessed(model, version)
-        # Whoever heard at once knows best, and goes first.
-        earliest = SPREAD_SECONDS if is_vague else 0.0
-        await asyncio.sleep(earliest + self._random.uniform(0, SPREAD_SECONDS))
+        guessed = self._weights.is_guessed(model, version)
+        rank = _find_rank(age, guessed)
+        await asyncio.sleep(SPREAD_SECONDS * (rank + self._random.random()))
         key = f"{self._prefix}{model}/{version}"
-        value = msgspec.json.encode(NamedAt(named_at))
+        value = msgspec.json.encode(NamedAt(named_at, guessed))
+        created = await self._create(key, value)
+        if created is Created.REFUSED:
+            log.warning("naming not written", model=model, weight_version=version)
+        if rank > 0 and created is not Created.YES:
+            # A process that heard late knows less than the others, of this version and
+            # of those named before it that it never heard of.
+            await self.learn()
+
+    async def _create(self, key: str, value: bytes) -> Created:
+        """Write an entry unless it is there."""
         for _ in range(TRIES):
             written = await self._store.write(key, value, ABSENT)
             fault = written.err_value if isinstance(written, Err) else None
             if fault is None:
-                return
+                return Created.YES
             if isinstance(fault, VersionConflictError):
-                if is_vague:
-                    # A process that heard late knows less than the others, of this
-                    # version and of those named before it that it never heard of.
-                    await self.learn()
-                return
+                return Created.FOUND
             await asyncio.sleep(RETRY_SECONDS)
-        log.warning("naming not written", model=model, weight_version=version)
+        return Created.REFUSED
+
+
+def _find_rank(age: float, guessed: bool) -> int:
+    """Return who writes first: those that heard at once, those that guess, the others.
+
+    A guess is that weights were named as the store came back for all. One that stood
+    still meanwhile cannot guess so, and knows only that they may be as old as the
+    outage: written first, that ends older weights at all that read it.
+    """
+    if guessed:
+        return 1
+    return 2 if age > PROMPT_SECONDS else 0
--- a/libraries/proxy/tests/test_weight_ages.py
+++ b/libraries/proxy/tests/test_weight_ages.py
@@ -13,7 +13,10 @@
 
 from bamboopier_decisions.forwarding.pauses import Pauses
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
-from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.errors import (
+    PlatformUnavailableError,
+    VersionConflictError,
+)
 from bamboopier_objects.objects import ABSENT, Listing, StoredObject
 from bamboopier_proxy.observers import WeightsObserver
 from bamboopier_proxy.vocabulary import NamedWeights
@@ -73,6 +76,30 @@
         since = self.weights.find_since("m")
         self.assertAlmostEqual(since, NOW - 1.0 - ENTRY_ERROR_SECONDS)
 
+    async def test_a_guess_that_cannot_be_written_is_corrected_by_what_others_wrote(
+        self,
+    ) -> None:
+        # A gateway was cut off as weights were named, and takes them for named at its
+        # return. The store takes none of its writes, but lists: others wrote that the
+        # weights are ten seconds old. Uncorrected, callers are answered on older
+        # weights there for ten seconds longer than anywhere else.
+        self.let_others_have_written(age=10.0)
+        unavailable = PlatformUnavailableError("busy")
+        self.store.write.return_value = Err(unavailable)
+        self.weights.name("m", 2, NOW, guessed=True)
+        with mock.patch("bamboopier_proxy.weight_ages.RETRY_SECONDS", 0.01):
+            self.ages.note_named("m", 2, NOW)
+            await self.ages.finish()
+        self.assertLessEqual(self.weights.find_since("m"), NOW - 10.0)
+
+    async def test_what_is_guessed_is_written_as_a_guess(self) -> None:
+        self.store.write.return_value = Ok(5)
+        self.weights.name("m", 2, NOW, guessed=True)
+        self.ages.note_named("m", 2, NOW)
+        await self.ages.finish()
+        value = self.store.write.call_args.args[1]
+        self.assertTrue(msgspec.json.decode(value, type=NamedAt).guessed)
+
     async def test_who_heard_at_once_asks_nobody(self) -> None:
         self.let_others_have_written(age=1.0)
         await self.name(NOW)
