Date news of named weights by what was told before them

What callers saw: 503 for older weights at a gateway that had paused seconds before newer ones were named: for the length of its pause and a second more all news counted as old as the pause, though lists and watches made since had shown that nothing was named. And answers on older weights for too long where a watch was answered after its end but before it was given up: that counted from the reading.

Cause: the observer knew when this process paused, but not until when all had been told. Ruled out: shortening the time after a pause, which repeated segments need.

Change: the follower hands on until when all was told before a change, and whether the answer was held up. News are no older than that, and as old as that where only the way explains their lateness. A list's news are as old as that, as before, also after a pause.

--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -27,6 +27,8 @@
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.6
 _MAX_DOUBLINGS = 8
+# Seconds after its end in which a watch is answered by a store that nothing holds up.
+ANSWER_SECONDS = 0.1
 
 log = structlog.get_logger()
 
@@ -44,8 +46,14 @@
         """
         ...
 
-    def take_change(self, change: ChangedObject) -> None:
-        """Take one object that changed, told by a watch as it happened."""
+    def take_change(
+        self, change: ChangedObject, known_until: float, *, late: bool
+    ) -> None:
+        """Take one object that changed, told by a watch as it happened.
+
+        All changes until ``known_until`` have been told before. ``late`` says that the
+        answer was held up: the change may have happened at any time since.
+        """
         ...
 
 
@@ -117,12 +125,14 @@
                 return
             self._note_answer()
             batch = answer.ok_value
+            now = self._read_clock()
+            late = now - asked > self._wait_seconds + ANSWER_SECONDS
+            for change in batch.changes:
+                self._observer.take_change(change, self._known_until, late=late)
             # An answer that is read late says nothing of what changed after the store
             # made it: at once when there are changes, else at the end of the wait.
             made = asked if batch.changes else asked + self._wait_seconds
-            self._known_until = min(made, self._read_clock())
-            for change in batch.changes:
-                self._observer.take_change(change)
+            self._known_until = min(made, now)
             self._revision = max(self._revision, batch.revision)
 
     def _note_failure(self, asked: float, reason: str) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -70,7 +70,9 @@
         )
         self._wake()
 
-    def take_change(self, change: ChangedObject) -> None:
+    def take_change(
+        self, change: ChangedObject, known_until: float, *, late: bool
+    ) -> None:
         """Take one entry that changed or is gone."""
         now = read_clock()
         name = change.key.removeprefix(self._vocabulary.targets_prefix)
@@ -130,27 +132,42 @@
 
         After an outage of the store they are taken to be named now: nobody could name
         any while it was away for all. Where it was away for this process alone, what
-        the others wrote says more.
+        the others wrote says more. A process that paused cannot tell an outage.
         """
         now = read_clock()
-        since = self._find_unread_since(now)
-        was_away = away_seconds >= OUTAGE_SECONDS and since == now
+        paused = self._pauses.find_unread_since(now) < now
+        was_away = away_seconds >= OUTAGE_SECONDS and not paused
         guessed = was_away and math.isfinite(known_until)
-        if not guessed:
-            since = min(since, known_until)
+        since = now if guessed else known_until
         for found in listing.objects:
             self._take(found.key, found.value, since, guessed)
 
-    def take_change(self, change: ChangedObject) -> None:
+    def take_change(
+        self,
+        change: ChangedObject,
+        known_until: float = float("-inf"),
+        *,
+        late: bool = False,
+    ) -> None:
         """Take a newly named version."""
-        if change.value is not None:
-            since = self._find_unread_since(read_clock())
-            self._take(change.key, change.value, since, False)
+        if change.value is None:
+            return
+        since = self._find_told_since(known_until, late)
+        self._take(change.key, change.value, since, False)
 
-    def _find_unread_since(self, now: float) -> float:
-        # News that waited while this process paused is as old as the pause: taken
-        # for new, it lets older weights serve too long by that.
-        return self._pauses.find_unread_since(now)
+    def _find_told_since(self, known_until: float, late: bool) -> float:
+        """Return since when a change may have happened that is read now.
+
+        News that waited while this process paused is as old as the pause, and what was
+        held up on its way as old as the watch: taken for new, it lets older weights
+        serve too long by that. It is no older than what was told before it: taken for
+        that, it ends older weights too soon.
+        """
+        now = read_clock()
+        unread_since = self._pauses.find_unread_since(now)
+        if late and unread_since == now:
+            return known_until
+        return max(known_until, unread_since)
 
     def _take(self, key: str, value: bytes, since: float, guessed: bool) -> None:
         """Take one version that was named at ``since`` at the earliest."""
@@ -188,7 +205,9 @@
         prefix = self._vocabulary.closures_prefix
         self._apply({found.key.removeprefix(prefix) for found in listing.objects})
 
-    def take_change(self, change: ChangedObject) -> None:
+    def take_change(
+        self, change: ChangedObject, known_until: float, *, late: bool
+    ) -> None:
         """Take one closure, or its end."""
         name = change.key.removeprefix(self._vocabulary.closures_prefix)
         closed = self._closed - {name}
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -8,24 +8,27 @@
 OBSERVER = "tests.test_weights_observer.WeightsObserverTests"
 AGES = "tests.test_weight_ages.WeightAgesTests"
 SENDS = "tests.test_sends.SendTests"
+FOLLOWED = "tests.test_weights_observer.FollowedWeightsTests"
 PEERS = "tests.test_gateway_peers.GatewayCountTests"
 STARTS = "tests.test_part_relay.FormerStartTests"
-PAUSES = "libraries/decisions/src/bamboopier_decisions/forwarding/pauses.py"
+FORWARDING = "libraries/decisions/src/bamboopier_decisions/forwarding"
+PAUSES = f"{FORWARDING}/pauses.py"
+WEIGHTS = f"{FORWARDING}/weight_versions.py"
 
 MUTATIONS = (
     Mutation(
         "weights heard of after a pause may be as old as that",
         f"{PROXY}/observers.py",
-        "        return self._pauses.find_unread_since(now)\n",
-        "        return now\n",
+        "        unread_since = self._pauses.find_unread_since(now)\n",
+        "        unread_since = now\n",
         "libraries/proxy",
         f"{OBSERVER}.test_what_was_told_during_a_pause_may_be_as_old_as_that",
     ),
     Mutation(
         "weights found by a list may be as old as the watch that failed",
         f"{PROXY}/observers.py",
-        "            since = min(since, known_until)\n",
-        "            pass\n",
+        "        since = now if guessed else known_until\n",
+        "        since = now\n",
         "libraries/proxy",
         f"{OBSERVER}.test_a_list_after_a_silent_watch_goes_back_to_its_start",
     ),
@@ -111,10 +114,44 @@
     ),
     Mutation(
         "a start that is later by the stores' clock is taken when it is handed on",
-        "libraries/decisions/src/bamboopier_decisions/forwarding/kept_parts.py",
+        f"{FORWARDING}/kept_parts.py",
         " and news.clock_ms < self.clock_ms\n",
         "\n",
         "libraries/proxy",
         f"{STARTS}.test_a_start_later_than_the_known_one_is_taken",
     ),
+    Mutation(
+        "what was told before a change bounds its age after a pause",
+        f"{PROXY}/observers.py",
+        "        return max(known_until, unread_since)\n",
+        "        return unread_since\n",
+        "libraries/proxy",
+        f"{FOLLOWED}.test_weights_named_after_a_pause_spare_older_ones_for_their_time",
+    ),
+    Mutation(
+        "what a watch tells late may be as old as the watch",
+        f"{PROXY}/observers.py",
+        "            return known_until\n",
+        "            return now\n",
+        "libraries/proxy",
+        f"{FOLLOWED}.test_what_a_watch_tells_late_may_be_as_old_as_the_watch",
+    ),
+    Mutation(
+        "who knows only that weights may be old writes last",
+        f"{PROXY}/weight_ages.py",
+        "    return 2 if age > PROMPT_SECONDS else 0\n",
+        "    return 0\n",
+        "libraries/proxy",
+        "tests.test_weight_ages.SharedAgesTests"
+        ".test_one_gateway_s_pause_ends_no_older_weights_at_all_others",
+    ),
+    Mutation(
+        "a guess makes no version younger than is known",
+        WEIGHTS,
+        '    if written.guessed and known.since > float("-inf"):\n',
+        "    if False:\n",
+        "libraries/decisions",
+        "tests.forwarding.test_weights.VersionTests"
+        ".test_a_guess_of_another_makes_no_version_younger_than_is_known",
+    ),
 )
