Let an agent that hears late of weights read what others wrote

What callers saw: the store turned an agent away for five seconds while weights were named. It took them for named at its return, and its target loaded a turn later than its place in the order, with older weights until then.

Cause: gateways read what others wrote after a late hearing, agents only at their start; and the time that an agent counts its turn from was taken once.

Change: an agent that did not hear within a second reads the entries, once more if there is none yet, and asks for the time at each look. Two lists for each late hearing.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -82,6 +82,10 @@
         heard = self._heard.get(model, {}).get(version)
         return heard is not None and heard.guessed
 
+    def is_written(self, model: str, version: int) -> bool:
+        """Say whether somebody wrote down when a version was named."""
+        return version in self._ages.get(model, {})
+
     def find_newest(self, model: str) -> int:
         """Return the newest version; 0 when none was named."""
         return max(self._heard.get(model, ()), default=0)
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -35,7 +35,7 @@
 
     from .settings import ProxySettings
     from .target_orders import TargetOrders
-    from .vocabulary import Store, Vocabulary
+    from .vocabulary import NamedWeights, Store, Vocabulary
 
 # Seconds that one watch for new weights lasts.
 WATCH_SECONDS = 4.0
@@ -90,21 +90,21 @@
                 directory,
                 generator,
             )
+            ages = WeightAges(store, vocabulary.ages_prefix, weights, generator)
+
+            def note_named(named: NamedWeights, since: float) -> None:
+                ages.note_heard(named.model, named.version, since)
+                roller.changed.set()
+
             follower = ObjectFollower(
                 store,
                 vocabulary.weights_prefix,
-                WeightsObserver(
-                    vocabulary,
-                    weights,
-                    pause_watch.pauses,
-                    lambda *_: roller.changed.set(),
-                ),
+                WeightsObserver(vocabulary, weights, pause_watch.pauses, note_named),
                 WATCH_SECONDS,
                 generator,
                 read_clock,
             )
             await stack.enter_async_context(keep_running(pause_watch.run()))
-            ages = WeightAges(store, vocabulary.ages_prefix, weights, generator)
             await stack.enter_async_context(
                 keep_running(follow_weights(ages, follower))
             )
--- a/libraries/proxy/src/bamboopier_proxy/weight_ages.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_ages.py
@@ -25,6 +25,8 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Coroutine
+    from typing import Any
 
     from bamboopier_decisions.forwarding.weight_versions import WeightVersions
     from bamboopier_objects.object_follower import ObjectFollower
@@ -49,8 +51,9 @@
 # Seconds for which entries are kept whose time is over: longer than any day's clock
 # error and any time allowed for older weights.
 KEEP_SECONDS = 3600.0
-# Seconds after a start until all is written that was named just before it.
-SETTLE_SECONDS = 1.0
+# Seconds after a start, or after the news, until all is written that was named just
+# before: the last to write begins after three times ``SPREAD_SECONDS``.
+SETTLE_SECONDS = 1.4
 # Seconds within which a start removes what is long over: processes that start together
 # find it removed by the first of them.
 TIDY_SECONDS = 20.0
@@ -109,12 +112,16 @@
 
     def note_named(self, model: str, version: int, since: float) -> None:
         """Write down that a version was named, at ``since`` at the earliest."""
-        task = asyncio.create_task(self._write(model, version, since))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._start(self._write(model, version, since))
+
+    def note_heard(self, model: str, version: int, since: float) -> None:
+        """Read what others wrote of a version, unless it was heard of at once."""
+        guessed = self._weights.is_guessed(model, version)
+        if _find_rank(read_clock() - since, guessed) > 0:
+            self._start(self._learn_of(model, version))
 
     async def finish(self) -> None:
-        """Wait until all that is being written is written or given up."""
+        """Wait until all that is being read and written is done or given up."""
         await asyncio.gather(*self._tasks)
 
     async def read(self) -> None:
@@ -158,6 +165,18 @@
         if self._weights.has_unknown_age():
             await self.learn()
 
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _learn_of(self, model: str, version: int) -> None:
+        """Read until somebody has had the time to write a version down."""
+        await self.learn()
+        if not self._weights.is_written(model, version):
+            await asyncio.sleep(SETTLE_SECONDS)
+            await self.learn()
+
     def _decode(self, found: StoredObject) -> _Entry | None:
         """Return what an entry says; None if it is broken."""
         name = found.key.removeprefix(self._prefix)
--- a/libraries/proxy/src/bamboopier_proxy/weight_roller.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_roller.py
@@ -78,7 +78,7 @@
         self._announcer = announcer
         self._directory = directory
         self._directory_read = float("-inf")
-        # The version that the target has to load, and since when it is named.
+        # The version that the target has to load, and since when that is known here.
         self._wanted: tuple[str, int] | None = None
         self._wanted_since = 0.0
         self._drain: LoadDrain | None = None
@@ -130,23 +130,23 @@
             self._drain = None
         if wanted != self._wanted:
             self._wanted = wanted
-            self._wanted_since = self._find_named(wanted)
+            self._wanted_since = read_clock()
 
-    def _find_named(self, wanted: tuple[str, int] | None) -> float:
-        """Return since when ``wanted`` is named, or now where nobody knows.
+    def _find_named(self, wanted: tuple[str, int]) -> float:
+        """Return since when ``wanted`` is named, by what is known of it now.
 
         The turns of all targets count from the naming. Counted from when this agent
         heard, its target would load a turn or more after the others, and keep older
-        weights until their time is over.
+        weights until their time is over. What others wrote may be read after that.
         """
-        since = self._weights.find_since(wanted[0]) if wanted else -math.inf
-        return since if math.isfinite(since) else read_clock()
+        since = self._weights.find_since(wanted[0])
+        return since if math.isfinite(since) else self._wanted_since
 
     def _has_turn(self, wanted: tuple[str, int]) -> bool:
         model, newest = wanted
         versions = self._directory.list_versions(model)
         delay = find_delay(versions, newest, self._target)
-        return read_clock() - self._wanted_since >= delay
+        return read_clock() - self._find_named(wanted) >= delay
 
     async def _is_drained(self, wanted: tuple[str, int], report: TargetReport) -> bool:
         """Say whether the order would have to wait for next to nothing."""
@@ -161,7 +161,7 @@
                 target=self._target,
                 weight_version=wanted[1],
                 running=report.running,
-                waited=round(read_clock() - self._wanted_since, 3),
+                waited=round(read_clock() - self._find_named(wanted), 3),
             )
         now = read_clock()
         if self._drain.find_age(now) < HOPE_SECONDS:
