Take back what waits at a target until its weights may serve no more

What callers saw: a request left while older weights could still serve, and its engine was suspended or full. It began 3.2 s later, when the time of those weights was over, and the caller was answered on weights that had been replaced.

Cause: the time of older weights was looked at when a request was sent; that it may wait at the engine was covered by 2.6 s alone, and suspensions of 11.6 s are known. Ruled out: a larger margin, which would end older weights that much sooner for all, and a shorter deadline for the engine, which also ends what has begun.

Change: the gateway watches what it sent until the first event, and resets the connection half a second before the end of the time. That is told as 'unknown', since a run without an event looks the same; what may run again goes elsewhere. It also covers weights that are named while a request waits. No mark against the target.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -17,6 +17,10 @@
 # gets no requests. They cover the time until this process heard of it, and the time in
 # which a request that was sent waits at the engine before it begins.
 END_SECONDS = 2.6
+# Seconds before that end from which a request that has not begun is taken back: its
+# target may be suspended, or full, for longer than the time above covers. They cover a
+# look at what waits, the way to the target, and a first answer that is on its way.
+WAIT_END_SECONDS = 0.5
 
 
 # Versions whose time is over that are kept: the newest of them is the bound, and the
@@ -99,11 +103,18 @@
         return self._named.get(model, {}).get(newest, float("-inf"))
 
     def find_oldest_allowed(self, now: float, model: str) -> int:
-        """Return the oldest version that a request may still begin on."""
+        """Return the oldest version that a request may still be sent for."""
+        return self._find_oldest(now, model, END_SECONDS)
+
+    def find_oldest_waiting(self, now: float, model: str) -> int:
+        """Return the oldest version for which a request may still wait at a target."""
+        return self._find_oldest(now, model, WAIT_END_SECONDS)
+
+    def _find_oldest(self, now: float, model: str, left: float) -> int:
         versions = self._named.get(model)
         if not versions:
             return 0
-        limit = self._allowed - END_SECONDS
+        limit = self._allowed - left
         over = sorted(v for v, since in versions.items() if now - since >= limit)
         if len(over) > KEPT_OVER:
             self._forget_before(model, over[-KEPT_OVER])
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -25,10 +25,10 @@
     from bamboopier_decisions.forwarding.fleet import Fleet, Sent
 
     from .answer import Answer
+    from .begin_watch import BeginWatch, Wait
     from .delivery import Delivery
     from .dialect import Dialect
     from .messages import AnswerMarks, Call, SendMarks
-    from .target_connection import TargetConnection
     from .target_pool import TargetPool
 
 # Plain answers up to this size are held until they are whole, so that a broken one
@@ -44,6 +44,8 @@
     CLOSED = "target-closed"
     # The time of its route was over before it was sent.
     LATE = "late"
+    # It had not begun when the time of its target's weights was over.
+    OUTDATED = "outdated-weights"
     NOT_RUN = "not-run"
     MISDIRECTED = "misdirected"
     BROKEN = "broken"
@@ -84,10 +86,13 @@
 class Exchange:
     """Sends calls to targets and passes their answers on."""
 
-    def __init__(self, pool: TargetPool, fleet: Fleet, dialect: Dialect) -> None:
+    def __init__(
+        self, pool: TargetPool, fleet: Fleet, dialect: Dialect, begins: BeginWatch
+    ) -> None:
         self._pool = pool
         self._fleet = fleet
         self._dialect = dialect
+        self._begins = begins
 
     async def send(
         self,
@@ -123,33 +128,34 @@
             return SendResult(Ran.NO, prepared.err_value)
         marks, sent_at = prepared.unwrap(), read_clock()
         done = False
-        try:
-            async with asyncio.timeout(call.timeout - sent_at):
-                result = await self._ask(call, sent, marks, connection, delivery)
-            done = True
-        except TimeoutError:
-            result = SendResult(Ran.UNKNOWN, Cause.TIMEOUT)
-        except BrokenAnswerError as error:
-            result = SendResult(Ran.UNKNOWN, Cause.BROKEN, str(error))
-        finally:
-            if done:
-                self._pool.give_back(entry, connection)
-            else:
-                self._pool.drop(entry, connection)
+        with self._begins.watch(call, marks, connection) as wait:
+            try:
+                async with asyncio.timeout(call.timeout - sent_at):
+                    result = await self._ask(call, sent, wait, delivery)
+                done = True
+            except TimeoutError:
+                result = SendResult(Ran.UNKNOWN, Cause.TIMEOUT)
+            except BrokenAnswerError as error:
+                result = SendResult(Ran.UNKNOWN, Cause.BROKEN, str(error))
+            finally:
+                if done:
+                    self._pool.give_back(entry, connection)
+                else:
+                    self._pool.drop(entry, connection)
+        if wait.taken_back and result.cause is Cause.BROKEN:
+            result = SendResult(Ran.UNKNOWN, Cause.OUTDATED)
         result.marks, result.sent_at = marks, sent_at
         return result
 
     async def _ask(
-        self,
-        call: Call,
-        sent: Sent,
-        marks: SendMarks,
-        connection: TargetConnection,
-        delivery: Delivery,
+        self, call: Call, sent: Sent, wait: Wait, delivery: Delivery
     ) -> SendResult:
         started = read_clock()
+        marks = wait.marks
         head = self._write_head(call, marks)
-        answer = await connection.ask(head, call.body, call.request_id, call.method)
+        answer = await wait.connection.ask(
+            head, call.body, call.request_id, call.method
+        )
         said = self._dialect.read_answer(answer.status, answer.headers)
         self._note_marks(call, sent, said)
         if said.not_run or said.misdirected:
@@ -167,8 +173,11 @@
             detail = f"status {answer.status} without a seal"
             return SendResult(Ran.UNKNOWN, Cause.UNSEALED, detail, answer.status)
         if call.route.streams and answer.status == 200:
-            result = await self._pass_stream(call, sent, answer, delivery, started)
+            result = await self._pass_stream(
+                call, sent, wait, answer, delivery, started
+            )
         else:
+            self._begins.note_begun(wait)
             result = await self._pass_whole(call, answer, said, delivery, started)
         result.weight_version = said.weight_version
         return result
@@ -197,6 +206,7 @@
         self,
         call: Call,
         sent: Sent,
+        wait: Wait,
         answer: Answer,
         delivery: Delivery,
         started: float,
@@ -210,6 +220,7 @@
                     continue
                 if not result.first_byte:
                     result.first_byte = read_clock() - started
+                    self._begins.note_begun(wait)
                     self._fleet.note_read(sent)
                 if not delivery.begun:
                     await delivery.begin(answer.status, answer.headers)
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -222,7 +222,7 @@
                 if result.other_target:
                     # This start of the target is over; its entry only says so later.
                     state.busy_until = now + REPLACED_SECONDS
-            case Cause.CLOSED | Cause.LATE:
+            case Cause.CLOSED | Cause.LATE | Cause.OUTDATED:
                 state.standing.note_neutral()
             case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
                 state.standing.note_failure(now)
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -20,6 +20,7 @@
 from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_daemon.stopping import StopSignals
 
+from .begin_watch import BeginWatch
 from .caller_listener import CallerListener, serve_readiness
 from .exchange import Exchange
 from .forwarder import Forwarder
@@ -69,11 +70,12 @@
     followers = StoreFollowers(state, store, vocabulary, generator)
     peers = GatewayPeers(settings, state, store, vocabulary, part_stores, generator)
     pool = TargetPool(dialect.name_request_id())
+    begins = BeginWatch(state.weights)
     forwarder = Forwarder(
         state.fleet,
         state.knowledge,
         SendPlanner(state.weights, state.kept),
-        Exchange(pool, state.fleet, dialect),
+        Exchange(pool, state.fleet, dialect, begins),
         state.room,
         metrics,
         peers.gossip,
@@ -112,6 +114,7 @@
                 state.room.run(),
                 watch.run(),
                 pool.run(),
+                begins.run(),
             ):
                 await stack.enter_async_context(keep_running(work))
             await stack.enter_async_context(
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -23,6 +23,7 @@
 from bamboopier_decisions.forwarding.retry_share import RetryBounds, RetryShares
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 from bamboopier_proxy.answer import Answer
+from bamboopier_proxy.begin_watch import BeginWatch
 from bamboopier_proxy.exchange import Exchange
 from bamboopier_proxy.forwarder import Forwarder
 from bamboopier_proxy.knowledge import Knowledge
@@ -110,7 +111,9 @@
             self.fleet,
             self.knowledge,
             SendPlanner(self.weights, KeptParts()),
-            Exchange(cast("Any", self.pool), self.fleet, dialect),
+            Exchange(
+                cast("Any", self.pool), self.fleet, dialect, BeginWatch(self.weights)
+            ),
             WaitingRoom(),
             ProxyMetrics(),
             breaks,
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -154,4 +154,21 @@
         "tests.forwarding.test_weights.VersionTests"
         ".test_a_guess_of_another_makes_no_version_younger_than_is_known",
     ),
+    Mutation(
+        "what waits at a target until its weights are over is taken back",
+        f"{PROXY}/begin_watch.py",
+        "            wait.connection.abort()\n",
+        "",
+        "libraries/proxy",
+        "tests.test_begin_watch.BeginWatchTests"
+        ".test_what_has_not_begun_in_time_is_taken_back",
+    ),
+    Mutation(
+        "what has begun is not taken back",
+        f"{PROXY}/begin_watch.py",
+        "        self._waiting.discard(wait)\n\n",
+        "        pass\n\n",
+        "libraries/proxy",
+        "tests.test_begin_watch.BeginWatchTests.test_what_has_begun_goes_on",
+    ),
 )
