Give gateways slots at a cold target that bears fewer requests than they are

What callers saw: an engine came back cold before 28 gateways, and each sent it one request in a second: 25 to 28 where 13 are borne and 24.5 allowed; it may crash under all of them. With 68 gateways and a rate of 10 it would have been 68.

Cause: a gateway's part of the rate was rounded up to one a second. Ruled out: rounding by chance at each request, which bunches after a pause of the callers, and slots by chance, of which 340 gateways once had 25 in a second in 200 trials.

Change: a part below one is a slot of 0.1 s that comes back after as long as the part says; slots lie evenly, in the order of the gateways' names.

Runs: decisions test_more_gateways_than_a_cold_target_bears_requests red before for 28, 68 and 340 gateways (28, 68 and 340 in a second), green now.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/cold_ramp.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/cold_ramp.py
@@ -3,45 +3,83 @@
 Load pattern: a data centre's engines come back together, and every gateway sends them
 their whole share at once. A cold engine bears a few requests a second and crashes well
 above that, so each gateway keeps to its part of that rate.
+
+With more gateways than a target bears requests, a part is less than one a second. One
+each would be too many, and so would one each after a moment without callers: a gateway
+sends in a short slot of its own that comes back after some seconds, and not after it.
+The slots of all gateways lie evenly, in the order of their names.
 """
 
 from __future__ import annotations
 
+import hashlib
 from collections import deque
 
 WINDOW_SECONDS = 1.0
 # Requests sent within a second may arrive within less, as links differ: a gateway
 # counts a little more than a second.
 WINDOW_MARGIN = 0.1
+# Seconds for which a slot is open: some callers come in it, and few slots touch the
+# same second beside those that begin in it.
+SLOT_SECONDS = 0.1
+# Share of a target's rate that slots give out: gateways hear of its start some time
+# apart, and do not always agree on how many they are.
+SLOT_SHARE = 0.8
+
+
+def draw_phase(target: str) -> float:
+    """Return where the first gateway's slots at a target lie, from 0 to 1.
+
+    It differs by target, so that a gateway does not come last at all of them.
+    """
+    digest = hashlib.blake2b(target.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") / 2**32
 
 
 class ColdRamp:
     """Counts what was sent to one target while it is cold."""
 
-    __slots__ = ("_sent", "_until")
+    __slots__ = ("_phase", "_sent", "_since", "_until")
 
-    def __init__(self) -> None:
+    def __init__(self, phase: float = 0.0) -> None:
+        self._phase = phase
+        self._since = float("-inf")
         self._until = float("-inf")
         self._sent: deque[float] = deque()
 
     def start(self, now: float, seconds: float) -> None:
         """Take in that the target is cold for ``seconds`` more."""
+        if not self.is_cold(now):
+            self._since = now
         self._until = max(self._until, now + seconds)
 
     def is_cold(self, now: float) -> bool:
         """Say whether the target is cold."""
         return now < self._until
 
-    def may_send(self, now: float, per_second: float, gateways: int) -> bool:
-        """Say whether this gateway's part of ``per_second`` allows one more."""
+    def may_send(
+        self, now: float, per_second: float, gateways: int, place: int = 0
+    ) -> bool:
+        """Say whether this gateway's part of ``per_second`` allows one more.
+
+        It is the one at ``place``, from 0, in the order of the gateways' names.
+        """
         if not self.is_cold(now):
             return True
         start = now - WINDOW_SECONDS - WINDOW_MARGIN
         while self._sent and self._sent[0] < start:
             self._sent.popleft()
-        return len(self._sent) < max(1, int(per_second / max(1, gateways)))
+        part = per_second / max(1, gateways)
+        if part >= 1:
+            return len(self._sent) < int(part)
+        phase = self._phase + place / gateways
+        return not self._sent and self._is_in_slot(now, part * SLOT_SHARE, phase)
 
     def note_sent(self, now: float) -> None:
         """Count a request."""
         if self.is_cold(now):
             self._sent.append(now)
+
+    def _is_in_slot(self, now: float, per_second: float, phase: float) -> bool:
+        slots = (now - self._since) * per_second - phase
+        return slots % 1.0 < SLOT_SECONDS * per_second
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -48,7 +48,9 @@
         # they are still used.
         self._missing: dict[str, float] = {}
         self._closed_data_centres: frozenset[str] = frozenset()
+        # The gateways that share the targets, and this one's place among their names.
         self.gateways = 1
+        self.place = 0
 
     @property
     def names(self) -> list[str]:
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -186,7 +186,7 @@
     if now < state.busy_until or not state.standing.may_try(now):
         return False
     rate = state.service.cold_per_second
-    return rate <= 0 or state.cold.may_send(now, rate, fleet.gateways)
+    return rate <= 0 or state.cold.may_send(now, rate, fleet.gateways, fleet.place)
 
 
 def _serves(state: TargetState, demand: Demand, oldest_version: int) -> bool:
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .blind_share import BlindShare
-from .cold_ramp import ColdRamp
+from .cold_ramp import ColdRamp, draw_phase
 from .part_memory import PartMemory
 from .standing import Standing
 
@@ -61,7 +61,7 @@
         self.others = Load()
         self.blind = BlindShare()
         self.standing = Standing()
-        self.cold = ColdRamp()
+        self.cold = ColdRamp(draw_phase(entry.name))
         # Until then it turns requests away, by its own word.
         self.busy_until = float("-inf")
         # Until then it gets short answers only: it is about to load new weights.
--- a/libraries/decisions/tests/forwarding/test_bounds.py
+++ b/libraries/decisions/tests/forwarding/test_bounds.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from bamboopier_decisions.forwarding.cold_ramp import ColdRamp
+from bamboopier_decisions.forwarding.cold_ramp import ColdRamp, draw_phase
 from bamboopier_decisions.forwarding.currency import SEND_MARGIN, Currency
 from bamboopier_decisions.forwarding.retry_share import (
     RetryBounds,
@@ -16,6 +16,10 @@
 BOUNDS = RetryBounds(ratio=0.2, slack=54, window_seconds=10.0)
 
 
+# What the rules allow a cold target beyond what it bears in a second.
+COLD_OVER, COLD_SLACK = 1.5, 5.0
+
+
 class RetryShareTests(unittest.TestCase):
     def test_changed_bounds_hold_for_services_already_known(self) -> None:
         # The operator allows no more repeats beside the ratio while a service has
@@ -73,6 +77,39 @@
             self.assertLessEqual(len(inside), 18)
         self.assertGreater(len(sent), 30)
 
+    def test_more_gateways_than_a_cold_target_bears_requests(self) -> None:
+        # An engine comes back cold and bears 13 requests a second, or 10; it crashes
+        # well above that. There are more gateways than that, and each sent one in a
+        # second: callers met an engine that crashed under all of them. Requests wait
+        # at every gateway from the beginning, or all come after two seconds.
+        for gateways, rate in ((28, 13.0), (68, 10.0), (340, 13.0)):
+            for idle in (0.0, 2.0):
+                with self.subTest(gateways=gateways, idle=idle):
+                    sent = self.flood(gateways, rate, 10.0, idle)
+                    most = max(
+                        sum(start <= t < start + 1 for t in sent) for start in sent
+                    )
+                    self.assertLessEqual(most, rate * COLD_OVER + COLD_SLACK)
+                    # It serves at least half of what it bears.
+                    self.assertGreater(len(sent), (10.0 - idle) * rate / 2)
+
+    def flood(
+        self, gateways: int, rate: float, seconds: float, idle: float
+    ) -> list[float]:
+        """Let all send what they may to a cold target; return when they did."""
+        ramps = [ColdRamp(draw_phase("i-1")) for _ in range(gateways)]
+        for number, ramp in enumerate(ramps):
+            # They hear of its start within some milliseconds.
+            ramp.start(number * 0.0002, seconds)
+        sent: list[float] = []
+        for step in range(int(idle * 100) + 10, int(seconds * 100)):
+            now = step * 0.01
+            for place, ramp in enumerate(ramps):
+                if ramp.may_send(now, rate, gateways, place):
+                    ramp.note_sent(now)
+                    sent.append(now)
+        return sent
+
     def test_a_warm_target_has_no_bound(self) -> None:
         ramp = ColdRamp()
         for _ in range(100):
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -50,10 +50,10 @@
         self.weights.set_allowed(changed.version_seconds)
         self.shares.set_bounds(changed.retries)
 
-    def take_count(self, count: int) -> None:
-        """Take the number of gateways that share the bounds."""
-        self.fleet.gateways = count
-        log.info("gateways counted", gateways=count)
+    def take_count(self, count: int, place: int) -> None:
+        """Take how many gateways share the bounds, and which of them this one is."""
+        self.fleet.gateways, self.fleet.place = count, place
+        log.info("gateways counted", gateways=count, place=place)
 
     def wake_all(self) -> None:
         """Look for places for all that wait: targets have changed."""
--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -87,12 +87,13 @@
         store: Store,
         prefix: str,
         random: random.Random,
-        count_changed: Callable[[int], None],
+        count_changed: Callable[[int, int], None],
         pauses: Pauses,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._random = random
+        # Told how many there are, and this one's place in the order of their names.
         self._count_changed = count_changed
         self._pauses = pauses
         self._own: str | None = None
@@ -101,7 +102,7 @@
         self._heard: dict[str, float] = {}
         # Registered ones that were silent as the list was read, until they got a hint.
         self._silent: list[Endpoint] = []
-        self._count = 0
+        self._told = (0, 0)
 
     @property
     def peers(self) -> dict[str, Endpoint]:
@@ -193,7 +194,8 @@
         return self._pauses.read_run(read_clock())
 
     def _tell_count(self) -> None:
-        count = len(self._peers) + 1
-        if count != self._count:
-            self._count = count
-            self._count_changed(count)
+        own = self._own or ""
+        counted = len(self._peers) + 1, sum(name < own for name in self._peers)
+        if counted != self._told:
+            self._told = counted
+            self._count_changed(*counted)
--- a/libraries/proxy/tests/test_gateway_peers.py
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -72,6 +72,7 @@
             self.addCleanup(patch.stop)
         store = mock.AsyncMock()
         store.write.return_value = Ok(1)
+        self.store = store
         self.gateways = [Gateway(n, self.now, store) for n in range(GATEWAYS)]
         entries = {g.name: GatewayEntry(g.host, PORT, 1) for g in self.gateways}
         store.list.return_value = Ok(
@@ -122,7 +123,9 @@
         for step in range(int(seconds * 100)):
             for gateway in self.gateways:
                 now = self.now + step * 0.01
-                if gateway.ramp.may_send(now, COLD_PER_SECOND, gateway.counted):
+                place = gateway.state.fleet.place
+                count = gateway.counted
+                if gateway.ramp.may_send(now, COLD_PER_SECOND, count, place):
                     gateway.ramp.note_sent(now)
                     sent += 1
         return sent
--- a/libraries/proxy/tests/test_part_follower.py
+++ b/libraries/proxy/tests/test_part_follower.py
@@ -35,7 +35,7 @@
 def make_roster(generator: random.Random) -> Roster:
     """Return a list of gateways that reads no store."""
     store = mock.AsyncMock()
-    return Roster(store, "", generator, lambda _: None, Pauses(read_clock()))
+    return Roster(store, "", generator, lambda *_: None, Pauses(read_clock()))
 
 
 class CountedStores:
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -104,6 +104,15 @@
         "libraries/proxy",
         f"{PEERS}.test_gateways_that_were_cut_off_find_each_other_again",
     ),
+    Mutation(
+        "a cold target gets less than one a second from each of many gateways",
+        f"{FORWARDING}/cold_ramp.py",
+        " and self._is_in_slot(now, part * SLOT_SHARE, phase)\n",
+        "\n",
+        "libraries/decisions",
+        "tests.forwarding.test_bounds.ColdRampTests"
+        ".test_more_gateways_than_a_cold_target_bears_requests",
+    ),
     Mutation(
         "news of a store's former start are not taken when they are handed on",
         f"{PROXY}/part_relay.py",
