Spare cold targets until a gateway knows how many there are

What callers would see: all gateways lose power and engines come back cold. Each gateway counted itself alone until it had read the list, or one more for each hint it had heard, and might send an engine all it bears: it crashes, and they get 502.

Cause: 'not known yet' was counted as one. Ruled out: waiting with readiness for the list, which a store that refuses that one call would hold up.

Change: until the list was read a gateway takes the part of one among a thousand, and a cold target gets nothing.

Runs: proxy test_a_gateway_that_has_not_read_the_list_spares_cold_targets red before (63 requests in 0.25 s where 32 a second are allowed), green now; both mutations red.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/cold_ramp.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/cold_ramp.py
@@ -58,11 +58,12 @@
         return now < self._until
 
     def may_send(
-        self, now: float, per_second: float, gateways: int, place: int = 0
+        self, now: float, per_second: float, gateways: int, place: int | None = 0
     ) -> bool:
         """Say whether this gateway's part of ``per_second`` allows one more.
 
-        It is the one at ``place``, from 0, in the order of the gateways' names.
+        It is the one at ``place``, from 0, in the order of the gateways' names. While
+        that is not known it has no slot.
         """
         if not self.is_cold(now):
             return True
@@ -72,6 +73,8 @@
         part = per_second / max(1, gateways)
         if part >= 1:
             return len(self._sent) < int(part)
+        if place is None:
+            return False
         phase = self._phase + place / gateways
         return not self._sent and self._is_in_slot(now, part * SLOT_SHARE, phase)
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -50,7 +50,7 @@
         self._closed_data_centres: frozenset[str] = frozenset()
         # The gateways that share the targets, and this one's place among their names.
         self.gateways = 1
-        self.place = 0
+        self.place: int | None = 0
 
     @property
     def names(self) -> list[str]:
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -24,6 +24,11 @@
     from .settings import ProxySettings
     from .vocabulary import Vocabulary
 
+# Taken for the number of gateways until it is known. Failure answered: all gateways
+# start anew while engines come back cold; counted as one, each would send them all they
+# bear. With so many a cold engine gets nothing, and repeats have next to no slack.
+UNCOUNTED_GATEWAYS = 1000
+
 log = structlog.get_logger()
 
 
@@ -35,6 +40,7 @@
     ) -> None:
         self.pauses = pauses
         self.fleet = Fleet()
+        self.fleet.gateways, self.fleet.place = UNCOUNTED_GATEWAYS, None
         self.kept = KeptParts()
         self.weights = WeightVersions(settings.version_seconds)
         self.shares = RetryShares(settings.retries)
--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -103,6 +103,9 @@
         # Registered ones that were silent as the list was read, until they got a hint.
         self._silent: list[Endpoint] = []
         self._told = (0, 0)
+        # Whether the list was read at least once: those that sent a hint before that
+        # are some of all.
+        self._complete = False
 
     @property
     def peers(self) -> dict[str, Endpoint]:
@@ -165,6 +168,7 @@
             for name, entry in entries.ok_value.items()
             if name != self._own and name not in self._peers
         ]
+        self._complete = True
         self._tell_count()
         return True
 
@@ -196,6 +200,6 @@
     def _tell_count(self) -> None:
         own = self._own or ""
         counted = len(self._peers) + 1, sum(name < own for name in self._peers)
-        if counted != self._told:
+        if self._complete and counted != self._told:
             self._told = counted
             self._count_changed(*counted)
--- a/libraries/proxy/tests/test_gateway_peers.py
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -182,6 +182,18 @@
         self.run_all(1.0)
         self.assertEqual(self.count_all(), [GATEWAYS] * GATEWAYS)
 
+    async def test_a_gateway_that_has_not_read_the_list_spares_cold_targets(
+        self,
+    ) -> None:
+        # All gateways lose power, and engines come back cold. The gateways run again
+        # before they have read how many they are; some have heard of one other by a
+        # hint. Each would send the engine all it bears, and callers get 502.
+        self.gateways = [Gateway(n, self.now, self.store) for n in range(GATEWAYS)]
+        for gateway in self.gateways:
+            self.connect(gateway)
+        self.gateways[0].roster.note_heard("g-1", "10.0.0.1", PORT)
+        self.assertEqual(self.flood_cold_target(0.25), 0)
+
     async def test_a_gateway_that_is_gone_gets_a_hint_for_each_read_alone(self) -> None:
         # A machine is taken away, and its entry stays. It is not counted again for
         # that, and hints to its address cost next to nothing.
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/ages.py
@@ -113,6 +113,22 @@
         "tests.forwarding.test_bounds.ColdRampTests"
         ".test_more_gateways_than_a_cold_target_bears_requests",
     ),
+    Mutation(
+        "gateways that do not know how many they are take the smallest part",
+        f"{PROXY}/gateway_state.py",
+        "        self.fleet.gateways, self.fleet.place = UNCOUNTED_GATEWAYS, None\n",
+        "",
+        "libraries/proxy",
+        f"{PEERS}.test_a_gateway_that_has_not_read_the_list_spares_cold_targets",
+    ),
+    Mutation(
+        "a hint does not make known how many gateways there are",
+        f"{PROXY}/roster.py",
+        "        if self._complete and counted != self._told:\n",
+        "        if counted != self._told:\n",
+        "libraries/proxy",
+        f"{PEERS}.test_a_gateway_that_has_not_read_the_list_spares_cold_targets",
+    ),
     Mutation(
         "news of a store's former start are not taken when they are handed on",
         f"{PROXY}/part_relay.py",
