Ask an agent about its claim at every step of an attempt

The caller resends through another gateway and is told that the outcome is not known, for the key's whole lifetime, although the agent that holds the claim was still waiting for the platform's word and then ran nothing.

A Recall that comes between a claim's write taking effect and its answer's arrival is answered NOT_KEPT, whether the claim is then run, left, timed out or turned away by the target, and through each fault of the write.

The platform in memory may hold back an answer after its effect; no answer comes in the very step of its effect any more, as none does from a platform.

--- a/libraries/agent/tests/builders.py
+++ b/libraries/agent/tests/builders.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import msgspec
 from fault_matrix import CallFault
 from result import Err, Ok, Result
 
@@ -37,6 +38,10 @@
         self.may_write = asyncio.Event()
         self.may_write.set()
         self.writing = asyncio.Event()
+        # A write that took effect waits here with its answer; set ``written`` shows it.
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self.written = asyncio.Event()
         self.after_write: Callable[[], None] = lambda: None
 
     async def read(self, key: str) -> Result[StoredObject | None, PlatformError]:
@@ -61,6 +66,10 @@
             return Err(PlatformOutcomeUnknownError("cut"))
         done = self.apply(key, value, expected_version)
         self.after_write()
+        self.written.set()
+        # An answer is never there in the very step in which its write took effect.
+        await asyncio.sleep(0)
+        await self.may_answer.wait()
         if fault is CallFault.LOST_AFTER_EFFECT:
             return Err(PlatformOutcomeUnknownError("cut"))
         if fault is CallFault.RESENT:
@@ -77,6 +86,11 @@
         self.stored[key] = StoredObject(key, version + 1, value)
         return Ok(version + 1)
 
+    def list_claim_ids(self) -> set[str]:
+        """Return the ids of the claims that stand in any partition."""
+        values = [stored.value for stored in self.stored.values()]
+        return {claim[2] for value in values for claim in msgspec.msgpack.decode(value)}
+
     def land_delayed(self) -> None:
         """Let writes whose answer was lost take effect, if they still can."""
         for write in self.delayed:
--- a/libraries/agent/tests/service_builders.py
+++ b/libraries/agent/tests/service_builders.py
@@ -98,6 +98,16 @@
     return pb.ServeRequest(**(values | changes))
 
 
+def make_recall(claim_id: str) -> pb.RecallRequest:
+    """Return the question what became of a claim; without an id, of the key."""
+    return pb.RecallRequest(
+        workspace="fosse",
+        idempotency_key="key",
+        fingerprint=b"A46",
+        claim_id=claim_id,
+    )
+
+
 async def serve(service: AgentService, request: pb.ServeRequest) -> list[pb.ServeEvent]:
     """Return all events of one attempt."""
     return [event async for event in service.Serve(request, None)]
--- a/libraries/agent/tests/test_service.py
+++ b/libraries/agent/tests/test_service.py
@@ -10,14 +10,25 @@
 import unittest
 from unittest import mock
 
-from bamboopier_agent import service as service_module
+from fault_matrix import CallFault
+
+from bamboopier_agent import claims, service as service_module
 from bamboopier_protocol import agent_pb2 as pb
 
 from .builders import FakeObjects
-from .service_builders import PIECES, FakeTarget, make_request, make_service, serve
+from .service_builders import (
+    PIECES,
+    FakeTarget,
+    make_recall,
+    make_request,
+    make_service,
+    serve,
+)
 
 # Only reached by a test that would hang.
 HANG_SECONDS = 10.0
+# Turns of the event loop; more than an attempt takes.
+MAX_STEPS = 60
 
 
 class ServeTests(unittest.IsolatedAsyncioTestCase):
@@ -40,11 +51,8 @@
         task.cancel()
         await asyncio.wait({task})
 
-    async def recall(self) -> pb.RecallReply:
-        request = pb.RecallRequest(
-            workspace="fosse", idempotency_key="key", fingerprint=b"A46"
-        )
-        return await self.service.Recall(request, None)
+    async def recall(self, claim_id: str = "") -> pb.RecallReply:
+        return await self.service.Recall(make_recall(claim_id), None)
 
     async def test_an_attempt_that_arrives_twice_runs_once(self) -> None:
         # A message layer repeats the call after a lost connection. The first copy may
@@ -132,3 +140,107 @@
                 last = await self.serve("hung", timeout_ms=20)
         self.assertTrue(last.HasField("unknown"))
         self.assertEqual(self.service._gate.admission.running, 0)
+
+    async def test_a_claim_whose_answer_is_under_way_is_no_lost_one(self) -> None:
+        # A gateway sends a dispatch, and the platform takes the claim. Before its
+        # answer is back at the agent, the caller asks again at another agent, which
+        # reads the claim. Its holder may yet run the dispatch or give it up: told
+        # "outcome unknown" as of a lost run, the caller would never ask again.
+        for leaves in (False, True):
+            with self.subTest(leaves=leaves):
+                self.setUp()
+                self.objects.may_answer.clear()
+                task = await self.start()
+                await self.objects.written.wait()
+                second = (await serve(self.other, make_request("second")))[-1].not_run
+                self.assertEqual(second.cause, pb.KEY_CLAIMED)
+                reply = await self.recall(second.claim_id)
+                self.assertEqual(reply.state, pb.RecallReply.RUNNING)
+                if leaves:
+                    await self.leave(task)
+                self.objects.may_answer.set()
+                await asyncio.wait({task})
+                wanted = pb.RecallReply.NEVER_RAN if leaves else pb.RecallReply.KEPT
+                reply = await self.recall(second.claim_id)
+                self.assertEqual(reply.state, wanted)
+
+    async def test_a_claim_of_an_earlier_process_stays_unknown(self) -> None:
+        # Its agent died with the claim: nobody can say whether it ran, however often
+        # the caller asks.
+        self.objects.may_answer.clear()
+        task = await self.start()
+        await self.objects.written.wait()
+        (claim_id,) = self.objects.list_claim_ids()
+        self.service = make_service(self.objects, self.target, "agent-1")
+        reply = await self.recall(claim_id)
+        self.assertEqual(reply.state, pb.RecallReply.NOT_KEPT)
+        await self.leave(task)
+
+
+class RecallTests(unittest.IsolatedAsyncioTestCase):
+    """A caller asks about a claim, at every step, while its holder works on it.
+
+    Another agent may have read the claim at any moment since it stood, also long before
+    the question arrives. The holder knows of its run, or that there will be none, or
+    waits to hear; it never says that it lost the answer.
+    """
+
+    def setUp(self) -> None:
+        self.objects = FakeObjects()
+        self.target = FakeTarget()
+        self.service = make_service(self.objects, self.target, "agent-1")
+        self.claim_ids: set[str] = set()
+        self.states: set[int] = set()
+
+    async def test_the_holder_knows_its_claim_at_every_step(self) -> None:
+        for reachable in (True, False):
+            for fault in CallFault:
+                with self.subTest(reachable=reachable, fault=fault):
+                    self.setUp()
+                    self.target.reachable = reachable
+                    self.objects.write_faults.append(fault)
+                    await self.follow()
+
+    async def test_the_holder_knows_its_claim_whenever_its_gateway_leaves(self) -> None:
+        for steps in range(MAX_STEPS):
+            with self.subTest(steps=steps):
+                self.setUp()
+                ended = await self.follow(leave_after=steps)
+        # The last one ran undisturbed, so that no step was left out.
+        self.assertTrue(ended)
+
+    async def test_the_holder_knows_a_claim_that_took_too_long(self) -> None:
+        # The platform answers only once the agent has told its gateway "not run".
+        self.objects.may_answer.clear()
+        with mock.patch.object(claims, "CLAIM_SECONDS", 0.01):
+            await self.follow()
+        self.assertIn(pb.RecallReply.NEVER_RAN, self.states)
+
+    async def follow(self, leave_after: int | None = None) -> bool:
+        """Ask all the time about each claim seen; say whether the attempt ended."""
+        task = asyncio.create_task(serve(self.service, make_request("first")))
+        steps = 0
+        async with asyncio.timeout(HANG_SECONDS):
+            while not task.done() and steps != leave_after:
+                await self.step()
+                steps += 1
+            ended = task.done()
+            task.cancel()
+            self.objects.may_answer.set()
+            settled = asyncio.create_task(self.settle())
+            while not settled.done():
+                await self.step()
+        self.assertNotIn(pb.RecallReply.NOT_KEPT, self.states)
+        return ended
+
+    async def settle(self) -> None:
+        await self.service._gate.wait_until_idle()
+        await self.service._claims.settle()
+
+    async def step(self) -> None:
+        """Let each task go on once, then ask."""
+        await asyncio.sleep(0)
+        self.claim_ids |= self.objects.list_claim_ids()
+        for claim_id in self.claim_ids:
+            request = make_recall(claim_id)
+            self.states.add((await self.service.Recall(request, None)).state)
