Tell a caller to come back while its claim has no outcome yet

Seen: a caller left while its dispatch was claimed and resent at once through another gateway: 502 outcome_unknown for the key's lifetime, and nothing ever ran. Cause: the claim stood in the platform; its holder had neither the answer to its write nor the cancellation yet. The second agent read the claim, the second gateway asked the holder, and the holder, with no kept answer and nothing given up, answered NOT_KEPT as if it had lost a run. Change: the claim table knows a claim by id as open until its outcome is taken in; Recall answers RUNNING, so KEY_IN_PROGRESS with Retry-After. The grant is noted as a run in the same step, the giving up as well. The id is not known to a process started later: its claims stay unknown. The state's meaning in the protocol is widened, not its values. Both new safeguards taken out, one at a time: red.

--- a/libraries/agent/src/bamboopier_agent/claims.py
+++ b/libraries/agent/src/bamboopier_agent/claims.py
@@ -53,6 +53,8 @@
         # Only partitions with work under way; the platform has the rest.
         self._writers: dict[str, ClaimWriter] = {}
         self._given_up: OrderedDict[str, None] = OrderedDict()
+        # Ids of claims that have no outcome here yet; one for each request that waits.
+        self._open: set[str] = set()
 
     async def claim(
         self, service: Service, workspace: str, key: str, fingerprint: bytes
@@ -60,11 +62,22 @@
         """Claim a key; only a grant lets a request run, and only one.
 
         Whoever leaves before the outcome (cancelled, or too late) gives the claim up:
-        it may stand or land later, and is released in the background.
+        it may stand or land later, and is released in the background. Whoever is
+        granted it notes the run before awaiting anything: the claim is no longer open.
         """
         digest = hash_key(workspace, key)
         claim = Claim(digest, fingerprint, uuid.uuid4().hex, self._holder, time.time())
         writer = self._find_writer(service, digest)
+        self._open.add(claim.claim_id)
+        try:
+            return await self._submit(writer, claim)
+        finally:
+            self._open.discard(claim.claim_id)
+
+    async def _submit(
+        self, writer: ClaimWriter, claim: Claim
+    ) -> Result[ClaimOutcome, PlatformError]:
+        """Wait for a claim's outcome; one that will not be used is given up."""
         try:
             async with asyncio.timeout(CLAIM_SECONDS):
                 answer = await writer.submit(claim)
@@ -109,6 +122,17 @@
         """
         return claim_id in self._given_up
 
+    def is_open(self, claim_id: str) -> bool:
+        """Say whether a claim may yet be granted or given up here.
+
+        It stands in the platform before the answer is back, and another agent may read
+        it and have this one asked meanwhile. Taken for one whose answer is lost, its
+        caller would be told "outcome unknown" of a request that runs a moment later,
+        or that nobody runs. An id is open until its outcome is taken in, and is noted
+        as a run or as given up in the same step; what is none of these is lost.
+        """
+        return claim_id in self._open
+
     def _note_given_up(self, claim: Claim) -> None:
         self._given_up[claim.claim_id] = None
         if len(self._given_up) > MAX_GIVEN_UP:
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -138,6 +138,8 @@
             return pb.RecallReply(state=pb.RecallReply.NEVER_RAN)
         if self._claims.has_given_up(request.claim_id):
             return pb.RecallReply(state=pb.RecallReply.NEVER_RAN)
+        if self._claims.is_open(request.claim_id):
+            return pb.RecallReply(state=pb.RecallReply.RUNNING)
         kept = self._kept.find(key)
         if kept is None or kept.fingerprint != request.fingerprint:
             return pb.RecallReply(state=pb.RecallReply.NOT_KEPT)
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -190,7 +190,7 @@
             message = "an earlier claim of this key never ran and is being released"
             raise CallerError(ErrorCode.CLAIM_UNAVAILABLE, message, Ran.NO, 1.0)
         if reply.state == pb.RecallReply.RUNNING:
-            message = "a request with this idempotency key is running"
+            message = "a request with this idempotency key is under way"
             raise CallerError(ErrorCode.KEY_IN_PROGRESS, message, Ran.UNKNOWN, 1.0)
         if reply.state != pb.RecallReply.KEPT:
             raise _make_unknown()
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -133,6 +133,24 @@
         "libraries/agent",
         "tests.test_service.ServeTests.test_a_key_that_cannot_be_freed_yet_is_said_not_to_have_run",
     ),
+    Mutation(
+        "a claim without an outcome is not told as lost",
+        "libraries/agent/src/bamboopier_agent/service.py",
+        "        if self._claims.is_open(request.claim_id):\n"
+        "            return pb.RecallReply(state=pb.RecallReply.RUNNING)\n",
+        "",
+        "libraries/agent",
+        "tests.test_service.ServeTests.test_a_claim_whose_answer_is_under_way_is_no_lost_one",
+    ),
+    Mutation(
+        "a granted claim is noted as a run before anything is awaited",
+        "libraries/agent/src/bamboopier_agent/service.py",
+        "        kept = self._kept.begin(key, request.fingerprint)\n",
+        "        await asyncio.sleep(0)\n"
+        "        kept = self._kept.begin(key, request.fingerprint)\n",
+        "libraries/agent",
+        "tests.test_service.RecallTests.test_the_holder_knows_its_claim_at_every_step",
+    ),
     Mutation(
         "a thawed process does not run after the deadline",
         "libraries/agent/src/bamboopier_agent/service.py",
