Stop an agent as a claim is left in the very step of its grant

A claim is granted, its gateway leaves and the key's resend reaches the same agent, all in one turn of the event loop. The stop that follows ends while the claim still stands: its key answers 'outcome unknown' for its lifetime although nothing ran under it.

--- a/libraries/agent/tests/test_claims.py
+++ b/libraries/agent/tests/test_claims.py
@@ -126,6 +126,25 @@
         self.assertFalse(self.agents[0].is_abandoned("fosse", "key"))
         self.assertTrue(self.agents[0].has_given_up(seen.standing.claim_id))
 
+    async def test_a_stop_waits_for_a_claim_left_as_its_grant_arrived(self) -> None:
+        # In one turn of the event loop a claim is granted, its gateway leaves, and the
+        # caller's resend comes to the same agent, which then stops. Left behind by the
+        # stop, the claim would make its key "outcome unknown" although nothing ran.
+        self.objects.may_answer.clear()
+        left = asyncio.create_task(self.claim(0))
+        await self.objects.written.wait()
+        await asyncio.sleep(0)
+        (claim_id,) = self.objects.list_claim_ids()
+        self.objects.may_answer.set()
+        asyncio.get_running_loop().call_soon(left.cancel)
+        again = asyncio.create_task(self.claim(0))
+        self.objects.may_write.clear()
+        asyncio.get_running_loop().call_later(0.01, self.objects.may_write.set)
+        await asyncio.wait({left, again})
+        self.assertTrue(left.cancelled())
+        await self.wait_until_settled()
+        self.assertNotIn(claim_id, self.objects.list_claim_ids())
+
     async def test_an_outage_leaves_no_work_behind(self) -> None:
         self.objects.down = True
         for _ in range(100):
