Let the partition's present writer release a claim left as it was granted

Seen in a test: a graceful stop ends with a claim still standing under which nothing ran; the key answers 'outcome unknown' for its lifetime. Cause: a writer whose work is done leaves the table in the very step that grants. If the gateway leaves before the grant is taken in, and a second claim of the partition comes in between, the table has another writer; the first released the claim outside the table, where a stop does not see it, and then took the other one out of the table as well. Ruled out: that the late claim can land again (its version has been answered); the second claim of one key is granted in the same write that drops the first, which never runs. Change: the writer in the table takes the claim over, with the version that showed it.

--- a/libraries/agent/src/bamboopier_agent/claim_writer.py
+++ b/libraries/agent/src/bamboopier_agent/claim_writer.py
@@ -72,6 +72,11 @@
         self._arrived = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def version(self) -> int:
+        """Return the version of the partition that this writer saw last."""
+        return self._partition.version
+
     def start(self) -> asyncio.Task[None]:
         """Return the task that works until nothing is left to do."""
         self._arrived.set()
--- a/libraries/agent/src/bamboopier_agent/claims.py
+++ b/libraries/agent/src/bamboopier_agent/claims.py
@@ -158,10 +158,15 @@
         return writer
 
     def _abandon(self, writer: ClaimWriter, claim: Claim) -> None:
-        """Release in the background; the writer may have ended a moment ago."""
+        """Release in the background; the writer may have ended a moment ago.
+
+        Another may work for its partition by then, and takes the claim over. Released
+        by a writer that is not in the table, it would be left behind by a stop, which
+        waits for those that are, and its key would be "unknown" for its lifetime.
+        """
         self._note_given_up(claim)
-        self._writers.setdefault(writer.name, writer)
-        writer.abandon(claim)
+        current = self._writers.setdefault(writer.name, writer)
+        current.abandon(claim, 0 if current is writer else writer.version)
 
     def _forget(self, name: str) -> None:
         """Drop a partition that has nothing left to do."""
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -133,6 +133,15 @@
         "libraries/agent",
         "tests.test_service.ServeTests.test_a_key_that_cannot_be_freed_yet_is_said_not_to_have_run",
     ),
+    Mutation(
+        "a stop waits for a claim left as its grant arrived",
+        "libraries/agent/src/bamboopier_agent/claims.py",
+        "        current.abandon(claim, 0 if current is writer else writer.version)\n",
+        "        writer.abandon(claim)\n",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests."
+        "test_a_stop_waits_for_a_claim_left_as_its_grant_arrived",
+    ),
     Mutation(
         "a claim without an outcome is not told as lost",
         "libraries/agent/src/bamboopier_agent/service.py",
