Ask what a key's caller is told while the claim's holder stands still

Fails on this code, 3 of 3 runs: one of the four new tests, that of a holder that stands still for 0.3 s while the gateway has no connection to it. The relay of test_lost_connections moves to a module of its own and may hold back what passes.

--- a/libraries/gateway/tests/test_lost_connections.py
+++ b/libraries/gateway/tests/test_lost_connections.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import unittest
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
 import grpc
@@ -25,55 +25,17 @@
     add_AgentServicer_to_server,
 )
 
+from .agent_relay import HOST, Relay
 from .builders import FakeDelivery, make_call, make_event
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
-HOST = "127.0.0.1"
-BUFFER = 65536
 # Only reached by a test that would hang.
 HANG_SECONDS = 10.0
 NO_CONNECTION = "failed to connect to all addresses; last error: refused"
 
 
-class Relay:
-    """Passes connections to an agent until it is cut, and refuses them from then on."""
-
-    def __init__(self, port: int) -> None:
-        self._port = port
-        self._writers: list[asyncio.StreamWriter] = []
-        self._server: asyncio.Server
-
-    async def start(self) -> str:
-        """Listen; return the address."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
-
-    def cut(self) -> None:
-        """Refuse connections and drop those there are."""
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        far_reader, far_writer = await asyncio.open_connection(HOST, self._port)
-        self._writers += [writer, far_writer]
-        await asyncio.gather(
-            self._pass(reader, far_writer), self._pass(far_reader, writer)
-        )
-
-    async def _pass(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with suppress(ConnectionError):
-            while data := await reader.read(BUFFER):
-                writer.write(data)
-        writer.transport.abort()
-
-
 class Agent(AgentServicer):
     """Notes what it is given, then does as it is told."""
 
--- /dev/null
+++ b/libraries/gateway/tests/test_recall.py
@@ -0,0 +1,97 @@
+"""What a caller is told of a key whose claim another agent holds, on real gRPC.
+
+A gateway asks the holder what became of the claim. A holder that runs the request, or
+stands still for a moment and then says that it runs it, makes the caller come back; one
+that is gone makes it "outcome unknown", before the caller's time is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+from typing import Any
+
+import grpc
+
+from bamboopier_decisions.routing.messages import Ran
+from bamboopier_gateway.agents import Agents
+from bamboopier_gateway.attempt import AttemptResult
+from bamboopier_gateway.errors import CallerError, ErrorCode
+from bamboopier_gateway.forwarder import Forwarder
+from bamboopier_protocol import agent_pb2 as pb
+from bamboopier_protocol.agent_pb2_grpc import (
+    AgentServicer,
+    add_AgentServicer_to_server,
+)
+
+from .agent_relay import HOST, Relay
+from .builders import FakeDelivery, make_call
+
+# Only reached by a test that would hang.
+HANG_SECONDS = 10.0
+# Longer than gRPC's patience with one try, shorter than a caller's time.
+PAUSE_SECONDS = 0.3
+
+
+class Holder(AgentServicer):
+    """Runs whatever it is asked about."""
+
+    async def Recall(  # noqa: N802 (the name is the protocol's)
+        self, request: pb.RecallRequest, context: Any
+    ) -> pb.RecallReply:
+        return pb.RecallReply(state=pb.RecallReply.RUNNING)
+
+
+class RecallTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        server = grpc.aio.server()
+        add_AgentServicer_to_server(Holder(), server)
+        self.relay = Relay(server.add_insecure_port(f"{HOST}:0"))
+        await server.start()
+        self.addAsyncCleanup(server.stop, None)
+        self.address = await self.relay.start()
+        self.addCleanup(self.relay.cut)
+
+    async def ask(self, seconds: float) -> CallerError:
+        """Return what a caller with this much time left is told."""
+        other: Any = None
+        async with asyncio.timeout(HANG_SECONDS), Agents() as agents:
+            forwarder = Forwarder(other, other, agents, other, other, other)
+            claimed = AttemptResult(
+                Ran.NO, pb.KEY_CLAIMED, claimed_by=self.address, claim_id="claim-1"
+            )
+            call = make_call(deadline=time.monotonic() + seconds)
+            delivery: Any = FakeDelivery()
+            with self.assertRaises(CallerError) as told:
+                await forwarder._recall(call, claimed, delivery)
+        return told.exception
+
+    async def test_the_holder_runs_it(self) -> None:
+        told = await self.ask(HANG_SECONDS)
+        self.assertEqual(told.code, ErrorCode.KEY_IN_PROGRESS)
+        self.assertGreater(told.retry_after, 0)
+
+    async def test_the_holder_stands_still_for_a_moment(self) -> None:
+        # The gateway has no connection to the holder yet. gRPC gives its first try up
+        # after 0.1 s, long before the holder goes on and answers; the caller was told
+        # "outcome unknown" by then and would not ask again.
+        self.relay.may_pass.clear()
+        clock = asyncio.get_running_loop()
+        clock.call_later(PAUSE_SECONDS, self.relay.may_pass.set)
+        told = await self.ask(HANG_SECONDS)
+        self.assertEqual(told.code, ErrorCode.KEY_IN_PROGRESS)
+
+    async def test_the_holder_is_gone(self) -> None:
+        self.relay.cut()
+        told = await self.ask(PAUSE_SECONDS)
+        self.assertEqual(
+            (told.code, told.ran), (ErrorCode.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+        )
+
+    async def test_the_holder_stands_still_for_good(self) -> None:
+        self.relay.may_pass.clear()
+        told = await self.ask(PAUSE_SECONDS)
+        self.assertEqual(
+            (told.code, told.ran), (ErrorCode.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+        )
