--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -171,7 +171,7 @@
             message = "this idempotency key was used for another request"
             raise CallerError(ErrorCode.KEY_REUSED, message)
         left = call.deadline - time.monotonic()
-        stub = await self._agents.reach(result.claimed_by, left)
+        stub = await self._agents.reach_patiently(result.claimed_by, left)
         if stub is None:
             raise _make_unknown()
         request = pb.RecallRequest(
@@ -182,6 +182,7 @@
             claim_id=result.claim_id,
         )
         try:
+            left = call.deadline - time.monotonic()
             limit = max(0.0, min(RECALL_TIMEOUT_SECONDS, left))
             reply = await stub.Recall(request, timeout=limit)
         except grpc.aio.AioRpcError as error:
@@ -190,7 +191,7 @@
             message = "an earlier claim of this key never ran and is being released"
             raise CallerError(ErrorCode.CLAIM_UNAVAILABLE, message, Ran.NO, 1.0)
         if reply.state == pb.RecallReply.RUNNING:
-            message = "a request with this idempotency key is running"
+            message = "a request with this idempotency key is under way"
             raise CallerError(ErrorCode.KEY_IN_PROGRESS, message, Ran.UNKNOWN, 1.0)
         if reply.state != pb.RecallReply.KEPT:
             raise _make_unknown()
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -133,6 +133,41 @@
         "libraries/agent",
         "tests.test_service.ServeTests.test_a_key_that_cannot_be_freed_yet_is_said_not_to_have_run",
     ),
+    Mutation(
+        "a stop waits for a claim left as its grant arrived",
+        "libraries/agent/src/bamboopier_agent/claims.py",
+        "        current.abandon(claim, 0 if current is writer else writer.version)\n",
+        "        writer.abandon(claim)\n",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests."
+        "test_a_stop_waits_for_a_claim_left_as_its_grant_arrived",
+    ),
+    Mutation(
+        "a holder that stands still for a moment is asked all the same",
+        "libraries/gateway/src/bamboopier_gateway/forwarder.py",
+        "self._agents.reach_patiently(result.claimed_by, left)",
+        "self._agents.reach(result.claimed_by, left)",
+        "libraries/gateway",
+        "tests.test_recall.RecallTests.test_the_holder_stands_still_for_a_moment",
+    ),
+    Mutation(
+        "a claim without an outcome is not told as lost",
+        "libraries/agent/src/bamboopier_agent/service.py",
+        "        if self._claims.is_open(request.claim_id):\n"
+        "            return pb.RecallReply(state=pb.RecallReply.RUNNING)\n",
+        "",
+        "libraries/agent",
+        "tests.test_service.ServeTests.test_a_claim_whose_answer_is_under_way_is_no_lost_one",
+    ),
+    Mutation(
+        "a granted claim is noted as a run before anything is awaited",
+        "libraries/agent/src/bamboopier_agent/service.py",
+        "        kept = self._kept.begin(key, request.fingerprint)\n",
+        "        await asyncio.sleep(0)\n"
+        "        kept = self._kept.begin(key, request.fingerprint)\n",
+        "libraries/agent",
+        "tests.test_service.RecallTests.test_the_holder_knows_its_claim_at_every_step",
+    ),
     Mutation(
         "a thawed process does not run after the deadline",
         "libraries/agent/src/bamboopier_agent/service.py",
