Print what the processes logged of refused answers when a test fails

A test that found a 503 among its answers said only that. Its message now holds the refused answers, every process's lines on them, and those on targets that closed, opened and loaded. A process that is started anew under its name no longer overwrites what its predecessor wrote.

--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -6,6 +6,7 @@
 import json
 import threading
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Self
 from urllib.parse import urlsplit
@@ -24,6 +25,10 @@
 # A condition that is never met fails the test after this long; none is met by luck.
 LIMIT_SECONDS = 40.0
 FAULT_DESK = "fault-desk"
+# Events that say which targets take work, whatever the request.
+TURNING_POINTS = frozenset(
+    {"agent started", "gateway started", "target standing changed", "weights ordered"}
+)
 
 
 def build_fleet(
@@ -193,6 +198,38 @@
             number += 1
 
 
+def explain_refusals(installation: Installation, traffic: Traffic) -> str:
+    """Return the answers that were no 200 and what every process logged of them.
+
+    The lines on targets that closed, opened or loaded stand between, so that a failed
+    test's message shows what its gateways could know. Empty when all were served.
+    """
+    refused = [answer for answer in traffic.answers if answer.status != 200]
+    if not refused:
+        return ""
+    ids = {answer.headers.get("X-Request-Id") for answer in refused}
+    answers = [f"{a.status} {a.headers} {a.body.decode()}" for a in refused]
+    lines = [
+        json.dumps(line)
+        for line in installation.read_all_logs()
+        if line.get("request_id") in ids or line.get("event") in TURNING_POINTS
+    ]
+    loads = [
+        load
+        for name in installation.targets
+        for load in _list_loads(installation, name)
+    ]
+    return "\n".join(["", *answers, *lines, *loads])
+
+
+def _list_loads(installation: Installation, target: str) -> list[str]:
+    """Return the orders to load that a target has taken; none when it is gone."""
+    with suppress(OSError):
+        log = installation.read_target_log(target)
+        return [f"{target}: {json.dumps(e)}" for e in log if "order" in e]
+    return []
+
+
 def list_started(
     installation: Installation, target: str, since: float
 ) -> list[dict[str, Any]]:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -16,6 +16,7 @@
     Traffic,
     build_fleet,
     complete,
+    explain_refusals,
     list_started,
     read_generation,
     read_status,
@@ -77,7 +78,8 @@
             for stream in streams:
                 stream.join()
         self.assertEqual([s.describe() for s in streams if not s.whole], [])
-        self.assertEqual(traffic.statuses, {200})
+        refusals = explain_refusals(self.installation, traffic)
+        self.assertEqual(traffic.statuses, {200}, refusals)
 
     def test_the_agent_refuses_what_an_unaware_gateway_sends(self) -> None:
         """A gateway is paused while a target is drained, then the platform goes down.
@@ -123,7 +125,8 @@
             for stream in streams:
                 stream.join()
         self.assertEqual([s.describe() for s in streams if not s.whole], [])
-        self.assertEqual(traffic.statuses, {200})
+        refusals = explain_refusals(self.installation, traffic)
+        self.assertEqual(traffic.statuses, {200}, refusals)
         ran_east = {entry["request_id"] for entry in installation.read_target_log(EAST)}
         self.assertTrue(any(stream.request_id in ran_east for stream in streams))
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -14,6 +14,7 @@
     Traffic,
     build_fleet,
     complete,
+    explain_refusals,
     list_started,
     wait_until,
 )
@@ -77,7 +78,8 @@
             stopped = time.monotonic()
             traffic.wait_for_more(10)
         self.assertEqual(list_started(self.installation, EAST, stopped), [])
-        self.assertEqual(traffic.statuses, {200})
+        refusals = explain_refusals(self.installation, traffic)
+        self.assertEqual(traffic.statuses, {200}, refusals)
 
     def test_a_target_finishes_streams_while_new_work_goes_elsewhere(self) -> None:
         """An engine that is stopped takes no new connection and ends what it runs."""
@@ -89,7 +91,8 @@
             self.check_whole(streams)
             self.assertEqual(target.process.wait(20), 0)
             traffic.wait_for_more(10)
-        self.assertEqual(traffic.statuses, {200})
+        refusals = explain_refusals(self.installation, traffic)
+        self.assertEqual(traffic.statuses, {200}, refusals)
 
 
 class ForcedTests(unittest.TestCase):
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -17,6 +17,7 @@
     LongStream,
     Traffic,
     build_fleet,
+    explain_refusals,
     publish,
     read_status,
     wait_until,
@@ -52,7 +53,8 @@
 
     def check_answers(self, traffic: Traffic, versions: Iterable[str]) -> None:
         """Each answer was made by the version that it names, one that was in use."""
-        self.assertEqual(traffic.statuses, {200})
+        refusals = explain_refusals(self.installation, traffic)
+        self.assertEqual(traffic.statuses, {200}, refusals)
         made_by = {
             entry["request_id"]: entry["version"]
             for name in ENGINES
@@ -145,7 +147,8 @@
         with Traffic(self.urls) as traffic:
             wait_until(lambda: self.is_everywhere("v2"), "v2 everywhere")
         self.assertLessEqual(count_at_once(self.list_loads()), LOADS_AT_ONCE)
-        self.assertEqual(traffic.statuses, {200})
+        refusals = explain_refusals(self.installation, traffic)
+        self.assertEqual(traffic.statuses, {200}, refusals)
 
     def test_a_paused_agent_that_wakes_does_not_put_the_old_version_back(self) -> None:
         """An agent sleeps through two publishes and wakes; its engine ends on v3."""
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -185,6 +185,7 @@
         """Start a Python process whose output goes to files."""
         output = self.directory / f"{name}.out"
         errors = self.directory / f"{name}.err"
+        _keep_former(output)
         with output.open("wb") as out, errors.open("wb") as err:
             process = subprocess.Popen(
                 [sys.executable, *arguments], stdout=out, stderr=err, env=os.environ
@@ -245,6 +246,20 @@
         """Return what reached a target, as the target itself recorded it."""
         return list(json.loads(fetch(f"{self.targets[name]}/log")))
 
+    def read_all_logs(self) -> list[dict[str, Any]]:
+        """Return the JSON lines of every process in the order of their times.
+
+        Each names its ``process``; those of processes that were started anew since are
+        among them.
+        """
+        lines = [
+            {"process": path.stem, **json.loads(line)}
+            for path in self.directory.glob("*.out")
+            for line in path.read_text().splitlines()
+            if line.startswith("{") and line.endswith("}")
+        ]
+        return sorted(lines, key=lambda line: str(line.get("timestamp", "")))
+
     def stop_all(self) -> dict[str, int]:
         """Stop every process gracefully; return exit statuses by name."""
         return {name: d.stop() for name, d in reversed(self.daemons.items())}
@@ -278,6 +293,14 @@
             raise StartError(f"{daemon.name} ended: {daemon.read_end()}")
 
 
+def _keep_former(output: Path) -> None:
+    """Move aside what a process that ran under the same name before has written."""
+    if not output.exists():
+        return
+    number = len(list(output.parent.glob(f"{output.stem}.former-*"))) + 1
+    output.rename(output.with_name(f"{output.stem}.former-{number}.out"))
+
+
 def _describe_place(
     name: str, data_centre: str, listen: int, admin: int, platform_url: str
 ) -> dict[str, Any]:
