Log the weight version of each attempt and why one failed

A gateway's log did not say for which version it had looked for a target, nor that an attempt found no connection, of which a dead agent logs nothing either.

--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -147,6 +147,8 @@
             first_byte=result.first_byte,
         )
         self._count(call, result)
+        if result.ran is not Ran.YES:
+            _log_failure(call, send, result)
         return self._router.handle(ended)
 
     async def _refuse(
@@ -157,6 +159,7 @@
             request_id=call.request_id,
             workspace=call.workspace,
             service=call.service,
+            weight_version=_name_version(call),
             reason=refuse.reason.value,
             ran=refuse.ran.value,
             retry_after=round(refuse.retry_after, 3),
@@ -207,6 +210,7 @@
             workspace=call.workspace,
             service=call.service,
             target=send.target,
+            weight_version=_name_version(call),
             reason=send.reason.value,
             candidates={c.target: round(c.expected, 4) for c in send.candidates},
         )
@@ -224,6 +228,27 @@
         tokens.labels(call.service, "recomputed").inc(recomputed)
 
 
+def _log_failure(call: Call, send: Send, result: AttemptResult) -> None:
+    """Log an attempt that gave no answer: a dead agent logs nothing itself."""
+    log.info(
+        "attempt failed",
+        request_id=call.request_id,
+        workspace=call.workspace,
+        service=call.service,
+        target=send.target,
+        ran=result.ran.value,
+        cause=pb.Cause.Name(result.cause),
+        detail=result.detail,
+        broken=result.broken,
+        retry_after=round(result.retry_after, 3),
+    )
+
+
+def _name_version(call: Call) -> str:
+    """Return the weight version a call was made for; empty for plain services."""
+    return call.model.weight_version if call.model is not None else ""
+
+
 def _make_claim_refusal(result: AttemptResult) -> CallerError:
     message = _CLAIM_CAUSES[result.cause]
     wait = result.retry_after
