Show that a gateway asks for new weights that no target is known to have

Callers got 503 "overloaded" (ran: no) for a moment after a version was published, though three idle targets served the one before: each of them refused the request as made for another version (WRONG_VERSION). The gateway had been up for 0.6 s and had heard of one target only, which had closed to load.

--- /dev/null
+++ b/libraries/gateway/tests/test_fleet.py
@@ -0,0 +1,88 @@
+"""For which weight version a gateway makes a request, by what it has heard."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bamboopier_configuration.directory import Directory
+from bamboopier_configuration.model import Configuration, Model, Service
+from bamboopier_configuration.settings import Address, GatewaySettings
+from bamboopier_gateway.agents import Agents
+from bamboopier_gateway.fleet import Fleet
+from bamboopier_objects.vm_board import VmBoard
+from bamboopier_objects.vms import Vm
+from bamboopier_protocol import agent_pb2 as pb
+
+DESKS = ("desk-1", "desk-2", "desk-3", "desk-4")
+
+
+def build_board() -> VmBoard:
+    """Return a VM list with four targets."""
+    board = VmBoard(random.Random(1))
+    board.vms = tuple(
+        Vm(desk, "target", "dc-east", "midlands", "127.0.0.1:1", group="fault-desk")
+        for desk in DESKS
+    )
+    return board
+
+
+def build_directory(generation: int, version: str) -> Directory:
+    """Return a configuration with one model at a version."""
+    service = Service("fault-desk", "model", models=["pillar-8b"])
+    models = [Model("pillar-8b", version)]
+    return Directory(generation, Configuration([service], models=models))
+
+
+class VersionTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.board = build_board()
+        address = Address("127.0.0.1", 1)
+        settings = GatewaySettings(
+            vm="gateway-1",
+            data_centre="dc-east",
+            region="midlands",
+            listen=address,
+            admin=address,
+            platform_url="http://127.0.0.1:1",
+            block_secret="5a" * 32,
+        )
+        agents = await self.enterAsyncContext(Agents())
+        self.fleet = Fleet(
+            settings, self.board, agents, lambda _: None, random.Random(1)
+        )
+        self.publish(1, "v1")
+
+    def publish(self, generation: int, version: str) -> None:
+        self.directory = build_directory(generation, version)
+        self.fleet.apply_configuration(self.directory)
+
+    def hear(self, target: str, version: str, accepting: bool = True) -> None:
+        report = pb.LoadReport(weight_version=version, accepting=accepting)
+        self.fleet.reports.note(target, report)
+
+    def choose(self) -> str:
+        return self.fleet.choose_version(self.directory.models["pillar-8b"])
+
+    def test_targets_not_heard_of_yet_keep_the_old_version_in_use(self) -> None:
+        """A version is published before a gateway has asked its targets.
+
+        It has heard of one only, which closed to load. A request made for the new
+        version was then refused by each of the others in turn, and the caller got 503
+        although three idle targets served the old one.
+        """
+        self.publish(2, "v2")
+        self.assertEqual(self.choose(), "v1")
+        self.hear("desk-1", "v1", accepting=False)
+        self.assertEqual(self.choose(), "v1")
+        self.hear("desk-1", "v2")
+        self.assertEqual(self.choose(), "v2")
+
+    def test_the_new_version_is_used_once_all_were_heard_of(self) -> None:
+        """Every target closed and none is left to have the old version."""
+        self.publish(2, "v2")
+        for desk in DESKS:
+            self.hear(desk, "v1", accepting=False)
+        self.assertEqual(self.choose(), "v2")
+        self.fleet.reports.note("desk-1", None)
+        self.assertEqual(self.choose(), "v2")
