Ask targets not heard of yet for the old weights until one has the new

Callers got 503 "overloaded" (ran: no) just after a version was published, from a gateway that had started within the same second. Seen in the test of an agent killed while its engine loads, whose traffic begins with the first load.

Cause: the gateway had heard of one target, which had closed to load. No report named the old version, so it was taken to be gone and the request was made for the new one. Three open targets that had never reported were tried and refused it (WRONG_VERSION); no target was left. Never having heard of a target is now told apart from having heard that it closed or was lost: while no target is known to have the new version and some were never heard of, requests are made for the old one. That holds because a gateway that knows the former version was up before the change, and the first report of an open target decides again.

Ruled out by the refused requests' own lines: retry budget and attempts (reason "overloaded", WRONG_VERSION takes neither), the dead agent's connection (it is no candidate), the new agent (it starts 0.5 s later), the queue's bound (none was BUSY).

--- a/libraries/decisions/src/bamboopier_decisions/membership/versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/membership/versions.py
@@ -41,21 +41,28 @@
         self,
         now: float,
         reported: Iterable[str],
+        unheard: int,
         loads_at_once: int,
         random: random.Random,
     ) -> str:
         """Return the version for a request that arrives now.
 
-        ``reported`` gives the version of each usable target. Requests are shared
-        between the two versions as targets are, as long as more targets have the old
-        one than may vanish into a load at any moment.
+        ``reported`` gives the version of each usable target, ``unheard`` the number of
+        targets that have never said theirs. Requests are shared between the two
+        versions as targets are, as long as more targets have the old one than may
+        vanish into a load at any moment.
         """
+        if not self._previous or now >= self._changed + ROLL_OUT_SECONDS:
+            return self.configured
         versions = list(reported)
         new = versions.count(self.configured)
-        old = versions.count(self._previous) if self._previous else 0
-        if not old or now >= self._changed + ROLL_OUT_SECONDS:
-            return self.configured
-        if not new:
+        old = versions.count(self._previous)
+        # A gateway that has just started knows the version of no target yet. If those
+        # it has not heard of counted as having left the old one, it would ask them for
+        # the new one, which none has loaded so soon: each refuses, and the caller gets
+        # 503 beside idle targets. The first target heard of, by an answer or when
+        # asked, decides from then on.
+        if not new and (old or unheard):
             return self._previous
         if old <= loads_at_once:
             return self.configured
--- a/libraries/decisions/tests/membership/test_fleet_view.py
+++ b/libraries/decisions/tests/membership/test_fleet_view.py
@@ -68,7 +68,9 @@
 
         def count_new(now: float, new: int, old: int) -> int:
             reported = ["v2"] * new + ["v1"] * old
-            chosen = [versions.choose(now, reported, 2, generator) for _ in range(1000)]
+            chosen = [
+                versions.choose(now, reported, 0, 2, generator) for _ in range(1000)
+            ]
             return chosen.count("v2")
 
         self.assertEqual(count_new(1.0, 0, 10), 0)
--- a/libraries/gateway/src/bamboopier_gateway/fleet.py
+++ b/libraries/gateway/src/bamboopier_gateway/fleet.py
@@ -82,8 +82,10 @@
             for service in services
             for version in self.reports.list_versions(service.name)
         ]
+        unheard = sum(self.reports.count_unheard(s.name) for s in services)
         at_once = max((service.loads_at_once for service in services), default=1)
-        return versions.choose(time.monotonic(), reported, at_once, self._random)
+        now = time.monotonic()
+        return versions.choose(now, reported, unheard, at_once, self._random)
 
     def _update(self) -> None:
         if self._directory is None:
--- a/libraries/gateway/src/bamboopier_gateway/target_reports.py
+++ b/libraries/gateway/src/bamboopier_gateway/target_reports.py
@@ -19,6 +19,8 @@
         self._reports: dict[str, pb.LoadReport | None] = {}
         self._by_service: dict[str, list[str]] = {}
         self._wanted: dict[str, frozenset[str]] = {}
+        # Targets that have reported at least once, whatever came of them since.
+        self._heard: set[str] = set()
         self._ask_closed = False
 
     def change(
@@ -33,17 +35,26 @@
         # The order stays, or those asked last would be asked first after each change.
         known = {t: r for t, r in self._reports.items() if t in self._wanted}
         self._reports = known | {t: None for t in self._wanted if t not in known}
+        self._heard &= self._wanted.keys()
 
     def note(self, target: str, report: pb.LoadReport | None) -> None:
         """Take a report; None when the target could not be reached."""
-        if target in self._reports:
-            self._reports[target] = report
+        if target not in self._reports:
+            return
+        self._reports[target] = report
+        if report is not None:
+            self._heard.add(target)
 
     def list_versions(self, service: str) -> list[str]:
         """Return the weight version of each target of a service that takes work."""
         reports = (self._reports[t] for t in self._by_service.get(service, ()))
         return [r.weight_version for r in reports if r is not None and r.accepting]
 
+    def count_unheard(self, service: str) -> int:
+        """Return how many targets of a service have never reported here."""
+        targets = self._by_service.get(service, ())
+        return sum(target not in self._heard for target in targets)
+
     def find_next(self) -> str | None:
         """Return the target to ask next, of those that get no requests by themselves.
 
--- a/tools/safeguards/orders.py
+++ b/tools/safeguards/orders.py
@@ -85,17 +85,26 @@
     Mutation(
         "the old version serves until a target has the new one",
         "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
-        "        if not new:\n            return self._previous\n",
-        "",
+        "        if not new and (old or unheard):\n",
+        "        if not new and unheard:\n",
         "libraries/decisions",
         "tests.membership.test_fleet_view.RollOutTests."
         "test_requests_follow_the_targets_through_a_roll_out",
     ),
+    Mutation(
+        "targets not heard of yet are taken to have the old version",
+        "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
+        "        if not new and (old or unheard):\n",
+        "        if not new and old:\n",
+        "libraries/gateway",
+        "tests.test_fleet.VersionTests."
+        "test_targets_not_heard_of_yet_keep_the_old_version_in_use",
+    ),
     Mutation(
         "the old version ends in any case",
         "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
-        "        if not old or now >= self._changed + ROLL_OUT_SECONDS:\n",
-        "        if not old:\n",
+        "        if not self._previous or now >= self._changed + ROLL_OUT_SECONDS:\n",
+        "        if not self._previous:\n",
         "libraries/decisions",
         "tests.membership.test_fleet_view.RollOutTests."
         "test_requests_follow_the_targets_through_a_roll_out",
