Show that a version overtaken by the next one leaves no version in use

Two versions published in a row, before any target has loaded the first: every caller got 503 "overloaded" (ran: no) until a first target had loaded the second, though all targets serve the version before both.

--- a/libraries/gateway/tests/test_fleet.py
+++ b/libraries/gateway/tests/test_fleet.py
@@ -36,7 +36,12 @@
 
 class VersionTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.board = build_board()
+        self.agents = await self.enterAsyncContext(Agents())
+        self.start()
+        self.publish(1, "v1")
+
+    def start(self) -> None:
+        """Start a gateway that knows the targets' names and no configuration."""
         address = Address("127.0.0.1", 1)
         settings = GatewaySettings(
             vm="gateway-1",
@@ -47,11 +52,9 @@
             platform_url="http://127.0.0.1:1",
             block_secret="5a" * 32,
         )
-        agents = await self.enterAsyncContext(Agents())
         self.fleet = Fleet(
-            settings, self.board, agents, lambda _: None, random.Random(1)
+            settings, build_board(), self.agents, lambda _: None, random.Random(1)
         )
-        self.publish(1, "v1")
 
     def publish(self, generation: int, version: str) -> None:
         self.directory = build_directory(generation, version)
@@ -86,3 +89,19 @@
         self.assertEqual(self.choose(), "v2")
         self.fleet.reports.note("desk-1", None)
         self.assertEqual(self.choose(), "v2")
+
+    def test_a_version_that_is_overtaken_leaves_the_one_in_use(self) -> None:
+        """Two versions are published in a row, before any target has loaded the first.
+
+        All targets still have the one before both. A request made for the newest was
+        refused by each of them, and every caller got 503 until a first target had
+        loaded it.
+        """
+        for desk in DESKS:
+            self.hear(desk, "v1")
+        self.publish(2, "v2")
+        self.publish(3, "v3")
+        self.assertEqual(self.choose(), "v1")
+        for desk in DESKS[:2]:
+            self.hear(desk, "v3")
+        self.assertEqual(self.choose(), "v3")
