Use the weights that targets have while one version overtakes another

Two versions published in a row, before any target had loaded the first: callers got 503 "overloaded" (ran: no) until a target had loaded the second, and again whenever the targets with the oldest version closed.

Cause: the version before was taken from the configuration. The overtaken one was in use nowhere, so no target counted as having the old version, and each request was made for the newest, which every target refused (WRONG_VERSION). The version before is now what most open targets report at the change; and where none has it or the new one any more, requests are made for what most of them have. That holds because the version comes from the targets' own reports, whatever was configured in between. It is not the version shares that were at fault: with the right former version they stay as they were.

--- a/libraries/decisions/src/bamboopier_decisions/membership/versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/membership/versions.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
 # Requests may be made for the version before the configured one for this long. At 41
 # targets a model, two loads at once and a second or two for each, a roll-out takes
@@ -30,12 +31,22 @@
         self._previous = ""
         self._changed = 0.0
 
-    def configure(self, now: float, version: str) -> None:
-        """Take the version of a new configuration."""
-        if version != self.configured:
-            self._previous = self.configured
-            self._changed = now
-            self.configured = version
+    def configure(self, now: float, version: str, reported: Iterable[str]) -> None:
+        """Take the version of a new configuration; ``reported`` as in ``choose``.
+
+        What most targets have is the version before, not what was configured before. A
+        version that is overtaken before any target has loaded it was never in use:
+        asked for it or for the newest, every target refuses, and all callers get 503
+        until a first load has ended. Where nothing is reported yet, what was configured
+        is all that is known.
+        """
+        if version == self.configured:
+            return
+        others = Counter(other for other in reported if other not in ("", version))
+        in_use = others.most_common(1)
+        self._previous = in_use[0][0] if in_use else self.configured
+        self._changed = now
+        self.configured = version
 
     def choose(
         self,
@@ -52,19 +63,30 @@
         versions as targets are, as long as more targets have the old one than may
         vanish into a load at any moment.
         """
-        if not self._previous or now >= self._changed + ROLL_OUT_SECONDS:
+        if now >= self._changed + ROLL_OUT_SECONDS:
             return self.configured
-        versions = list(reported)
+        versions = [version for version in reported if version]
         new = versions.count(self.configured)
         old = versions.count(self._previous)
-        # A gateway that has just started knows the version of no target yet. If those
-        # it has not heard of counted as having left the old one, it would ask them for
-        # the new one, which none has loaded so soon: each refuses, and the caller gets
-        # 503 beside idle targets. The first target heard of, by an answer or when
-        # asked, decides from then on.
-        if not new and (old or unheard):
+        if not new and not old:
+            return self._guess(versions, unheard)
+        if not new:
             return self._previous
         if old <= loads_at_once:
             return self.configured
         share = new / (new + old)
         return self.configured if random.random() < share else self._previous
+
+    def _guess(self, versions: Sequence[str], unheard: int) -> str:
+        """Return the version to ask for where none has the new or the former one."""
+        # Roll-outs that overtake each other leave targets at a version in between.
+        # Passed over, they idle while those with the former one load, and callers get
+        # 503 until a first load of the newest has ended.
+        if versions:
+            return Counter(versions).most_common(1)[0][0]
+        # A gateway that has just started knows the version of no target yet. If those
+        # it has not heard of counted as having left the old one, it would ask them for
+        # the new one, which none has loaded so soon: each refuses, and the caller gets
+        # 503 beside idle targets. The first target heard of, by an answer or when
+        # asked, decides from then on.
+        return self._previous if self._previous and unheard else self.configured
--- a/libraries/gateway/src/bamboopier_gateway/fleet.py
+++ b/libraries/gateway/src/bamboopier_gateway/fleet.py
@@ -17,10 +17,10 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from bamboopier_configuration.directory import Directory
-    from bamboopier_configuration.model import Model
+    from bamboopier_configuration.model import Model, Service
     from bamboopier_configuration.settings import GatewaySettings
     from bamboopier_objects.vm_board import VmBoard
     from bamboopier_objects.vms import Vm
@@ -64,7 +64,9 @@
             versions = self._versions.setdefault(
                 model.name, ModelVersions(model.version)
             )
-            versions.configure(now, model.version)
+            services = _list_services(directory, model)
+            reported = self._list_reported(services)
+            versions.configure(now, model.version, reported)
         self._update()
 
     def choose_version(self, model: Model) -> str:
@@ -72,21 +74,17 @@
         versions = self._versions.get(model.name)
         if versions is None or self._directory is None:
             return model.version
-        services = [
-            service
-            for service in self._directory.services.values()
-            if model.name in service.models
-        ]
-        reported = [
-            version
-            for service in services
-            for version in self.reports.list_versions(service.name)
-        ]
+        services = _list_services(self._directory, model)
+        reported = self._list_reported(services)
         unheard = sum(self.reports.count_unheard(s.name) for s in services)
         at_once = max((service.loads_at_once for service in services), default=1)
         now = time.monotonic()
         return versions.choose(now, reported, unheard, at_once, self._random)
 
+    def _list_reported(self, services: Iterable[Service]) -> list[str]:
+        """Return the weight version of each target that takes work."""
+        return [v for s in services for v in self.reports.list_versions(s.name)]
+
     def _update(self) -> None:
         if self._directory is None:
             return
@@ -120,6 +118,11 @@
         return Distance.OTHER_REGION
 
 
+def _list_services(directory: Directory, model: Model) -> list[Service]:
+    """Return the services whose targets offer a model."""
+    return [s for s in directory.services.values() if model.name in s.models]
+
+
 def _list_versions(directory: Directory) -> dict[str, frozenset[str]]:
     """Return the configured weight versions by service."""
     models = directory.models
--- a/libraries/gateway/tests/test_fleet.py
+++ b/libraries/gateway/tests/test_fleet.py
@@ -102,6 +102,23 @@
         self.publish(2, "v2")
         self.publish(3, "v3")
         self.assertEqual(self.choose(), "v1")
-        for desk in DESKS[:2]:
-            self.hear(desk, "v3")
+        self.hear("desk-1", "v3")
+        self.assertEqual({self.choose() for _ in range(100)}, {"v1", "v3"})
+        self.hear("desk-2", "v3")
         self.assertEqual(self.choose(), "v3")
+
+    def test_targets_at_a_version_in_between_serve(self) -> None:
+        """A version is overtaken while half of the targets load it.
+
+        They open again with it just as the others close for the newest. A request made
+        for the newest was refused by all, although half of them were idle.
+        """
+        for desk in DESKS[2:]:
+            self.hear(desk, "v1")
+        self.publish(2, "v2")
+        self.publish(3, "v3")
+        for desk in DESKS[:2]:
+            self.hear(desk, "v2")
+        for desk in DESKS[2:]:
+            self.hear(desk, "v1", accepting=False)
+        self.assertEqual(self.choose(), "v2")
--- a/tools/safeguards/orders.py
+++ b/tools/safeguards/orders.py
@@ -85,8 +85,8 @@
     Mutation(
         "the old version serves until a target has the new one",
         "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
-        "        if not new and (old or unheard):\n",
-        "        if not new and unheard:\n",
+        "        if not new:\n            return self._previous\n",
+        "",
         "libraries/decisions",
         "tests.membership.test_fleet_view.RollOutTests."
         "test_requests_follow_the_targets_through_a_roll_out",
@@ -94,17 +94,36 @@
     Mutation(
         "targets not heard of yet are taken to have the old version",
         "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
-        "        if not new and (old or unheard):\n",
-        "        if not new and old:\n",
+        "self._previous if self._previous and unheard else self.configured",
+        "self.configured",
         "libraries/gateway",
         "tests.test_fleet.VersionTests."
         "test_targets_not_heard_of_yet_keep_the_old_version_in_use",
     ),
+    Mutation(
+        "the version before is what targets have",
+        "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
+        "in_use[0][0] if in_use else self.configured",
+        "self.configured",
+        "libraries/gateway",
+        "tests.test_fleet.VersionTests."
+        "test_a_version_that_is_overtaken_leaves_the_one_in_use",
+    ),
+    Mutation(
+        "targets at a version in between serve",
+        "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
+        "        if versions:\n"
+        "            return Counter(versions).most_common(1)[0][0]\n",
+        "",
+        "libraries/gateway",
+        "tests.test_fleet.VersionTests.test_targets_at_a_version_in_between_serve",
+    ),
     Mutation(
         "the old version ends in any case",
         "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
-        "        if not self._previous or now >= self._changed + ROLL_OUT_SECONDS:\n",
-        "        if not self._previous:\n",
+        "        if now >= self._changed + ROLL_OUT_SECONDS:\n"
+        "            return self.configured\n",
+        "",
         "libraries/decisions",
         "tests.membership.test_fleet_view.RollOutTests."
         "test_requests_follow_the_targets_through_a_roll_out",
