--- a/libraries/gateway/tests/test_fleet.py
+++ b/libraries/gateway/tests/test_fleet.py
@@ -122,3 +122,19 @@
         for desk in DESKS[2:]:
             self.hear(desk, "v1", accepting=False)
         self.assertEqual(self.choose(), "v2")
+
+    def test_a_gateway_that_starts_in_a_roll_out_uses_what_targets_have(self) -> None:
+        """The first configuration that a gateway reads names what no target has yet.
+
+        It has never known the version before. A request made for the new one was
+        refused by each target, and every caller of this gateway got 503 until a first
+        target had loaded it.
+        """
+        self.start()
+        self.publish(1, "v2")
+        for desk in DESKS:
+            self.hear(desk, "v1")
+        self.assertEqual(self.choose(), "v1")
+        for desk in DESKS[:2]:
+            self.hear(desk, "v2")
+        self.assertEqual(self.choose(), "v2")
