Count a gateway's start as the change of a weight version

A gateway that started after a version was published and before a first target had loaded it answered every caller 503 "overloaded" (ran: no) for that long, though all targets served the version before.

Cause: the version of its first configuration counted as changed at time zero of the clock, so the ten minutes for which other versions may be asked for were over on a machine that has been up for longer, and what the targets reported was not looked at. They now run from the gateway's start. That holds because no earlier time can be known there; and where a target has the configured version, nothing changes.

--- a/libraries/decisions/src/bamboopier_decisions/membership/versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/membership/versions.py
@@ -26,10 +26,13 @@
 
     __slots__ = ("_changed", "_previous", "configured")
 
-    def __init__(self, configured: str) -> None:
+    def __init__(self, now: float, configured: str) -> None:
         self.configured = configured
         self._previous = ""
-        self._changed = 0.0
+        # A process that starts cannot tell how long the version has been configured.
+        # Were it taken for long ago, a gateway started in a roll-out would ask all
+        # targets for a version that none has loaded yet, and refuse every caller.
+        self._changed = now
 
     def configure(self, now: float, version: str, reported: Iterable[str]) -> None:
         """Take the version of a new configuration; ``reported`` as in ``choose``.
--- a/libraries/decisions/tests/membership/test_fleet_view.py
+++ b/libraries/decisions/tests/membership/test_fleet_view.py
@@ -62,7 +62,7 @@
 class RollOutTests(unittest.TestCase):
     def test_requests_follow_the_targets_through_a_roll_out(self) -> None:
         """Ten targets take v2 two at a time; then one never gets it."""
-        versions = ModelVersions("v1")
+        versions = ModelVersions(0.0, "v1")
         versions.configure(0.0, "v2", [])
         generator = random.Random(3)
 
--- a/libraries/gateway/src/bamboopier_gateway/fleet.py
+++ b/libraries/gateway/src/bamboopier_gateway/fleet.py
@@ -62,7 +62,7 @@
         now = time.monotonic()
         for model in directory.models.values():
             versions = self._versions.setdefault(
-                model.name, ModelVersions(model.version)
+                model.name, ModelVersions(now, model.version)
             )
             services = _list_services(directory, model)
             reported = self._list_reported(services)
--- a/tools/safeguards/orders.py
+++ b/tools/safeguards/orders.py
@@ -109,6 +109,15 @@
         "tests.test_fleet.VersionTests."
         "test_a_version_that_is_overtaken_leaves_the_one_in_use",
     ),
+    Mutation(
+        "a roll-out may be underway when a gateway starts",
+        "libraries/gateway/src/bamboopier_gateway/fleet.py",
+        "ModelVersions(now, model.version)",
+        "ModelVersions(now - 600, model.version)",
+        "libraries/gateway",
+        "tests.test_fleet.VersionTests."
+        "test_a_gateway_that_starts_in_a_roll_out_uses_what_targets_have",
+    ),
     Mutation(
         "targets at a version in between serve",
         "libraries/decisions/src/bamboopier_decisions/membership/versions.py",
