--- a/libraries/decisions/tests/membership/test_fleet_view.py
+++ b/libraries/decisions/tests/membership/test_fleet_view.py
@@ -62,13 +62,15 @@
 class RollOutTests(unittest.TestCase):
     def test_requests_follow_the_targets_through_a_roll_out(self) -> None:
         """Ten targets take v2 two at a time; then one never gets it."""
-        versions = ModelVersions("v1")
-        versions.configure(0.0, "v2")
+        versions = ModelVersions(0.0, "v1")
+        versions.configure(0.0, "v2", [])
         generator = random.Random(3)
 
         def count_new(now: float, new: int, old: int) -> int:
             reported = ["v2"] * new + ["v1"] * old
-            chosen = [versions.choose(now, reported, 2, generator) for _ in range(1000)]
+            chosen = [
+                versions.choose(now, reported, 0, 2, generator) for _ in range(1000)
+            ]
             return chosen.count("v2")
 
         self.assertEqual(count_new(1.0, 0, 10), 0)
--- /dev/null
+++ b/libraries/gateway/tests/test_fleet.py
@@ -0,0 +1,140 @@
+"""For which weight version a gateway makes a request, by what it has heard."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bamboopier_configuration.directory import Directory
+from bamboopier_configuration.model import Configuration, Model, Service
+from bamboopier_configuration.settings import Address, GatewaySettings
+from bamboopier_gateway.agents import Agents
+from bamboopier_gateway.fleet import Fleet
+from bamboopier_objects.vm_board import VmBoard
+from bamboopier_objects.vms import Vm
+from bamboopier_protocol import agent_pb2 as pb
+
+DESKS = ("desk-1", "desk-2", "desk-3", "desk-4")
+
+
+def build_board() -> VmBoard:
+    """Return a VM list with four targets."""
+    board = VmBoard(random.Random(1))
+    board.vms = tuple(
+        Vm(desk, "target", "dc-east", "midlands", "127.0.0.1:1", group="fault-desk")
+        for desk in DESKS
+    )
+    return board
+
+
+def build_directory(generation: int, version: str) -> Directory:
+    """Return a configuration with one model at a version."""
+    service = Service("fault-desk", "model", models=["pillar-8b"])
+    models = [Model("pillar-8b", version)]
+    return Directory(generation, Configuration([service], models=models))
+
+
+class VersionTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.agents = await self.enterAsyncContext(Agents())
+        self.start()
+        self.publish(1, "v1")
+
+    def start(self) -> None:
+        """Start a gateway that knows the targets' names and no configuration."""
+        address = Address("127.0.0.1", 1)
+        settings = GatewaySettings(
+            vm="gateway-1",
+            data_centre="dc-east",
+            region="midlands",
+            listen=address,
+            admin=address,
+            platform_url="http://127.0.0.1:1",
+            block_secret="5a" * 32,
+        )
+        self.fleet = Fleet(
+            settings, build_board(), self.agents, lambda _: None, random.Random(1)
+        )
+
+    def publish(self, generation: int, version: str) -> None:
+        self.directory = build_directory(generation, version)
+        self.fleet.apply_configuration(self.directory)
+
+    def hear(self, target: str, version: str, accepting: bool = True) -> None:
+        report = pb.LoadReport(weight_version=version, accepting=accepting)
+        self.fleet.reports.note(target, report)
+
+    def choose(self) -> str:
+        return self.fleet.choose_version(self.directory.models["pillar-8b"])
+
+    def test_targets_not_heard_of_yet_keep_the_old_version_in_use(self) -> None:
+        """A version is published before a gateway has asked its targets.
+
+        It has heard of one only, which closed to load. A request made for the new
+        version was then refused by each of the others in turn, and the caller got 503
+        although three idle targets served the old one.
+        """
+        self.publish(2, "v2")
+        self.assertEqual(self.choose(), "v1")
+        self.hear("desk-1", "v1", accepting=False)
+        self.assertEqual(self.choose(), "v1")
+        self.hear("desk-1", "v2")
+        self.assertEqual(self.choose(), "v2")
+
+    def test_the_new_version_is_used_once_all_were_heard_of(self) -> None:
+        """Every target closed and none is left to have the old version."""
+        self.publish(2, "v2")
+        for desk in DESKS:
+            self.hear(desk, "v1", accepting=False)
+        self.assertEqual(self.choose(), "v2")
+        self.fleet.reports.note("desk-1", None)
+        self.assertEqual(self.choose(), "v2")
+
+    def test_a_version_that_is_overtaken_leaves_the_one_in_use(self) -> None:
+        """Two versions are published in a row, before any target has loaded the first.
+
+        All targets still have the one before both. A request made for the newest was
+        refused by each of them, and every caller got 503 until a first target had
+        loaded it.
+        """
+        for desk in DESKS:
+            self.hear(desk, "v1")
+        self.publish(2, "v2")
+        self.publish(3, "v3")
+        self.assertEqual(self.choose(), "v1")
+        self.hear("desk-1", "v3")
+        self.assertEqual({self.choose() for _ in range(100)}, {"v1", "v3"})
+        self.hear("desk-2", "v3")
+        self.assertEqual(self.choose(), "v3")
+
+    def test_targets_at_a_version_in_between_serve(self) -> None:
+        """A version is overtaken while half of the targets load it.
+
+        They open again with it just as the others close for the newest. A request made
+        for the newest was refused by all, although half of them were idle.
+        """
+        for desk in DESKS[2:]:
+            self.hear(desk, "v1")
+        self.publish(2, "v2")
+        self.publish(3, "v3")
+        for desk in DESKS[:2]:
+            self.hear(desk, "v2")
+        for desk in DESKS[2:]:
+            self.hear(desk, "v1", accepting=False)
+        self.assertEqual(self.choose(), "v2")
+
+    def test_a_gateway_that_starts_in_a_roll_out_uses_what_targets_have(self) -> None:
+        """The first configuration that a gateway reads names what no target has yet.
+
+        It has never known the version before. A request made for the new one was
+        refused by each target, and every caller of this gateway got 503 until a first
+        target had loaded it.
+        """
+        self.start()
+        self.publish(1, "v2")
+        for desk in DESKS:
+            self.hear(desk, "v1")
+        self.assertEqual(self.choose(), "v1")
+        for desk in DESKS[:2]:
+            self.hear(desk, "v2")
+        self.assertEqual(self.choose(), "v2")
