Say that a listed test passed only where it ran

The runner printed 'known red, passed this time' for each listed test that did not fail, also in a run of one suite to which it does not belong; two readers asked what it meant.

--- a/tests/test_run_tests.py
+++ b/tests/test_run_tests.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from run_tests import list_failed
+from run_tests import KnownRed, list_failed, list_passed
 
 OUTPUT = """\
 FAIL: test_outcomes (tests.test_path.PathTests.test_outcomes) (cell='x', keyed=True)
@@ -21,6 +21,14 @@
         names = ("path:test_outcomes", "path:test_start")
         self.assertEqual(list_failed("path", OUTPUT), names)
 
+    def test_a_listed_test_passed_only_where_its_suite_ran(self) -> None:
+        # One suite is run alone. The runner said of a listed test of another suite that
+        # it had passed this time, and a reader took that for evidence.
+        listed = frozenset({"path:test_stop", "agent:test_start"})
+        red = KnownRed(listed, listed)
+        self.assertEqual(list_passed(red, set(), {"agent"}), ["agent:test_start"])
+        self.assertEqual(list_passed(red, {"agent:test_start"}, {"agent"}), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -113,6 +113,12 @@
     return KnownRed(tests, sometimes)
 
 
+def list_passed(red: KnownRed, failed: set[str], suites: set[str]) -> list[str]:
+    """Return the tests listed as failing in some runs that ran and did not fail."""
+    passed = red.sometimes - failed
+    return sorted(test for test in passed if test.partition(":")[0] in suites)
+
+
 def main(pattern: str = "test_*.py", only: str = "") -> None:
     """Run all suites, or the one named by ``only``."""
     suites = [s for s in find_suites(pattern) if s.name.startswith(only)]
@@ -128,7 +134,7 @@
             print(result.output)
     for test in sorted(failed & known):
         print(f"known red, still failing: {test}")
-    for test in sorted(red.sometimes - failed):
+    for test in list_passed(red, failed, {result.name for result in results}):
         print(f"known red, passed this time: {test}")
     whole = not only and pattern == "test_*.py"
     healed = known - failed - red.sometimes if whole else set()
