Show what callers are told of an order that went to a connection already cut

Callers see: 502 outcome_unknown of an order that no agent had, and no other agent is tried, when the agent's connection is cut and gRPC has not read the cut.

--- a/libraries/gateway/tests/builders.py
+++ b/libraries/gateway/tests/builders.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from dataclasses import dataclass, field, replace
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 from bamboopier_gateway.call import Call
@@ -93,6 +94,14 @@
     body: bytes = b""
     whole: bool = False
 
+    @property
+    def begun(self) -> bool:
+        return self.heads > 0
+
+    @property
+    def response(self) -> Any:
+        return SimpleNamespace(prepared=self.begun)
+
     async def begin(self, head: pb.ResponseHead) -> None:
         self.heads += 1
 
