Write an order only where its agent has just answered

Callers saw: 502 outcome_unknown of an order that no agent had, and no other agent was tried, when the agent's connection was cut and gRPC had not read the cut; the same, at the deadline, when the way to the agent was frozen before the order came.

Cause: the connection counts as ready, the request is written to it and fails like one that was under way; nothing that the gateway sees tells the two apart afterwards.

Change: a request that may not be repeated follows a question on the same connection (Report, which runs nothing). When that fails within the second for connecting, the request has not been written: "not run" is true whatever thaws later, and the router tries another agent. After the answer everything is as before, so a request that was written is still "unknown", also in the short time in which a cut follows the answer.

Ruled out: asking the agent afterwards, over a new connection, whether it saw the attempt.

--- a/libraries/gateway/src/bamboopier_gateway/agents.py
+++ b/libraries/gateway/src/bamboopier_gateway/agents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from contextlib import suppress
 from typing import TYPE_CHECKING, Self
 
@@ -10,7 +11,7 @@
 
 from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.daemon import GRPC_OPTIONS
-from bamboopier_protocol import agent_pb2_grpc
+from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -81,6 +82,27 @@
         await self._drop(address, channel)
         return None
 
+    async def reach_answering(
+        self, address: str, timeout: float
+    ) -> agent_pb2_grpc.AgentStub | None:
+        """Return a stub once its agent has answered; None when nothing can be sent.
+
+        A connection that was cut counts as standing until gRPC has read the cut, and a
+        call written to it fails like one that was under way: the caller of an order
+        that no agent had is told "unknown", and no other agent is tried. A question
+        that runs nothing goes first and meets such a cut. When it fails, the request
+        itself has not been written, so "not run" holds whatever thaws later.
+        """
+        end = time.monotonic() + min(timeout, CONNECT_SECONDS)
+        while stub := await self.reach(address, end - time.monotonic()):
+            channel = self._channels.get(address)
+            if not await _is_answered(stub, end - time.monotonic()):
+                return None
+            # One that was replaced meanwhile takes no new calls.
+            if channel is not None and self._channels.get(address) is channel:
+                return stub
+        return None
+
     async def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
         """Close a channel that has no connection; the next call opens another.
 
@@ -122,6 +144,18 @@
         task.add_done_callback(self._closing.discard)
 
 
+async def _is_answered(stub: agent_pb2_grpc.AgentStub, timeout: float) -> bool:
+    """Ask the agent for its load; False when no answer comes in time.
+
+    The code is waited for, not the answer: a channel that another call closes cancels
+    this one, and its error would be taken for a caller who left.
+    """
+    with suppress(grpc.aio.UsageError):
+        asked = stub.Report(pb.ReportRequest(), timeout=timeout)
+        return await asked.code() is grpc.StatusCode.OK
+    return False
+
+
 async def _is_ready(channel: grpc.aio.Channel) -> bool:
     """Wait while the channel connects; False at the first failure from now on.
 
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -104,7 +104,10 @@
     ) -> AttemptResult:
         left = call.deadline - time.monotonic()
         address = self._fleet.find_address(send.target)
-        stub = await self._agents.reach(address, left)
+        # What may be repeated needs no proof of the connection, nor pays for one.
+        agents = self._agents
+        reach = agents.reach if call.idempotent else agents.reach_answering
+        stub = await reach(address, left)
         if stub is None:
             return AttemptResult(
                 Ran.NO, pb.CONNECTION_LOST, "no connection to the agent", broken=True
--- a/libraries/gateway/tests/relayed_agents.py
+++ b/libraries/gateway/tests/relayed_agents.py
@@ -37,6 +37,7 @@
         self.taken = b""
         self._passes = asyncio.Event()
         self._passes.set()
+        self.holds_call = asyncio.Event()
         self._cuts_next_call = False
 
     async def start(self) -> str:
@@ -83,6 +84,8 @@
         with suppress(ConnectionError):
             while data := await reader.read(BUFFER):
                 self.taken += data
+                if not self._passes.is_set() and _has_call(data):
+                    self.holds_call.set()
                 await self._passes.wait()
                 if not self._cuts_next_call:
                     writer.write(data)
--- a/libraries/gateway/tests/test_agents.py
+++ b/libraries/gateway/tests/test_agents.py
@@ -13,6 +13,8 @@
     add_AgentServicer_to_server,
 )
 
+from .relayed_agents import Agent, start_relayed
+
 # Only reached by a test that would hang.
 HANG_SECONDS = 10.0
 
@@ -26,6 +28,10 @@
     return server, port
 
 
+async def stay_silent() -> None:
+    await asyncio.Event().wait()
+
+
 class AgentsTests(unittest.IsolatedAsyncioTestCase):
     async def test_an_agent_that_is_gone_is_left_alone(self) -> None:
         # A data centre is lost. A gateway that kept its channels open would go on
@@ -66,6 +72,24 @@
         self.assertTrue(accepted.is_set())
         server.close()
 
+    async def test_a_channel_closed_while_its_agent_is_asked(self) -> None:
+        # An agent that says nothing is asked for one order when the gateway closes its
+        # channel. That cancels the question. The order is "not run"; taken for a caller
+        # who left, it would get no answer at all.
+        agent = Agent(stay_silent)
+        async with (
+            asyncio.timeout(HANG_SECONDS),
+            start_relayed(agent) as (relay, address),
+            Agents() as agents,
+        ):
+            self.assertIsNotNone(await agents.reach(address))
+            relay.hold()
+            asking = asyncio.create_task(agents.reach_answering(address, HANG_SECONDS))
+            await relay.holds_call.wait()
+            await agents.__aexit__(None, None, None)
+            self.assertIsNone(await asking)
+            relay.release()
+
     async def test_an_agent_that_came_up_since_the_last_failure_is_reached(
         self,
     ) -> None:
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -255,6 +255,40 @@
         "libraries/gateway",
         "tests.test_agents.AgentsTests.test_an_agent_that_stands_still_is_sent_nothing",
     ),
+    Mutation(
+        "an order is written only where its agent has just answered",
+        "libraries/gateway/src/bamboopier_gateway/forwarder.py",
+        "agents.reach if call.idempotent else agents.reach_answering",
+        "agents.reach",
+        "libraries/gateway",
+        "tests.test_forwarder",
+    ),
+    Mutation(
+        "an order is kept back when the agent does not answer",
+        "libraries/gateway/src/bamboopier_gateway/agents.py",
+        "            if not await _is_answered(stub, end - time.monotonic()):\n"
+        "                return None\n",
+        "            await _is_answered(stub, end - time.monotonic())\n",
+        "libraries/gateway",
+        "tests.test_forwarder",
+    ),
+    Mutation(
+        "an order goes out on the channel that replaced the one that was asked",
+        "libraries/gateway/src/bamboopier_gateway/agents.py",
+        "            if channel is not None and "
+        "self._channels.get(address) is channel:\n",
+        "            if True:\n",
+        "libraries/gateway",
+        "tests.test_forwarder",
+    ),
+    Mutation(
+        "a question cancelled with its channel is not taken for a caller who left",
+        "libraries/gateway/src/bamboopier_gateway/agents.py",
+        "        return await asked.code() is grpc.StatusCode.OK\n",
+        "        return bool(await asked)\n",
+        "libraries/gateway",
+        "tests.test_agents",
+    ),
     Mutation(
         "a request that no connection had is told as not run",
         "libraries/gateway/src/bamboopier_gateway/attempt.py",
