Begin each cell of the order lab with both agents answering

Cause: warm_up ended after four answers from whichever agent. One whose pause was left was not asked, so its pause doubled with its next break, up to 16 s within a run, and the 20 s after which warm_up went on by itself came into reach; the order then finds no agent and the cell is not the one that was laid. Its page said already that both must answer.

Change: warm_up waits for an answer of each agent, by the gateway's own log, and fails with a word of its own when one does not come. No expectation is changed; the start of a cell is as strict as before (four answers) and stricter (of both agents).

Ruled out: raising the 20 s. The pauses would go on doubling to 30 s.

--- a/tests/order_lab.py
+++ b/tests/order_lab.py
@@ -163,11 +163,17 @@
             time.sleep(0.05)
 
     def warm_up(self) -> None:
-        """Let both gateways see both agents answer, so that no pause is left."""
+        """Let both gateways see both agents answer, so that no pause is left.
+
+        A pause that is left doubles with the next break. After some cells it outlasts
+        this wait, and an order finds no agent instead of the fault that was laid.
+        """
         for gateway in GATEWAYS:
             limit = time.monotonic() + HANG_SECONDS
-            answered = 0
-            while answered < 4 and time.monotonic() < limit:
+            answered: list[str] = []
+            while len(answered) < 4 or not set(AGENTS) <= set(answered):
+                if time.monotonic() > limit:
+                    raise TimeoutError(f"{gateway} has answers of {set(answered)} only")
                 self.installation.check_alive(gateway)
                 answered += self._ask(gateway)
 
@@ -177,20 +183,34 @@
             return 0
         return self._target_log.read_text().count(order.pillar)
 
-    def _ask(self, gateway: str) -> bool:
+    def _ask(self, gateway: str) -> list[str]:
+        """Return the agent that answered, if one did."""
         url = f"{self.installation.gateways[gateway]}/services/dispatch/boxes/7"
         connection = http.client.HTTPConnection(urlsplit(url).netloc, timeout=5)
         try:
             headers = {"Authorization": f"Bearer {FOSSE_KEY}"}
             connection.request("GET", "/services/dispatch/boxes/7", headers=headers)
-            done = connection.getresponse().status == 200
+            response = connection.getresponse()
+            if response.status == 200:
+                return [self._find_agent(gateway, response.headers["X-Request-Id"])]
         except (OSError, http.client.HTTPException):
-            done = False
+            pass
         finally:
             connection.close()
-        if not done:
-            time.sleep(0.05)
-        return done
+        time.sleep(0.05)
+        return []
+
+    def _find_agent(self, gateway: str, request_id: str) -> str:
+        """Return the last agent that the gateway chose for a request, by its log."""
+        limit = time.monotonic() + HANG_SECONDS
+        path = self.installation.daemons[gateway].output
+        while time.monotonic() < limit:
+            lines = [x for x in path.read_text().splitlines() if request_id in x]
+            chosen = [x for x in map(_read_line, lines) if "target" in x]
+            if chosen:
+                return str(chosen[-1]["target"])
+            time.sleep(0.005)
+        raise TimeoutError(f"{gateway} logged no target for {request_id}")
 
     def _act(self, cell: Cell, order: Order, relay: Relay) -> None:
         """Bring the fault about; the relay's connection stands still meanwhile."""
@@ -270,6 +290,13 @@
         self.installation.start_daemon(name, command, settings)
 
 
+def _read_line(line: str) -> dict[str, Any]:
+    """Return a line of a log; empty while it is being written."""
+    with suppress(json.JSONDecodeError):
+        return dict(json.loads(line))
+    return {}
+
+
 def _may_return(answer: Answer) -> bool:
     """Say whether the caller was told that asking again helps."""
     return "Retry-After" in answer.headers and answer.status in (409, 503, 504)
