--- a/libraries/gateway/tests/test_lost_connections.py
+++ b/libraries/gateway/tests/test_lost_connections.py
@@ -10,62 +10,22 @@
 
 import asyncio
 import unittest
-from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, Any
 
 import grpc
 
 from bamboopier_decisions.routing.messages import Ran
-from bamboopier_gateway.agents import OPTIONS
 from bamboopier_gateway.attempt import Attempt
 from bamboopier_protocol import agent_pb2 as pb
-from bamboopier_protocol.agent_pb2_grpc import (
-    AgentServicer,
-    AgentStub,
-    add_AgentServicer_to_server,
-)
+from bamboopier_protocol.agent_pb2_grpc import AgentStub
 
-from .agent_relay import HOST, Relay
-from .builders import FakeDelivery, make_call, make_event
-
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+from .builders import FakeDelivery, make_call
+from .relayed_agents import Agent, start_agent
 
 # Only reached by a test that would hang.
 HANG_SECONDS = 10.0
 NO_CONNECTION = "failed to connect to all addresses; last error: refused"
 
 
-class Agent(AgentServicer):
-    """Notes what it is given, then does as it is told."""
-
-    def __init__(self, act: Callable[[], Awaitable[None]]) -> None:
-        self._act = act
-        self.received: list[str] = []
-
-    async def Serve(  # noqa: N802 (the name is the protocol's)
-        self, request: pb.ServeRequest, context: Any
-    ) -> AsyncIterator[pb.ServeEvent]:
-        self.received.append(request.attempt_id)
-        await self._act()
-        yield make_event(0, request.attempt_id, not_run=pb.NotRun())
-
-
-@asynccontextmanager
-async def start_agent(agent: Agent) -> AsyncIterator[tuple[Relay, grpc.aio.Channel]]:
-    """Start an agent behind a relay; give a channel whose connection stands."""
-    server = grpc.aio.server()
-    add_AgentServicer_to_server(agent, server)
-    relay = Relay(server.add_insecure_port(f"{HOST}:0"))
-    await server.start()
-    address = await relay.start()
-    async with grpc.aio.insecure_channel(address, options=OPTIONS) as channel:
-        await channel.channel_ready()
-        yield relay, channel
-    relay.cut()
-    await server.stop(None)
-
-
 async def stay_silent() -> None:
     await asyncio.Event().wait()
 
--- a/libraries/gateway/tests/test_recall.py
+++ b/libraries/gateway/tests/test_recall.py
@@ -25,8 +25,8 @@
     add_AgentServicer_to_server,
 )
 
-from .agent_relay import HOST, Relay
 from .builders import FakeDelivery, make_call
+from .relayed_agents import HOST, Relay
 
 # Only reached by a test that would hang.
 HANG_SECONDS = 10.0
