Log a caller that left as such, not as a failure of the gateway

Cause: the handler ends such a request by an exception, which the connection took for one that nobody caught. It is handed on now to the HTTP server, which drops the connection.

--- a/libraries/gateway/src/bamboopier_gateway/connection.py
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -128,6 +128,10 @@
         request_id = uuid.uuid4().hex
         if request.writer.output_size > 0:
             raise ConnectionError("an answer was already begun")
+        if isinstance(exc, ConnectionError):
+            # The caller is gone, which the handler has logged: nobody reads an answer,
+            # and an error in the log would pass for a failure of this process.
+            raise exc
         if isinstance(exc, LineTooLong):
             error = CallerError(ErrorCode.HEADERS_TOO_LARGE, "a header is too long")
         elif status == ErrorCode.BAD_REQUEST.status:
