Log the size of a configuration and how much of an answer had arrived

The lines of the incident said 'GET URL: ' and nothing: not that time ran out, and not whether the store was silent or the link slow. Both look the same without the bytes, and only the monitoring outside told them apart. No decision changes.

--- a/libraries/objects/src/bamboopier_objects/http_caller.py
+++ b/libraries/objects/src/bamboopier_objects/http_caller.py
@@ -89,17 +89,23 @@
             return Err(PlatformUnavailableError("the platform client is not open"))
         timeout = aiohttp.ClientTimeout(total=patience or self.call_timeout)
         url = self._base_url + path
+        content = bytearray()
+        length: int | None = None
         try:
             async with self._session.request(
                 method, url, data=body, headers=headers, timeout=timeout
             ) as response:
-                content = await response.read()
+                length = response.content_length
+                async for chunk in response.content.iter_any():
+                    content += chunk
                 received = {n.lower(): v for n, v in response.headers.items()}
-                return Ok(Reply(response.status, content, received))
+                return Ok(Reply(response.status, bytes(content), received))
         except aiohttp.ClientConnectorError as error:
             return Err(PlatformUnavailableError(f"{method} {url}: {error}"))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            text = f"{method} {url}: {error or type(error).__name__}"
+            cause = str(error) or type(error).__name__
+            arrived = f"{len(content)} of {length} bytes arrived"
+            text = f"{method} {url}: {cause}, {arrived}"
             if method == "GET":
                 return Err(PlatformUnavailableError(text))
             return Err(PlatformOutcomeUnknownError(text))
--- a/libraries/proxy/src/bamboopier_proxy/knowledge.py
+++ b/libraries/proxy/src/bamboopier_proxy/knowledge.py
@@ -32,8 +32,10 @@
         """Return the version in force; 0 before the first."""
         return self.table.declared.version if self.table is not None else 0
 
-    def take(self, declared: Declared, asked_at: float, now: float) -> None:
-        """Take a configuration that was current at ``asked_at``.
+    def take(
+        self, declared: Declared, asked_at: float, now: float, size: int = 0
+    ) -> None:
+        """Take a configuration of ``size`` bytes that was current at ``asked_at``.
 
         An older version than the one in force says that the answer was held up or
         came from a store that lags; it proves nothing.
@@ -55,6 +57,7 @@
             version=declared.version,
             routes=len(declared.routes),
             services=len(declared.services),
+            size_bytes=size,
             age_seconds=round(now - asked_at, 3),
         )
 
