Show that large configurations do not reach gateways on weak links

Real gateways read a megabyte of routes through a link of 5 Mbit/s: a read that takes longer than 1.5 s is given up and begun anew for ever, an unchanged configuration is read at each interval, and a second copy is asked of another gateway while the first arrives.

--- /dev/null
+++ b/libraries/objects/tests/test_http_caller.py
@@ -0,0 +1,54 @@
+"""Answers that arrive slowly, and answers that stop arriving."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from bamboopier_objects.errors import PlatformUnavailableError
+from bamboopier_objects.http_caller import HttpCaller
+
+PATIENCE_SECONDS = 0.4
+PIECES = 8
+PIECE = b"x" * 100
+HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {PIECES * len(PIECE)}\r\n\r\n".encode()
+
+
+class SlowAnswerTests(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, pieces: int, pause: float) -> HttpCaller:
+        """Return a caller of a server that sends so many pieces of its answer."""
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD)
+            for _ in range(pieces):
+                await asyncio.sleep(pause)
+                writer.write(PIECE)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        return HttpCaller(f"http://127.0.0.1:{port}", call_timeout=PATIENCE_SECONDS)
+
+    async def test_an_answer_longer_than_the_patience_arrives_whole(self) -> None:
+        # Guards against a limit on the whole call, which a large answer on a weak link
+        # exceeds each time, however often it is asked for.
+        async with await self.serve(PIECES, PATIENCE_SECONDS / 2) as caller:
+            answer = await caller.call("GET", "/large")
+        self.assertEqual(len(answer.unwrap().body), PIECES * len(PIECE))
+
+    async def test_an_answer_that_stops_on_its_way_is_given_up(self) -> None:
+        # Guards against waiting for ever on a connection that went silent.
+        async with await self.serve(PIECES // 2, 0.0) as caller:
+            async with asyncio.timeout(PATIENCE_SECONDS * 10):
+                answer = await caller.call("GET", "/silent")
+        self.assertIsInstance(answer.err(), PlatformUnavailableError)
+        self.assertIn("400 of 800 bytes arrived", str(answer.err()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libraries/proxy/src/bamboopier_proxy/configuration_intake.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_intake.py
@@ -52,7 +52,5 @@
             log.error("configuration set aside", reason=decoded.err_value)
             return True
         self.stored = found
-        self._knowledge.take(
-            decoded.ok_value, asked_at, read_clock(), len(found.value)
-        )
+        self._knowledge.take(decoded.ok_value, asked_at, read_clock(), len(found.value))
         return True
