Limit the silence of a call and not its whole length

Callers saw a dropped route go on for seconds, and then 503 for every key, at all gateways on 5 Mbit/s. Cause: a call had 1.5 s whatever its answer's size; 836 KB take 1.34 s of such a link alone, so beside callers' requests every read was given up and asked for again in full.

The limit is now on silence: until the answer begins, and between two pieces of it; 16 s for all of it, so that one that drips does not go on for ever. One client makes all calls, so news of the stores of parts, lists of targets and versions handed on between gateways, which had the same fault, are mended with it. A connection that goes silent is still given up.

--- a/libraries/objects/src/bamboopier_objects/http_caller.py
+++ b/libraries/objects/src/bamboopier_objects/http_caller.py
@@ -1,7 +1,13 @@
-"""Calls to the platform over HTTP: time limits, and what a lost answer means."""
+"""Calls to the platform over HTTP: time limits, and what a lost answer means.
+
+Failure answered: an answer that takes a weak link longer than a limit on the whole call
+is given up each time, and asked for again in full. So the limit is on silence: a call
+goes on for as long as its answer arrives.
+"""
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Self, TypeVar
 
 import aiohttp
@@ -22,6 +28,11 @@
 T = TypeVar("T")
 
 CALL_TIMEOUT_SECONDS = 5.0
+# Seconds within an answer without a byte of it, or its usual patience if that is less.
+STALL_SECONDS = 1.5
+# Seconds for a whole answer beyond its patience: a megabyte on a link that carries a
+# tenth of what the weakest one does.
+LONGEST_ANSWER_SECONDS = 16.0
 
 
 class Reply:
@@ -83,21 +94,31 @@
     ) -> Result[Reply, PlatformError]:
         """Make one call; a change whose answer is lost is reported as unknown.
 
-        ``patience`` is in seconds for the whole call; None is the caller's usual.
+        ``patience`` are the seconds until the answer begins; None stands for the
+        caller's usual.
         """
         if self._session is None:
             return Err(PlatformUnavailableError("the platform client is not open"))
-        timeout = aiohttp.ClientTimeout(total=patience or self.call_timeout)
+        patience = patience or self.call_timeout
+        stall = min(STALL_SECONDS, patience)
+        longest = patience + LONGEST_ANSWER_SECONDS
+        timeout = aiohttp.ClientTimeout(total=longest)
+        read_time = asyncio.get_running_loop().time
         url = self._base_url + path
         content = bytearray()
         length: int | None = None
         try:
-            async with self._session.request(
-                method, url, data=body, headers=headers, timeout=timeout
-            ) as response:
+            async with (
+                asyncio.timeout(patience) as limit,
+                self._session.request(
+                    method, url, data=body, headers=headers, timeout=timeout
+                ) as response,
+            ):
                 length = response.content_length
+                limit.reschedule(read_time() + stall)
                 async for chunk in response.content.iter_any():
                     content += chunk
+                    limit.reschedule(read_time() + stall)
                 received = {n.lower(): v for n, v in response.headers.items()}
                 return Ok(Reply(response.status, bytes(content), received))
         except aiohttp.ClientConnectorError as error:
