Ask another gateway for a version only when the store does not answer

Two copies of a new configuration shared a weak link, and neither arrived in time. Cause: a gateway whose proof was 1.6 s old asked others, and fetched from whoever had a newer version, while its own read of that version was arriving. While the store answers, the version comes from there; a gateway that is turned away asks as before (test_knowledge).

--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -68,11 +68,6 @@
         # Bytes of the configuration as it lies in the store.
         self._size = 0
 
-    @property
-    def is_lost(self) -> bool:
-        """Say whether the store did not answer the last question."""
-        return self._failing_since is not None
-
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -163,11 +158,13 @@
         return False
 
     def _note_failure(self, asked: float, reason: str) -> None:
+        self._intake.store_answers = False
         if self._failing_since is None:
             self._failing_since = asked
             log.warning("store lost", key="configuration", reason=reason)
 
     def _note_answer(self, now: float) -> None:
+        self._intake.store_answers = True
         if self._failing_since is None:
             return
         away = now - self._failing_since
--- a/libraries/proxy/src/bamboopier_proxy/configuration_handover.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_handover.py
@@ -70,7 +70,13 @@
             self._asking.cancel()
 
     def ask(self, gateway: Endpoint) -> None:
-        """Ask a gateway that has a newer version, unless one is being asked."""
+        """Ask a gateway that has a newer version, unless one is being asked.
+
+        While the store answers, the version is on its way from there: a second copy
+        would take half of a weak link, and both would be late.
+        """
+        if self._intake.store_answers:
+            return
         if self._asking is None or self._asking.done():
             self._asking = asyncio.create_task(self._fetch(gateway))
 
--- a/libraries/proxy/src/bamboopier_proxy/configuration_intake.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_intake.py
@@ -26,6 +26,8 @@
         self._knowledge = knowledge
         # The newest that could be decoded; None before the first.
         self.stored: StoredObject | None = None
+        # Whether the store answered the last question for it.
+        self.store_answers = True
         # Revision of a newer one that could not be decoded.
         self._set_aside = 0
 
