Read a long list of gateways more seldom

Measured with 1 and 12 gateways: 27 bytes a second for each gateway that is listed, 9 KB a second at 340, of 22 that a node may spend on control. Now at most ten entries a second; nothing changes up to 80 gateways.

--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -41,6 +41,9 @@
 
 # Seconds between two reads of the list: gateways come and go a few times an hour.
 READ_SECONDS = 8.0
+# Entries of the list that are read in a second at the most, some 200 bytes each: a tenth
+# of what a node may spend on control.
+ENTRIES_PER_SECOND = 10.0
 RETRY_SECONDS = 0.4
 # Seconds of silence, own pauses left out, after which a gateway is no longer counted.
 SILENT_SECONDS = 20.0
@@ -175,10 +178,13 @@
     async def run(self) -> None:
         """Read at intervals until cancelled."""
         while True:
-            pause = READ_SECONDS if await self.read() else RETRY_SECONDS
+            pause = self._find_pause() if await self.read() else RETRY_SECONDS
             await asyncio.sleep(pause * self._random.uniform(0.8, 1.0))
             self._drop_silent()
 
+    def _find_pause(self) -> float:
+        return max(READ_SECONDS, len(self._peers) / ENTRIES_PER_SECOND)
+
     def _take(self, name: str, entry: GatewayEntry, now: float) -> None:
         if name == self._own or name in self._peers:
             return
--- /dev/null
+++ b/libraries/proxy/tests/test_roster.py
@@ -0,0 +1,50 @@
+"""How often the list of gateways is read."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+from result import Ok
+
+from bamboopier_decisions.forwarding.pauses import Pauses
+from bamboopier_objects.objects import Listing, StoredObject
+from bamboopier_proxy.roster import GatewayEntry, Roster
+
+GATEWAYS = 340
+# What a node may spend on control is 22 KB a second; the list gets a tenth of it.
+MOST_BYTES_PER_SECOND = 2_200
+ENTRY_BYTES = 200
+
+
+class RosterTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_long_list_is_read_seldom(self) -> None:
+        # Guards against a whole list being read at one interval whatever its length:
+        # 340 gateways would each spend 9 KB a second on it.
+        value = msgspec.json.encode(GatewayEntry("10.0.0.1", 7000, 1))
+        objects = tuple(StoredObject(f"g/{n}", n, value) for n in range(GATEWAYS))
+        store = mock.AsyncMock()
+        store.list.return_value = Ok(Listing(1, objects))
+        pauses: list[float] = []
+
+        async def sleep(seconds: float) -> None:
+            pauses.append(seconds)
+            if len(pauses) > 3:
+                raise asyncio.CancelledError
+
+        roster = Roster(store, "g/", random.Random(1), mock.Mock(), Pauses(0.0))
+        with (
+            mock.patch("bamboopier_proxy.roster.asyncio.sleep", sleep),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await roster.run()
+        spent = GATEWAYS * ENTRY_BYTES / min(pauses)
+        # Pauses are drawn between four fifths and the whole.
+        self.assertLess(spent * 0.8, MOST_BYTES_PER_SECOND)
+
+
+if __name__ == "__main__":
+    unittest.main()
