--- a/libraries/proxy/src/bamboopier_proxy/roster.py
+++ b/libraries/proxy/src/bamboopier_proxy/roster.py
@@ -41,8 +41,8 @@
 
 # Seconds between two reads of the list: gateways come and go a few times an hour.
 READ_SECONDS = 8.0
-# Entries of the list that are read in a second at the most, some 200 bytes each: a tenth
-# of what a node may spend on control.
+# Entries of the list that are read in a second at the most, some 200 bytes each: a
+# tenth of what a node may spend on control.
 ENTRIES_PER_SECOND = 10.0
 RETRY_SECONDS = 0.4
 # Seconds of silence, own pauses left out, after which a gateway is no longer counted.
