Send a target in need no more than it says that it takes

Engines in need got as many requests as their neighbours: 28 in four seconds where 14 were allowed. Cause: nobody read what their answers say, the requests a second that they take from all gateways together.

Gateways tell each other what answers said to them, not what others told: news that came back would look newer each time. An answer that names none ends it, if its request was sent after the limit was last named; nothing else does. What is over it goes to other targets; where all are in need and no turn comes in time it is refused at once.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -151,6 +151,7 @@
             state.blind.note_sent(now, load.unread, load.memory)
         state.own.add(load)
         state.cold.note_sent(now)
+        state.limit.note_sent(now)
         state.standing.note_sent()
         return Sent(state, load, prompt)
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -98,13 +99,31 @@
     oldest: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """Targets whose own limits leave no room for this gateway's next request."""
+
+    count: int
+    # All targets are among them that the request was not sent to.
+    only: bool
+    # When the first of them takes one again.
+    next_at: float
+    # Requests a second that all of them take from this gateway.
+    part: float
+
+
 class Placement:
     """The outcome of looking for a target."""
 
-    __slots__ = ("known", "open", "state", "usable")
+    __slots__ = ("known", "limited", "open", "state", "usable")
 
     def __init__(
-        self, state: TargetState | None, known: int, open_: int, usable: int
+        self,
+        state: TargetState | None,
+        known: int,
+        open_: int,
+        usable: int,
+        limited: Limited,
     ) -> None:
         # The chosen target; None when all usable ones are full, or none is usable.
         self.state = state
@@ -113,6 +132,8 @@
         self.known = known
         self.usable = usable
         self.open = open_
+        # Of the others, those that get nothing now by their own word.
+        self.limited = limited
 
 
 def place(
@@ -130,20 +151,24 @@
     """
     listed = fleet.list_service(demand.service, now)
     known = [state for state in listed if _fits(state, demand)]
-    usable = [
+    willing = [
         state
         for state in known
         if state.entry.name not in tried
         and _may_try(now, fleet, state)
         and _serves(state, demand, weights.oldest)
     ]
+    limited = _find_limited(now, fleet, willing)
+    usable = [state for state in willing if state not in limited]
     if _is_long(demand):
         usable = _leave_draining(now, usable)
     room = [state for state in usable if has_room(now, fleet, state, demand)]
     near = _find_near(known, demand, weights.newest)
     owner = _find_owner(usable, demand)
     best = _choose(room, demand, owner, near, data_centre, random) if room else None
-    return Placement(best, len(known), len(room), len(usable))
+    untried = sum(state.entry.name not in tried for state in known)
+    described = _describe_limited(limited, untried)
+    return Placement(best, len(known), len(room), len(usable), described)
 
 
 def has_room(now: float, fleet: Fleet, state: TargetState, demand: Demand) -> bool:
@@ -189,6 +214,27 @@
     return rate <= 0 or state.cold.may_send(now, rate, fleet.gateways, fleet.place)
 
 
+def _find_limited(
+    now: float, fleet: Fleet, states: list[TargetState]
+) -> dict[TargetState, float]:
+    """Return the targets that get nothing now by their own limits, and until when."""
+    limited = {}
+    for state in states:
+        next_at = state.limit.find_next(now, fleet.gateways, fleet.place)
+        if next_at > now:
+            limited[state] = next_at
+    return limited
+
+
+def _describe_limited(limited: dict[TargetState, float], untried: int) -> Limited:
+    return Limited(
+        len(limited),
+        len(limited) == untried,
+        min(limited.values(), default=math.inf),
+        sum(state.limit.part for state in limited),
+    )
+
+
 def _serves(state: TargetState, demand: Demand, oldest_version: int) -> bool:
     if demand.prompt is None or oldest_version == 0:
         return True
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -8,6 +8,7 @@
 from .blind_share import BlindShare
 from .cold_ramp import ColdRamp, draw_phase
 from .part_memory import PartMemory
+from .rate_limit import RateLimit
 from .standing import Standing
 
 if TYPE_CHECKING:
@@ -44,6 +45,7 @@
         "busy_until",
         "cold",
         "entry",
+        "limit",
         "own",
         "others",
         "parts",
@@ -62,6 +64,7 @@
         self.blind = BlindShare()
         self.standing = Standing()
         self.cold = ColdRamp(draw_phase(entry.name))
+        self.limit = RateLimit(draw_phase(entry.name))
         # Until then it turns requests away, by its own word.
         self.busy_until = float("-inf")
         # Until then it gets short answers only: it is about to load new weights.
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/waiting.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/waiting.py
@@ -64,6 +64,10 @@
             _, first = heapq.heappop(self._entries)
             self._left.discard(first)
 
+    def count_before(self, priority: int) -> int:
+        """Return the requests that go before a new one of ``priority``."""
+        return sum(p <= priority and t not in self._left for p, t in self._entries)
+
     def list_tickets(self, count: int) -> list[int]:
         """Return the next ``count`` requests in order."""
         found = heapq.nsmallest(count + len(self._left), self._entries)
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -42,6 +42,8 @@
 # Seconds for which a target is left alone at whose address another one answers. Its own
 # entry lapses after three missed heartbeats; a new start has an entry of its own.
 REPLACED_SECONDS = 5.0
+# Requests a second below which a part of targets' limits is taken for none.
+LEAST_PART = 1e-6
 
 log = structlog.get_logger()
 
@@ -144,6 +146,7 @@
             raise self._refuse(call, ErrorCode.NO_TARGET, placement)
         started = read_clock()
         seconds = limit_wait(call.route.aim, call.timeout - started)
+        self._check_limits(call, placement, started + seconds)
 
         def find() -> Sent | None:
             found = self._place(call, demand, tried)
@@ -161,6 +164,20 @@
             raise self._refuse(call, ErrorCode.OVERLOADED, placement)
         return sent
 
+    def _check_limits(self, call: Call, placement: Placement, latest: float) -> None:
+        """Refuse a request whose turn at all its targets is known to come too late.
+
+        They are in need, and take so many requests a second; those that wait before it
+        go first.
+        """
+        limited = placement.limited
+        if limited.count == 0 or not limited.only:
+            return
+        before = self._room.count_before(call.service, call.priority)
+        turn = limited.next_at + before / max(limited.part, LEAST_PART)
+        if turn > latest:
+            raise self._refuse(call, ErrorCode.OVERLOADED, placement)
+
     def _place(self, call: Call, demand: Demand, tried: set[str]) -> Placement:
         now = read_clock()
         wanted = self._planner.find_wanted(now, call)
@@ -177,6 +194,7 @@
             known=placement.known,
             usable=placement.usable,
             open=placement.open,
+            limited=placement.limited.count,
             waiting=self._room.count(call.service),
             tried=call.tried,
         )
--- a/libraries/proxy/src/bamboopier_proxy/gossip.py
+++ b/libraries/proxy/src/bamboopier_proxy/gossip.py
@@ -29,6 +29,7 @@
     TargetLoadHint,
     encode,
 )
+from .limit_hints import LimitHints
 from .settings import Endpoint
 
 if TYPE_CHECKING:
@@ -96,6 +97,7 @@
         self._questions: dict[int, float] = {}
         self._heard: dict[str, tuple[float, LoadHint]] = {}
         self._breaks: list[tuple[float, BreakHint]] = []
+        self._limits = LimitHints(fleet, random)
 
     @property
     def born(self) -> int:
@@ -141,6 +143,7 @@
             self._born,
             self._list_loads(),
             [b for _, b in self._breaks[:8]],
+            self._limits.list_hints(now),
         )
         allowed = BYTES_PER_SECOND * HINT_SECONDS / len(encode(hint))
         silent = self._draw(self._roster.take_silent(), MAX_PEERS)
@@ -196,6 +199,7 @@
         now = read_clock()
         self._heard[hint.sender] = (now, hint)
         self._roster.note_heard(hint.sender, *sender)
+        self._limits.take(now, hint.sender, hint.limits)
         for found in hint.breaks:
             self._quarantine.note_break(now, found.fingerprint, found.target)
 
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -29,6 +29,25 @@
     target: str
 
 
+class TargetLimitHint(msgspec.Struct, array_like=True):
+    """What one gateway was told of the requests that a target takes.
+
+    Ages are in milliseconds; None for what it was not told.
+    """
+
+    target: str
+    # Milliseconds since 1970 of the target's start.
+    born: int
+    # From all gateways together.
+    per_second: float
+    # Since an answer named the limit last.
+    named_age: int | None
+    # Since a request was sent whose answer named none.
+    ended_age: int | None
+    # Since the limit was named first.
+    since_age: int
+
+
 class LoadHint(msgspec.Struct, array_like=True, tag="load"):
     """What one gateway has under way, and what broke lately."""
 
@@ -39,6 +58,7 @@
     born: int
     loads: list[TargetLoadHint]
     breaks: list[BreakHint]
+    limits: list[TargetLimitHint] = []
 
 
 class OrderHint(msgspec.Struct, array_like=True, tag="order"):
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/limit_notes.py
@@ -0,0 +1,48 @@
+"""Takes in what targets say of the requests that they take, and logs it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from bamboopier_daemon.clock import read_clock
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.rate_limit import LimitNews
+    from bamboopier_decisions.forwarding.target_state import TargetState
+
+    from .messages import AnswerMarks
+
+log = structlog.get_logger()
+
+
+def note_limit(
+    state: TargetState, sent_at: float, said: AnswerMarks, request_id: str
+) -> None:
+    """Take in an answer of the target itself to a request sent at ``sent_at``."""
+    if said.names_limit and said.limit_per_second is None:
+        # It still says that it is in need: what it said before stands.
+        log.warning("limit not read", target=state.entry.name, request_id=request_id)
+        return
+    if said.limit_per_second is None:
+        changed = state.limit.note_unnamed(sent_at)
+    else:
+        changed = state.limit.note_named(read_clock(), said.limit_per_second)
+    if changed:
+        _log_limit(state, request_id=request_id)
+
+
+def take_limit_news(state: TargetState, news: LimitNews, sender: str) -> None:
+    """Take in what another gateway was told."""
+    if state.limit.take_news(read_clock(), news):
+        _log_limit(state, sender=sender)
+
+
+def _log_limit(state: TargetState, **origin: str) -> None:
+    limit = state.limit
+    if limit.in_force:
+        event, per_second = "limit of a target", limit.per_second
+        log.info(event, target=state.entry.name, per_second=per_second, **origin)
+    else:
+        log.info("limit of a target ended", target=state.entry.name, **origin)
--- a/libraries/proxy/src/bamboopier_proxy/waiting_room.py
+++ b/libraries/proxy/src/bamboopier_proxy/waiting_room.py
@@ -38,6 +38,11 @@
         queue = self._queues.get(service)
         return len(queue) if queue is not None else 0
 
+    def count_before(self, service: str, priority: int) -> int:
+        """Return the waiting requests that go before a new one of ``priority``."""
+        queue = self._queues.get(service)
+        return queue.count_before(priority) if queue is not None else 0
+
     async def wait(
         self,
         service: str,
--- /dev/null
+++ b/libraries/proxy/tests/test_limit_hints.py
@@ -0,0 +1,105 @@
+"""What gateways tell each other of the requests that targets take."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from bamboopier_decisions.forwarding.fleet import Fleet
+from bamboopier_proxy.hints import LoadHint, decode, encode
+from bamboopier_proxy.limit_hints import MAX_TARGETS, TELL_SECONDS, LimitHints
+from bamboopier_proxy.limit_notes import note_limit
+from bamboopier_proxy.messages import AnswerMarks
+
+from .forwarder_builders import make_declared, make_entry
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.rate_limit import RateLimit
+
+
+def make_fleet(names: list[str], now: float, born: int = 1) -> Fleet:
+    """Return a fleet with targets of these names."""
+    fleet = Fleet()
+    fleet.set_services(make_declared().services)
+    for name in names:
+        entry = make_entry()
+        changed = {"name": name, "born": born}
+        fields = {f: getattr(entry, f) for f in entry.__slots__}
+        fleet.put(now, type(entry)(**{**fields, **changed}))
+    return fleet
+
+
+def find_limit(fleet: Fleet, name: str) -> RateLimit:
+    """Return what is known of a target's limit."""
+    state = fleet.find(name)
+    assert state is not None
+    return state.limit
+
+
+class LimitHintTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        for target in ("log", "read_clock"):
+            patch = mock.patch(f"bamboopier_proxy.limit_notes.{target}")
+            started = patch.start()
+            started.return_value = self.now
+            self.addCleanup(patch.stop)
+        self.told = make_fleet(["i-1"], self.now)
+        self.teller = LimitHints(self.told, random.Random(1))
+
+    def pass_on(self, fleet: Fleet, now: float) -> None:
+        """Hand on what is told at ``now``, as it goes over the network."""
+        hint = LoadHint("g-1", 1, 1, [], [], self.teller.list_hints(now))
+        received = decode(encode(hint))
+        assert isinstance(received, LoadHint)
+        LimitHints(fleet, random.Random(2)).take(now, "g-1", received.limits)
+
+    def test_a_limit_and_its_end_reach_the_others(self) -> None:
+        other = make_fleet(["i-1"], self.now)
+        find_limit(self.told, "i-1").note_named(100.0, 1.5)
+        self.pass_on(other, 100.2)
+        self.assertTrue(find_limit(other, "i-1").in_force)
+        self.assertEqual(find_limit(other, "i-1").per_second, 1.5)
+        find_limit(self.told, "i-1").note_unnamed(101.0)
+        self.pass_on(other, 101.2)
+        self.assertFalse(find_limit(other, "i-1").in_force)
+
+    def test_another_start_of_the_target_has_no_limit(self) -> None:
+        # Guards against a target that restarted under its name and is left idle.
+        other = make_fleet(["i-1"], self.now, born=2)
+        find_limit(self.told, "i-1").note_named(100.0, 1.5)
+        self.pass_on(other, 100.2)
+        self.assertFalse(find_limit(other, "i-1").in_force)
+
+    def test_only_what_answers_said_lately_is_told(self) -> None:
+        other = make_fleet(["i-1"], self.now)
+        find_limit(self.told, "i-1").note_named(100.0, 1.5)
+        self.pass_on(other, 100.2)
+        again = LimitHints(other, random.Random(3))
+        self.assertEqual(again.list_hints(100.3), [])
+        self.assertEqual(self.teller.list_hints(100.1 + TELL_SECONDS), [])
+
+    def test_a_hint_of_many_targets_fits_a_datagram(self) -> None:
+        names = [f"i-{n:010x}" for n in range(50)]
+        fleet = make_fleet(names, self.now)
+        for name in names:
+            find_limit(fleet, name).note_named(100.0, 1.5)
+        hints = LimitHints(fleet, random.Random(1)).list_hints(100.1)
+        self.assertEqual(len(hints), MAX_TARGETS)
+        hint = LoadHint("g-1", 1, 1, [], [], hints)
+        self.assertLess(len(encode(hint)), 500)
+
+    def test_what_cannot_be_read_changes_nothing(self) -> None:
+        state = self.told.find("i-1")
+        assert state is not None
+        state.limit.note_named(99.0, 1.5)
+        said = AnswerMarks("r", True, False, False, "i-1", 0, 0.0, names_limit=True)
+        note_limit(state, 99.5, said, "r")
+        self.assertTrue(state.limit.in_force)
+        self.assertEqual(state.limit.per_second, 1.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
