Keep what targets in need take in the store, for gateways that all start anew

One gateway, the same for all, writes an entry when a limit begins, doubles or halves, and removes it at its end; each start makes one list.

--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -11,6 +11,7 @@
 from . import configuration_handover, part_relay
 from .configuration_handover import ConfigurationHandover
 from .gossip import Gossip
+from .limit_records import LimitRecords
 from .part_follower import PartFollower
 from .part_relay import PartRelay
 from .peer_server import PeerServer
@@ -35,7 +36,7 @@
 
 
 class GatewayPeers:
-    """Hints, configurations and news of stores; open while the context is."""
+    """Hints, configurations, limits and news of stores; open while the context is."""
 
     def __init__(
         self,
@@ -61,6 +62,9 @@
         )
         relay = PartRelay(state.kept, self._caller)
         self._parts = PartFollower(part_stores, state.kept, relay, self._roster, random)
+        self._limits = LimitRecords(
+            store, vocabulary.limits_prefix, state.fleet, self._roster
+        )
         self._server = PeerServer(
             Endpoint(settings.host, settings.first_port),
             self._roster.has_host,
@@ -104,4 +108,5 @@
             self._roster.run(),
             self.gossip.run(),
             self._parts.run(),
+            self._limits.run(),
         ]
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/limit_records.py
@@ -0,0 +1,162 @@
+"""Keeps in the store what targets in need take, for gateways that all start anew.
+
+Failure answered: all gateways lose power while a target is in need. Nobody is left to
+tell them, and until its first answers each would send it all that its callers want.
+
+One gateway, the same for all, writes for each target: a few writes for each need. One
+that starts reads them once. An entry that nobody removed is no harm: the target's next
+answer ends the limit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from result import Err
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.rate_limit import NEVER, LimitNews
+from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.objects import ABSENT
+
+from .limit_notes import take_limit_news
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import Fleet
+    from bamboopier_decisions.forwarding.target_state import TargetState
+    from bamboopier_objects.errors import PlatformError
+
+    from .roster import Roster
+    from .vocabulary import Store
+
+# Seconds between two looks at what has changed.
+LOOK_SECONDS = 0.5
+RETRY_SECONDS = 0.4
+# Seconds for which an entry that was read waits for its target to be listed.
+WAIT_SECONDS = 10.0
+# A limit is written again when it is so many times what is written, or less than one
+# part in so many.
+CHANGE = 2.0
+# Names the choice of the gateway that writes.
+WRITER = "limit-records"
+
+log = structlog.get_logger()
+
+
+class LimitEntry(msgspec.Struct):
+    """What one start of a target takes."""
+
+    # Milliseconds since 1970 of the target's start.
+    born: int
+    # Requests a second from all gateways together.
+    per_second: float
+
+
+class LimitRecords:
+    """Entries below a prefix, one for each target in need."""
+
+    def __init__(self, store: Store, prefix: str, fleet: Fleet, roster: Roster) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._fleet = fleet
+        self._roster = roster
+        # Entries as this gateway last read or wrote them, with their versions.
+        self._known: dict[str, tuple[LimitEntry, int]] = {}
+        # Entries read whose targets are not listed yet.
+        self._waiting: dict[str, LimitEntry] = {}
+
+    async def run(self) -> None:
+        """Read once, then write what changes, until cancelled."""
+        while True:
+            if await self._read():
+                break
+            await asyncio.sleep(RETRY_SECONDS)
+        dropped_at = read_clock() + WAIT_SECONDS
+        while True:
+            self._apply()
+            if self._waiting and read_clock() >= dropped_at:
+                self._waiting.clear()
+            await self._write_all()
+            await asyncio.sleep(LOOK_SECONDS)
+
+    async def _read(self) -> bool:
+        listing = await self._store.list(self._prefix)
+        if isinstance(listing, Err):
+            return False
+        for found in listing.ok_value.objects:
+            name = found.key.removeprefix(self._prefix)
+            try:
+                entry = msgspec.json.decode(found.value, type=LimitEntry)
+            except msgspec.MsgspecError as error:
+                log.warning("entry set aside", key=found.key, reason=str(error))
+                continue
+            self._known[name] = entry, found.version
+            self._waiting[name] = entry
+        return True
+
+    def _apply(self) -> None:
+        now = read_clock()
+        for name, entry in list(self._waiting.items()):
+            state = self._fleet.find(name)
+            if state is None:
+                continue
+            del self._waiting[name]
+            if state.entry.born == entry.born:
+                news = LimitNews(entry.per_second, now, NEVER, now)
+                take_limit_news(state, news, "store")
+
+    async def _write_all(self) -> None:
+        for name in self._fleet.names:
+            state = self._fleet.find(name)
+            if state is not None and state.limit.in_force:
+                await self._write(name, state)
+        for name in [n for n in self._known if not self._is_needed(n)]:
+            await self._remove(name)
+
+    def _is_needed(self, name: str) -> bool:
+        state = self._fleet.find(name)
+        is_needed = state is not None and state.limit.in_force
+        return is_needed or name in self._waiting or not self._writes(name)
+
+    def _writes(self, name: str) -> bool:
+        first = self._roster.list_first(f"{WRITER}/{name}", 1)
+        return any(self._roster.is_own(gateway) for gateway in first)
+
+    async def _write(self, name: str, state: TargetState) -> None:
+        entry = LimitEntry(state.entry.born, state.limit.per_second)
+        known, version = self._known.get(name, (None, ABSENT))
+        if known is not None and _is_alike(known, entry) or not self._writes(name):
+            return
+        value = msgspec.json.encode(entry)
+        written = await self._store.write(self._prefix + name, value, version)
+        if isinstance(written, Err):
+            self._note_failure(name, entry, written.err_value)
+            return
+        self._known[name] = entry, written.ok_value
+
+    async def _remove(self, name: str) -> None:
+        _, version = self._known.pop(name)
+        removed = await self._store.delete(self._prefix + name, version)
+        if isinstance(removed, Err):
+            reason = str(removed.err_value)
+            log.warning("limit not removed", target=name, reason=reason)
+
+    def _note_failure(self, name: str, entry: LimitEntry, fault: PlatformError) -> None:
+        """Take in why nothing was written; the next look tries again."""
+        if isinstance(fault, VersionConflictError):
+            # Another start's, or a former writer's, which this one replaces.
+            stale = LimitEntry(0, entry.per_second)
+            self._known[name] = stale, fault.found
+            return
+        log.warning("limit not written", target=name, reason=str(fault))
+
+
+def _is_alike(known: LimitEntry, entry: LimitEntry) -> bool:
+    return (
+        known.born == entry.born
+        and entry.per_second <= known.per_second * CHANGE
+        and known.per_second <= entry.per_second * CHANGE
+    )
--- a/libraries/proxy/src/bamboopier_proxy/vocabulary.py
+++ b/libraries/proxy/src/bamboopier_proxy/vocabulary.py
@@ -41,6 +41,8 @@
     slots_prefix: str
     # Where it is written when weights were named.
     ages_prefix: str
+    # Where it is written what targets in need take.
+    limits_prefix: str
 
     def decode_configuration(self, value: bytes) -> Result[Declared, str]:
         """Return a configuration, or what is wrong with it."""
