Limit what a gateway hands on of its configuration to others

Now half of the weakest link; who is told 503 asks again, and another. test_copies_for_many_leave_half_of_the_weakest_link failed before.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_handover.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_handover.py
@@ -33,6 +33,9 @@
 # Seconds for one call: a configuration has a megabyte at most, and a gateway that does
 # not answer is one of several.
 CALL_SECONDS = 0.8
+# Bytes a second that are handed on at the most: half of what the weakest link carries.
+# Several gateways that are turned away ask the same one, and its callers wait behind.
+GIVEN_BYTES_PER_SECOND = 312_500
 # Seconds between two calls: several gateways tell of the same new version at once.
 PAUSE_SECONDS = 0.3
 PATH = "/configuration"
@@ -56,6 +59,8 @@
         self._knowledge = knowledge
         self._caller = caller
         self._asking: asyncio.Task[None] | None = None
+        # Until then the last copy given is taken to be on its way.
+        self._giving_until = float("-inf")
 
     async def __aenter__(self) -> Self:
         return self
@@ -112,9 +117,11 @@
     def answer(self, _: bytes) -> web.Response:
         """Hand on what is in force, with its revision and the age of its proof."""
         stored = self._intake.stored
-        if stored is None:
+        now = read_clock()
+        if stored is None or now < self._giving_until:
             return web.Response(status=503)
-        age = self._knowledge.currency.find_age(read_clock())
+        self._giving_until = now + len(stored.value) / GIVEN_BYTES_PER_SECOND
+        age = self._knowledge.currency.find_age(now)
         headers = {
             REVISION_HEADER: str(stored.version),
             # Rounded up: the proof must not look younger than it is.
--- /dev/null
+++ b/libraries/proxy/tests/test_configuration_handover.py
@@ -0,0 +1,36 @@
+"""Configurations that are handed on between gateways."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from bamboopier_objects.objects import StoredObject
+from bamboopier_proxy.configuration_handover import ConfigurationHandover
+
+MEGABYTE = 1_000_000
+# Of the weakest link, in bytes a second.
+LINK = 625_000
+
+
+class GivenTests(unittest.TestCase):
+    def test_copies_for_many_leave_half_of_the_weakest_link(self) -> None:
+        # Guards against several gateways that are turned away by the store and ask the
+        # same one for a megabyte each: its own callers would wait for seconds.
+        intake = mock.Mock(stored=StoredObject("", 5, b"x" * MEGABYTE))
+        knowledge = mock.Mock()
+        knowledge.currency.find_age.return_value = 0.5
+        handover = ConfigurationHandover(intake, knowledge, mock.Mock())
+        given = 0
+        module = "bamboopier_proxy.configuration_handover.read_clock"
+        with mock.patch(module) as read_clock:
+            for step in range(100):
+                read_clock.return_value = 100.0 + step * 0.1
+                answer = handover.answer(b"")
+                given += answer.status == 200
+        self.assertLessEqual(given * MEGABYTE, LINK / 2 * 10 + MEGABYTE)
+        self.assertGreater(given, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
