Take no large configuration on its way for an outage of the store

A megabyte is 1.7 s on its way over a weak link after a lost history. Counted as a call without an answer it passed for an outage, for which entries of targets that went are kept: such a target would get requests for two seconds more. test_a_large_configuration_on_its_way_is_no_outage failed before. Small ones go on to show that the store is away.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -88,7 +88,9 @@
     async def read(self) -> bool:
         """Read once; False when it must be tried again soon."""
         asked = read_clock()
-        self._health.note_asked(asked)
+        if self._is_small:
+            # The answer of a large one is long on its way, from a store that serves.
+            self._health.note_asked(asked)
         answer = await self._store.read(self._key)
         now = read_clock()
         if isinstance(answer, Err):
--- a/libraries/proxy/tests/test_store_health.py
+++ b/libraries/proxy/tests/test_store_health.py
@@ -48,6 +48,28 @@
             observer.take_listing(Listing(9, ()), 3.5, 100.0)
         self.assertEqual(fleet.list_service("chat", 103.6), [])
 
+    async def test_a_large_configuration_on_its_way_is_no_outage(self) -> None:
+        # Guards against a target that goes while a weak link carries a megabyte: taken
+        # for an outage of the store, it would get requests for two seconds more.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        seen: list[bool] = []
+        value = b"x" * 1_000_000
+
+        async def read(_: str) -> Ok[StoredObject]:
+            seen.append(health.is_returning(101.7))
+            return Ok(StoredObject("c", len(seen), value))
+
+        vocabulary = mock.Mock(configuration_key="c")
+        follower = ConfigurationFollower(
+            mock.Mock(read=read), vocabulary, mock.Mock(), health, random.Random(1)
+        )
+        module = "bamboopier_proxy.configuration_follower.read_clock"
+        with mock.patch(module, return_value=100.0):
+            await follower.read()
+            await follower.read()
+        self.assertEqual(seen[1], False)
+
     def test_a_store_that_takes_no_call_for_a_second_was_away(self) -> None:
         # Its last call was taken at 100.0 and the next at 101.2; entries have lapsed.
         health = StoreHealth()
