Say why no target was left when a request is given up

Nothing in the log says why the other one was not asked: it may have broken an attempt, or said that it takes no work, or have turned the workspace away. 'request refused' now names the reason for each of the first eight targets. No choice changes.

--- a/libraries/decisions/src/bamboopier_decisions/routing/choice.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/choice.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from .messages import Candidate, SendReason
+from .messages import Candidate, Obstacle, SendReason
 
 if TYPE_CHECKING:
     import random
@@ -56,6 +56,15 @@
     return block_keys[min(len(block_keys), AFFINITY_BLOCKS) - 1]
 
 
+def find_obstacle(
+    now: float, state: TargetState, request: RequestArrived, tried: Set[str]
+) -> Obstacle | None:
+    """Say why a target is not sent the request; None if it may be."""
+    if state.view.target in tried:
+        return Obstacle.TRIED
+    return state.find_obstacle(now, request.refusal_key, request.weight_version)
+
+
 def choose_target(
     now: float,
     targets: ServiceTargets,
@@ -69,10 +78,7 @@
         return None
 
     def is_untried(state: TargetState) -> bool:
-        if state.view.target in tried:
-            return False
-        serves = state.serves(now, request.weight_version)
-        return serves and state.is_usable(now, request.refusal_key)
+        return find_obstacle(now, state, request, tried) is None
 
     def is_usable(state: TargetState) -> bool:
         chance = state.find_chance(now)
--- a/libraries/decisions/src/bamboopier_decisions/routing/messages.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/messages.py
@@ -44,6 +44,31 @@
     QUARANTINED = "quarantined"
 
 
+class Obstacle(StrEnum):
+    """Why a target is not sent a request."""
+
+    # It has had this request.
+    TRIED = "tried"
+    # An attempt broke there a moment ago.
+    BROKEN = "broken"
+    # Much slower than the others.
+    SLOW = "slow"
+    # It said that it takes no work.
+    NOT_ACCEPTING = "not-accepting"
+    # It turned this workspace away until later.
+    REFUSED = "refused"
+    # It has other weights.
+    OTHER_WEIGHTS = "other-weights"
+
+
+@dataclass(frozen=True, slots=True)
+class PassedOver:
+    """A target that a refused request was not sent to."""
+
+    target: str
+    obstacle: Obstacle
+
+
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
     """A target's load as its agent last reported it."""
@@ -173,6 +198,8 @@
     reason: RefuseReason
     ran: Ran
     retry_after: float
+    # Where no target was left to send to: why each of the first was not.
+    passed_over: tuple[PassedOver, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/decisions/src/bamboopier_decisions/routing/router.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/router.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from .choice import choose_target, find_affinity
+from .choice import choose_target, find_affinity, find_obstacle
 from .hash_ring import compute_points
 from .messages import (
     AttemptEnded,
     Deliver,
     FirstByteCame,
     FleetChanged,
+    PassedOver,
     Ran,
     Refuse,
     RefuseReason,
@@ -43,7 +44,8 @@
 HINT_SPREAD = 2.0
 # Before every fleet change: targets of the first one are not new, the gateway is.
 LONG_AGO = float("-inf")
-
+# Targets of which a refusal says why they were not sent the request.
+MAX_EXPLAINED = 8
 
 _NO_TARGETS = ServiceTargets((), ())
 
@@ -150,9 +152,9 @@
         wait = targets.find_wait(now, pending.request.refusal_key)
         if wait > 0 and not pending.shortest_wait:
             pending.shortest_wait = wait * self._random.uniform(1, HINT_SPREAD)
-        if pending.tried or wait > 0:
-            return self._refuse(pending, RefuseReason.OVERLOADED)
-        return self._refuse(pending, RefuseReason.NO_TARGET)
+        refused = pending.tried or wait > 0
+        reason = RefuseReason.OVERLOADED if refused else RefuseReason.NO_TARGET
+        return self._refuse(pending, reason, _explain(now, pending, targets))
 
     def _note_first_byte(self, event: FirstByteCame) -> None:
         pending = self._pending.get(event.request_id)
@@ -218,12 +220,17 @@
             return self._refuse(pending, RefuseReason.ATTEMPTS)
         return self._send(pending, event.now)
 
-    def _refuse(self, pending: _Pending, reason: RefuseReason) -> Refuse:
+    def _refuse(
+        self,
+        pending: _Pending,
+        reason: RefuseReason,
+        passed_over: tuple[PassedOver, ...] = (),
+    ) -> Refuse:
         request_id = pending.request.request_id
         del self._pending[request_id]
         wait = pending.shortest_wait or DEFAULT_RETRY_AFTER
         ran = Ran.UNKNOWN if pending.may_have_run else Ran.NO
-        return Refuse(request_id, reason, ran, wait)
+        return Refuse(request_id, reason, ran, wait, passed_over)
 
     def _change_fleet(self, event: FleetChanged) -> None:
         since = event.now if self._targets else LONG_AGO
@@ -245,3 +252,15 @@
             )
             for service, states in by_service.items()
         }
+
+
+def _explain(
+    now: float, pending: _Pending, targets: ServiceTargets
+) -> tuple[PassedOver, ...]:
+    """Return why the first targets are not sent a request that is given up."""
+    found = []
+    for state in targets.list_first()[:MAX_EXPLAINED]:
+        obstacle = find_obstacle(now, state, pending.request, pending.tried)
+        if obstacle is not None:
+            found.append(PassedOver(state.view.target, obstacle))
+    return tuple(found)
--- a/libraries/decisions/src/bamboopier_decisions/routing/service_targets.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/service_targets.py
@@ -92,10 +92,14 @@
                 return [state]
         return []
 
+    def list_first(self) -> Sequence[TargetState]:
+        """Return as many targets as are looked at for one request."""
+        return self._states[:MAX_SCANNED]
+
     def find_wait(self, now: float, workspace: str) -> float:
         """Return the least wait that the first targets told ``workspace``."""
-        some = self._states[:MAX_SCANNED]
-        waits = [state.refusals.find_wait(now, workspace) for state in some]
+        states = self.list_first()
+        waits = [state.refusals.find_wait(now, workspace) for state in states]
         return min((wait for wait in waits if wait > 0), default=0.0)
 
     def add_first_byte(
--- a/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/target_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .messages import Distance, TargetLoad, TargetView
+from .messages import Distance, Obstacle, TargetLoad, TargetView
 from .refusals import Refusals
 from .slowness import Slowness
 
@@ -104,14 +104,22 @@
         self._pause = 0.0
         self._paused_until = 0.0
 
-    def is_usable(self, now: float, workspace: str) -> bool:
-        """Say whether new work of ``workspace`` may go here."""
-        if now < self._paused_until or not self.slowness.may_try(now):
-            return False
+    def find_obstacle(
+        self, now: float, workspace: str, version: str
+    ) -> Obstacle | None:
+        """Say why no work of ``workspace`` on weights ``version`` may go here."""
+        if not self.serves(now, version):
+            return Obstacle.OTHER_WEIGHTS
+        if now < self._paused_until:
+            return Obstacle.BROKEN
+        if not self.slowness.may_try(now):
+            return Obstacle.SLOW
         silent = now - self._reported >= NOT_ACCEPTING_SECONDS
         if not self.load.accepting and not silent:
-            return False
-        return self.refusals.may_try(now, workspace)
+            return Obstacle.NOT_ACCEPTING
+        if not self.refusals.may_try(now, workspace):
+            return Obstacle.REFUSED
+        return None
 
     def find_chance(self, now: float) -> float:
         """Return the chance with which this target is considered."""
--- a/libraries/decisions/tests/test_router.py
+++ b/libraries/decisions/tests/test_router.py
@@ -7,6 +7,7 @@
 
 from bamboopier_decisions.routing.messages import (
     FirstByteCame,
+    Obstacle,
     Ran,
     Refuse,
     RefuseReason,
@@ -61,6 +62,26 @@
             self.assertIsInstance(again, Send, number)
             self.assertNotEqual(again.target, first.target)
 
+    def test_a_refusal_says_why_each_target_was_passed_over(self) -> None:
+        """One target drains, and an attempt broke at the other a moment ago.
+
+        Callers are told "overloaded" for a second, though nothing is: only the reasons
+        that are logged with the refusal tell this from load.
+        """
+        router = make_router(2)
+        first = router.handle(make_request("r0"))
+        again = router.handle(make_end("r0", first.target, Ran.UNKNOWN, broken=True))
+        router.handle(make_end("r0", again.target, Ran.YES))
+        sent = router.handle(make_request("r1"))
+        self.assertEqual(sent.target, again.target)
+        refusal = router.handle(make_end("r1", sent.target, Ran.NO))
+        self.assertIs(refusal.reason, RefuseReason.OVERLOADED)
+        passed_over = {p.target: p.obstacle for p in refusal.passed_over}
+        self.assertEqual(
+            passed_over,
+            {first.target: Obstacle.BROKEN, sent.target: Obstacle.TRIED},
+        )
+
     def test_refusals_for_load_are_paid_from_the_budget(self) -> None:
         """With every target full, retries stay a small part of what is sent."""
         router = make_router(40)
