--- a/libraries/decisions/tests/forwarding/test_watch_position.py
+++ b/libraries/decisions/tests/forwarding/test_watch_position.py
@@ -18,9 +18,9 @@
         # Guards against a change that the store left out of its last answers before it
         # dropped its history: watched from beyond it, it would never be told.
         position = WatchPosition(10)
-        # The change has revision 15 and is made at 101.0. The answer made at 101.6
-        # leaves it out and goes on beyond it; the one made at 102.4 would tell it.
-        for made, revision in ((100.8, 12), (101.6, 20)):
+        # The change has revision 15 and is made at 101.0. The answers until 101.9 leave
+        # it out and go on beyond it; one made at 102.4 would tell it.
+        for made, revision in ((100.8, 12), (101.6, 20), (101.9, 22)):
             position.note_unchanged(made, made, revision)
             self.assertLess(position.revision, 15)
 
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -17,7 +17,7 @@
 
 import fire
 from mutations import MUTATIONS
-from safeguards import ages, at_most_once, configuration, orders, places
+from safeguards import ages, at_most_once, bounds, configuration, orders, places
 
 if TYPE_CHECKING:
     from mutations import Mutation
@@ -30,6 +30,7 @@
     *MUTATIONS,
     *ages.MUTATIONS,
     *at_most_once.MUTATIONS,
+    *bounds.MUTATIONS,
     *configuration.MUTATIONS,
     *orders.MUTATIONS,
     *places.MUTATIONS,
--- /dev/null
+++ b/tools/safeguards/bounds.py
@@ -0,0 +1,119 @@
+"""Safeguards of weak links, and of what targets say that they take."""
+
+from __future__ import annotations
+
+from mutations import Mutation
+
+_CALLER = "libraries/objects/src/bamboopier_objects/http_caller.py"
+_RATE = "libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py"
+_POSITION = "libraries/decisions/src/bamboopier_decisions/forwarding/watch_position.py"
+_RATE_TEST = "tests.forwarding.test_rate_limit"
+_POSITION_TEST = "tests.forwarding.test_watch_position.WatchPositionTests"
+
+MUTATIONS = (
+    Mutation(
+        "a call goes on while its answer arrives",
+        _CALLER,
+        "                    limit.reschedule(read_time() + stall)\n"
+        "                received",
+        "                received",
+        "libraries/objects",
+        "tests.test_http_caller",
+    ),
+    Mutation(
+        "a call whose answer stops arriving is given up",
+        _CALLER,
+        "stall = min(STALL_SECONDS, patience)",
+        "stall = longest = LONGEST_ANSWER_SECONDS",
+        "libraries/objects",
+        "tests.test_http_caller",
+    ),
+    Mutation(
+        "an answer proves nothing of the second before it",
+        _POSITION,
+        "        return made - BLIND_SECONDS\n",
+        "        return made\n",
+        "libraries/decisions",
+        f"{_POSITION_TEST}.test_an_answer_proves_nothing_of_the_second_before_it",
+    ),
+    Mutation(
+        "a revision is watched from once it is old enough",
+        _POSITION,
+        "made - self._later[0][0] >= BLIND_SECONDS",
+        "self._later",
+        "libraries/decisions",
+        f"{_POSITION_TEST}.test_a_change_left_out_of_an_answer_is_asked_for_again",
+    ),
+    Mutation(
+        "copies for others leave half of a weak link",
+        "libraries/proxy/src/bamboopier_proxy/configuration_handover.py",
+        " or now < self._giving_until",
+        "",
+        "libraries/proxy",
+        "tests.test_configuration_handover",
+    ),
+    Mutation(
+        "a long list of gateways is read seldom",
+        "libraries/proxy/src/bamboopier_proxy/roster.py",
+        "max(READ_SECONDS, len(self._peers) / ENTRIES_PER_SECOND)",
+        "READ_SECONDS",
+        "libraries/proxy",
+        "tests.test_roster",
+    ),
+    Mutation(
+        "a limit is divided among the gateways",
+        _RATE,
+        "return self._rate / self._gateways",
+        "return self._rate",
+        "libraries/decisions",
+        f"{_RATE_TEST}.SharedLimitTests",
+    ),
+    Mutation(
+        "many gateways take turns",
+        _RATE,
+        "return self._gateways > self._rate + SAVING_GATEWAYS",
+        "return False",
+        "libraries/decisions",
+        f"{_RATE_TEST}.SharedLimitTests",
+    ),
+    Mutation(
+        "an answer to an older request ends no limit",
+        _RATE,
+        "return self._named_at > self._ended_at",
+        "return self._ended_at == NEVER < self._named_at",
+        "libraries/decisions",
+        f"{_RATE_TEST}.BeliefTests.test_an_answer_to_an_older_request_does_not_end_it",
+    ),
+    Mutation(
+        "a target that takes nothing is tried again",
+        _RATE,
+        "max(LEAST_PER_SECOND, self.per_second)",
+        "max(1e-9, self.per_second)",
+        "libraries/decisions",
+        f"{_RATE_TEST}.BeliefTests",
+    ),
+    Mutation(
+        "only what answers said is told to others",
+        _RATE,
+        "return max(self._own_named_at, self._own_ended_at)",
+        "return max(self._named_at, self._ended_at)",
+        "libraries/decisions",
+        f"{_RATE_TEST}.BeliefTests.test_what_others_told_is_not_told_again",
+    ),
+    Mutation(
+        "another start of a target has no limit",
+        "libraries/proxy/src/bamboopier_proxy/limit_hints.py",
+        " and state.entry.born == hint.born",
+        "",
+        "libraries/proxy",
+        "tests.test_limit_hints",
+    ),
+    Mutation(
+        "the last target left keeps a request that waits",
+        "libraries/decisions/src/bamboopier_decisions/routing/wait_bound.py",
+        "if is_last or attempt",
+        "if attempt",
+        "libraries/decisions",
+        "tests.test_router.LeavingTests",
+    ),
+)
