Remember the limit of a target whose entry lapsed

A target in need is cut off from the store for three heartbeats, and its entry lapses and comes back. Its gateways had forgotten what it takes and would send it a burst before their first answer, though they had been told.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -21,6 +21,8 @@
 # Seconds after the store's return in which an entry that is missing may only have
 # lapsed while the store was away: targets that live are listed again within two.
 RETURN_SECONDS = 2.2
+# Targets without an entry whose limits are remembered.
+MAX_FORMER = 64
 # For ``store_returned``: the store was not away.
 NEVER = float("-inf")
 
@@ -47,6 +49,8 @@
         # Targets whose entry is missing since the store came back, and until when
         # they are still used.
         self._missing: dict[str, float] = {}
+        # Targets without an entry that had said what they take, the oldest first.
+        self._former: dict[str, TargetState] = {}
         self._closed_data_centres: frozenset[str] = frozenset()
         # The gateways that share the targets, and this one's place among their names.
         self.gateways = 1
@@ -118,6 +122,9 @@
         if spec is None:
             spec = _make_unknown_service(entry.service)
         state = TargetState(entry, spec)
+        former = self._former.pop(entry.name, None)
+        if former is not None and _is_same_start(former.entry, entry):
+            state.limit = former.limit
         if entry.cold_seconds > 0:
             state.cold.start(now, entry.cold_seconds)
         self._states[entry.name] = state
@@ -139,6 +146,7 @@
             return
         self._missing.pop(name, None)
         del self._states[name]
+        self._remember(state)
         self._arrange()
 
     def begin(self, now: float, state: TargetState, prompt: Prompt | None) -> Sent:
@@ -173,6 +181,19 @@
         for name, state in self._states.items():
             state.others = loads.get(name) or Load()
 
+    def _remember(self, state: TargetState) -> None:
+        """Keep what a target that is no longer listed says that it takes.
+
+        Failure answered: a target in need is cut off from the store, so its entry
+        lapses, and comes back. Its limit forgotten, it would get a burst from all
+        gateways before the first of them is answered.
+        """
+        if not state.limit.in_force:
+            return
+        self._former[state.entry.name] = state
+        if len(self._former) > MAX_FORMER:
+            del self._former[next(iter(self._former))]
+
     def _drop_gone(self, now: float) -> None:
         if not self._missing:
             return
--- a/libraries/decisions/tests/forwarding/test_rate_limit.py
+++ b/libraries/decisions/tests/forwarding/test_rate_limit.py
@@ -131,6 +131,28 @@
         self.assertTrue(limit.may_send(20.0, 1, 0))
 
 
+class EntryTests(unittest.TestCase):
+    def find_limit(self, born: int) -> RateLimit:
+        """Return a target's limit after its entry had lapsed and is there again."""
+        fleet = make_fleet([make_entry("a")])
+        state = fleet.find("a")
+        assert state is not None
+        state.limit.note_named(1.0, 1.5)
+        fleet.remove(2.0, "a")
+        self.assertIsNone(fleet.find("a"))
+        fleet.put(5.0, make_entry("a", born=born))
+        again = fleet.find("a")
+        assert again is not None
+        return again.limit
+
+    def test_a_limit_outlives_an_entry_that_lapsed(self) -> None:
+        # Guards against a burst for a target in need that was cut off from the store.
+        self.assertTrue(self.find_limit(born=1).in_force)
+
+    def test_another_start_of_the_target_has_none(self) -> None:
+        self.assertFalse(self.find_limit(born=2).in_force)
+
+
 class PlacementTests(unittest.TestCase):
     def place(self, limited: set[str]) -> Placement:
         fleet = make_fleet([make_entry("a", VANS), make_entry("b", VANS)])
