--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .model import ServiceSpec
@@ -17,6 +18,7 @@
 
     from .model import TargetEntry
     from .prompt import Prompt
+    from .rate_limit import RateLimit
 
 # Seconds after the store's return in which an entry that is missing may only have
 # lapsed while the store was away: targets that live are listed again within two.
@@ -39,6 +41,14 @@
         self.service = state.service.name
 
 
+@dataclass(frozen=True, slots=True)
+class _Former:
+    """A target without an entry that had said what it takes."""
+
+    entry: TargetEntry
+    limit: RateLimit
+
+
 class Fleet:
     """States of all registered targets by name."""
 
@@ -49,8 +59,8 @@
         # Targets whose entry is missing since the store came back, and until when
         # they are still used.
         self._missing: dict[str, float] = {}
-        # Targets without an entry that had said what they take, the oldest first.
-        self._former: dict[str, TargetState] = {}
+        # By name, the oldest first.
+        self._former: dict[str, _Former] = {}
         self._closed_data_centres: frozenset[str] = frozenset()
         # The gateways that share the targets, and this one's place among their names.
         self.gateways = 1
@@ -190,7 +200,7 @@
         """
         if not state.limit.in_force:
             return
-        self._former[state.entry.name] = state
+        self._former[state.entry.name] = _Former(state.entry, state.limit)
         if len(self._former) > MAX_FORMER:
             del self._former[next(iter(self._former))]
 
