Take no large version told by a watch for an outage of the store

As with the other watches only its answers count now; reads and lists show that the store is away. test_a_large_version_told_by_a_watch_is_no_outage failed before.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -106,12 +106,11 @@
         """Watch once; False when it must be tried again soon."""
         seconds = self._wait_seconds
         asked = read_clock()
-        self._health.note_watch(asked + seconds)
         answer = await self._store.watch_values(self._key, position.revision, seconds)
         now = read_clock()
         if isinstance(answer, Err):
-            return self._take_failure(asked, asked + seconds, answer.err_value)
-        self._health.note_watch_answer(asked, asked + seconds)
+            return self._take_failure(asked, answer.err_value)
+        self._health.note_answer(asked, asked)
         self._note_answer(now)
         batch = answer.ok_value
         if batch.changes:
@@ -145,15 +144,13 @@
         else:
             self._wait_seconds = PROMPT_WATCH_SECONDS if prompt else LARGE_WATCH_SECONDS
 
-    def _take_failure(self, asked: float, due: float, fault: PlatformError) -> bool:
-        now = read_clock()
+    def _take_failure(self, asked: float, fault: PlatformError) -> bool:
         if isinstance(fault, WatchGapError):
-            self._health.note_watch_answer(asked, due)
-            self._note_answer(now)
+            self._health.note_answer(asked, asked)
+            self._note_answer(read_clock())
             log.info("watch gap", key="configuration", reason=str(fault))
             self._position = None
             return True
-        self._health.note_watch_failure(due, now)
         self._note_failure(asked, str(fault))
         # The revision stands: what changed since is told when the store is back.
         self._choose_wait(prompt=True)
--- a/libraries/proxy/src/bamboopier_proxy/store_health.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_health.py
@@ -30,7 +30,7 @@
         # When the first call was made that failed and that no answered one followed.
         self._failed: float | None = None
         self._returned = NEVER
-        # When the reads and lists were made, and watches end, that have no answer yet.
+        # When the reads and lists were made that have no answer yet.
         self._under_way: list[float] = []
         # When this process last ran again after it had stood still.
         self._resumed = NEVER
@@ -77,20 +77,6 @@
             self._failed = None
         self._served = max(self._served, asked)
 
-    def note_watch(self, due: float) -> None:
-        """Take in that a watch is made that ends at ``due``."""
-        self._under_way.append(due)
-
-    def note_watch_failure(self, due: float, now: float) -> None:
-        """Take in that the watch until ``due`` has failed by ``now``."""
-        self._end(due)
-        self.note_failure(min(due, now))
-
-    def note_watch_answer(self, asked: float, due: float) -> None:
-        """Take in that the watch made at ``asked`` until ``due`` was answered."""
-        self._end(due)
-        self.note_answer(asked, asked)
-
     def find_return(self, now: float) -> float:
         """Return when the store was last back: ``now`` if it is not known to be yet."""
         return now if self._is_away(now) else self._returned
--- a/libraries/proxy/tests/test_store_health.py
+++ b/libraries/proxy/tests/test_store_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 from unittest import mock
@@ -11,7 +12,12 @@
 from bamboopier_decisions.forwarding.fleet import Fleet
 from bamboopier_decisions.forwarding.model import TargetEntry
 from bamboopier_objects.errors import PlatformUnavailableError
-from bamboopier_objects.objects import Listing, StoredObject
+from bamboopier_objects.objects import (
+    ChangeBatch,
+    ChangedObject,
+    Listing,
+    StoredObject,
+)
 from bamboopier_proxy.configuration_follower import ConfigurationFollower
 from bamboopier_proxy.heard_store import HeardStore
 from bamboopier_proxy.observers import TargetObserver
@@ -70,6 +76,35 @@
             await follower.read()
         self.assertEqual(seen[1], False)
 
+    async def test_a_large_version_told_by_a_watch_is_no_outage(self) -> None:
+        # Guards against the same while a new version arrives by a watch, which a weak
+        # link ends seconds after its wait is over.
+        health = StoreHealth()
+        health.note_answer(100.0, 100.0)
+        seen: list[bool] = []
+
+        async def watch(*_: object) -> Ok[ChangeBatch]:
+            seen.append(health.is_returning(102.6))
+            change = ChangedObject("c", 6, b"x" * 1_000_000)
+            return Ok(ChangeBatch(6, (change,)))
+
+        store = mock.AsyncMock(watch_values=watch)
+        store.read.return_value = Ok(StoredObject("c", 5, b""))
+        vocabulary = mock.Mock(configuration_key="c")
+        intake = mock.Mock()
+        follower = ConfigurationFollower(
+            store, vocabulary, intake, health, random.Random(1)
+        )
+        module = "bamboopier_proxy.configuration_follower"
+        with (
+            mock.patch(f"{module}.read_clock", return_value=100.0),
+            mock.patch(f"{module}.asyncio.sleep", side_effect=asyncio.CancelledError),
+        ):
+            intake.take.side_effect = [True, False]
+            with self.assertRaises(asyncio.CancelledError):
+                await follower.run()
+        self.assertEqual(seen, [False])
+
     def test_a_store_that_takes_no_call_for_a_second_was_away(self) -> None:
         # Its last call was taken at 100.0 and the next at 101.2; entries have lapsed.
         health = StoreHealth()
