--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -17,7 +17,15 @@
 
 import fire
 from mutations import MUTATIONS
-from safeguards import ages, at_most_once, bounds, configuration, orders, places
+from safeguards import (
+    ages,
+    at_most_once,
+    bounds,
+    claims,
+    configuration,
+    orders,
+    places,
+)
 
 if TYPE_CHECKING:
     from mutations import Mutation
@@ -31,6 +39,7 @@
     *ages.MUTATIONS,
     *at_most_once.MUTATIONS,
     *bounds.MUTATIONS,
+    *claims.MUTATIONS,
     *configuration.MUTATIONS,
     *orders.MUTATIONS,
     *places.MUTATIONS,
--- /dev/null
+++ b/tools/safeguards/claims.py
@@ -0,0 +1,154 @@
+"""Safeguards of claims of idempotency keys."""
+
+from __future__ import annotations
+
+from mutations import Mutation
+
+MUTATIONS = (
+    Mutation(
+        "a delayed claim write is made impossible before its claim counts as released",
+        "libraries/decisions/src/bamboopier_decisions/claims/partition.py",
+        "        may_land = bool(self._abandoned) and self._version "
+        "<= self._uncertain\n",
+        "        may_land = False\n",
+        "libraries/decisions",
+        "tests.test_claims.ClaimCellTests",
+    ),
+    Mutation(
+        "a given-up claim is remembered while its write may land",
+        "libraries/decisions/src/bamboopier_decisions/claims/partition.py",
+        "        if self._version <= self._uncertain:\n"
+        "            return\n"
+        "        self._may_land.clear()",
+        "        self._may_land.clear()",
+        "libraries/decisions",
+        "tests.test_claims.ClaimCellTests",
+    ),
+    Mutation(
+        "a given-up claim is left out of every later write",
+        "libraries/decisions/src/bamboopier_decisions/claims/partition.py",
+        "        kept = [c for c in self._claims if c.claim_id not "
+        "in self._abandoned]\n",
+        "        kept = list(self._claims)\n",
+        "libraries/decisions",
+        "tests.test_claims.ClaimCellTests",
+    ),
+    Mutation(
+        "only the claim's own id is granted again",
+        "libraries/decisions/src/bamboopier_decisions/claims/table.py",
+        "    if found.claim_id == claim.claim_id:",
+        "    if found.holder == claim.holder:",
+        "libraries/decisions",
+        "tests.test_claims.ClaimMachineTests",
+    ),
+    Mutation(
+        "a claim given up during its write is released",
+        "libraries/decisions/src/bamboopier_decisions/claims/partition.py",
+        "        written = claim_id in self._in_flight or claim_id in self._may_land\n",
+        "        written = False\n",
+        "libraries/decisions",
+        "tests.test_claims.ClaimCellTests",
+    ),
+    Mutation(
+        "a key that stands is not granted for another body",
+        "libraries/decisions/src/bamboopier_decisions/claims/table.py",
+        "    if found is None:\n",
+        "    if found is None or found.fingerprint != claim.fingerprint:\n",
+        "libraries/decisions",
+        "tests.test_claims.LifetimeTests",
+    ),
+    Mutation(
+        "an older replica does not prove a granted claim gone",
+        "libraries/decisions/src/bamboopier_decisions/claims/partition.py",
+        "            self._uncertain = max(self._uncertain, granted_at - 1)\n",
+        "",
+        "libraries/decisions",
+        "tests.test_claims.ClaimCellTests",
+    ),
+    Mutation(
+        "a claim left while it is written is released",
+        "libraries/agent/src/bamboopier_agent/claims.py",
+        "        except asyncio.CancelledError:\n"
+        "            self._abandon(writer, claim)\n"
+        "            raise\n",
+        "        except asyncio.CancelledError:\n            raise\n",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests.test_a_claim_left_while_it_is_written_is_released",
+    ),
+    Mutation(
+        "a stop waits for a claim left as its grant arrived",
+        "libraries/agent/src/bamboopier_agent/claims.py",
+        "        current.abandon(claim, 0 if current is writer else writer.version)\n",
+        "        writer.abandon(claim)\n",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests."
+        "test_a_stop_waits_for_a_claim_left_as_its_grant_arrived",
+    ),
+    Mutation(
+        "only an answered claim write grants",
+        "libraries/agent/src/bamboopier_agent/claim_writer.py",
+        "                    self._partition.mark_uncertain(plan)\n"
+        "                    last = error\n",
+        "                    self._partition.mark_uncertain(plan)\n"
+        "                    self._tell_outcomes(waiting, plan.outcomes)\n"
+        "                    return Ok(None)\n",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests.test_at_most_one_is_granted_and_no_key_is_lost",
+    ),
+    Mutation(
+        "a claim write with a lost answer is remembered",
+        "libraries/agent/src/bamboopier_agent/claim_writer.py",
+        "                    self._partition.mark_uncertain(plan)\n",
+        "                    self._partition.reject()\n",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests.test_at_most_one_is_granted_and_no_key_is_lost",
+    ),
+    Mutation(
+        "a slow platform is refused in time",
+        "libraries/agent/src/bamboopier_agent/claims.py",
+        "            async with asyncio.timeout(CLAIM_SECONDS):",
+        "            async with asyncio.timeout(None):",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests.test_a_slow_platform_is_refused_and_the_claim_released",
+    ),
+    Mutation(
+        "an outage leaves no claims to release",
+        "libraries/decisions/src/bamboopier_decisions/claims/partition.py",
+        "        if granted_at or written or claim_id in self._list_standing():\n"
+        "            self._abandoned",
+        "        if True:\n            self._abandoned",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests.test_an_outage_leaves_no_work_behind",
+    ),
+    Mutation(
+        "each wish to run a key has an id of its own",
+        "libraries/agent/src/bamboopier_agent/claims.py",
+        "uuid.uuid4().hex, self._holder",
+        "self._holder, self._holder",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests.test_the_same_attempt_twice_is_granted_once",
+    ),
+    Mutation(
+        "a claim outlives the longest request",
+        "libraries/agent/src/bamboopier_agent/claims.py",
+        "max(service.key_lifetime_seconds, MIN_LIFETIME_SECONDS)",
+        "service.key_lifetime_seconds",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests.test_a_claim_outlives_the_longest_request",
+    ),
+    Mutation(
+        "a conflict does not prove that a claim write had no effect",
+        "libraries/agent/src/bamboopier_agent/claim_writer.py",
+        "                    VersionConflictError() | "
+        "PlatformOutcomeUnknownError() as error\n"
+        "                ):\n",
+        "                    VersionConflictError() as error\n"
+        "                ):\n"
+        "                    self._partition.reject()\n"
+        "                    last = error\n"
+        "                case Err(PlatformOutcomeUnknownError() as error):\n",
+        "libraries/agent",
+        "tests.test_claims.ClaimTableTests."
+        "test_a_claim_left_while_its_write_is_resent_is_released",
+    ),
+)
