--- a/libraries/decisions/src/bamboopier_decisions/routing/choice.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/choice.py
@@ -44,7 +44,7 @@
         is_last: bool,
     ) -> None:
         self.state = state
-        # No other target is left that could be tried after this one.
+        # No other target is left for the request, not even a full one.
         self.is_last = is_last
         # Seconds of prefill that a warm prefix is expected to spare there.
         self.saved = saved
@@ -112,10 +112,19 @@
         for state, seconds in zip(weighed, expected, strict=True)
     )
     chosen = weighed[best]
-    is_last = not any(s is not chosen and is_untried(s) for s in targets.list_first())
+    others = (state for state in targets.list_first() if state is not chosen)
+    is_last = all(_is_out(now, state, request, tried) for state in others)
     return Choice(chosen, reason, candidates, saved[best], is_last)
 
 
+def _is_out(
+    now: float, state: TargetState, request: RequestArrived, tried: Set[str]
+) -> bool:
+    """Say whether a target is no choice for a request, also once it has room."""
+    obstacle = find_obstacle(now, state, request, tried)
+    return obstacle not in (None, Obstacle.REFUSED)
+
+
 def _count_new(request: RequestArrived, is_warm: bool) -> int:
     if not is_warm:
         return request.prompt_tokens
