Watch a configuration from the store's revision, not from its own

The mend of reads had brought a fault of its own: after each read the next watch began at the revision at which the configuration was last changed.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -65,6 +65,8 @@
         # None until it was read, and when it has to be read again.
         self._position: WatchPosition | None = None
         self._wait_seconds = SMALL_WATCH_SECONDS
+        # Watches in a row whose history was gone.
+        self._gaps = 0
         # Bytes of the configuration as it lies in the store.
         self._size = 0
 
@@ -77,10 +79,14 @@
                 done = True
             if done and self._position is not None:
                 done = await self._watch(self._position)
-            if not done:
+            if not done or self._has_gap_again():
                 pause = RETRY_SECONDS * self._random.uniform(0.9, 1.0)
                 await asyncio.sleep(pause)
 
+    def _has_gap_again(self) -> bool:
+        """Say whether a watch failed right after the read that a gap made necessary."""
+        return self._position is None and self._gaps > 1
+
     @property
     def _is_small(self) -> bool:
         return self._size <= SMALL_BYTES
@@ -91,7 +97,9 @@
         if self._is_small:
             # The answer of a large one is long on its way, from a store that serves.
             self._health.note_asked(asked)
-        answer = await self._store.read(self._key)
+        # A list says at which revision of the store it holds; the object's own may be
+        # older than the store's history.
+        answer = await self._store.list(self._key)
         now = read_clock()
         if isinstance(answer, Err):
             self._health.note_failure(asked)
@@ -99,8 +107,13 @@
             return False
         self._health.note_answer(asked, now)
         self._note_answer(now)
-        found = answer.ok_value
-        return found is not None and self._take(found, asked, prompt=False)
+        listing = answer.ok_value
+        found = next((o for o in listing.objects if o.key == self._key), None)
+        if found is None or not self._take(found, asked):
+            return False
+        self._position = WatchPosition(listing.revision)
+        self._choose_wait(prompt=False)
+        return True
 
     async def _watch(self, position: WatchPosition) -> bool:
         """Watch once; False when it must be tried again soon."""
@@ -112,6 +125,7 @@
             return self._take_failure(asked, answer.err_value)
         self._health.note_answer(asked, asked)
         self._note_answer(now)
+        self._gaps = 0
         batch = answer.ok_value
         if batch.changes:
             return self._take_changes(asked, batch)
@@ -128,14 +142,16 @@
             self._position = None
             return True
         last = StoredObject(self._key, found[-1].version, found[-1].value)
-        return self._take(last, asked, prompt=True)
+        if not self._take(last, asked):
+            return False
+        self._position = WatchPosition(last.version)
+        self._choose_wait(prompt=True)
+        return True
 
-    def _take(self, found: StoredObject, asked: float, *, prompt: bool) -> bool:
+    def _take(self, found: StoredObject, asked: float) -> bool:
         if not self._intake.take(found, asked):
             return False
         self._size = len(found.value)
-        self._position = WatchPosition(found.version)
-        self._choose_wait(prompt=prompt)
         return True
 
     def _choose_wait(self, *, prompt: bool) -> None:
@@ -149,6 +165,7 @@
             self._health.note_answer(asked, asked)
             self._note_answer(read_clock())
             log.info("watch gap", key="configuration", reason=str(fault))
+            self._gaps += 1
             self._position = None
             return True
         self._note_failure(asked, str(fault))
--- a/libraries/proxy/tests/test_store_health.py
+++ b/libraries/proxy/tests/test_store_health.py
@@ -32,9 +32,10 @@
         # that follows, and gets no caller's request after it.
         times = iter((100.0, 100.0, 101.0, 101.0, 102.0, 102.0, 103.5, 103.5))
         health, fleet = StoreHealth(), Fleet()
-        vocabulary = mock.Mock(targets_prefix="t/")
+        vocabulary = mock.Mock(targets_prefix="t/", configuration_key="c")
         store = mock.AsyncMock()
-        store.read.return_value = Ok(StoredObject("c", 5, b""))
+        found = StoredObject("c", 5, b"")
+        store.list.return_value = Ok(Listing(5, (found,)))
         poll = ConfigurationFollower(
             store, vocabulary, mock.Mock(), health, random.Random(1)
         )
@@ -62,13 +63,14 @@
         seen: list[bool] = []
         value = b"x" * 1_000_000
 
-        async def read(_: str) -> Ok[StoredObject]:
+        async def read(_: str) -> Ok[Listing]:
             seen.append(health.is_returning(101.7))
-            return Ok(StoredObject("c", len(seen), value))
+            found = StoredObject("c", len(seen), value)
+            return Ok(Listing(len(seen), (found,)))
 
         vocabulary = mock.Mock(configuration_key="c")
         follower = ConfigurationFollower(
-            mock.Mock(read=read), vocabulary, mock.Mock(), health, random.Random(1)
+            mock.Mock(list=read), vocabulary, mock.Mock(), health, random.Random(1)
         )
         module = "bamboopier_proxy.configuration_follower.read_clock"
         with mock.patch(module, return_value=100.0):
@@ -89,7 +91,8 @@
             return Ok(ChangeBatch(6, (change,)))
 
         store = mock.AsyncMock(watch_values=watch)
-        store.read.return_value = Ok(StoredObject("c", 5, b""))
+        found = StoredObject("c", 5, b"")
+        store.list.return_value = Ok(Listing(5, (found,)))
         vocabulary = mock.Mock(configuration_key="c")
         intake = mock.Mock()
         follower = ConfigurationFollower(
