--- a/libraries/decisions/tests/forwarding/test_load_pattern.py
+++ b/libraries/decisions/tests/forwarding/test_load_pattern.py
@@ -20,6 +20,8 @@
 from .builders import DESK, make_entry, make_fleet, make_prompt
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from bamboopier_decisions.forwarding.fleet import Fleet, Sent
     from bamboopier_decisions.forwarding.prompt import Prompt
 
@@ -72,15 +74,25 @@
 
 
 def replay(
-    arrivals: list[tuple[float, Prompt]], engines: int, gateways: int
+    arrivals: list[tuple[float, Prompt]],
+    engines: int,
+    gateways: int,
+    limits: Mapping[str, float] | None = None,
 ) -> Outcome:
-    """Send each request through the gateways in turn."""
+    """Send each request through the gateways in turn.
+
+    ``limits`` are the requests a second that some engines say they take from all.
+    """
     generator = random.Random(7)
     names = [f"i-{n}" for n in range(engines)]
     world = {name: Engine() for name in names}
     fleets = [make_fleet([make_entry(n) for n in names]) for _ in range(gateways)]
-    for fleet in fleets:
-        fleet.gateways = gateways
+    for number, fleet in enumerate(fleets):
+        fleet.gateways, fleet.place = gateways, number
+        for name, per_second in (limits or {}).items():
+            state = fleet.find(name)
+            assert state is not None
+            state.limit.note_named(0.0, per_second)
     outcome = Outcome(by_engine=dict.fromkeys(names, 0))
     events: list[tuple[float, int, str, Fleet, Sent]] = []
     told = 0.0
@@ -167,6 +179,21 @@
         self.assertGreater(outcome.share_within(0.6), 0.95)
 
 
+class LimitTests(unittest.TestCase):
+    def test_what_engines_in_need_do_not_take_is_served_by_the_others(self) -> None:
+        # Two of eight engines take two requests a second each. The other six have room
+        # for what is over that, and no caller notices.
+        arrivals = draw_arrivals(38.0, 30.0, 400)
+        limits = {"i-0": 2.0, "i-1": 2.0}
+        outcome = replay(arrivals, engines=8, gateways=4, limits=limits)
+        self.assertEqual(outcome.refused, 0)
+        self.assertGreater(outcome.share_within(0.6), 0.99)
+        for name, per_second in limits.items():
+            taken = outcome.by_engine[name] / 30.0
+            self.assertLessEqual(taken, per_second)
+            self.assertGreater(taken, 0.7 * per_second)
+
+
 class OverloadTests(unittest.TestCase):
     def test_twice_what_engines_can_read_still_serves_what_they_can(self) -> None:
         # Prompts that share nothing arrive at twice the rate that six engines read.
