Tell callers of engines in need to return when there is a turn

Retry-After is now not before the next turn, up to the part of its time that a caller waits. test_a_caller_is_not_told_to_return_before_there_is_room failed before. Without limits nothing is drawn in another way.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/waiting.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/waiting.py
@@ -31,11 +31,16 @@
     return max(0.0, min(aim * AIM_SHARE, left * LEFT_SHARE))
 
 
-def draw_return(left: float, random: random.Random) -> float:
-    """Return the seconds after which a refused request should come back."""
+def draw_return(left: float, random: random.Random, room_in: float = 0.0) -> float:
+    """Return the seconds after which a refused request should come back.
+
+    There is known to be no room for ``room_in`` seconds; a caller that came back before
+    would be refused again.
+    """
     shortest, longest = RETURN_SECONDS
-    longest = min(longest, left * RETURN_SHARE)
-    return random.uniform(min(shortest, longest), longest)
+    most = left * RETURN_SHARE
+    first = min(max(shortest, room_in), most)
+    return random.uniform(first, max(first, min(longest, most)))
 
 
 class WaitQueue:
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -200,7 +200,9 @@
         )
         if call.may_have_run:
             return CallerError(ErrorCode.OUTCOME_UNKNOWN, code.value, Ran.UNKNOWN)
-        wait = draw_return(call.timeout - now, self._random)
+        limited = placement.limited
+        room_in = limited.next_at - now if limited.only and limited.count else 0.0
+        wait = draw_return(call.timeout - now, self._random, room_in)
         return CallerError(code, "no target has room", Ran.NO, wait)
 
     def _check_currency(self, call: Call, now: float) -> None:
--- a/libraries/proxy/tests/test_sends.py
+++ b/libraries/proxy/tests/test_sends.py
@@ -59,6 +59,18 @@
         standing = self.lab.fleet.list_service("desk", 0.0)[0].standing
         self.assertEqual(standing.failing_share, 0.0)
 
+    async def test_a_caller_is_not_told_to_return_before_there_is_room(self) -> None:
+        # Guards against a caller that is refused a second time by a target in need: it
+        # takes the next request in two seconds.
+        state = self.lab.fleet.list_service("desk", 0.0)[0]
+        state.limit.note_named(self.lab.clock.now, 0.5)
+        with self.assertRaises(CallerError) as caught:
+            await self.lab.forward()
+        self.assertIs(caught.exception.ran, Ran.NO)
+        # Callers wait for a third of the time that they have at the most.
+        least = min(2.0, 0.3 * TIMEOUT_SECONDS)
+        self.assertGreaterEqual(caught.exception.retry_after, least)
+
     async def test_a_key_whose_proof_has_run_out_meanwhile_is_refused(self) -> None:
         # The configuration was confirmed 4.5 s ago, and keys may be relied on for five.
         # The connection takes 0.9 s: the key may be taken away by then, and its request
