--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -104,7 +104,7 @@
     """Targets whose own limits leave no room for this gateway's next request."""
 
     count: int
-    # All targets are among them that the request was not sent to.
+    # No other target is known that the request has not been sent to.
     only: bool
     # When the first of them takes one again.
     next_at: float
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
@@ -32,7 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitNews:
-    """What gateways tell each other of one target's limit. Times are the reader's."""
+    """What gateways tell each other of one target's limit.
+
+    Times are on the clock of the gateway that reads it.
+    """
 
     per_second: float
     # When the target last named it, as an answer came.
