Show what the caller was told in a cell whose trap did not spring

The one cell that KNOWN-RED.txt lists was named without its answers, so that a refusal before the step could not be told from an answer that passed unseen. The check is as it was.

--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -79,7 +79,7 @@
             trap = lab.lay_trap(cell, order)
             answers = run_cell(lab, cell, order, trap)
             if not trap.sprung.is_set() and cell.step is not Step.CONNECT:
-                report.not_sprung.append(cell.name)
+                report.not_sprung.append(f"{cell.name}: {describe(answers)}")
             sent.append((cell, order, answers))
         # A thawed process may act late: the log is read once all is over.
         for cell, order, answers in sent:
