Log for how long a target had owed a byte when a request was sent to it

A line 'attempt ended' did not tell a request that was sent to an engine that stood still from one that waited its turn at a busy one: both show no first byte. It now says for how long the target had owed this gateway a byte when the request was sent, and how many requests were waiting for it. Nothing is decided by it yet.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -10,6 +10,7 @@
 from .gateway_headroom import GatewayHeadroom
 from .part_cache_estimate import PartCacheEstimate
 from .rate_limit import RateLimit
+from .stall_detector import StallDetector
 
 if TYPE_CHECKING:
     from .prompt import Prompt
@@ -55,6 +56,7 @@
         "service",
         "short_answers_until",
         "circuit_breaker",
+        "stall_detector",
         "versions",
     )
 
@@ -65,6 +67,7 @@
         self.other_load = Load()
         self.headroom = GatewayHeadroom()
         self.circuit_breaker = CircuitBreaker()
+        self.stall_detector = StallDetector()
         self.cold_start = ColdStartLimit(hash_phase(entry.name))
         self.rate_limit = RateLimit(hash_phase(entry.name))
         # Until then it rejects requests, as it reported.
--- a/libraries/proxy/src/bamboopier_proxy/attempt_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_log.py
@@ -61,6 +61,8 @@
             requests=state.requests,
             unread=state.pending_prefill,
             memory=state.memory,
+            silence=round(result.silence, 3),
+            waiting=result.waiting,
             tokens_in=call.prompt.tokens_in if call.prompt else 0,
             tokens_out=call.prompt.tokens_out if call.prompt else 0,
             configuration=call.version,
