Log attempts that their callers abandoned

An attempt that was cancelled because its caller left wrote no line at all: of the reported requests the log knew only 'request ended', without a target's state. The line 'attempt abandoned' says when the request was sent, and for how long the target had owed a byte then and at the end. The times are kept with the request in flight.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -33,13 +33,34 @@
 class InFlightRequest:
     """One request at one target, from its sending to its end."""
 
-    __slots__ = ("load", "prompt", "service", "state")
+    __slots__ = ("load", "prompt", "sent_at", "service", "silence", "state", "waiting")
 
     def __init__(self, state: TargetState, load: Load, prompt: Prompt | None) -> None:
         self.state = state
         self.load = load
         self.prompt = prompt
         self.service = state.service.name
+        # None until it is sent.
+        self.sent_at: float | None = None
+        # When it was sent: seconds for which the target had owed a byte, and the number
+        # of requests that were waiting for it.
+        self.silence = 0.0
+        self.waiting = 0
+
+    def record_sent(self, now: float) -> None:
+        """Record that the first byte is sent to the target."""
+        detector = self.state.stall_detector
+        self.sent_at = now
+        self.silence, self.waiting = detector.find_silence(now), detector.in_flight
+        detector.record_sent(now)
+
+    def record_byte(self, now: float) -> None:
+        """Record that a part of the response was received."""
+        self.state.stall_detector.record_byte(now)
+
+    def record_closed(self, now: float) -> None:
+        """Record that no more of the response is expected, after it was sent."""
+        self.state.stall_detector.record_end(now)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/proxy/src/bamboopier_proxy/attempt_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_log.py
@@ -61,10 +61,25 @@
             requests=state.requests,
             unread=state.pending_prefill,
             memory=state.memory,
-            silence=round(result.silence, 3),
-            waiting=result.waiting,
+            silence=round(in_flight.silence, 3),
+            waiting=in_flight.waiting,
             tokens_in=call.prompt.tokens_in if call.prompt else 0,
             tokens_out=call.prompt.tokens_out if call.prompt else 0,
             configuration=call.version,
             proof_age=round(self._active_configuration.freshness.find_age(now), 3),
         )
+
+    def record_abandoned(self, call: Call, in_flight: InFlightRequest) -> None:
+        """Record that an attempt was ended by its caller, or by an error here."""
+        now = read_clock()
+        sent_at = in_flight.sent_at
+        log.info(
+            "attempt abandoned",
+            request_id=call.request_id,
+            service=call.service,
+            target=in_flight.state.entry.name,
+            sent_seconds_ago=round(now - sent_at, 4) if sent_at is not None else None,
+            silence=round(in_flight.silence, 3),
+            waiting=in_flight.waiting,
+            target_silence=round(in_flight.state.stall_detector.find_silence(now), 3),
+        )
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -73,10 +73,6 @@
     # Metadata sent to the target, and its time; None if nothing was sent.
     metadata: AttemptMetadata | None = None
     sent_at: float | None = None
-    # Seconds for which the target had owed a byte when the attempt was sent, and the
-    # number of requests that were waiting for it.
-    silence: float = 0.0
-    waiting: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,12 +136,7 @@
             self._pool.release_unused(entry, connection)
             return AttemptResult(ExecutionStatus.NOT_EXECUTED, prepared.err_value)
         metadata, sent_at = prepared.unwrap(), read_clock()
-        stall_detector = in_flight.state.stall_detector
-        silence, waiting = (
-            stall_detector.find_silence(sent_at),
-            stall_detector.in_flight,
-        )
-        stall_detector.record_sent(sent_at)
+        in_flight.record_sent(sent_at)
         done = False
         with self._expiry_monitor.watch(call, metadata, connection) as pending:
             try:
@@ -161,7 +152,7 @@
                     ExecutionStatus.UNKNOWN, Cause.BROKEN, str(error)
                 )
             finally:
-                stall_detector.record_end(read_clock())
+                in_flight.record_closed(read_clock())
                 if done:
                     self._pool.release(entry, connection)
                 else:
@@ -169,7 +160,6 @@
         if pending.aborted and result.cause is Cause.BROKEN:
             result = AttemptResult(ExecutionStatus.UNKNOWN, Cause.OUTDATED)
         result.metadata, result.sent_at = metadata, sent_at
-        result.silence, result.waiting = silence, waiting
         return result
 
     async def _send_and_relay(
@@ -185,7 +175,7 @@
         response = await pending.connection.send_request(
             request_head, call.body, call.request_id, call.method
         )
-        in_flight.state.stall_detector.record_byte(read_clock())
+        in_flight.record_byte(read_clock())
         response_metadata = self._codec.parse_response_headers(
             response.status, response.headers
         )
@@ -260,7 +250,7 @@
         splitter = EventSplitter()
         try:
             while data := await response.read():
-                in_flight.state.stall_detector.record_byte(read_clock())
+                in_flight.record_byte(read_clock())
                 complete_events = splitter.feed(data)
                 if not complete_events:
                     continue
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -106,6 +106,7 @@
                 self._record_outcome(call, in_flight, result)
             except BaseException:
                 in_flight.state.circuit_breaker.record_inconclusive()
+                self._attempt_log.record_abandoned(call, in_flight)
                 raise
             finally:
                 self._fleet.end(in_flight)
