Send no requests to a target that has stopped responding

What callers saw: nothing, they had left; but their requests reached an engine more than half a second later, when it resumed.

Cause: a gateway had no idea that a target owed it a byte. A suspended engine's kernel accepts connections and bytes, so each request seemed to be under way, and load alone decided: with eight engines beside it, it got requests until its memory counted as full or its entry expired, 3.6 s later. Bytes that lie in its socket can't be taken back; ending the connection does not remove them.

Class: work committed to a peer whose only sign of life is that nothing failed.

Change: a target that owes bytes for longer than a multiple of what is usual for it (0.3 s at least while responses run, 0.4 s while all requests wait for their first byte, 3 s at most) gets no requests until it responds. With nothing in flight there, one request probes it after two seconds, or at once where no other target responds. The time for which it is silent counts as the delay that it is when targets are compared.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -33,7 +33,16 @@
 class InFlightRequest:
     """One request at one target, from its sending to its end."""
 
-    __slots__ = ("load", "prompt", "sent_at", "service", "silence", "state", "waiting")
+    __slots__ = (
+        "load",
+        "prompt",
+        "sent_at",
+        "service",
+        "silence",
+        "started",
+        "state",
+        "waiting",
+    )
 
     def __init__(self, state: TargetState, load: Load, prompt: Prompt | None) -> None:
         self.state = state
@@ -46,6 +55,8 @@
         # of requests that were waiting for it.
         self.silence = 0.0
         self.waiting = 0
+        # Whether a part of its response was received.
+        self.started = False
 
     def record_sent(self, now: float) -> None:
         """Record that the first byte is sent to the target."""
@@ -56,11 +67,16 @@
 
     def record_byte(self, now: float) -> None:
         """Record that a part of the response was received."""
-        self.state.stall_detector.record_byte(now)
+        detector = self.state.stall_detector
+        if self.started or self.sent_at is None:
+            detector.record_byte(now)
+            return
+        self.started = True
+        detector.record_first_byte(now, now - self.sent_at)
 
     def record_closed(self, now: float) -> None:
         """Record that no more of the response is expected, after it was sent."""
-        self.state.stall_detector.record_end(now)
+        self.state.stall_detector.record_end(now, running=self.started)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -166,6 +166,7 @@
         and _can_try(now, fleet, state)
         and _serves(state, demand, weights.oldest)
     ]
+    candidates = _exclude_stalled(now, candidates)
     limited = _find_limited(now, fleet, candidates)
     usable = [state for state in candidates if state not in limited]
     if _is_long(demand):
@@ -176,7 +177,7 @@
     loading_soon = _find_loading_soon(known, demand, weights.newest)
     owner = _find_owner(usable, demand)
     best = (
-        _choose(with_capacity, demand, owner, loading_soon, data_centre, random)
+        _choose(now, with_capacity, demand, owner, loading_soon, data_centre, random)
         if with_capacity
         else None
     )
@@ -230,6 +231,12 @@
     )
 
 
+def _exclude_stalled(now: float, states: list[TargetState]) -> list[TargetState]:
+    """Return the targets that respond; if none does, those that may be probed."""
+    responding = [s for s in states if s.stall_detector.allows_request(now)]
+    return responding or [s for s in states if s.stall_detector.allows_probe]
+
+
 def _find_limited(
     now: float, fleet: Fleet, states: list[TargetState]
 ) -> dict[TargetState, float]:
@@ -293,6 +300,7 @@
 
 
 def _choose(
+    now: float,
     states: list[TargetState],
     demand: Demand,
     owner: str,
@@ -311,9 +319,11 @@
             0.0 if state.entry.data_centre == data_centre else REMOTE_PENALTY_SECONDS
         )
         failing = state.circuit_breaker.failure_rate * FAILURE_PENALTY_SECONDS
+        # Whatever delays the requests that wait there delays this one, too.
+        silent = state.stall_detector.find_delay(now)
         jitter = random.random() * 1e-4
         if prompt is None:
-            return state.requests / state.slots + remote + failing + jitter
+            return state.requests / state.slots + remote + failing + silent + jitter
         cached = state.cached_parts.count_cached(prompt)
         shared = sum(part.tokens for part in prompt.shared_parts)
         repeated = shared - max(cached, demand.fetched)
@@ -335,6 +345,6 @@
         )
         if is_long and state.entry.name in loading_soon:
             outdated += LOADING_SOON_PENALTY_SECONDS
-        return backlog + running + remote + failing + outdated + jitter
+        return backlog + running + remote + failing + silent + outdated + jitter
 
     return min(states, key=estimate_seconds)
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -43,6 +43,8 @@
     NONE = ""
     CONNECT = "connect"
     CLOSED = "target-closed"
+    # Its target stopped responding while the connection was made.
+    STALLED = "target-stalled"
     # The timeout of its route had passed before it was sent.
     LATE = "late"
     # It had not started when its target's weight version expired.
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -144,6 +144,9 @@
         is_open = self._fleet.is_open(in_flight.state, now)
         if not is_open or not self._planner.may_start(now, call, in_flight):
             return Err(Cause.CLOSED)
+        detector = in_flight.state.stall_detector
+        if detector.is_stalled(now) and not detector.allows_probe:
+            return Err(Cause.STALLED)
         return Ok(self._planner.make_metadata(now, call, in_flight))
 
     async def _acquire_target(self, call: Call) -> InFlightRequest:
@@ -277,7 +280,7 @@
                 if result.wrong_target:
                     # This instance of the target has ended; its entry expires later.
                     state.busy_until = now + REPLACED_BACKOFF_SECONDS
-            case Cause.CLOSED | Cause.LATE | Cause.OUTDATED:
+            case Cause.CLOSED | Cause.STALLED | Cause.LATE | Cause.OUTDATED:
                 state.circuit_breaker.record_inconclusive()
             case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
                 state.circuit_breaker.record_failure(now)
@@ -294,7 +297,7 @@
     ) -> bool:
         """Return whether to retry; if not, the caller has its final response."""
         if self._may_retry(call, result, delivery, runs):
-            free = result.cause in (Cause.CONNECT, Cause.CLOSED)
+            free = result.cause in (Cause.CONNECT, Cause.CLOSED, Cause.STALLED)
             if free or retry_budget.try_spend(read_clock(), self._fleet.gateway_count):
                 return True
         if delivery.started:
