Report stalled targets to the other gateways

Load hints, sent every quarter second, now say for each target how long ago its last byte came and whether it is stalled. A report excludes the target for 0.8 s, unless this gateway or a third one received a byte later than the reported silence began: a gateway that is cut off from all targets takes none away from the others. A byte to any gateway ends the silence at all of them, so a request that waits long for its turn, or a lost response, excludes nothing that others see respond. With nothing in flight a target is probed after 4 s (2 s before): an engine that is suspended as a whole has left the list by then. 'target stalled' and 'target no longer stalled' are logged. Hints grow by two numbers a target; the largest still fits a datagram. An older gateway ignores the numbers.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -232,7 +232,11 @@
 
 
 def _exclude_stalled(now: float, states: list[TargetState]) -> list[TargetState]:
-    """Return the targets that respond; if none does, those that may be probed."""
+    """Return the targets that respond; if none does, those that may be probed.
+
+    While others respond, a request is better refused than sent to a stalled target:
+    its caller can return at once, and would leave that target without a response.
+    """
     responding = [s for s in states if s.stall_detector.allows_request(now)]
     return responding or [s for s in states if s.stall_detector.allows_probe]
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/stall_detector.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/stall_detector.py
@@ -6,11 +6,13 @@
 back bytes that lie in its socket. The only sign is that no byte comes back: an engine
 with streams sends one every few milliseconds, and one without streams responds about as
 fast as it did before. A target that is silent for a multiple of that gets no requests
-until it responds.
+until it responds. Gateways report to each other what they observe: each alone would
+send a few requests until it detects the stall.
 """
 
 from __future__ import annotations
 
+NEVER = float("-inf")
 # Weight of one observation in a moving average: about the last eight count.
 AVERAGE_WEIGHT = 0.12
 # Multiples of the average time between two bytes of running responses, and of the
@@ -25,8 +27,14 @@
 FIRST_BYTE_LIMITS = (0.4, 3.0)
 # Seconds after the last request to a stalled target until one more may probe it, if no
 # request is waiting there that would show that it responds again. The entry of a target
-# whose heartbeats have stopped expires after 3.6 s.
-PROBE_INTERVAL_SECONDS = 2.0
+# that is suspended as a whole expires after three heartbeats of 1.2 s: one that is
+# still listed then is worth a probe.
+PROBE_INTERVAL_SECONDS = 4.0
+# Seconds for which a report of another gateway is valid: two hints may be lost.
+REPORT_SECONDS = 0.8
+# Seconds by which a byte must be later than the start of a reported silence to refute
+# it: the last bytes before a stall reach gateways at different moments.
+REPORT_MARGIN_SECONDS = 0.1
 
 
 class _TypicalSilence:
@@ -58,24 +66,35 @@
     """
 
     __slots__ = (
+        "_ended_at",
         "_first_byte",
         "_gap",
         "_in_flight",
         "_last_sent_at",
         "_owed_since",
+        "_remote_byte_at",
+        "_report",
         "_running",
         "_silence",
+        "last_byte_at",
     )
 
     def __init__(self) -> None:
         self._in_flight = 0
         # Requests in flight of whose response a part was received.
         self._running = 0
-        self._last_sent_at = float("-inf")
+        self._last_sent_at = NEVER
         # Time of the last byte, or since when a request has been waiting for the first.
-        self._owed_since = float("-inf")
-        # Silence that was observed when the last request ended without a byte.
+        self._owed_since = NEVER
+        # When the last request ended, and the silence that had been observed by then.
+        self._ended_at = NEVER
         self._silence = 0.0
+        # Time of the last byte that this gateway, or any other one, received.
+        self.last_byte_at = NEVER
+        self._remote_byte_at = NEVER
+        # The last report that the target is stalled: when it was received, and since
+        # when the target had been silent.
+        self._report = (NEVER, NEVER)
         self._gap = _TypicalSilence(GAP_FACTOR, GAP_LIMITS)
         self._first_byte = _TypicalSilence(FIRST_BYTE_FACTOR, FIRST_BYTE_LIMITS)
 
@@ -103,17 +122,31 @@
             self._gap.record(now - self._owed_since)
         self._owed_since = now
         self._silence = 0.0
+        self.last_byte_at = now
+
+    def record_remote_byte(self, received_at: float) -> None:
+        """Record when another gateway last received a byte."""
+        self._remote_byte_at = max(self._remote_byte_at, received_at)
+        if self._in_flight == 0 and received_at > self._ended_at:
+            self._silence = 0.0
+
+    def record_report(self, now: float, silent_since: float) -> None:
+        """Record the report of another gateway that the target is stalled."""
+        self._report = (now, silent_since)
 
     def record_end(self, now: float, *, running: bool) -> None:
         """Record that a request ended; ``running`` if it had got a first byte."""
         self._in_flight -= 1
         self._running -= running
         if self._in_flight == 0:
-            self._silence = now - self._owed_since
+            self._ended_at = now
+            self._silence = now - max(self._owed_since, self._remote_byte_at)
 
     def find_silence(self, now: float) -> float:
         """Return the seconds in which requests waited since the last byte."""
-        return now - self._owed_since if self._in_flight else self._silence
+        if self._in_flight:
+            return now - max(self._owed_since, self._remote_byte_at)
+        return self._silence
 
     def find_delay(self, now: float) -> float:
         """Return the silence that the requests in flight are in; 0 without any."""
@@ -121,6 +154,10 @@
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the target has been silent for unusually long."""
+        return self.has_detected_stall(now) or self._is_reported(now)
+
+    def has_detected_stall(self, now: float) -> bool:
+        """Return whether this gateway itself observed the silence."""
         typical = self._gap if self._running else self._first_byte
         return self.find_silence(now) >= typical.limit
 
@@ -128,7 +165,11 @@
         """Return whether a request may be sent although others could serve it."""
         if not self.is_stalled(now):
             return True
-        return self.allows_probe and now - self._last_sent_at >= PROBE_INTERVAL_SECONDS
+        return (
+            self.allows_probe
+            and not self._is_reported(now)
+            and now - self._last_sent_at >= PROBE_INTERVAL_SECONDS
+        )
 
     @property
     def allows_probe(self) -> bool:
@@ -137,3 +178,10 @@
         While a request is waiting there, its response is the sign to go on.
         """
         return self._in_flight == 0
+
+    def _is_reported(self, now: float) -> bool:
+        reported_at, silent_since = self._report
+        if now - reported_at >= REPORT_SECONDS:
+            return False
+        last_byte_at = max(self.last_byte_at, self._remote_byte_at)
+        return last_byte_at <= silent_since + REPORT_MARGIN_SECONDS
--- a/libraries/decisions/tests/forwarding/test_placement.py
+++ b/libraries/decisions/tests/forwarding/test_placement.py
@@ -4,15 +4,20 @@
 
 import random
 import unittest
+from typing import TYPE_CHECKING
 
 from bamboopier_decisions.forwarding.placement import (
     Demand,
+    Placement,
     WeightVersionRange,
     choose_target,
 )
 
 from .builders import DESK, make_entry, make_fleet, make_prompt
 
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import Fleet
+
 
 class PlacementTests(unittest.TestCase):
     def test_a_prompt_too_large_for_every_engine_has_no_target(self) -> None:
@@ -29,6 +34,33 @@
                 self.assertEqual(found.known, known)
                 self.assertEqual(found.state is not None, known > 0)
 
+    def choose(self, fleet: Fleet, now: float) -> Placement:
+        """Choose a target for a prompt."""
+        demand = Demand(DESK, 1, make_prompt("s1"))
+        weights = WeightVersionRange()
+        return choose_target(now, fleet, demand, set(), weights, "z1", random.Random(1))
+
+    def test_a_stalled_target_is_not_used_while_others_respond(self) -> None:
+        # Guards against requests that an engine reads when it resumes, after their
+        # callers have disconnected.
+        fleet = make_fleet([make_entry("i-1"), make_entry("i-2")])
+        stalled = fleet.find("i-1")
+        assert stalled is not None
+        stalled.stall_detector.record_report(2.0, 1.0)
+        for step in range(20):
+            found = self.choose(fleet, 2.0 + step * 0.01)
+            self.assertIsNot(found.state, stalled)
+
+    def test_one_request_at_a_time_probes_a_stalled_target_without_others(self) -> None:
+        # Guards against a lone engine that is never used again after a stall.
+        fleet = make_fleet([make_entry("i-1")])
+        stalled = fleet.find("i-1")
+        assert stalled is not None
+        stalled.stall_detector.record_report(2.0, 1.0)
+        self.assertIs(self.choose(fleet, 2.0).state, stalled)
+        stalled.stall_detector.record_sent(2.0)
+        self.assertIsNone(self.choose(fleet, 2.1).state)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,7 @@
 )
 from .limit_hints import LimitHints
 from .settings import Endpoint
+from .stall_reports import StallReports
 
 if TYPE_CHECKING:
     import random
@@ -39,6 +41,7 @@
     from typing import Self
 
     from bamboopier_decisions.forwarding.fleet import Fleet
+    from bamboopier_decisions.forwarding.target_state import TargetState
     from bamboopier_decisions.quarantine.quarantine import Quarantine
 
     from .active_configuration import ActiveConfiguration
@@ -49,6 +52,9 @@
 STALE_SECONDS = 1.2
 # Maximum number of peers that get each hint.
 MAX_PEERS = 8
+# Age up to which a byte from a target without requests in flight is reported: a gateway
+# whose single request there got no response learns that the target responds.
+RECENT_BYTE_SECONDS = 0.5
 # Maximum rate of load hints: two thirds of what a node may use for control traffic. If
 # many targets have requests in flight, each hint goes to fewer, randomly chosen peers.
 BYTES_PER_SECOND = 15_000
@@ -98,6 +104,7 @@
         self._received: dict[str, tuple[float, LoadHint]] = {}
         self._crashes: list[tuple[float, CrashHint]] = []
         self._limits = LimitHints(fleet, random)
+        self._stalls = StallReports(fleet)
 
     @property
     def started_ms(self) -> int:
@@ -130,6 +137,7 @@
         """Send hints until cancelled."""
         while True:
             await asyncio.sleep(HINT_SECONDS)
+            self._stalls.log_changes(read_clock())
             self._send_loads()
             self._request_freshness()
             self._apply_loads()
@@ -141,7 +149,7 @@
             self._name,
             next(self._numbers),
             self._started_ms,
-            self._list_loads(),
+            list_load_hints(now, self._fleet),
             [b for _, b in self._crashes[:8]],
             self._limits.list_hints(now),
         )
@@ -150,20 +158,6 @@
         for peer in [*self._sample_peers(max(1, int(allowed))), *silent]:
             self._socket.send(hint, peer)
 
-    def _list_loads(self) -> list[TargetLoadHint]:
-        states = (self._fleet.find(name) for name in self._fleet.names)
-        busy = [s for s in states if s is not None and s.own_load.requests]
-        busy.sort(key=lambda s: -s.own_load.requests)
-        return [
-            TargetLoadHint(
-                s.entry.name,
-                s.own_load.requests,
-                s.own_load.memory,
-                s.own_load.pending_prefill,
-            )
-            for s in busy[:MAX_TARGETS]
-        ]
-
     def _sample_peers(self, max_count: int = MAX_PEERS) -> list[Endpoint]:
         return self._sample(
             list(self._registry.peers.values()), min(max_count, MAX_PEERS)
@@ -213,6 +207,7 @@
         self._received[hint.sender] = (now, hint)
         self._registry.record_hint(hint.sender, *sender)
         self._limits.apply(now, hint.sender, hint.limits)
+        self._stalls.apply(now, hint.loads)
         for found in hint.crashes:
             self._quarantine.record_crash(now, found.fingerprint, found.target)
 
@@ -277,3 +272,32 @@
                     )
                 )
         self._fleet.set_other_loads(loads)
+
+
+def list_load_hints(now: float, fleet: Fleet) -> list[TargetLoadHint]:
+    """Return what this gateway has in flight, at stalled and busy targets first."""
+    states = (fleet.find(name) for name in fleet.names)
+    used = [s for s in states if s is not None and _is_used(now, s)]
+    stalled = {s for s in used if s.stall_detector.has_detected_stall(now)}
+    used.sort(key=lambda s: (s not in stalled, -s.own_load.requests))
+    return [_make_load_hint(now, s, s in stalled) for s in used[:MAX_TARGETS]]
+
+
+def _is_used(now: float, state: TargetState) -> bool:
+    """Return whether a target has requests in flight, or responded a moment ago."""
+    byte_age = now - state.stall_detector.last_byte_at
+    return state.own_load.requests > 0 or byte_age < RECENT_BYTE_SECONDS
+
+
+def _make_load_hint(now: float, state: TargetState, stalled: bool) -> TargetLoadHint:
+    detector = state.stall_detector
+    byte_age = now - detector.last_byte_at
+    return TargetLoadHint(
+        state.entry.name,
+        state.own_load.requests,
+        state.own_load.memory,
+        state.own_load.pending_prefill,
+        # Rounded up: a byte must not look later than it was.
+        math.ceil(byte_age * 1000) if math.isfinite(byte_age) else None,
+        int(detector.find_silence(now) * 1000) if stalled else 0,
+    )
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -14,7 +14,7 @@
 
 
 class TargetLoadHint(msgspec.Struct, array_like=True):
-    """Load that one gateway has in flight at one target.
+    """Load that one gateway has in flight at one target, and whether it responds.
 
     ``memory`` and ``pending_prefill`` are in tokens.
     """
@@ -23,6 +23,10 @@
     requests: int
     memory: int
     pending_prefill: int
+    # Milliseconds since the gateway last received a byte; None before the first.
+    byte_age_ms: int | None = None
+    # Milliseconds for which the target has been silent; 0 unless it is stalled.
+    stalled_ms: int = 0
 
 
 class CrashHint(msgspec.Struct, array_like=True):
