Replace the connections to a host when a call on one of them times out

What callers saw: 404 or 401 for routes and keys that had been added, as the older configuration says, from a gateway that all bounds held for again.

Cause: connections that were open went silent together, without a reset, while new ones worked. The watch timed out after 1.7 s; the read that followed took the next idle connection of the pool, silent like the first, and timed out after 1.5 s more.

Class: a retry that shares the failure of the first try. Elsewhere: all calls through this client (lists of targets, weights, drained data centres, part stores, other gateways, orders); targets' connections are probed by the kernel and were not affected.

Change: a call that times out replaces the pool of its host, so that the next call opens a connection. Calls in flight on the old pool go on, since other connections may be sound, and a write must not become unknown because of a neighbour; the old pool closes after the last.

Ruled out as the only cause: a single silent connection, 1.95 s at most.

--- a/libraries/objects/src/bamboopier_objects/http_client.py
+++ b/libraries/objects/src/bamboopier_objects/http_client.py
@@ -9,11 +9,13 @@
 
 import asyncio
 from typing import TYPE_CHECKING, Self, TypeVar
+from urllib.parse import urlsplit
 
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
 
+from .connection_pools import ConnectionPools
 from .errors import (
     MalformedObjectError,
     PlatformError,
@@ -62,17 +64,10 @@
         self.call_timeout = call_timeout
         # Local IP address of the connections; None lets the system choose.
         self._source = source
-        self._session: aiohttp.ClientSession | None = None
+        self._pools: ConnectionPools | None = None
 
     async def __aenter__(self) -> Self:
-        timeout = aiohttp.ClientTimeout(total=self.call_timeout)
-        source = (self._source, 0) if self._source is not None else None
-        connector = aiohttp.TCPConnector(
-            ssl=self._certificates or True, local_addr=source
-        )
-        self._session = aiohttp.ClientSession(
-            timeout=timeout, connector=connector, middlewares=(_send_once,)
-        )
+        self._pools = ConnectionPools(self._make_session)
         return self
 
     async def __aexit__(
@@ -81,8 +76,8 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self._session is not None:
-            await self._session.close()
+        if self._pools is not None:
+            await self._pools.__aexit__(kind, error, traceback)
 
     async def call(
         self,
@@ -97,7 +92,7 @@
         ``first_byte_timeout`` is in seconds and ends when the response headers arrive;
         None stands for the client's ``call_timeout``.
         """
-        if self._session is None:
+        if self._pools is None:
             return Err(PlatformUnavailableError("the platform client is not open"))
         first_byte_timeout = first_byte_timeout or self.call_timeout
         stall = min(STALL_SECONDS, first_byte_timeout)
@@ -109,8 +104,9 @@
         length: int | None = None
         try:
             async with (
+                self._pools.use(urlsplit(url).netloc) as session,
                 asyncio.timeout(first_byte_timeout) as limit,
-                self._session.request(
+                session.request(
                     method, url, data=body, headers=headers, timeout=timeout
                 ) as response,
             ):
@@ -131,6 +127,16 @@
                 return Err(PlatformUnavailableError(text))
             return Err(PlatformOutcomeUnknownError(text))
 
+    def _make_session(self) -> aiohttp.ClientSession:
+        timeout = aiohttp.ClientTimeout(total=self.call_timeout)
+        source = (self._source, 0) if self._source is not None else None
+        connector = aiohttp.TCPConnector(
+            ssl=self._certificates or True, local_addr=source
+        )
+        return aiohttp.ClientSession(
+            timeout=timeout, connector=connector, middlewares=(_send_once,)
+        )
+
 
 def decode_reply(reply: Reply, kind: type[T]) -> Result[T, PlatformError]:
     """Return the body of a reply with status 200 as ``kind``."""
--- a/libraries/objects/tests/test_http_client.py
+++ b/libraries/objects/tests/test_http_client.py
@@ -50,5 +50,56 @@
         self.assertIn("400 of 800 bytes arrived", str(response.err()))
 
 
+class SilentConnectionTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.connections = 0
+        self.silent_connections = 0
+        server = await asyncio.start_server(self.respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.client = HttpClient(
+            f"http://127.0.0.1:{port}", call_timeout=CALL_TIMEOUT_SECONDS
+        )
+
+    async def respond(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Respond on all connections but the first ``silent_connections``."""
+        self.connections += 1
+        number = self.connections
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(0.05)
+                if number > self.silent_connections:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def test_only_one_call_times_out_when_connections_go_silent(self) -> None:
+        # Guards against calls that each time out on another silent connection.
+        async with self.client as client:
+            opened = await asyncio.gather(*(client.call("GET", "/") for _ in range(4)))
+            self.assertTrue(all(r.is_ok() for r in opened))
+            self.silent_connections = self.connections
+            self.assertIsInstance(
+                (await client.call("GET", "/")).err(), PlatformUnavailableError
+            )
+            self.assertTrue((await client.call("GET", "/")).is_ok())
+
+    async def test_a_timeout_does_not_end_the_calls_in_flight(self) -> None:
+        # Guards against a write whose outcome gets unknown because another call on
+        # another connection timed out.
+        async with self.client as client:
+            self.silent_connections = 1
+            silent = asyncio.create_task(client.call("GET", "/"))
+            await asyncio.sleep(CALL_TIMEOUT_SECONDS - 0.03)
+            sound = await client.call("PUT", "/", b"x")
+            self.assertTrue((await silent).is_err())
+            self.assertTrue(sound.is_ok())
+            self.assertTrue((await client.call("GET", "/")).is_ok())
+            self.assertEqual(self.connections, 3)
+
+
 if __name__ == "__main__":
     unittest.main()
