Deny nothing that a newer configuration may contain

What callers saw: 404 or 401, which they do not repeat, for a route or a key that had been added for longer than the bound.

Cause: a denial was answered from the table in memory, however old it was; its age decided only whether a known key is trusted. Whatever made a configuration late (a silent connection, a weak link in a burst, a store that turns this gateway away) turned into a wrong, final answer.

Class: a negative answer from knowledge that is not known to be current. Elsewhere: readiness and known keys have their own bound; a target that is not listed is refused with 503 and a time to return already.

Change: 404 and 401 are answered only while the configuration was confirmed within the site's bound for new versions (configMs); beyond that the caller gets 503 with a time to return. Requests that the configuration does allow go on as before, also while the store is away.

--- a/libraries/decisions/tests/forwarding/test_bounds.py
+++ b/libraries/decisions/tests/forwarding/test_bounds.py
@@ -149,6 +149,19 @@
         self.assertTrue(currency.is_fresh(1e6))
 
 
+class DenialTests(unittest.TestCase):
+    def test_what_may_have_been_added_meanwhile_is_not_denied(self) -> None:
+        # Guards against 404 and 401, which callers do not repeat, for routes and keys
+        # that were added while the configuration could not be confirmed.
+        freshness = ConfigurationFreshness(5.0, 2.0)
+        self.assertFalse(freshness.allows_denial(1.0))
+        freshness.confirm(10.0)
+        self.assertTrue(freshness.allows_denial(12.0))
+        self.assertFalse(freshness.allows_denial(12.1))
+        freshness.set_limits(5.0, 3.0)
+        self.assertTrue(freshness.allows_denial(12.1))
+
+
 class CircuitBreakerTests(unittest.TestCase):
     def test_a_target_that_fails_half_of_its_requests_is_skipped(self) -> None:
         standing = CircuitBreaker()
--- a/libraries/proxy/src/bamboopier_proxy/active_configuration.py
+++ b/libraries/proxy/src/bamboopier_proxy/active_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -23,10 +24,13 @@
     """The active configuration and when it was last confirmed as current."""
 
     def __init__(
-        self, key_seconds: float | None, apply: Callable[[DeclaredConfiguration], None]
+        self,
+        key_seconds: float | None,
+        apply: Callable[[DeclaredConfiguration], None],
+        in_force_seconds: float = math.inf,
     ) -> None:
         self.table: RouteTable | None = None
-        self.freshness = ConfigurationFreshness(key_seconds)
+        self.freshness = ConfigurationFreshness(key_seconds, in_force_seconds)
         self._apply = apply
 
     @property
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -48,14 +48,16 @@
         self.availability = StoreAvailability()
         self.request_queues = RequestQueues()
         self.active_configuration = ActiveConfiguration(
-            settings.key_seconds, self._apply
+            settings.key_seconds, self._apply, settings.in_force_seconds
         )
         self.loader = ConfigurationLoader(schema, self.active_configuration)
         self._services: tuple[str, ...] = ()
 
     def apply_settings(self, changed: ProxySettings) -> None:
         """Apply the limits of changed settings."""
-        self.active_configuration.freshness.set_max_age(changed.key_seconds)
+        self.active_configuration.freshness.set_limits(
+            changed.key_seconds, changed.in_force_seconds
+        )
         self.weights.set_grace(changed.version_seconds)
         self.retry_budgets.set_limits(changed.retries)
 
--- a/libraries/proxy/src/bamboopier_proxy/ingress.py
+++ b/libraries/proxy/src/bamboopier_proxy/ingress.py
@@ -146,7 +146,7 @@
         host = _read_host(request)
         route = table.find_route(host, path)
         if route is None:
-            raise CallerError(ErrorCode.NOT_FOUND, "no route for this host and path")
+            raise self._deny(ErrorCode.NOT_FOUND, "no route for this host and path")
         trace.route = route.name
         workspace = self._authenticate(table, route, metadata, arrived)
         limit = table.configuration.limits.body_bytes
@@ -178,9 +178,19 @@
             raise make_stale_configuration_error(self._active_configuration, now)
         workspace = table.find_workspace(metadata.key) if metadata.key else None
         if workspace is None:
-            raise CallerError(ErrorCode.UNAUTHENTICATED, "no such key")
+            raise self._deny(ErrorCode.UNAUTHENTICATED, "no such key")
         return workspace
 
+    def _deny(self, code: ErrorCode, message: str) -> CallerError:
+        """Return the error for what the configuration does not contain.
+
+        It tells the caller to return if a newer configuration may contain it.
+        """
+        now = read_clock()
+        if self._active_configuration.freshness.allows_denial(now):
+            return CallerError(code, message)
+        return make_stale_configuration_error(self._active_configuration, now)
+
     def _make_call(
         self,
         request: web.BaseRequest,
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -42,6 +42,8 @@
     # A request with a key may be forwarded for this long after the configuration was
     # last confirmed; None for no limit.
     key_seconds: float | None
+    # From the acknowledgement of a configuration until it must be in force.
+    in_force_seconds: float
     # From SIGTERM to SIGKILL.
     grace_seconds: float
     # From the publication of a weight version until older ones expire.
