Deny nothing that a newer published generation may contain, in the own interface too

A gateway that could not read the platform answered 401, 403 and 404 by the generation it had, also when others had announced a newer one; callers do not repeat these.

The follower knows when its generation was last shown as current, on the clock that runs on in suspensions. While one is announced that it lacks, or after the 18 s within which a published generation is in force everywhere, such a denial becomes 503 stale_configuration with a time to return.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -13,6 +13,7 @@
 import structlog
 
 from bamboopier_daemon.certificates import Certificates
+from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import (
     GRPC_OPTIONS,
     keep_running,
@@ -100,7 +101,12 @@
             apply_context()
 
         follower = ConfigurationFollower(
-            platform, apply_configuration, generator, peers, lambda: vms.node_count
+            platform,
+            apply_configuration,
+            generator,
+            read_clock,
+            peers,
+            lambda: vms.node_count,
         )
         holder = f"{settings.vm}:{uuid.uuid4().hex}"
         agent_address = f"{settings.vm}:{settings.listen}"
--- a/libraries/gateway/src/bamboopier_gateway/application.py
+++ b/libraries/gateway/src/bamboopier_gateway/application.py
@@ -42,6 +42,12 @@
 # Retry-After of a gateway that has no configuration yet: the platform's first response
 # takes less, and the load balancer sends callers to other gateways.
 STARTUP_RETRY_AFTER_SECONDS = 1.0
+# Retry-After of a gateway whose configuration may be outdated.
+OUTDATED_RETRY_AFTER_SECONDS = 1.0
+# What a newer configuration may allow.
+DENIALS = frozenset(
+    {ErrorCode.UNAUTHENTICATED, ErrorCode.FORBIDDEN, ErrorCode.NOT_FOUND}
+)
 REQUEST_ID_HEADER = "X-Request-Id"
 
 log = structlog.get_logger()
@@ -138,6 +144,20 @@
                 retry_after=STARTUP_RETRY_AFTER_SECONDS,
             )
 
+    def _check_denial(self, error: CallerError) -> CallerError:
+        """Return ``error``, or one that tells the caller to return.
+
+        Guards against a key or a service that was added while this gateway could not
+        read the configuration: a caller that is denied does not retry.
+        """
+        if error.code not in DENIALS or self._follower.is_current:
+            return error
+        return CallerError(
+            ErrorCode.STALE_CONFIGURATION,
+            "the configuration may be outdated",
+            retry_after=OUTDATED_RETRY_AFTER_SECONDS,
+        )
+
     async def _serve_model(self, request: web.Request) -> web.StreamResponse:
         return await self._serve(request, self._reader.read_model_call)
 
@@ -148,7 +168,10 @@
         """Respond with the models that the caller's workspace may use."""
         self._check_configured()
         directory = self._follower.directory
-        workspace = authenticate(request, directory)
+        try:
+            workspace = authenticate(request, directory)
+        except CallerError as error:
+            raise self._check_denial(error) from error
         body = msgspec.json.encode(list_models(directory, workspace))
         headers = {REQUEST_ID_HEADER: request[REQUEST_ID]}
         return web.Response(body=body, content_type="application/json", headers=headers)
@@ -185,8 +208,9 @@
                 request, request[REQUEST_ID], self._follower.directory
             )
         except CallerError as error:
-            self._metrics.responses.labels("", error.code.value).inc()
-            raise
+            checked = self._check_denial(error)
+            self._metrics.responses.labels("", checked.code.value).inc()
+            raise checked from error
         delivery = Delivery(
             request, call.request_id, self._settings.write_timeout_seconds
         )
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -11,6 +11,7 @@
 import structlog
 
 from bamboopier_daemon.certificates import Certificates
+from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import keep_running, serve_administration
 from bamboopier_daemon.process_metrics import add_process_metrics
 from bamboopier_daemon.stopping import ShutdownOutcome, StopSignals
@@ -64,6 +65,7 @@
             platform,
             fleet.apply_configuration,
             generator,
+            read_clock,
             peers,
             lambda: vms.node_count,
         )
--- a/libraries/gateway/tests/test_application.py
+++ b/libraries/gateway/tests/test_application.py
@@ -10,7 +10,7 @@
 
 from aiohttp.test_utils import TestClient, TestServer
 
-from bamboopier_gateway.application import GatewayApplication
+from bamboopier_gateway.application import DENIALS, GatewayApplication
 from bamboopier_gateway.errors import CallerError, ErrorCode
 from bamboopier_gateway.metrics import GatewayMetrics
 from bamboopier_protocol import agent_pb2 as pb
@@ -43,12 +43,19 @@
 
 class ApplicationTests(unittest.IsolatedAsyncioTestCase):
     async def send_request(
-        self, read: Any, *, fails_after_start: bool = False, generation: int = 1
+        self,
+        read: Any,
+        *,
+        fails_after_start: bool = False,
+        generation: int = 1,
+        current: bool = True,
     ) -> tuple[int, str]:
         settings = SimpleNamespace(
             write_timeout_seconds=5.0, data_centre="dc", max_held_body_bytes=1000
         )
-        follower = SimpleNamespace(directory=SimpleNamespace(generation=generation))
+        follower = SimpleNamespace(
+            directory=SimpleNamespace(generation=generation), is_current=current
+        )
         reader = SimpleNamespace(read_model_call=read, read_plain_call=read)
         application = GatewayApplication(
             settings,  # type: ignore[arg-type]
@@ -77,6 +84,20 @@
         self.assertEqual((status, error["ran"]), (503, "no"))
         self.assertEqual(error["code"], "stale_configuration")
 
+    async def test_nothing_is_denied_as_an_outdated_configuration_says(self) -> None:
+        # Guards against 401, 403 and 404, which callers do not retry, for keys and
+        # services that were added while the gateway could not read the configuration.
+        for code in DENIALS:
+            for current, status in ((True, code.status), (False, 503)):
+                with self.subTest(code, current=current):
+
+                    async def deny(*_: Any, code: ErrorCode = code) -> Any:
+                        raise CallerError(code, "denied")
+
+                    found, text = await self.send_request(deny, current=current)
+                    self.assertEqual(found, status)
+                    self.assertEqual(json.loads(text)["error"]["ran"], "no")
+
     async def test_an_error_before_any_attempt_is_not_run(self) -> None:
         status, text = await self.send_request(fail_to_read)
         error = json.loads(text)["error"]
--- a/libraries/objects/src/bamboopier_objects/follower.py
+++ b/libraries/objects/src/bamboopier_objects/follower.py
@@ -35,6 +35,8 @@
 # platform's capacity.
 CALLS_PER_CHANGE = 3
 CALLS_PER_SECOND = 1000
+# Seconds within which a published configuration is in force everywhere.
+IN_FORCE_SECONDS = 18.0
 
 
 class ConfigurationPeers(Protocol):
@@ -61,6 +63,7 @@
         objects: ObjectStore,
         apply: Callable[[Directory], None],
         random: random.Random,
+        read_clock: Callable[[], float],
         peers: ConfigurationPeers | None = None,
         count_nodes: Callable[[], int] = lambda: 1,
     ) -> None:
@@ -68,6 +71,10 @@
         self.store = GenerationStore(objects)
         self._apply = apply
         self._random = random
+        # Seconds on a clock that continues while the machine is suspended.
+        self._read_clock = read_clock
+        # When the read was sent that last showed the generation in force as current.
+        self._confirmed_at = float("-inf")
         self._peers = peers
         self._newer_announced = asyncio.Event()
         self._awaited_version = 0
@@ -82,6 +89,15 @@
         """Return whether a generation above the one in force has been announced."""
         return self.highest_announced > self.directory.generation
 
+    @property
+    def is_current(self) -> bool:
+        """Return whether nothing can have been published that should be in force.
+
+        What the configuration does not contain may be denied for good only then.
+        """
+        age = self._read_clock() - self._confirmed_at
+        return not self.is_behind and age <= IN_FORCE_SECONDS
+
     def record_announced(self, generation: int) -> None:
         """Record a generation that a peer announced; read again if it is newer."""
         if generation > self.highest_announced:
@@ -102,6 +118,7 @@
 
     async def refresh(self) -> bool:
         """Read the head once and apply it if newer; return False if a retry is due."""
+        sent_at = self._read_clock()
         response = await self.store.read()
         current = False
         if isinstance(response, Ok):
@@ -110,6 +127,8 @@
             self.loaded.set()
             # False when a watch reported a version that this replica does not show yet.
             current = found.head_version >= self._awaited_version
+            if current:
+                self._confirmed_at = sent_at
         elif self._peers is not None and self.directory.generation == 0:
             await self._read_from_peers(self._peers)
         if self.is_behind and self._peers is not None:
--- a/libraries/objects/tests/builders.py
+++ b/libraries/objects/tests/builders.py
@@ -144,11 +144,13 @@
     """A follower that records applied generations and has other nodes as peers."""
 
     def __init__(self, objects: MemoryObjects) -> None:
+        # Time on the follower's clock.
+        self.now = 0.0
         self.applied: list[Directory] = []
         self._changed = asyncio.Event()
         self.peers: list[Node] = []
         self.follower = ConfigurationFollower(
-            objects, self._apply, random.Random(1), self
+            objects, self._apply, random.Random(1), lambda: self.now, self
         )
 
     def _apply(self, directory: Directory) -> None:
--- a/libraries/objects/tests/test_follower.py
+++ b/libraries/objects/tests/test_follower.py
@@ -6,6 +6,8 @@
 import unittest
 from unittest import mock
 
+from bamboopier_objects.follower import IN_FORCE_SECONDS
+
 from .builders import (
     MemoryObjects,
     Node,
@@ -47,6 +49,22 @@
         self.objects.read = read_slowly  # type: ignore[method-assign,assignment]
         await self.node.follow_until(2)
 
+    async def test_a_generation_is_current_for_a_limited_time(self) -> None:
+        # Guards against keys and services that are denied because they were published
+        # while the platform, or a read of it, showed an older generation.
+        follower = self.node.follower
+        self.assertFalse(follower.is_current)
+        self.node.now = 5.0
+        await follower.refresh()
+        self.node.now += IN_FORCE_SECONDS
+        self.assertTrue(follower.is_current)
+        self.node.now += 0.1
+        self.assertFalse(follower.is_current)
+        await follower.refresh()
+        self.assertTrue(follower.is_current)
+        follower.record_announced(2)
+        self.assertFalse(follower.is_current)
+
     async def test_a_gap_in_the_watch_is_followed_by_a_read(self) -> None:
         """The platform no longer has the changes since the node's last watch."""
         task = asyncio.create_task(self.node.follow_until(3))
--- a/tools/capacity/followers.py
+++ b/tools/capacity/followers.py
@@ -16,6 +16,7 @@
 import fire
 import msgspec
 
+from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import keep_running
 from bamboopier_objects.follower import ConfigurationFollower
 from bamboopier_objects.http_platform import HttpPlatform
@@ -60,7 +61,9 @@
         reach.expect(base.number)
         for number in range(count):
             own = await stack.enter_async_context(HttpPlatform(url))
-            follower = ConfigurationFollower(own, reach.note, random.Random(number))
+            follower = ConfigurationFollower(
+                own, reach.note, random.Random(number), read_clock
+            )
             await stack.enter_async_context(keep_running(follower.run()))
         await asyncio.wait_for(reach.complete.wait(), REACH_SECONDS)
         await asyncio.sleep(2.0)
