--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -24,7 +24,9 @@
     claims,
     configuration,
     orders,
+    outdated_configurations,
     places,
+    stalled_targets,
 )
 
 if TYPE_CHECKING:
@@ -42,7 +44,9 @@
     *claims.MUTATIONS,
     *configuration.MUTATIONS,
     *orders.MUTATIONS,
+    *outdated_configurations.MUTATIONS,
     *places.MUTATIONS,
+    *stalled_targets.MUTATIONS,
 )
 
 
--- /dev/null
+++ b/tools/safeguards/stalled_targets.py
@@ -0,0 +1,79 @@
+"""Safeguards of targets that stop responding while requests wait for them."""
+
+from __future__ import annotations
+
+from mutations import Mutation
+
+FORWARDING = "libraries/decisions/src/bamboopier_decisions/forwarding"
+STALL_DETECTOR = f"{FORWARDING}/stall_detector.py"
+PROXY = "libraries/proxy/src/bamboopier_proxy"
+TESTS = "tests.forwarding.test_stall_detector"
+PLACEMENT_TESTS = "tests.forwarding.test_placement.PlacementTests"
+REPORT_TESTS = "tests.test_stall_reports.StallReportTests"
+
+MUTATIONS = (
+    Mutation(
+        "a stalled target gets no requests while others respond",
+        f"{FORWARDING}/placement.py",
+        "    candidates = _exclude_stalled(now, candidates)\n",
+        "",
+        "libraries/decisions",
+        f"{PLACEMENT_TESTS}.test_a_stalled_target_is_not_used_while_others_respond",
+    ),
+    Mutation(
+        "a stalled target without others is probed by one request at a time",
+        f"{FORWARDING}/placement.py",
+        " or [s for s in states if s.stall_detector.allows_probe]",
+        "",
+        "libraries/decisions",
+        f"{PLACEMENT_TESTS}.test_one_request_at_a_time_probes_a_stalled_target_without_others",
+    ),
+    Mutation(
+        "the silence of callers who leave adds up",
+        STALL_DETECTOR,
+        "            self._owed_since = now - self._silence\n",
+        "            self._owed_since = now\n",
+        "libraries/decisions",
+        f"{TESTS}.SilenceTests.test_the_silence_of_callers_who_leave_adds_up",
+    ),
+    Mutation(
+        "the limit follows what is usual for the target",
+        STALL_DETECTOR,
+        "        return min(longest, max(shortest, self._average * self._factor))\n",
+        "        return shortest\n",
+        "libraries/decisions",
+        f"{TESTS}.StallTests.test_a_target_that_always_responds_slowly_is_not_stalled",
+    ),
+    Mutation(
+        "a stall counts only up to the limit in the average",
+        STALL_DETECTOR,
+        "(min(seconds, self.limit) - self._average)",
+        "(seconds - self._average)",
+        "libraries/decisions",
+        f"{TESTS}.StallTests.test_a_stall_does_not_raise_the_limit_for_the_next_one",
+    ),
+    Mutation(
+        "a byte to any gateway refutes a report",
+        STALL_DETECTOR,
+        "        last_byte_at = max(self.last_byte_at, self._remote_byte_at)\n",
+        "        last_byte_at = NEVER\n",
+        "libraries/decisions",
+        f"{TESTS}.ReportTests.test_a_byte_refutes_the_report_of_a_gateway_that_is_cut_off",
+    ),
+    Mutation(
+        "reports of other gateways are applied",
+        f"{PROXY}/stall_reports.py",
+        "                detector.record_report(now, now - hint.stalled_ms / 1000)\n",
+        "                pass\n",
+        "libraries/proxy",
+        f"{REPORT_TESTS}.test_a_stall_reaches_other_gateways_and_is_logged_once",
+    ),
+    Mutation(
+        "a response to one gateway ends the silence at another",
+        f"{PROXY}/hint_exchange.py",
+        "    return state.own_load.requests > 0 or byte_age < RECENT_BYTE_SECONDS\n",
+        "    return state.own_load.requests > 0\n",
+        "libraries/proxy",
+        f"{REPORT_TESTS}.test_a_response_to_one_gateway_ends_the_silence_at_another",
+    ),
+)
