Reword tools/processes, fault_matrix, demo, measure_claims and capacity

Comments, doc texts, names and printed texts of development tools in the terms of the field; what they do stays: the projection prints the same lines letter for letter from docs/capacity.json, make demo ends with 0, the suites of processes and readiness pass. Names of fits in docs/capacity.json and values of the fault matrix, which KNOWN-RED.txt and the tests name, are as they were.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,7 +10,7 @@
 
 
 class PortTests(unittest.TestCase):
-    def test_no_port_is_handed_out_twice(self) -> None:
+    def test_no_port_is_assigned_twice(self) -> None:
         # Two daemons get ports before either listens. If both ports were the same free
         # port, the second daemon would exit with "address in use".
         ports = [find_port() for _ in range(200)]
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -20,11 +20,11 @@
         installation = self.enterContext(Installation())
         installation.start_platform()
         publish_examples(installation)
-        installation.holds_vm_list = True
+        installation.vm_list_frozen = True
         installation.start_gateway("gateway-1", "dc-east")
         self.wait_for_generation(installation.admin["gateway-1"])
         self.assertFalse(self.is_ready(installation.admin["gateway-1"]))
-        installation.holds_vm_list = False
+        installation.vm_list_frozen = False
         installation.put_vms()
         installation.wait_until_ready()
 
--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -1,4 +1,4 @@
-"""Run every measurement and write the slopes: ``python -m capacity``."""
+"""Runs all measurements and writes the slopes: ``python -m capacity``."""
 
 from __future__ import annotations
 
@@ -33,13 +33,13 @@
     for name, measure in SECTIONS.items():
         if only in ("", name):
             fits = measure()
-            known[name] = [_describe(fit) for fit in fits]
+            known[name] = [_to_json(fit) for fit in fits]
             for fit in fits:
-                _show(fit)
+                _print_fit(fit)
     path.write_text(json.dumps(known, indent=2) + "\n")
 
 
-def _describe(fit: Fit) -> dict[str, object]:
+def _to_json(fit: Fit) -> dict[str, object]:
     return {
         "name": fit.name,
         "unit": fit.unit,
@@ -50,9 +50,9 @@
     }
 
 
-def _show(fit: Fit) -> None:
+def _print_fit(fit: Fit) -> None:
     print(f"{fit.name}: {fit.slope:.4g} ± {fit.error:.2g} {fit.unit} each,", end=" ")
-    print(f"{fit.intercept:.4g} {fit.unit} at none; points {fit.points}", flush=True)
+    print(f"{fit.intercept:.4g} {fit.unit} at zero; points {fit.points}", flush=True)
 
 
 if __name__ == "__main__":
--- a/tools/capacity/blocks.py
+++ b/tools/capacity/blocks.py
@@ -1,6 +1,6 @@
-"""Memory of an agent's beliefs about blocks: ``python -m capacity.blocks COUNT``.
+"""Measures an agent's index of resident blocks: ``python -m capacity.blocks COUNT``.
 
-Prints the megabytes that COUNT believed blocks add to a fresh process.
+Prints the megabytes that COUNT blocks add to a new process.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 
 def main(count: int) -> None:
-    """Fill a belief with ``count`` random keys and print what it takes."""
+    """Add ``count`` random keys and print the memory that they need."""
     before = read_memory(os.getpid())
     resident = ResidentKeys()
     for number in range(count):
--- a/tools/capacity/connections.py
+++ b/tools/capacity/connections.py
@@ -1,8 +1,9 @@
-"""Holds many gRPC connections open, as gateways and agents do at the design size.
+"""Keeps many gRPC connections open, as gateways and agents do at the design size.
 
-``serve N`` answers load reports on N ports. ``hold ADDRESS N`` keeps N connections to
-one agent. ``gateway PORT ...`` opens the gateway's own channels. Each prints
-one line when it is ready and then waits for the end of its standard input.
+``serve N`` responds to load report requests on N ports. ``hold ADDRESS N`` keeps N
+connections to one agent. ``gateway PORT ...`` opens the channels of a gateway. Each
+command prints one line when it is ready, and then waits for the end of its standard
+input.
 """
 
 from __future__ import annotations
@@ -22,14 +23,14 @@
 
 
 class _Reporter(agent_pb2_grpc.AgentServicer):
-    """Answers load reports only."""
+    """Responds to load report requests only."""
 
     async def Report(self, request: pb.ReportRequest, context: Any) -> pb.LoadReport:  # noqa: N802
         """Return an idle target's report."""
         return pb.LoadReport(target="idle", limit=8, accepting=True)
 
 
-async def _wait_for_end() -> None:
+async def _wait_for_input_end() -> None:
     await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
 
 
@@ -43,7 +44,7 @@
         await server.start()
         servers.append(server)
     print(" ".join(map(str, ports)), flush=True)
-    await _wait_for_end()
+    await _wait_for_input_end()
     for server in servers:
         await server.stop(None)
 
@@ -55,7 +56,7 @@
         stub = agent_pb2_grpc.AgentStub(channel)
         await stub.Report(pb.ReportRequest())
     print("ready", flush=True)
-    await _wait_for_end()
+    await _wait_for_input_end()
     for channel in channels:
         await channel.close(None)
 
@@ -66,14 +67,14 @@
             stub = agents.get_stub(f"{HOST}:{port}")
             await stub.Report(pb.ReportRequest())
         print("ready", flush=True)
-        await _wait_for_end()
+        await _wait_for_input_end()
 
 
 class Commands:
-    """The three forms of this helper process."""
+    """The commands of this helper process."""
 
     def serve(self, count: int) -> None:
-        """Answer reports on ``count`` ports."""
+        """Respond to load report requests on ``count`` ports."""
         asyncio.run(_serve(count))
 
     def hold(self, address: str, count: int) -> None:
--- a/tools/capacity/fit.py
+++ b/tools/capacity/fit.py
@@ -1,4 +1,4 @@
-"""Straight-line fits of a cost against a count."""
+"""Linear fits of a cost against a count."""
 
 from __future__ import annotations
 
@@ -29,8 +29,8 @@
     counts = [count for count, _ in points]
     costs = [cost for _, cost in points]
     slope, intercept = statistics.linear_regression(counts, costs)
-    middle = statistics.fmean(counts)
+    mean = statistics.fmean(counts)
     residual = sum((y - intercept - slope * x) ** 2 for x, y in points)
-    spread = sum((x - middle) ** 2 for x in counts)
+    spread = sum((x - mean) ** 2 for x in counts)
     error = (residual / (len(points) - 2) / spread) ** 0.5
     return Fit(name, unit, tuple(points), slope, intercept, error)
--- a/tools/capacity/followers.py
+++ b/tools/capacity/followers.py
@@ -1,4 +1,4 @@
-"""Many configuration followers in one process, to see a change reach all of them.
+"""Runs many configuration followers, and measures how fast a change reaches all.
 
 ``python -m capacity.followers PLATFORM_URL COUNT CHANGES`` prints one JSON line: the
 seconds until the last follower applied each change.
@@ -25,29 +25,30 @@
 if TYPE_CHECKING:
     from bamboopier_configuration.directory import Directory
 
-REACH_SECONDS = 60.0
+TIMEOUT_SECONDS = 60.0
 
 
-class _Reach:
-    """Counts the followers that are on a generation and says when all are."""
+class _Propagation:
+    """Counts the followers that have applied a generation."""
 
     def __init__(self, count: int) -> None:
         self._count = count
         self._reached: dict[int, int] = {}
         self.complete = asyncio.Event()
-        self.wanted = 0
+        # The generation that is counted.
+        self.generation = 0
 
-    def note(self, directory: Directory) -> None:
-        """Take one follower's step to a generation."""
-        if directory.generation != self.wanted:
+    def record_applied(self, directory: Directory) -> None:
+        """Record that one follower has applied a generation."""
+        if directory.generation != self.generation:
             return
-        self._reached[self.wanted] = self._reached.get(self.wanted, 0) + 1
-        if self._reached[self.wanted] == self._count:
+        self._reached[self.generation] = self._reached.get(self.generation, 0) + 1
+        if self._reached[self.generation] == self._count:
             self.complete.set()
 
     def expect(self, generation: int) -> None:
-        """Wait for ``generation`` from now on."""
-        self.wanted = generation
+        """Start to count for ``generation``."""
+        self.generation = generation
         self.complete.clear()
 
 
@@ -57,24 +58,24 @@
         platform = await stack.enter_async_context(HttpPlatform(url))
         store = Publisher(platform)
         base = (await store.read()).unwrap()
-        reach = _Reach(count)
-        reach.expect(base.number)
+        propagation = _Propagation(count)
+        propagation.expect(base.number)
         for number in range(count):
             own = await stack.enter_async_context(HttpPlatform(url))
             follower = ConfigurationFollower(
-                own, reach.note, random.Random(number), read_clock
+                own, propagation.record_applied, random.Random(number), read_clock
             )
             await stack.enter_async_context(keep_running(follower.run()))
-        await asyncio.wait_for(reach.complete.wait(), REACH_SECONDS)
+        await asyncio.wait_for(propagation.complete.wait(), TIMEOUT_SECONDS)
         await asyncio.sleep(2.0)
         for change in range(changes):
             workspaces = list(base.configuration.workspaces)
             workspaces[0] = msgspec.structs.replace(workspaces[0], weight=change + 2.0)
             changed = msgspec.structs.replace(base.configuration, workspaces=workspaces)
-            reach.expect(base.number + 1)
+            propagation.expect(base.number + 1)
             started = time.monotonic()
             base = (await store.publish(base, changed, f"change-{change}")).unwrap()
-            await asyncio.wait_for(reach.complete.wait(), REACH_SECONDS)
+            await asyncio.wait_for(propagation.complete.wait(), TIMEOUT_SECONDS)
             times.append(time.monotonic() - started)
     return times
 
--- a/tools/capacity/measurements.py
+++ b/tools/capacity/measurements.py
@@ -1,4 +1,4 @@
-"""Each slope, measured on real daemons with stand-ins around them."""
+"""Measures each slope with real daemons and stand-ins of their surroundings."""
 
 from __future__ import annotations
 
@@ -18,15 +18,15 @@
 from .usage import read_cpu, read_memory
 from .workload import (
     IDLE_SECONDS,
-    ask_many,
     build_configuration,
     build_vm,
     count_calls,
     count_object_reads,
     measure_idle_cpu,
-    order_many,
     publish,
     read_calls,
+    send_dispatches,
+    send_prompts,
     start_one_target,
 )
 
@@ -38,7 +38,7 @@
 CONNECTIONS = Path(__file__).parent / "connections.py"
 SETTLE_SECONDS = 1.0
 CHANGES = 10
-# Changes followed by many nodes at once.
+# Changes per measurement with many nodes.
 PROPAGATED = 3
 
 
@@ -95,7 +95,7 @@
 
 
 def measure_workspaces() -> list[Fit]:
-    """What a gateway pays for the configuration and for each change of it."""
+    """Cost to a gateway of the configuration and of each change to it."""
     memory, cpu, size, calls, start_calls = [], [], [], [], []
     for count in (400, 1600, 3200, 6300):
         with Installation() as installation:
@@ -138,15 +138,15 @@
 def _measure_changes(
     installation: Installation, base: Configuration, pid: int
 ) -> _ChangeCost:
-    """Publish some changes and charge the gateway's reads to them.
+    """Return the mean cost of one change to a gateway.
 
-    The publisher reads everything once, which the same publish without a gateway, made
-    first, shows; what it cost is taken off.
+    The publisher itself reads everything once. The same call without changes measures
+    these reads first, and they are subtracted.
     """
-    alone = _publish_changes(installation, base, [])
+    baseline = _publish_changes(installation, base, [])
     cost = _publish_changes(installation, base, list(range(1, CHANGES + 1)), pid)
-    reads = (cost.calls - alone.calls) / CHANGES
-    return _ChangeCost(cost.cpu / CHANGES, (cost.size - alone.size) / CHANGES, reads)
+    reads = (cost.calls - baseline.calls) / CHANGES
+    return _ChangeCost(cost.cpu / CHANGES, (cost.size - baseline.size) / CHANGES, reads)
 
 
 def _publish_changes(
@@ -155,7 +155,7 @@
     weights: list[int],
     pid: int | None = None,
 ) -> _ChangeCost:
-    """Return the platform's whole cost of publishing one change a weight."""
+    """Return the total cost of publishing one change for each of ``weights``."""
     before = read_calls(installation)
     cpu = read_cpu(pid) if pid is not None else 0.0
     steps = []
@@ -172,32 +172,32 @@
 
 
 def measure_blocks() -> list[Fit]:
-    """Memory of an agent's beliefs about resident blocks."""
+    """Memory of an agent's index of resident blocks."""
     memory = []
     for count in (8_000, 16_000, 32_000, 64_000):
-        done = subprocess.run(
+        completed = subprocess.run(
             [sys.executable, "-m", "capacity.blocks", str(count)],
             capture_output=True,
             text=True,
             check=True,
         )
-        memory.append((float(count), float(done.stdout)))
+        memory.append((float(count), float(completed.stdout)))
     return [fit_line("agent memory per believed block", "MB", memory)]
 
 
 def measure_propagation() -> list[Fit]:
-    """Seconds until a change is in force at many nodes, and the platform's calls."""
+    """Seconds until a change is in force at all nodes, and calls to the platform."""
     seconds, calls = [], []
     for count in (50, 100, 200, 400):
         with Installation() as installation:
             installation.start_platform()
             base = build_configuration(400)
             asyncio.run(publish(installation.platform_url, [base]))
-            alone = _run_followers(installation, count, 0)
-            moved = _run_followers(installation, count, PROPAGATED)
-            worst = max(moved.seconds)
+            baseline = _run_followers(installation, count, 0)
+            measured = _run_followers(installation, count, PROPAGATED)
+            worst = max(measured.seconds)
             seconds.append((float(count), worst))
-            calls.append((float(count), (moved.calls - alone.calls) / PROPAGATED))
+            calls.append((float(count), (measured.calls - baseline.calls) / PROPAGATED))
             installation.stop_all()
     return [
         fit_line("worst seconds to all nodes, by nodes", "s", seconds),
@@ -206,7 +206,7 @@
 
 
 class _Propagation:
-    """Times of some changes and what they cost the platform."""
+    """Seconds until each change was in force, and the calls that it cost."""
 
     def __init__(self, seconds: list[float], calls: float) -> None:
         self.seconds = seconds
@@ -218,7 +218,7 @@
 ) -> _Propagation:
     before = read_calls(installation)
     arguments = [installation.platform_url, str(count), str(changes)]
-    done = subprocess.run(
+    completed = subprocess.run(
         [sys.executable, "-m", "capacity.followers", *arguments],
         capture_output=True,
         text=True,
@@ -227,11 +227,11 @@
     )
     after = read_calls(installation)
     reads = count_object_reads(before, after) + count_calls(before, after, "GET watch")
-    return _Propagation(json.loads(done.stdout), reads)
+    return _Propagation(json.loads(completed.stdout), reads)
 
 
 def measure_vm_list() -> list[Fit]:
-    """What a gateway pays for following the VM list."""
+    """Cost to a gateway of following the VM list."""
     cpu, size = [], []
     for count in (200, 400, 800, 1200):
         with Installation() as installation:
@@ -244,8 +244,8 @@
             gateway = installation.daemons["gateway-1"].process.pid
             before = read_calls(installation)
             cpu.append((float(count), measure_idle_cpu(gateway)))
-            moved = count_calls(before, read_calls(installation), "bytes GET vms")
-            size.append((float(count), moved / IDLE_SECONDS / 1e3))
+            transferred = count_calls(before, read_calls(installation), "bytes GET vms")
+            size.append((float(count), transferred / IDLE_SECONDS / 1e3))
             installation.stop_all()
     return [
         fit_line("gateway idle CPU by listed VMs", "core", cpu),
@@ -262,7 +262,7 @@
             "gateway": installation.daemons["gateway-1"].process.pid,
             "agent": installation.daemons["desk-1-agent"].process.pid,
         }
-        ask_many(installation, 50, 1)
+        send_prompts(installation, 50, 1)
         by_requests: dict[str, list[tuple[float, float]]] = {n: [] for n in pids}
         for count in (100, 200, 400, 800):
             for name, used in _measure_load(installation, pids, count, 1).items():
@@ -288,11 +288,11 @@
         time.sleep(2.0)
         for count in (50, 100, 200, 400):
             before = read_calls(installation)
-            order_many(installation, count)
+            send_dispatches(installation, count)
             after = read_calls(installation)
             writes.append((float(count), count_calls(before, after, "PUT objects")))
-            moved = count_calls(before, after, "bytes PUT objects")
-            size.append((float(count), moved / 1e3))
+            transferred = count_calls(before, after, "bytes PUT objects")
+            size.append((float(count), transferred / 1e3))
         installation.stop_all()
     return [
         fit_line("platform writes per claim, 8 callers", "calls", writes),
@@ -304,5 +304,5 @@
     installation: Installation, pids: dict[str, int], count: int, tokens: int
 ) -> dict[str, float]:
     before = {name: read_cpu(pid) for name, pid in pids.items()}
-    ask_many(installation, count, tokens)
+    send_prompts(installation, count, tokens)
     return {name: read_cpu(pid) - before[name] for name, pid in pids.items()}
--- a/tools/capacity/projection.py
+++ b/tools/capacity/projection.py
@@ -1,7 +1,7 @@
-"""Works out the design size from measured slopes: ``python -m capacity.projection``.
+"""Projects measured slopes to the design size: ``python -m capacity.projection``.
 
-Every line names what carries it. Rates come from the constants of the code itself, so
-that a change there shows here.
+Each line names the mechanism that determines it. Rates are read from the constants of
+the code, so that the projection follows changes to them.
 """
 
 from __future__ import annotations
@@ -25,13 +25,13 @@
 from . import size
 
 FIGURES = Path(__file__).resolve().parent.parent.parent / "docs" / "capacity.json"
-# A call's headers both ways, with those of TCP and IP.
+# Headers of a call and its response, with those of TCP and IP.
 CALL_BYTES = 600.0
-# A keep-alive ping and its answer, with the headers of TCP and IP.
+# A keep-alive ping and its response, with the headers of TCP and IP.
 PING_BYTES = 200.0
-# A load report asked for by itself, both ways.
+# A separate request for a load report, and its response.
 REPORT_BYTES = 500.0
-# A lease's renewal, with its headers both ways.
+# The renewal of a lease and its response, with headers.
 RENEW_BYTES = 900.0
 # A stored claim, measured by tools/measure_claims.py.
 CLAIM_BYTES = 95.0
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True)
 class Line:
-    """One projected figure with its limit (0: none was given)."""
+    """One projected figure and its limit; 0 for no limit."""
 
     role: str
     what: str
@@ -91,30 +91,30 @@
 
 
 def project_gateway(slopes: Slopes) -> list[Line]:
-    """Return what one gateway needs."""
+    """Return the projection for one gateway."""
     memory = slopes.predict("gateway memory per agent channel", size.TARGETS)
     idle = slopes.predict("gateway idle CPU by listed VMs", size.LISTED_VMS)
     idle += slopes.slope("gateway idle CPU per agent channel") * size.TARGETS
     traffic = _keepalive_traffic(size.TARGETS) + POLLS_PER_SECOND * REPORT_BYTES / 1e3
     channels = "one channel an agent, all workspaces in memory"
-    need = _Need("gateway", size.GATEWAYS, memory, idle, traffic, channels)
-    return _project_node(slopes, need)
+    own_cost = _NodeCost("gateway", size.GATEWAYS, memory, idle, traffic, channels)
+    return _project_node(slopes, own_cost)
 
 
 def project_agent(slopes: Slopes) -> list[Line]:
-    """Return what one agent needs."""
+    """Return the projection for one agent."""
     memory = slopes.predict("agent memory per gateway connection", size.GATEWAYS)
     idle = slopes.predict("agent idle CPU per gateway connection", size.GATEWAYS)
     traffic = _keepalive_traffic(size.GATEWAYS) + _claim_traffic()
     traffic += RENEW_BYTES / RENEW_INTERVAL_SECONDS / 1e3
     connections = "one connection a gateway, all workspaces in memory"
-    need = _Need("agent", size.TARGETS, memory, idle, traffic, connections)
-    return _project_node(slopes, need)
+    own_cost = _NodeCost("agent", size.TARGETS, memory, idle, traffic, connections)
+    return _project_node(slopes, own_cost)
 
 
 @dataclass(frozen=True)
-class _Need:
-    """What is particular to one role: MB, cores and KB/s before what all nodes do."""
+class _NodeCost:
+    """Cost that depends on the role, in MB, cores and KB/s."""
 
     role: str
     nodes: int
@@ -124,22 +124,22 @@
     memory_carried_by: str
 
 
-def _project_node(slopes: Slopes, need: _Need) -> list[Line]:
-    """Add what every node pays: workspaces, changes and the VM list."""
-    memory = need.memory
+def _project_node(slopes: Slopes, own_cost: _NodeCost) -> list[Line]:
+    """Add the cost of every node: workspaces, changes and the VM list."""
+    memory = own_cost.memory
     memory += slopes.slope("gateway memory per workspace") * size.WORKSPACES
     change = slopes.predict("gateway CPU per change, by workspaces", size.WORKSPACES)
-    control = need.idle + size.CHANGES_PER_DAY / size.DAY * change
-    traffic = need.traffic + _change_traffic(slopes)
+    control = own_cost.idle + size.CHANGES_PER_DAY / size.DAY * change
+    traffic = own_cost.traffic + _change_traffic(slopes)
     traffic += slopes.predict("gateway VM list traffic by listed VMs", size.LISTED_VMS)
-    requests = size.REQUESTS_PER_SECOND / need.nodes
-    tokens = size.TOKENS_PER_SECOND / need.nodes
-    data = requests * slopes.slope(f"{need.role} CPU per request")
-    data += tokens * slopes.slope(f"{need.role} CPU per token")
-    role = need.role
+    requests = size.REQUESTS_PER_SECOND / own_cost.nodes
+    tokens = size.TOKENS_PER_SECOND / own_cost.nodes
+    data = requests * slopes.slope(f"{own_cost.role} CPU per request")
+    data += tokens * slopes.slope(f"{own_cost.role} CPU per token")
+    role = own_cost.role
     carried_by = "parts by digest, VM list by tag, rare pings"
     return [
-        _memory(role, memory, need.memory_carried_by),
+        _memory(role, memory, own_cost.memory_carried_by),
         _cpu(role, 100 * control, "watch, VM list by tag"),
         _traffic(role, traffic, carried_by),
         Line(role, "CPU for requests", data / 10, "% of a core", 0, "data path"),
@@ -147,7 +147,7 @@
 
 
 def project_platform(slopes: Slopes) -> list[Line]:
-    """Return the calls a second that the platform gets."""
+    """Return the projection of calls to the platform."""
     changes = size.CHANGES_PER_DAY / size.DAY
     per_change = slopes.slope("platform reads per change, by nodes") * size.NODES
     watches = size.NODES / WATCH_SECONDS
@@ -233,13 +233,13 @@
 def _claim_traffic() -> float:
     """Return KB/s for claims: each reads and rewrites one partition."""
     claims = size.REQUESTS_PER_SECOND * size.NON_IDEMPOTENT
-    kept = claims * size.KEY_LIFETIME_SECONDS / PARTITIONS
-    partition = kept * CLAIM_BYTES
+    stored = claims * size.KEY_LIFETIME_SECONDS / PARTITIONS
+    partition = stored * CLAIM_BYTES
     return claims / size.TARGETS * 2 * (partition + CALL_BYTES) / 1e3
 
 
 def _change_traffic(slopes: Slopes) -> float:
-    """Return KB/s for following the configuration, with the watch's own calls."""
+    """Return KB/s for following the configuration, including calls of the watch."""
     change = slopes.predict("gateway bytes per change, by workspaces", size.WORKSPACES)
     calls = 3 * CALL_BYTES / 1e3
     watch = CALL_BYTES / WATCH_SECONDS / 1e3
--- a/tools/capacity/size.py
+++ b/tools/capacity/size.py
@@ -1,4 +1,4 @@
-"""The size to design for, as the users' first letter gives it."""
+"""The size that the system is designed for."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 FAILURES_PER_DAY = 16
 RESTARTS_PER_DAY = 84
 
-# Assumed: the letter does not say how many requests may not be repeated.
+# Assumed share of requests that may run only once; no figure is given for it.
 NON_IDEMPOTENT = 0.05
 KEY_LIFETIME_SECONDS = 86_400.0
 
@@ -22,11 +22,11 @@
 MEMORY_LIMIT_MB = 256.0
 TRAFFIC_LIMIT_KB = 22.0
 
-# "About two thousand reads a second" and "several hundred writes" of the brief.
+# Given as "about two thousand" reads and "several hundred" writes a second.
 PLATFORM_READS = 2000.0
 PLATFORM_WRITES = 300.0
 
 DAY = 86_400.0
 NODES = GATEWAYS + TARGETS
-# Store VMs are not counted by the letter; a tenth of the targets is assumed.
+# No number of store VMs is given; a tenth of the targets is assumed.
 LISTED_VMS = NODES + TARGETS // 10
--- a/tools/capacity/usage.py
+++ b/tools/capacity/usage.py
@@ -16,6 +16,6 @@
 
 
 def read_cpu(pid: int) -> float:
-    """Return the processor seconds a process has used, to a hundredth."""
+    """Return the processor seconds that a process has used, in steps of 0.01 s."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS
--- a/tools/capacity/workload.py
+++ b/tools/capacity/workload.py
@@ -1,4 +1,4 @@
-"""What the measurements ask of an installation, and what they read off it."""
+"""The load that the measurements generate, and the counters that they read."""
 
 from __future__ import annotations
 
@@ -25,19 +25,19 @@
 IDLE_SECONDS = 8.0
 FOSSE_KEY = "fosse-demo-key"
 CALLERS = 8
-# Between two changes: a gateway has read one before the next comes.
+# Time between two changes, in which a gateway has read the first.
 CHANGE_SECONDS = 0.4
 
 
-def ask_many(installation: Installation, count: int, tokens: int) -> None:
-    """Send ``count`` streamed completions from a few callers at once."""
+def send_prompts(installation: Installation, count: int, tokens: int) -> None:
+    """Send ``count`` streamed completions from ``CALLERS`` concurrent callers."""
     body = {"model": "pillar-8b", "prompt": "is it live?", "max_tokens": tokens}
     url = installation.gateways["gateway-1"] + "/v1/completions"
     _call_many(url, {**body, "stream": True}, count, {})
 
 
-def order_many(installation: Installation, count: int) -> None:
-    """Send ``count`` dispatches, each under a key of its own."""
+def send_dispatches(installation: Installation, count: int) -> None:
+    """Send ``count`` dispatches, each with its own idempotency key."""
     url = installation.gateways["gateway-1"] + "/services/dispatch/vans"
     _call_many(url, {"pillar": "M6"}, count, {"Idempotency-Key": ""})
 
@@ -59,7 +59,7 @@
 
 
 def start_one_target(installation: Installation, **options: Any) -> None:
-    """Start one engine with its agent and a gateway, with Fosse's configuration."""
+    """Start one engine with its agent and a gateway, with an example configuration."""
     installation.start_platform()
     options = {"block_tokens": 2000, **options}
     installation.start_target("desk-1", "engine", "fault-desk", "dc-east", **options)
@@ -72,7 +72,7 @@
 
 
 def build_configuration(workspaces: int) -> Configuration:
-    """Return Fosse's configuration with many workspaces."""
+    """Return the example configuration with many workspaces."""
     configuration = collect(find_files([EXAMPLES / "fosse"])).unwrap()
     many = [_build_workspace(number) for number in range(workspaces)]
     return msgspec.structs.replace(configuration, workspaces=many)
@@ -84,7 +84,7 @@
 
 
 def build_vm(number: int) -> dict[str, Any]:
-    """Return a listed VM that cannot be reached; its address is on loopback."""
+    """Return the entry of an unreachable VM, with a loopback address."""
     return {
         "name": f"vm-{number}",
         "role": "target" if number % 3 else "gateway",
@@ -97,7 +97,7 @@
 
 
 async def publish(platform_url: str, steps: list[Configuration]) -> None:
-    """Publish each step as a generation, as one publisher that reads once."""
+    """Publish each step as a generation, after a single read."""
     async with HttpPlatform(platform_url) as objects:
         store = Publisher(objects)
         base = (await store.read()).unwrap()
@@ -108,22 +108,22 @@
 
 
 def measure_idle_cpu(pid: int) -> float:
-    """Return the cores a process uses while nothing is asked of it."""
+    """Return the cores that a process uses without any requests."""
     before = read_cpu(pid)
     time.sleep(IDLE_SECONDS)
     return (read_cpu(pid) - before) / IDLE_SECONDS
 
 
 def read_calls(installation: Installation) -> dict[str, int]:
-    """Return the platform's calls and their bytes so far, by kind."""
+    """Return the number and the bytes of the platform's calls so far, by kind."""
     return dict(json.loads(fetch(f"{installation.platform_url}/calls")))
 
 
 def count_calls(before: dict[str, int], after: dict[str, int], kind: str) -> float:
-    """Return how much of one kind lies between two readings."""
+    """Return the increase of one counter between two readings."""
     return float(after.get(kind, 0) - before.get(kind, 0))
 
 
 def count_object_reads(before: dict[str, int], after: dict[str, int]) -> float:
-    """Return the object reads between two readings."""
+    """Return the number of object reads between two readings."""
     return count_calls(before, after, "GET objects")
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,7 +1,7 @@
-"""The main job end to end: processes, configuration, prompts, a dispatch, shutdown.
+"""Demonstrates an installation: configuration, prompts, a dispatch and the shutdown.
 
-``make demo`` runs it once and ends with 0; ``make demo-stay`` keeps the processes up
-for curl until interrupted.
+``make demo`` runs it once and exits with 0; ``make demo-stay`` keeps the processes
+running until it is interrupted, so that they can be called with curl.
 """
 
 from __future__ import annotations
@@ -24,19 +24,19 @@
 
 
 @dataclass
-class Answer:
-    """What a caller got."""
+class CallerResponse:
+    """A response as its caller received it."""
 
     status: int
     body: str
     headers: dict[str, str]
-    # Seconds to the first byte and to the end.
+    # Seconds until the first byte and until the end of the body.
     first_byte: float
-    whole: float
+    total: float
 
 
-def post(url: str, key: str, body: object, **headers: str) -> Answer:
-    """Send a JSON request as an ordinary caller would."""
+def post(url: str, key: str, body: object, **headers: str) -> CallerResponse:
+    """Send a JSON request as a caller does."""
     request = urllib.request.Request(url, data=json.dumps(body).encode())
     request.add_header("Authorization", f"Bearer {key}")
     request.add_header("Content-Type", "application/json")
@@ -51,9 +51,9 @@
         first = response.read(1)
         first_byte = time.monotonic() - started
         text = (first + response.read()).decode()
-        whole = time.monotonic() - started
+        total = time.monotonic() - started
         headers = dict(response.headers)
-        return Answer(response.status, text, headers, first_byte, whole)
+        return CallerResponse(response.status, text, headers, first_byte, total)
 
 
 def main(stay: bool = False) -> None:
@@ -72,7 +72,7 @@
 
 
 def start(installation: Installation) -> None:
-    """Bring up two data centres and publish the example configuration."""
+    """Start two data centres and publish the example configuration."""
     installation.start_platform()
     installation.start_store("store-1", "fault-desk-context", "dc-east")
     installation.start_store("store-2", "ordering-context", "dc-west")
@@ -88,15 +88,15 @@
     )
     print(published.stdout.strip() or published.stderr.strip())
     installation.wait_until_ready()
-    print(f"{len(installation.daemons)} processes are up")
+    print(f"{len(installation.daemons)} processes are running")
 
 
 def show_conversation(installation: Installation) -> None:
-    """Ask about a pillar, lose the engines' context, and ask again an 'hour' later."""
+    """Send a prompt, evict its context from the engines, and send a second one."""
     history = " ".join(f"visit-{number}" for number in range(HISTORY_WORDS))
     url = installation.gateways["gateway-1"] + "/v1/chat/completions"
     messages = [{"role": "user", "content": history + " is the box live?"}]
-    first = ask(url, messages)
+    first = send_prompt(url, messages)
     report(installation, "first question", first)
     time.sleep(1.0)
     for target in ("desk-1", "desk-2"):
@@ -104,11 +104,11 @@
     time.sleep(1.2)
     messages.append({"role": "assistant", "content": "yes"})
     messages.append({"role": "user", "content": "and who repaired it last?"})
-    second = ask(url, messages)
+    second = send_prompt(url, messages)
     report(installation, "second question, context evicted from the engine", second)
 
 
-def ask(url: str, messages: list[dict[str, str]]) -> Answer:
+def send_prompt(url: str, messages: list[dict[str, str]]) -> CallerResponse:
     """Send a streamed chat request."""
     body = {
         "model": "pillar-8b",
@@ -119,19 +119,22 @@
     return post(url, FOSSE_KEY, body)
 
 
-def report(installation: Installation, title: str, answer: Answer) -> None:
-    """Print what the caller got and what the gateway says about it."""
-    events = [line[6:] for line in answer.body.splitlines() if line.startswith("data:")]
+def report(installation: Installation, title: str, response: CallerResponse) -> None:
+    """Print a response and the gateway's reason for choosing its target."""
+    events = [
+        line[6:] for line in response.body.splitlines() if line.startswith("data:")
+    ]
     parsed = [json.loads(event) for event in events if event != "[DONE]"]
     text = "".join(
         choice["text"] for event in parsed for choice in event.get("choices", [])
     )
     usage = next(event["usage"] for event in parsed if "usage" in event)
     cached = usage["prompt_tokens_details"]["cached_tokens"]
-    choice = find_choice(installation, answer.headers["X-Request-Id"])
-    print(f"\n{title}: status {answer.status}")
+    choice = find_choice(installation, response.headers["X-Request-Id"])
+    print(f"\n{title}: status {response.status}")
     print(f"  answer: {text.strip()[:60]}...")
-    print(f"  first byte after {answer.first_byte:.3f} s, whole {answer.whole:.3f} s")
+    print(f"  first byte after {response.first_byte:.3f} s", end=", ")
+    print(f"complete after {response.total:.3f} s")
     recomputed = usage["prompt_tokens"] - cached
     print(f"  prompt {usage['prompt_tokens']} tokens, recomputed {recomputed}")
     print(f"  target {choice['target']} because {choice['reason']}")
@@ -147,27 +150,27 @@
 
 
 def show_dispatch(installation: Installation) -> None:
-    """Send a fitter van twice under one key, through both gateways."""
-    print("\ndispatch of one van, sent twice under one key:")
+    """Send the same request twice with one idempotency key, through both gateways."""
+    print("\none dispatch, sent twice with the same idempotency key:")
     for gateway in ("gateway-1", "gateway-2"):
         url = installation.gateways[gateway] + "/services/dispatch/vans"
         order = {"pillar": "A46-117"}
-        answer = post(url, FOSSE_KEY, order, Idempotency_Key="van-for-A46-117")
-        replayed = answer.headers.get("X-Replayed", "false")
-        print(f"  {gateway}: status {answer.status}, replayed {replayed}")
-        print(f"    {answer.body}")
+        response = post(url, FOSSE_KEY, order, Idempotency_Key="van-for-A46-117")
+        replayed = response.headers.get("X-Replayed", "false")
+        print(f"  {gateway}: status {response.status}, replayed {replayed}")
+        print(f"    {response.body}")
     calls = json.loads(fetch(installation.targets["vans-1"] + "/log"))
-    print(f"  vans that really left: {len(calls)}")
+    print(f"  dispatches that the target ran: {len(calls)}")
 
 
 def wait_for_interrupt(installation: Installation) -> None:
-    """Print how to reach the processes and wait for Ctrl-C."""
+    """Print how to call the processes, and wait for Ctrl-C."""
     url = installation.gateways["gateway-1"]
     print(f"\ncurl -N {url}/v1/completions -H 'Authorization: Bearer {FOSSE_KEY}' \\")
     print('  -d \'{"model":"pillar-8b","prompt":"is the box live?","stream":true}\'')
     print(f"platform: {installation.platform_url}   stop with Ctrl-C or SIGTERM")
-    # SIGTERM ends only this process unless it is turned into an exit: the others would
-    # stay.
+    # Without a handler, SIGTERM would end this process only, and the others would keep
+    # running.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         while True:
--- a/tools/fault_matrix.py
+++ b/tools/fault_matrix.py
@@ -1,7 +1,7 @@
-"""The faults and steps that the tests of "at most once" and "not run" go through.
+"""The faults and steps covered by the tests of at-most-once execution and "not run".
 
-One table for all of them: the claim partition alone, the agent's claim table over a
-fake platform, and real processes on real sockets.
+The tests share this table: those of a single claim partition, of the agent's claim
+table with a fake platform, and of real processes on real sockets.
 """
 
 from __future__ import annotations
@@ -16,16 +16,17 @@
 
 
 class CallFault(StrEnum):
-    """What may become of one call to the platform."""
+    """The outcome of one call to the platform."""
 
     NONE = "none"
-    # Refused: certainly without effect.
+    # Refused without any effect.
     DOWN = "down"
     LOST_BEFORE_EFFECT = "lost before its effect"
     LOST_AFTER_EFFECT = "answer lost after its effect"
-    # The answer is lost and the change lands later, if its version still stands.
+    # The response is lost, and the change takes effect later if its expected version
+    # is still the current one.
     DELAYED = "answer lost, effect delayed"
-    # A message layer sent it again after its effect; the second was a conflict.
+    # It was retransmitted after it had taken effect, and the second call conflicted.
     RESENT = "took effect, sent again and refused"
 
 
@@ -38,21 +39,21 @@
 
 
 class Step(StrEnum):
-    """A place on a hop, named by the bytes a relay sees there."""
+    """A point on a hop, identified by the bytes that a relay observes there."""
 
     CONNECT = "connect"
     # The request has left its sender and not reached its receiver.
     REQUEST_SENT = "request sent"
     # The receiver has the request.
     REQUEST_RECEIVED = "request received"
-    # The answer has left the receiver and not reached the sender.
+    # The response has left the receiver and not reached the sender.
     ANSWER_SENT = "answer sent"
-    # A few bytes of the answer have arrived.
+    # A few bytes of the response have arrived.
     ANSWER_PART = "part of the answer received"
 
 
 class Fault(StrEnum):
-    """What happens at a step."""
+    """A fault that is injected at a step."""
 
     CUT = "connection cut"
     FREEZE = "connection frozen, thawed after the first answer"
@@ -69,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Cell:
-    """One fault at one step; ``unreachable`` says why it cannot be brought about."""
+    """One fault at one step; ``unreachable`` says why it cannot be injected."""
 
     hop: Hop
     step: Step
@@ -78,7 +79,7 @@
 
     @property
     def name(self) -> str:
-        """Return a name for reports and for the order's text."""
+        """Return the name of the cell in reports and in the text of its request."""
         return f"{self.hop}, {self.step}: {self.fault}"
 
 
@@ -88,10 +89,10 @@
 def list_cells() -> Iterator[Cell]:
     """Yield every fault at every step of every hop."""
     for hop, step, fault in itertools.product(Hop, Step, Fault):
-        yield Cell(hop, step, fault, _find_obstacle(hop, step, fault))
+        yield Cell(hop, step, fault, _find_unreachable_reason(hop, step, fault))
 
 
-def _find_obstacle(hop: Hop, step: Step, fault: Fault) -> str:
+def _find_unreachable_reason(hop: Hop, step: Step, fault: Fault) -> str:
     if step is Step.CONNECT and fault not in _ON_CONNECT:
         return "the connection carries no request yet; same as 'request sent'"
     if step is Step.CONNECT and hop is Hop.GATEWAY_AGENT and fault is Fault.FREEZE:
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -1,8 +1,8 @@
-"""Measures claims a second against writes a second for one to eight agents.
+"""Measures the platform writes a second that claims cost, for one to eight agents.
 
-Each agent is a ``ClaimTable`` of its own over HTTP to one platform stand-in; all run in
-this process. Claims arrive at a fixed rate, as they do from callers, not as fast as
-they can. Prints one line for each number of agents, for ``docs/design/claims.md``.
+Each agent is a ``ClaimTable`` that calls the same platform stand-in over HTTP; all run
+in this process. Claims arrive at a fixed rate, as those of callers do. Prints one line
+for each number of agents, for ``docs/design/claims.md``.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 
 
 class Result(msgspec.Struct):
-    """One measurement; seconds for the median and the slowest twentieth."""
+    """One measurement; ``p50`` and ``p95`` are seconds until a claim was answered."""
 
     agents: int
     partitions: int
@@ -44,7 +44,7 @@
 
 
 async def measure(agents: int, partitions: int, rate: float, seconds: float) -> Result:
-    """Let ``agents`` claim ``rate`` keys a second together."""
+    """Measure ``agents`` that together claim ``rate`` keys a second."""
     claims.PARTITIONS = partitions
     platform = PlatformStandIn()
     count = int(rate * seconds)
@@ -62,34 +62,34 @@
 
         async def claim(number: int) -> bool:
             await asyncio.sleep(max(0, started + number / rate - time.monotonic()))
-            begun = time.monotonic()
+            claimed_at = time.monotonic()
             table = tables[number % agents]
-            answer = await table.claim(DISPATCH, "fosse", f"key-{number}", b"f" * 16)
-            times.append(time.monotonic() - begun)
-            return isinstance(answer, Ok) and (
-                answer.ok_value.status is ClaimStatus.GRANTED
+            response = await table.claim(DISPATCH, "fosse", f"key-{number}", b"f" * 16)
+            times.append(time.monotonic() - claimed_at)
+            return isinstance(response, Ok) and (
+                response.ok_value.status is ClaimStatus.GRANTED
             )
 
         granted = sum(await asyncio.gather(*(claim(n) for n in range(count))))
-        took = time.monotonic() - started
+        elapsed = time.monotonic() - started
     stored = sum(len(value) for _, value in platform.objects.values())
-    cuts = statistics.quantiles(times, n=20)
+    quantiles = statistics.quantiles(times, n=20)
     return Result(
         agents,
         partitions,
         count,
         granted,
-        granted / took,
+        granted / elapsed,
         platform.calls["PUT objects"],
         platform.calls["GET objects"],
         stored / max(1, granted),
         statistics.median(times),
-        cuts[-1],
+        quantiles[-1],
     )
 
 
 async def run(rate: float, seconds: float) -> None:
-    """Print the table."""
+    """Print one line for each number of agents and of partitions."""
     for partitions in (64, 4096):
         for agents in AGENTS:
             print(
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,6 +1,7 @@
 """Starts and stops the operating-system processes of a small installation.
 
-Only development tools and tests use this; no process of the product starts another.
+Only development tools and tests use this module: no process of the product starts
+another.
 """
 
 from __future__ import annotations
@@ -28,23 +29,23 @@
 STOP_SECONDS = 20.0
 HOST = "127.0.0.1"
 LISTEN_PORTS = range(12_000, 32_000)
-# Test files run as processes beside each other: each draws from a slice of its own.
+# Test files run in parallel processes, each of which uses its own slice of the ports.
 PORT_SLICES = 40
 
 
 class StartError(Exception):
-    """A process did not come up."""
+    """A process did not start."""
 
 
 @dataclass
 class Daemon:
-    """One started process with the files its output goes to."""
+    """One started process and the files that its output is written to."""
 
     name: str
     process: subprocess.Popen[bytes]
     output: Path
     errors: Path
-    # SIGKILL is on its way; another thread may still be waiting for the end.
+    # SIGKILL was sent; another thread may still be waiting for the process to end.
     killed: bool = False
 
     def read_log(self) -> list[dict[str, Any]]:
@@ -52,8 +53,8 @@
         lines = self.output.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
-    def read_end(self) -> str:
-        """Return the last lines the process wrote."""
+    def read_last_output(self) -> str:
+        """Return the end of what the process wrote."""
         return (self.errors.read_text() or self.output.read_text())[-2000:]
 
     def send(self, number: signal.Signals) -> None:
@@ -68,10 +69,10 @@
         return self.process.wait(STOP_SECONDS)
 
     def has_ended(self) -> bool:
-        """Say whether the process is gone, or will be at once.
+        """Return whether the process has ended or is about to end.
 
-        While one thread waits for a process, ``poll`` in another takes it for alive:
-        who looked then would not start it anew.
+        While one thread waits for a process, ``poll`` in another thread reports it as
+        running, so that it would not be restarted.
         """
         if self.killed:
             self.process.wait(STOP_SECONDS)
@@ -94,13 +95,13 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     vms: list[dict[str, Any]] = field(default_factory=list)
     platform_url: str = ""
-    # The platform's list stays as it is, whatever starts.
-    holds_vm_list: bool = False
-    # Addresses of the callers' side of each gateway and of administration ports.
+    # While set, processes that start are not added to the platform's VM list.
+    vm_list_frozen: bool = False
+    # URLs for callers of each gateway, and of each process's administration port.
     gateways: dict[str, str] = field(default_factory=dict)
     admin: dict[str, str] = field(default_factory=dict)
     targets: dict[str, str] = field(default_factory=dict)
-    # Further settings of every process that a command starts, by the command.
+    # Additional settings of all processes that a command starts, by command.
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     def __enter__(self) -> Self:
@@ -122,7 +123,7 @@
         self.platform_url = f"http://{HOST}:{port}"
 
     def start_store(self, name: str, group: str, data_centre: str) -> None:
-        """Start a store VM stand-in and list it."""
+        """Start a store VM stand-in and add it to the VM list."""
         port = self._start_stand_in(name, "store", {})
         self.list_vm(name, "store", group, data_centre, f"{HOST}:{port}")
 
@@ -137,8 +138,8 @@
     ) -> None:
         """Start a target stand-in (``engine`` or ``plain``) and the agent beside it.
 
-        ``agent`` holds further settings of the agent by name, ``options`` the
-        stand-in's own.
+        ``agent`` contains additional settings of the agent by name, ``options`` those
+        of the stand-in.
         """
         port = self._start_stand_in(f"{name}-target", kind, options)
         self.targets[name] = f"http://{HOST}:{port}"
@@ -147,10 +148,10 @@
     def start_agent(
         self, name: str, service: str, data_centre: str, **options: Any
     ) -> None:
-        """Start (or start anew) the agent beside a running target."""
+        """Start or restart the agent beside a running target."""
         listen, admin = find_port(), find_port()
         settings = {
-            **_describe_place(name, data_centre, listen, admin, self.platform_url),
+            **_make_settings(name, data_centre, listen, admin, self.platform_url),
             "target": name,
             "service": service,
             "target_url": self.targets[name],
@@ -163,9 +164,9 @@
         self.list_vm(name, "target", service, data_centre, address)
 
     def start_gateway(self, name: str, data_centre: str, **options: Any) -> None:
-        """Start a gateway, with ``options`` in its settings, and list it."""
+        """Start a gateway with additional settings and add it to the VM list."""
         listen, admin = find_port(), find_port()
-        settings = _describe_place(name, data_centre, listen, admin, self.platform_url)
+        settings = _make_settings(name, data_centre, listen, admin, self.platform_url)
         self.start_daemon(name, "gateway", settings | options)
         secure = "caller_tls" in self.settings.get("gateway", {})
         scheme = "https" if secure else "http"
@@ -182,10 +183,10 @@
         return self.start_process(name, arguments)
 
     def start_process(self, name: str, arguments: list[str]) -> Daemon:
-        """Start a Python process whose output goes to files."""
+        """Start a Python process that writes its output to files."""
         output = self.directory / f"{name}.out"
         errors = self.directory / f"{name}.err"
-        _keep_former(output)
+        _preserve_output(output)
         with output.open("wb") as out, errors.open("wb") as err:
             process = subprocess.Popen(
                 [sys.executable, *arguments], stdout=out, stderr=err, env=os.environ
@@ -211,8 +212,8 @@
         self.put_vms()
 
     def put_vms(self) -> None:
-        """Send the VM list to the platform stand-in, unless it is held back."""
-        if self.holds_vm_list:
+        """Send the VM list to the platform stand-in, unless it is frozen."""
+        if self.vm_list_frozen:
             return
         send("PUT", f"{self.platform_url}/vms", self.vms)
 
@@ -221,7 +222,7 @@
         send("POST", f"{self.platform_url}/faults", faults)
 
     def run_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run one ``bamboopier`` command to its end."""
+        """Run one ``bamboopier`` command until it exits."""
         return subprocess.run(
             [sys.executable, "-m", "bamboopier_cli", *arguments],
             capture_output=True,
@@ -230,27 +231,27 @@
         )
 
     def wait_until_ready(self) -> None:
-        """Wait until every product process says it is ready."""
+        """Wait until every product process reports that it is ready."""
         for name, url in self.admin.items():
             self._wait_for(name, f"{url}/readyz")
 
     def check_alive(self, *names: str) -> None:
         """Raise ``StartError`` if one of these processes has ended by itself.
 
-        Whoever waits for a process that is gone waits for its whole time limit.
+        Otherwise, a caller that waits for it would wait until its timeout.
         """
         for name in names:
             self._check_alive(self.daemons[name])
 
     def read_target_log(self, name: str) -> list[dict[str, Any]]:
-        """Return what reached a target, as the target itself recorded it."""
+        """Return the requests that reached a target, as recorded by the target."""
         return list(json.loads(fetch(f"{self.targets[name]}/log")))
 
     def read_all_logs(self) -> list[dict[str, Any]]:
-        """Return the JSON lines of every process in the order of their times.
+        """Return the JSON log lines of all processes, ordered by time.
 
-        Each names its ``process``; those of processes that were started anew since are
-        among them.
+        Each line contains its ``process``. Lines of processes that have been restarted
+        since are included.
         """
         lines = [
             {"process": path.stem, **json.loads(line)}
@@ -275,7 +276,7 @@
                 return int(words[1])
             self._check_alive(daemon)
             time.sleep(0.02)
-        raise StartError(f"{name} did not say where it listens")
+        raise StartError(f"{name} did not report the port that it listens on")
 
     def _wait_for(self, name: str, url: str) -> None:
         limit = time.monotonic() + START_SECONDS
@@ -290,18 +291,18 @@
 
     def _check_alive(self, daemon: Daemon) -> None:
         if daemon.process.poll() is not None:
-            raise StartError(f"{daemon.name} ended: {daemon.read_end()}")
+            raise StartError(f"{daemon.name} ended: {daemon.read_last_output()}")
 
 
-def _keep_former(output: Path) -> None:
-    """Move aside what a process that ran under the same name before has written."""
+def _preserve_output(output: Path) -> None:
+    """Rename the output of an earlier process of the same name."""
     if not output.exists():
         return
     number = len(list(output.parent.glob(f"{output.stem}.former-*"))) + 1
     output.rename(output.with_name(f"{output.stem}.former-{number}.out"))
 
 
-def _describe_place(
+def _make_settings(
     name: str, data_centre: str, listen: int, admin: int, platform_url: str
 ) -> dict[str, Any]:
     return {
@@ -316,20 +317,20 @@
 
 
 def find_port() -> int:
-    """Return a loopback port that is free and was not handed out before.
+    """Return a free loopback port that was not returned before.
 
-    It lies below those that the system gives to outgoing connections: one of them could
-    take a port from there before the process that is to listen on it has started. A
-    port that is free may already be promised to a process that has not started yet.
+    The range is below the system's ephemeral ports: an outgoing connection could use a
+    port from those before the process that should listen on it has started. A free port
+    may already be assigned to a process that has not started yet.
     """
     size = len(LISTEN_PORTS) // PORT_SLICES
     start = os.getpid() % PORT_SLICES * size
     own = LISTEN_PORTS[start : start + size]
     while True:
         port = secrets.choice(own)
-        if port in _handed_out:
+        if port in _assigned:
             continue
-        _handed_out.add(port)
+        _assigned.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
@@ -338,7 +339,7 @@
             return port
 
 
-_handed_out: set[int] = set()
+_assigned: set[int] = set()
 
 
 def fetch(url: str) -> bytes:
@@ -348,7 +349,7 @@
 
 
 def send(method: str, url: str, body: object) -> None:
-    """Send a JSON body and expect success."""
+    """Send a JSON body; raises ``urllib.error.URLError`` unless it succeeds."""
     data = json.dumps(body).encode()
     request = urllib.request.Request(url, data=data, method=method)
     with urllib.request.urlopen(request, timeout=10) as response:
