--- a/tools/bench_context/__main__.py
+++ b/tools/bench_context/__main__.py
@@ -13,7 +13,7 @@
 )
 from bamboopier_decisions.context.link_budget import BURST_SECONDS
 
-from .drive import Drive, Policy
+from .simulation import Policy, Simulation
 from .traces import (
     DAY,
     FOSSE,
@@ -36,19 +36,20 @@
     Policy("first-token, narrow link", "affinity", FIRST_TOKEN_WEIGHTS),
     Policy("recompute, narrow link", "affinity", RECOMPUTE_WEIGHTS),
 )
+# The first policies are the baselines; the two presets start at this index.
 BASELINES = 2
-OWN = 4
-# Budget with which a block's transfer takes a quarter longer than its prefill: where
-# the two presets part.
-NARROW = 180e6
-HEAD = (
+FIRST_PRESET = 4
+# Link budget with which the transfer of a block takes a quarter longer than its
+# prefill, so that the two presets decide differently.
+NARROW_LINK_BUDGET = 180e6
+TABLE_HEADER = (
     "| policy | recomputed | p50 s | p95 s | returning p95 s | fetched GB "
     "| exported GB | link mean | link peak | late | lists |"
 )
 
 
 def main(seed: int = 1, days: float = 3.0) -> None:
-    """Run both traces under every policy; ``days`` is the length of each."""
+    """Run both traces, of ``days`` each, with every policy."""
     conversations = make_conversations(seed, int(500 * days), days)
     run_site("Fosse, returning conversations", FOSSE, conversations, seed, days)
     catalogues = make_catalogues(seed, int(3000 * days), days)
@@ -58,65 +59,68 @@
 def run_site(
     title: str, site: Site, trace: list[Prompt], seed: int, days: float
 ) -> None:
-    """Print one site's table and the factors against the baselines."""
+    """Print the table of one site, and its comparison with the baselines."""
     print(f"\n{title}: {len(trace)} prompts, seed {seed}, {days:g} days")
-    print(f"Least possible recomputed share: {measure_unseen(trace):.3f}\n\n{HEAD}")
-    print("|---" * HEAD.count(" | ") + "|---|")
-    drives = []
+    print(f"Least possible recomputed share: {measure_unseen(trace):.3f}")
+    print(f"\n{TABLE_HEADER}")
+    print("|---" * TABLE_HEADER.count(" | ") + "|---|")
+    simulations = []
     for policy in POLICIES:
         narrow = policy.name.endswith("narrow link")
-        chosen = replace(site, link_budget=NARROW) if narrow else site
-        drive = Drive(chosen, policy, seed)
-        drive.run(trace)
-        drives.append(drive)
-        print(describe(drive, days), flush=True)
+        chosen = replace(site, link_budget=NARROW_LINK_BUDGET) if narrow else site
+        simulation = Simulation(chosen, policy, seed)
+        simulation.run(trace)
+        simulations.append(simulation)
+        print(describe(simulation, days), flush=True)
     print()
-    for drive in drives[OWN : OWN + 2]:
-        for baseline in drives[:BASELINES]:
-            share = read_recomputed(baseline) / read_recomputed(drive)
-            late = read_percentile(baseline, 95) / read_percentile(drive, 95)
-            back = [d.returning.get_value_at_percentile(95) for d in (baseline, drive)]
+    for simulation in simulations[FIRST_PRESET : FIRST_PRESET + 2]:
+        for baseline in simulations[:BASELINES]:
+            share = read_recomputed(baseline) / read_recomputed(simulation)
+            late = read_percentile(baseline, 95) / read_percentile(simulation, 95)
+            returning = [
+                d.returning.get_value_at_percentile(95) for d in (baseline, simulation)
+            ]
             print(
-                f"{drive.policy.name} against {baseline.policy.name}: recomputed share "
+                f"{simulation.policy.name} against {baseline.policy.name}: recomputed share "
                 f"{share:.2f} times less, p95 first token {late:.2f} times earlier "
-                f"({back[0] / back[1]:.2f} times for returning prompts)"
+                f"({returning[0] / returning[1]:.2f} times for returning prompts)"
             )
 
 
-def describe(drive: Drive, days: float) -> str:
+def describe(simulation: Simulation, days: float) -> str:
     """Return one row of the table."""
-    site = drive.site
-    total = drive.fetched_bytes + drive.exported_bytes
+    site = simulation.site
+    total = simulation.fetched_bytes + simulation.exported_bytes
     mean = total / (site.link_budget * days * DAY * site.engines)
-    # In a second the budget lets go its rate and what had gathered before, or one
-    # block, which cannot be divided.
+    # In one second the budget allows its rate and the accumulated burst, or a single
+    # block, which cannot be split.
     burst = max(site.link_budget * BURST_SECONDS, site.block_bytes)
     allowed = site.link_budget + burst
-    peak = max(engine.find_peak() for engine in drive.engines) / allowed
+    peak = max(engine.find_peak() for engine in simulation.engines) / allowed
     cells = [
-        drive.policy.name,
-        f"{read_recomputed(drive):.3f}",
-        f"{read_percentile(drive, 50):.2f}",
-        f"{read_percentile(drive, 95):.2f}",
-        f"{drive.returning.get_value_at_percentile(95) / 1000:.2f}",
-        f"{drive.fetched_bytes / 1e9:.0f}",
-        f"{drive.exported_bytes / 1e9:.0f}",
+        simulation.policy.name,
+        f"{read_recomputed(simulation):.3f}",
+        f"{read_percentile(simulation, 50):.2f}",
+        f"{read_percentile(simulation, 95):.2f}",
+        f"{simulation.returning.get_value_at_percentile(95) / 1000:.2f}",
+        f"{simulation.fetched_bytes / 1e9:.0f}",
+        f"{simulation.exported_bytes / 1e9:.0f}",
         f"{mean:.2%}",
         f"{peak:.0%}",
-        str(drive.late_fetches),
-        str(sum(store.lists for store in drive.stores.values())),
+        str(simulation.late_fetches),
+        str(sum(store.lists for store in simulation.stores.values())),
     ]
     return f"| {' | '.join(cells)} |"
 
 
-def read_recomputed(drive: Drive) -> float:
-    """Return the share of prompt tokens that engines computed."""
-    return drive.recomputed_tokens / drive.prompt_tokens
+def read_recomputed(simulation: Simulation) -> float:
+    """Return the share of prompt tokens that engines recomputed."""
+    return simulation.recomputed_tokens / simulation.prompt_tokens
 
 
-def read_percentile(drive: Drive, percentile: float) -> float:
-    """Return seconds to the first token."""
-    return float(drive.first_token.get_value_at_percentile(percentile)) / 1000
+def read_percentile(simulation: Simulation, percentile: float) -> float:
+    """Return a percentile of the seconds to the first token."""
+    return float(simulation.first_token.get_value_at_percentile(percentile)) / 1000
 
 
 if __name__ == "__main__":
--- a/tools/bench_context/fleet.py
+++ b/tools/bench_context/fleet.py
@@ -1,4 +1,4 @@
-"""Engines, store VMs and links as simple as the decisions allow."""
+"""Simple models of engines, store VMs and links."""
 
 from __future__ import annotations
 
@@ -20,12 +20,13 @@
 
 MAX_WAITING_EXPORTS = 1024
 EVICT_BATCH = 16
-# Every link is slower in six minutes of each hour, by these factors in turn.
+# In six minutes of each hour every link has only a share of its speed, alternately
+# one of these.
 SLOW_PERIOD, SLOW_SECONDS, SLOW_FACTORS = 3600.0, 360.0, (0.05, 0.16)
 
 
-class StoreVmFake:
-    """Names in the order of writing, up to a number of blocks."""
+class StoreVmModel:
+    """The names of stored blocks in the order of their writes, up to a capacity."""
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
@@ -34,13 +35,13 @@
         self._victims: list[str] = []
 
     def write(self, name: BlockName, shares: dict[str, float]) -> None:
-        """Store a block, evicting as the agents do."""
+        """Store a block; evict others as agents do if the VM is full."""
         if str(name) not in self.names and len(self.names) >= self.capacity:
-            self._make_room(name, shares)
+            self._evict(name, shares)
         if len(self.names) < self.capacity:
             self.names[str(name)] = None
 
-    def _make_room(self, name: BlockName, shares: dict[str, float]) -> None:
+    def _evict(self, name: BlockName, shares: dict[str, float]) -> None:
         if not self._victims:
             self.lists += 1
             names = list(self.names)
@@ -50,7 +51,7 @@
 
 
 class Engine:
-    """A prefix cache of limited size, a prefill queue and the agent's own state."""
+    """A prefix cache of limited size, a prefill queue and the state of the agent."""
 
     def __init__(self, name: str, data_centre: str, site: Site) -> None:
         self.name = name
@@ -69,15 +70,15 @@
         self.transfers: list[tuple[float, int]] = []
 
     def count_cached(self, keys: Sequence[bytes]) -> int:
-        """Return how many leading blocks are in the cache, and use them."""
+        """Return the number of leading blocks in the cache, and mark them as used."""
         for count, key in enumerate(keys):
             if key not in self.cache:
                 return count
             self.cache.move_to_end(key)
         return len(keys)
 
-    def remember(self, now: float, keys: Sequence[bytes]) -> None:
-        """Take blocks into the cache; what leaves is told to the agent at once."""
+    def add_to_cache(self, now: float, keys: Sequence[bytes]) -> None:
+        """Add blocks to the cache; the agent learns of evicted ones at once."""
         for key in keys:
             self.cache[key] = None
             self.cache.move_to_end(key)
@@ -87,14 +88,14 @@
             self.resident.remove(key)
 
     def read_link_speed(self, now: float) -> float:
-        """Return the bytes a second that the link really carries."""
+        """Return the actual speed of the link, in bytes a second."""
         if now % SLOW_PERIOD >= SLOW_SECONDS:
             return self.site.link_speed
         hour = int(now / SLOW_PERIOD)
         return self.site.link_speed * SLOW_FACTORS[hour % len(SLOW_FACTORS)]
 
     def find_peak(self) -> float:
-        """Return the most bytes that started in any second."""
+        """Return the maximum number of bytes of transfers started within one second."""
         peak = total = 0.0
         first = 0
         self.transfers.sort()
--- a/tools/bench_context/drive.py
+++ b/tools/bench_context/simulation.py
@@ -1,4 +1,4 @@
-"""Runs one trace under one set of policies in simulated time."""
+"""Simulates one trace with one policy."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 )
 from bamboopier_decisions.routing.router import Router
 
-from .fleet import Engine, StoreVmFake
+from .fleet import Engine, StoreVmModel
 from .traces import BLOCK_TOKENS
 
 if TYPE_CHECKING:
@@ -47,15 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """What is compared: the routing, and the store with its weights or none."""
+    """The routing that is compared, and the weights of the store; None for no store."""
 
     name: str
     routing: str
     weights: CostWeights | None = None
 
 
-class Drive:
-    """One run; its counters are read when it is over."""
+class Simulation:
+    """One simulation; its counters are read after ``run``."""
 
     def __init__(self, site: Site, policy: Policy, seed: int) -> None:
         self.site = site
@@ -76,7 +76,7 @@
             StoreVm(f"store-{n}", "", f"dc-{n % site.data_centres}")
             for n in range(site.store_vms)
         )
-        self.stores = {vm.name: StoreVmFake(site.store_blocks) for vm in self.vms}
+        self.stores = {vm.name: StoreVmModel(site.store_blocks) for vm in self.vms}
         self.router = Router(self.random)
         views = tuple(
             TargetView(engine.name, "s", Distance.SAME_DATA_CENTRE)
@@ -88,32 +88,32 @@
             for n in range(10)
         }
         self.shares = dict.fromkeys(self.tags.values(), 1.0)
-        self._turns = itertools.cycle(self.engines)
-        self._order = itertools.count()
+        self._round_robin = itertools.cycle(self.engines)
+        self._sequence = itertools.count()
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
 
     def run(self, trace: Sequence[Prompt]) -> None:
-        """Take every prompt of the trace and all that follows from it."""
+        """Process every prompt of the trace and all events that result."""
         for prompt in trace:
-            self._at(prompt.at, self._arriving(prompt))
+            self._schedule(prompt.at, self._make_arrival(prompt))
         while self._events:
             now, _, act = heapq.heappop(self._events)
             act(now)
 
-    def _at(self, at: float, act: Callable[[float], None]) -> None:
-        heapq.heappush(self._events, (at, next(self._order), act))
+    def _schedule(self, at: float, act: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._sequence), act))
 
-    def _arriving(self, prompt: Prompt) -> Callable[[float], None]:
+    def _make_arrival(self, prompt: Prompt) -> Callable[[float], None]:
         return lambda now: self._arrive(now, prompt)
 
     def _arrive(self, now: float, prompt: Prompt) -> None:
         engine = self._route(now, prompt)
         seconds = self._fetch(now, engine, prompt) if self.policy.weights else 0.0
-        self._at(now + seconds, lambda at: self._prefill(at, now, engine, prompt))
+        self._schedule(now + seconds, lambda at: self._prefill(at, now, engine, prompt))
 
     def _route(self, now: float, prompt: Prompt) -> Engine:
         if self.policy.routing == "round-robin":
-            return next(self._turns)
+            return next(self._round_robin)
         if self.policy.routing == "least-loaded":
             return min(self.engines, key=lambda e: (e.busy_until, self.random.random()))
         for engine in self.engines:
@@ -122,7 +122,7 @@
                 limit=32, prefill_rate=self.site.prefill_rate, queue_delay=delay
             )
             self.router.handle(TargetReported(now, engine.name, load))
-        request_id = str(next(self._order))
+        request_id = str(next(self._sequence))
         decision = self.router.handle(
             RequestArrived(
                 now=now,
@@ -144,14 +144,14 @@
         return next(engine for engine in self.engines if engine.name == name)
 
     def _fetch(self, now: float, engine: Engine, prompt: Prompt) -> float:
-        """Import what is worth it; return the seconds that took."""
+        """Import the blocks that are worth it; return the seconds of the import."""
         assert self.policy.weights is not None
         resident = engine.resident.count_prefix(now, prompt.keys)
         missing = prompt.keys[resident:]
         if not missing:
             return 0.0
         size = self.site.block_bytes
-        conditions = self._ask(now, engine, len(missing))
+        conditions = self._make_fetch_conditions(now, engine, len(missing))
         plan = choose_fetch(conditions, self.policy.weights)
         seconds = 0.0
         fetched: list[bytes] = []
@@ -175,10 +175,12 @@
             engine.rate.record(now, len(fetched) * size, seconds)
         self.fetched_bytes += len(fetched) * size
         engine.known.update(fetched)
-        engine.remember(now, fetched)
+        engine.add_to_cache(now, fetched)
         return seconds
 
-    def _ask(self, now: float, engine: Engine, missing: int) -> FetchConditions:
+    def _make_fetch_conditions(
+        self, now: float, engine: Engine, missing: int
+    ) -> FetchConditions:
         return FetchConditions(
             blocks=missing,
             block_bytes=self.site.block_bytes,
@@ -210,13 +212,17 @@
             self.returning.record_value(milliseconds)
         self.prompt_tokens += prompt.tokens
         self.recomputed_tokens += prefill_tokens
-        engine.remember(now, prompt.keys)
+        engine.add_to_cache(now, prompt.keys)
         if self.policy.weights:
-            self._at(engine.busy_until, lambda at: self._offer(at, engine, prompt))
+            self._schedule(
+                engine.busy_until, lambda at: self._offer(at, engine, prompt)
+            )
 
     def _offer(self, now: float, engine: Engine, prompt: Prompt) -> None:
         assert self.policy.weights is not None
-        worth = is_worth_exporting(self._ask(now, engine, 1), self.policy.weights)
+        worth = is_worth_exporting(
+            self._make_fetch_conditions(now, engine, 1), self.policy.weights
+        )
         for depth, likelihood in enumerate(
             engine.reuse_tracker.record_prompt(prompt.keys)
         ):
@@ -258,6 +264,6 @@
             likelihood is not ReuseLikelihood.NEW or waited + wait <= SHORT_LINK_SECONDS
         ):
             again = (engine, likelihood, item, waited + wait)
-            self._at(now + max(wait, 1e-3), lambda at: self._export(at, *again))
+            self._schedule(now + max(wait, 1e-3), lambda at: self._export(at, *again))
             return
         self._export_next(now, engine)
--- a/tools/bench_context/traces.py
+++ b/tools/bench_context/traces.py
@@ -1,4 +1,4 @@
-"""Seeded traces in the shape of the two users' returning prompts."""
+"""Seeded traces that model the returning prompts of two sites."""
 
 from __future__ import annotations
 
@@ -13,20 +13,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Prompt:
-    """One request: when it comes, for whom, and the keys of its whole blocks."""
+    """One request: its time, workspace, and the keys of its complete blocks."""
 
     at: float
     workspace: str
     keys: tuple[bytes, ...]
-    # Tokens, among them those behind the last whole block.
+    # All tokens, including those after the last complete block.
     tokens: int
-    # Its first block was in an earlier prompt.
+    # Whether an earlier prompt contained its first block.
     returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Site:
-    """The fleet a trace is meant for and the assumptions about its hardware."""
+    """The fleet that a trace is made for, and the assumed hardware."""
 
     engines: int
     data_centres: int
@@ -42,18 +42,18 @@
     link_speed: float
 
 
-# Sizes from the brief: 6 fault-desk engines in 4 data centres, 9 assistant engines in
-# 3. Assumed: 8-bit context of 28 and 18 KB a token, links of 10 Gbit/s of which the
-# budget is 40%, engines that keep 400,000 tokens.
+# Given sizes: 6 fault-desk engines in 4 data centres, and 9 assistant engines in 3.
+# Assumed: 8-bit context of 28 and 18 KB a token, links of 10 Gbit/s with a budget of
+# 40%, engines that cache 400,000 tokens.
 FOSSE = Site(6, 4, 4, 200, 1200, 57_000_000, 8000.0, 500e6, 1.25e9)
 KAASPOST = Site(9, 3, 3, 200, 1500, 37_000_000, 12_000.0, 500e6, 1.25e9)
 
 
 def make_conversations(seed: int, count: int, days: float) -> list[Prompt]:
-    """Return Fosse's trace: conversations that grow and return after long gaps.
+    """Return the trace of Fosse: conversations that grow and return after long gaps.
 
-    Each opens with 2 to 12 blocks of a pillar's history, has 2 to 8 turns of up to one
-    block, and gaps from 5 seconds to 2 days, evenly on a logarithmic scale.
+    Each starts with a history of 2 to 12 blocks and has 2 to 8 turns of up to one
+    block. Gaps are 5 seconds to 2 days, with a uniform distribution of their logarithm.
     """
     rng = random.Random(seed)
     prompts: list[Prompt] = []
@@ -62,7 +62,7 @@
         tokens = rng.randint(2 * BLOCK_TOKENS, 12 * BLOCK_TOKENS)
         at = rng.uniform(0, days * DAY)
         for _ in range(rng.randint(2, 8)):
-            keys = _chain(f"{workspace}/{number}", tokens // BLOCK_TOKENS)
+            keys = _make_keys(f"{workspace}/{number}", tokens // BLOCK_TOKENS)
             prompts.append(Prompt(at, workspace, keys, tokens))
             tokens += rng.randint(200, BLOCK_TOKENS)
             at += math.exp(rng.uniform(math.log(5), math.log(2 * DAY)))
@@ -70,10 +70,10 @@
 
 
 def make_catalogues(seed: int, requests: int, days: float) -> list[Prompt]:
-    """Return Kaaspost's trace: questions about long catalogues that recur all day.
+    """Return the trace of Kaaspost: questions about long, recurring catalogues.
 
-    120 catalogues of 10 to 50 blocks, asked after by Zipf's law, each with a question
-    of its own; once a day a catalogue changes somewhere and its tail with it.
+    There are 120 catalogues of 10 to 50 blocks, requested by Zipf's law, each time with
+    a different question. Once a day each catalogue changes from a random block on.
     """
     rng = random.Random(seed)
     sizes = [rng.randint(10, 50) for _ in range(120)]
@@ -83,11 +83,11 @@
     for _ in range(requests):
         at = rng.uniform(0, days * DAY)
         number = rng.choices(range(len(sizes)), popularity)[0]
-        keys = _chain(f"{owners[number]}/{number}", sizes[number])
+        keys = _make_keys(f"{owners[number]}/{number}", sizes[number])
         day = int(at / DAY)
         if day:
             changed = random.Random(f"{seed}/{number}/{day}").randrange(sizes[number])
-            tail = _chain(f"{number}/{day}", sizes[number] - changed)
+            tail = _make_keys(f"{number}/{day}", sizes[number] - changed)
             keys = keys[:changed] + tail
         question = rng.randint(50, BLOCK_TOKENS - 1)
         tokens = sizes[number] * BLOCK_TOKENS + question
@@ -96,7 +96,7 @@
 
 
 def measure_unseen(prompts: list[Prompt]) -> float:
-    """Return the share of tokens that no earlier prompt had: the least possible."""
+    """Return the share of tokens that no earlier prompt contained, the minimum."""
     seen: set[bytes] = set()
     unseen = total = 0
     for prompt in prompts:
@@ -118,12 +118,12 @@
 
 
 def _draw_workspace(rng: random.Random) -> str:
-    """Return one of ten workspaces, a few of them large."""
+    """Return one of ten workspaces, a few of which send most prompts."""
     weights = [1 / (rank + 1) for rank in range(10)]
     return f"workspace-{rng.choices(range(10), weights)[0]}"
 
 
-def _chain(name: str, count: int) -> tuple[bytes, ...]:
+def _make_keys(name: str, count: int) -> tuple[bytes, ...]:
     return tuple(
         hashlib.blake2b(f"{name}/{depth}".encode(), digest_size=32).digest()
         for depth in range(count)
