--- a/tools/bench_context/__main__.py
+++ b/tools/bench_context/__main__.py
@@ -75,16 +75,20 @@
     print()
     for simulation in simulations[FIRST_PRESET : FIRST_PRESET + 2]:
         for baseline in simulations[:BASELINES]:
-            share = read_recomputed(baseline) / read_recomputed(simulation)
-            late = read_percentile(baseline, 95) / read_percentile(simulation, 95)
-            returning = [
-                d.returning.get_value_at_percentile(95) for d in (baseline, simulation)
-            ]
-            print(
-                f"{simulation.policy.name} against {baseline.policy.name}: recomputed share "
-                f"{share:.2f} times less, p95 first token {late:.2f} times earlier "
-                f"({returning[0] / returning[1]:.2f} times for returning prompts)"
-            )
+            print_comparison(simulation, baseline)
+
+
+def print_comparison(simulation: Simulation, baseline: Simulation) -> None:
+    """Print by which factors a preset is better than a baseline."""
+    share = read_recomputed(baseline) / read_recomputed(simulation)
+    early = read_percentile(baseline, 95) / read_percentile(simulation, 95)
+    compared = (baseline, simulation)
+    late, soon = (s.returning.get_value_at_percentile(95) for s in compared)
+    print(
+        f"{simulation.policy.name} against {baseline.policy.name}: recomputed", end=""
+    )
+    print(f" share {share:.2f} times less, p95 first token {early:.2f} times", end="")
+    print(f" earlier ({late / soon:.2f} times for returning prompts)")
 
 
 def describe(simulation: Simulation, days: float) -> str:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -18,15 +18,15 @@
 import fire
 from mutations import MUTATIONS
 from safeguards import (
-    ages,
     at_most_once,
     bounds,
     claims,
     configuration,
-    orders,
+    drains_and_shutdown,
     outdated_configurations,
-    places,
+    publish_times_and_peers,
     stalled_targets,
+    weight_loads,
 )
 
 if TYPE_CHECKING:
@@ -38,14 +38,14 @@
 WORKERS = 4
 ALL_MUTATIONS = (
     *MUTATIONS,
-    *ages.MUTATIONS,
+    *publish_times_and_peers.MUTATIONS,
     *at_most_once.MUTATIONS,
     *bounds.MUTATIONS,
     *claims.MUTATIONS,
     *configuration.MUTATIONS,
-    *orders.MUTATIONS,
+    *weight_loads.MUTATIONS,
     *outdated_configurations.MUTATIONS,
-    *places.MUTATIONS,
+    *drains_and_shutdown.MUTATIONS,
     *stalled_targets.MUTATIONS,
 )
 
--- a/tools/safeguards/ages.py
+++ b/tools/safeguards/publish_times_and_peers.py
@@ -6,11 +6,11 @@
 
 PROXY = "libraries/proxy/src/bamboopier_proxy"
 OBSERVER = "tests.test_weights_observer.WeightsObserverTests"
-AGES = "tests.test_publish_times.PublishTimesTests"
+PUBLISH_TIMES_TESTS = "tests.test_publish_times.PublishTimesTests"
 ATTEMPTS = "tests.test_attempts.AttemptTests"
-FOLLOWED = "tests.test_weights_observer.FollowedWeightsTests"
-PEERS = "tests.test_gateway_peers.GatewayCountTests"
-STARTS = "tests.test_part_relay.FormerStartTests"
+FOLLOWED_WEIGHTS_TESTS = "tests.test_weights_observer.FollowedWeightsTests"
+GATEWAY_COUNT_TESTS = "tests.test_gateway_peers.GatewayCountTests"
+FORMER_START_TESTS = "tests.test_part_relay.FormerStartTests"
 FORWARDING = "libraries/decisions/src/bamboopier_decisions/forwarding"
 PAUSE_TRACKER = f"{FORWARDING}/pause_tracker.py"
 WEIGHT_VERSIONS = f"{FORWARDING}/weight_versions.py"
@@ -38,7 +38,7 @@
         "        published_at = time.time() - age\n",
         "        published_at = time.time()\n",
         "libraries/proxy",
-        f"{AGES}.test_the_earliest_time_is_written_not_that_of_receipt",
+        f"{PUBLISH_TIMES_TESTS}.test_the_earliest_time_is_written_not_that_of_receipt",
     ),
     Mutation(
         "aborting a request resets its connection to the target",
@@ -79,7 +79,7 @@
         "        return self._pauses.read_running_clock(read_clock())\n",
         "        return read_clock()\n",
         "libraries/proxy",
-        f"{PEERS}.test_gateways_resumed_together_share_the_limit_of_a_cold_target",
+        f"{GATEWAY_COUNT_TESTS}.test_gateways_resumed_together_share_the_limit_of_a_cold_target",
     ),
     Mutation(
         "a pause not yet recorded does not count as silence of the others",
@@ -87,7 +87,7 @@
         "        return now - self._paused_seconds - pending\n",
         "        return now - self._paused_seconds\n",
         "libraries/proxy",
-        f"{PEERS}.test_gateways_resumed_together_share_the_limit_of_a_cold_target",
+        f"{GATEWAY_COUNT_TESTS}.test_gateways_resumed_together_share_the_limit_of_a_cold_target",
     ),
     Mutation(
         "a recorded pause does not count as silence of the others",
@@ -95,7 +95,7 @@
         "        self._paused_seconds += gap\n",
         "        pass\n",
         "libraries/proxy",
-        f"{PEERS}.test_a_pause_recorded_before_the_count_is_no_silence",
+        f"{GATEWAY_COUNT_TESTS}.test_a_pause_recorded_before_the_count_is_no_silence",
     ),
     Mutation(
         "hints are also sent to registered gateways that are silent",
@@ -103,7 +103,7 @@
         ", *silent]:\n",
         "]:\n",
         "libraries/proxy",
-        f"{PEERS}.test_partitioned_gateways_rediscover_each_other",
+        f"{GATEWAY_COUNT_TESTS}.test_partitioned_gateways_rediscover_each_other",
     ),
     Mutation(
         "each of many gateways sends a cold target less than one request a second",
@@ -123,7 +123,7 @@
         " ASSUMED_GATEWAYS, None\n",
         "",
         "libraries/proxy",
-        f"{PEERS}.test_a_gateway_without_the_list_sends_nothing_to_cold_targets",
+        f"{GATEWAY_COUNT_TESTS}.test_a_gateway_without_the_list_sends_nothing_to_cold_targets",
     ),
     Mutation(
         "a hint without the gateway list does not set the gateway count",
@@ -131,7 +131,7 @@
         "        if self._has_list and counted != self._reported_count:\n",
         "        if counted != self._reported_count:\n",
         "libraries/proxy",
-        f"{PEERS}.test_a_gateway_without_the_list_sends_nothing_to_cold_targets",
+        f"{GATEWAY_COUNT_TESTS}.test_a_gateway_without_the_list_sends_nothing_to_cold_targets",
     ),
     Mutation(
         "a relayed update of a former instance of a store is ignored",
@@ -139,7 +139,7 @@
         "        if store.is_outdated(update):\n            return\n",
         "",
         "libraries/proxy",
-        f"{STARTS}.test_nothing_is_saved_soon_after_a_known_restart",
+        f"{FORMER_START_TESTS}.test_nothing_is_saved_soon_after_a_known_restart",
     ),
     Mutation(
         "a relayed update of an instance later by the stores' clock is applied",
@@ -147,7 +147,7 @@
         " and update.clock_ms < self.clock_ms\n",
         "\n",
         "libraries/proxy",
-        f"{STARTS}.test_an_instance_later_than_the_known_one_is_accepted",
+        f"{FORMER_START_TESTS}.test_an_instance_later_than_the_known_one_is_accepted",
     ),
     Mutation(
         "the last response before a change bounds its age after a pause",
@@ -155,7 +155,7 @@
         "        return max(known_until, earliest_arrival)\n",
         "        return earliest_arrival\n",
         "libraries/proxy",
-        f"{FOLLOWED}.test_weights_published_after_a_pause_allow_older_ones",
+        f"{FOLLOWED_WEIGHTS_TESTS}.test_weights_published_after_a_pause_allow_older_ones",
     ),
     Mutation(
         "a change in a late watch response may be as old as the watch",
@@ -163,7 +163,7 @@
         "            return known_until\n",
         "            return now\n",
         "libraries/proxy",
-        f"{FOLLOWED}.test_a_late_watch_response_may_be_as_old_as_the_watch",
+        f"{FOLLOWED_WEIGHTS_TESTS}.test_a_late_watch_response_may_be_as_old_as_the_watch",
     ),
     Mutation(
         "a gateway that assumes only that a version may be old writes last",
