--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -8,18 +8,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .specs import ServiceSpec
+import msgspec
+
+from .rate_limit import RateLimit
+from .specs import ServiceSpec, TargetEntry
 from .target_state import Load, TargetState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from .prompt import Prompt
-    from .rate_limit import RateLimit
-    from .specs import TargetEntry
 
 # Seconds after the store recovered in which an entry that is missing may only have
 # expired during the outage: live targets are listed again within two.
@@ -79,8 +79,7 @@
         self.state.stall_detector.record_end(now, running=self.started)
 
 
-@dataclass(frozen=True, slots=True)
-class _FormerTarget:
+class _FormerTarget(msgspec.Struct, frozen=True):
     """A target without an entry that had reported a rate limit."""
 
     entry: TargetEntry
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/part_store_index.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/part_store_index.py
@@ -15,7 +15,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 from ..routing.rendezvous import compute_weight
 
@@ -36,8 +37,7 @@
 SAVE_RETRY_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class PartChange:
+class PartChange(msgspec.Struct, frozen=True):
     """A part that is now fully stored in a store, or no longer is."""
 
     scope: str
@@ -46,8 +46,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class PartUpdate:
+class PartUpdate(msgspec.Struct, frozen=True):
     """One response of a store."""
 
     # Changes with each instance of the store.
@@ -61,8 +60,7 @@
     epoch_known_seconds: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class PartPlan:
+class PartPlan(msgspec.Struct, frozen=True):
     """Where an engine fetches and saves each part of a prompt; empty for nowhere."""
 
     fetch: tuple[str, ...]
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/pause_tracker.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/pause_tracker.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 # Seconds between two ticks.
 TICK_SECONDS = 0.2
@@ -21,8 +21,7 @@
 CATCH_UP_SECONDS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Pause:
+class Pause(msgspec.Struct, frozen=True):
     """One time for which the process was paused."""
 
     started_at: float
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -10,9 +10,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ..routing.rendezvous import rank
 from .rollout_order import list_loading_soon
 
@@ -99,16 +100,14 @@
         return min(max(self.priority, 0), len(PREFILL_BACKLOG_SECONDS) - 1)
 
 
-@dataclass(frozen=True, slots=True)
-class WeightVersionRange:
+class WeightVersionRange(msgspec.Struct, frozen=True):
     """The newest version of a model and the oldest that may still serve; 0 for any."""
 
     newest: int = 0
     oldest: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class RateLimitedTargets:
+class RateLimitedTargets(msgspec.Struct, frozen=True):
     """Targets whose rate limits allow this gateway no further request for now."""
 
     count: int
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/prompt.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/prompt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 # Callers' estimates are right at the median and often far off: most responses stay
 # below this multiple.
@@ -12,16 +12,14 @@
 DEFAULT_OUTPUT_SHARE = 0.35
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """A run of tokens that other prompts may also start with."""
 
     name: str
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Prompt:
+class Prompt(msgspec.Struct, frozen=True):
     """What a model engine has to prefill and may generate."""
 
     model: str
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
@@ -19,7 +19,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 NEVER = float("-inf")
 # Requests a second that are sent to a target that accepts none: only a response can
@@ -34,8 +35,7 @@
 BUCKET_SECONDS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class LimitUpdate:
+class LimitUpdate(msgspec.Struct, frozen=True):
     """What gateways report to each other of one target's limit.
 
     Times are on the clock of the gateway that reads it.
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/shared_retry_budget.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/shared_retry_budget.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+import msgspec
 
 # Share of the total slack that is divided among the gateways. The rest covers a gateway
 # that restarts without the count of its retries in the window.
@@ -19,8 +20,7 @@
 RATIO_SHARE = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class RetryBudgetLimits:
+class RetryBudgetLimits(msgspec.Struct, frozen=True):
     """How much of a service's traffic may be retries, over all gateways."""
 
     # Retries for each request.
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/specs.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/specs.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+import msgspec
+
 
 class RetrySafety(StrEnum):
     """How often one request may run."""
@@ -25,16 +26,14 @@
         return self is not RetrySafety.ONCE
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+class WeightedService(msgspec.Struct, frozen=True):
     """One of the services that a route divides its requests between."""
 
     service: str
     weight: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Which requests go to which service, and how they may be handled."""
 
     name: str
@@ -59,8 +58,7 @@
     has_prompt: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EngineSpec:
+class EngineSpec(msgspec.Struct, frozen=True):
     """The capacity of a service's model engines."""
 
     slots: int
@@ -68,8 +66,7 @@
     models: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceSpec:
+class ServiceSpec(msgspec.Struct, frozen=True):
     """A service as the operator configured it."""
 
     name: str
@@ -83,8 +80,7 @@
     engine: EngineSpec | None
 
 
-@dataclass(frozen=True, slots=True)
-class PartStoreSpec:
+class PartStoreSpec(msgspec.Struct, frozen=True):
     """A store in which engines save parts of prompts."""
 
     name: str
@@ -97,8 +93,7 @@
     managed: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size and duration of what a caller sends."""
 
     header_bytes: int = 16384
@@ -107,8 +102,7 @@
     idle_seconds: float = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class Workspace:
+class Workspace(msgspec.Struct, frozen=True):
     """A workspace with its API keys."""
 
     name: str
@@ -119,8 +113,7 @@
     isolated: bool
 
 
-@dataclass(frozen=True, slots=True)
-class DeclaredConfiguration:
+class DeclaredConfiguration(msgspec.Struct, frozen=True):
     """One version of the operator's configuration."""
 
     version: int
@@ -132,8 +125,7 @@
     part_stores: tuple[PartStoreSpec, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class TargetEntry:
+class TargetEntry(msgspec.Struct, frozen=True):
     """One instance of a target, as it registered itself."""
 
     name: str
@@ -149,4 +141,4 @@
     # Seconds for which it stays cold, as of its last change of this entry.
     cold_seconds: float
     # Weight version by model.
-    versions: dict[str, int] = field(default_factory=dict)
+    versions: dict[str, int] = msgspec.field(default_factory=dict)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/weight_versions.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 # Seconds before the end of a version's grace period from which older versions get no
 # requests. They cover the delay until this process received the version, and the time
@@ -32,8 +32,7 @@
 MAX_EXPIRED = 2
 
 
-@dataclass(frozen=True, slots=True)
-class PublishTime:
+class PublishTime(msgspec.Struct, frozen=True):
     """When a version was published, as one process knows it."""
 
     # The version was not published before this, or this is a guess.
--- a/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
@@ -15,7 +15,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 # Different targets that must have crashed with a request.
 MIN_CRASHED_TARGETS = 2
@@ -34,8 +35,7 @@
 MAX_SUSPECTS = 10_000
 
 
-@dataclass(frozen=True, slots=True)
-class QuarantineEntry:
+class QuarantineEntry(msgspec.Struct, frozen=True):
     """A request that is refused. ``until`` is in seconds on the caller's clock."""
 
     fingerprint: bytes
--- a/libraries/decisions/src/bamboopier_decisions/routing/messages.py
+++ b/libraries/decisions/src/bamboopier_decisions/routing/messages.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 
 class ExecutionStatus(StrEnum):
     """Whether a request was executed, as far as the gateway can tell."""
@@ -61,16 +62,14 @@
     OTHER_WEIGHTS = "other-weights"
 
 
-@dataclass(frozen=True, slots=True)
-class ExcludedTarget:
+class ExcludedTarget(msgspec.Struct, frozen=True):
     """A target that was excluded for a refused request."""
 
     target: str
     reason: ExclusionReason
 
 
-@dataclass(frozen=True, slots=True)
-class TargetLoad:
+class TargetLoad(msgspec.Struct, frozen=True):
     """A target's load as its agent last reported it."""
 
     running: int = 0
@@ -87,8 +86,7 @@
     weight_version: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class TargetView:
+class TargetView(msgspec.Struct, frozen=True):
     """A target that may be used, according to the VM list and the operator's drains."""
 
     target: str
@@ -96,8 +94,7 @@
     distance: Distance
 
 
-@dataclass(frozen=True, slots=True)
-class RequestArrived:
+class RequestArrived(msgspec.Struct, frozen=True):
     """A caller's request passed authentication and parsing."""
 
     now: float
@@ -126,8 +123,7 @@
         return f"{self.priority}:{self.workspace}"
 
 
-@dataclass(frozen=True, slots=True)
-class TargetReported:
+class TargetReported(msgspec.Struct, frozen=True):
     """An agent reported its load, with a response or in reply to a report call."""
 
     now: float
@@ -135,8 +131,7 @@
     load: TargetLoad
 
 
-@dataclass(frozen=True, slots=True)
-class FirstByteReceived:
+class FirstByteReceived(msgspec.Struct, frozen=True):
     """The first byte of a response, ``seconds`` after the attempt was sent."""
 
     now: float
@@ -145,8 +140,7 @@
     seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(msgspec.Struct, frozen=True):
     """An attempt ended. ``ran`` is the execution status as far as it is known."""
 
     now: float
@@ -163,24 +157,21 @@
     first_byte: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class FleetChanged:
+class FleetChanged(msgspec.Struct, frozen=True):
     """The complete set of targets that this gateway may use now."""
 
     now: float
     targets: tuple[TargetView, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """A target that was considered, with its expected seconds to the first byte."""
 
     target: str
     expected_seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Start an attempt at ``target``."""
 
     request_id: str
@@ -191,8 +182,7 @@
     max_wait: float = float("inf")
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     """Refuse the caller's request. ``retry_after`` is in seconds, 0 if useless."""
 
     request_id: str
@@ -203,8 +193,7 @@
     excluded: tuple[ExcludedTarget, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Deliver:
+class Deliver(msgspec.Struct, frozen=True):
     """Pass the attempt's response to the caller, unless that was already done."""
 
     request_id: str
--- a/libraries/objects/src/bamboopier_objects/objects.py
+++ b/libraries/objects/src/bamboopier_objects/objects.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
+
 if TYPE_CHECKING:
     from result import Result
 
@@ -16,8 +17,7 @@
 MAX_VALUE_BYTES = 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True):
     """An object's key, version (positive, grows with each write) and value."""
 
     key: str
@@ -25,16 +25,14 @@
     value: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """A watched object's new version; ``ABSENT`` once it is deleted."""
 
     key: str
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class WatchBatch:
+class WatchBatch(msgspec.Struct, frozen=True):
     """Changes up to and including ``revision``; empty when the watch timed out."""
 
     revision: int
@@ -75,16 +73,14 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """All objects below a prefix, as they were at ``revision``."""
 
     revision: int
     objects: tuple[StoredObject, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ChangedObject:
+class ChangedObject(msgspec.Struct, frozen=True):
     """A watched object as it is now; ``value`` is None once it is deleted."""
 
     key: str
@@ -92,8 +88,7 @@
     value: bytes | None
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeBatch:
+class ChangeBatch(msgspec.Struct, frozen=True):
     """Changes with their values, up to and including ``revision``."""
 
     revision: int
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+import msgspec
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
@@ -15,6 +15,7 @@
 from .delivery import CallerDisconnectedError
 from .event_splitter import EventSplitter
 from .limit_updates import record_limit
+from .messages import AttemptMetadata
 from .target_pool import ConnectError
 from .target_response import BrokenResponseError
 
@@ -27,7 +28,7 @@
 
     from .delivery import Delivery
     from .header_codec import HeaderCodec
-    from .messages import AttemptMetadata, Call, ResponseMetadata
+    from .messages import Call, ResponseMetadata
     from .target_pool import TargetPool
     from .target_response import TargetResponse
     from .weight_expiry_monitor import PendingRequest, WeightExpiryMonitor
@@ -56,8 +57,7 @@
     TIMEOUT = "timeout"
 
 
-@dataclass(slots=True)
-class AttemptResult:
+class AttemptResult(msgspec.Struct):
     """How an attempt ended; ``ran`` is what is certain about its execution."""
 
     ran: ExecutionStatus
@@ -77,8 +77,7 @@
     sent_at: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class BufferedResponse:
+class BufferedResponse(msgspec.Struct, frozen=True):
     """A complete response that has not been relayed."""
 
     status: int
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from bamboopier_decisions.forwarding.part_store_index import PartPlan
-    from bamboopier_decisions.forwarding.prompt import Prompt
-    from bamboopier_decisions.forwarding.specs import Route, Workspace
+import msgspec
+
+from bamboopier_decisions.forwarding.part_store_index import PartPlan
+from bamboopier_decisions.forwarding.prompt import Prompt
+from bamboopier_decisions.forwarding.specs import Route, Workspace
 
 HeaderList = tuple[tuple[str, str], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RequestMetadata:
+class RequestMetadata(msgspec.Struct, frozen=True):
     """Metadata in the headers of a caller's request."""
 
     request_id: str
@@ -36,8 +34,7 @@
     return digest.digest()
 
 
-@dataclass(slots=True)
-class Call:
+class Call(msgspec.Struct):
     """One request of a caller, with all that determines how it is handled.
 
     Times are in seconds on the clock that includes the time of suspensions.
@@ -65,13 +62,12 @@
     fingerprint: bytes
     last_event: str | None = None
     # Names of the targets of its attempts.
-    tried: list[str] = field(default_factory=list)
+    tried: list[str] = msgspec.field(default_factory=list)
     # A target started it, or may have.
     may_have_run: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptMetadata:
+class AttemptMetadata(msgspec.Struct, frozen=True):
     """Metadata sent to a target in addition to the caller's own headers."""
 
     target: str
@@ -88,8 +84,7 @@
     part_plan: PartPlan | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseMetadata:
+class ResponseMetadata(msgspec.Struct, frozen=True):
     """Metadata of a target's response in addition to status and body."""
 
     request_id: str
--- a/libraries/proxy/src/bamboopier_proxy/part_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_follower.py
@@ -7,20 +7,22 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
 import structlog
 from result import Err, Result
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.part_store_index import (
+    PartUpdate,
+)
 
 if TYPE_CHECKING:
     import random
 
     from bamboopier_decisions.forwarding.part_store_index import (
         PartStoreIndex,
-        PartUpdate,
     )
 
     from .gateway_registry import GatewayRegistry
@@ -46,8 +48,7 @@
 log = structlog.get_logger()
 
 
-@dataclass(frozen=True, slots=True)
-class PartReply:
+class PartReply(msgspec.Struct, frozen=True):
     """An update, and the position from which to request the next one."""
 
     update: PartUpdate
--- a/libraries/proxy/src/bamboopier_proxy/request_queues.py
+++ b/libraries/proxy/src/bamboopier_proxy/request_queues.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from bamboopier_decisions.forwarding.wait_queue import WaitQueue
@@ -20,10 +19,16 @@
 WAKE_INTERVAL_SECONDS = 0.05
 
 
-@dataclass(slots=True)
 class _PendingRequest:
-    try_acquire: Callable[[], InFlightRequest | None]
-    acquired: asyncio.Future[InFlightRequest]
+    __slots__ = ("acquired", "try_acquire")
+
+    def __init__(
+        self,
+        try_acquire: Callable[[], InFlightRequest | None],
+        acquired: asyncio.Future[InFlightRequest],
+    ) -> None:
+        self.try_acquire = try_acquire
+        self.acquired = acquired
 
 
 class RequestQueues:
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+import msgspec
 
-if TYPE_CHECKING:
-    from bamboopier_decisions.forwarding.shared_retry_budget import RetryBudgetLimits
+from bamboopier_decisions.forwarding.shared_retry_budget import RetryBudgetLimits
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(msgspec.Struct, frozen=True):
     """An IP address and a TCP or UDP port."""
 
     host: str
@@ -20,8 +17,7 @@
         return f"{self.host}:{self.port}"
 
 
-@dataclass(frozen=True, slots=True)
-class ProxySettings:
+class ProxySettings(msgspec.Struct, frozen=True):
     """Settings of one process. Times are in seconds."""
 
     vm: str
--- a/libraries/proxy/src/bamboopier_proxy/settings_reloader.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings_reloader.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-from dataclasses import fields
 from typing import TYPE_CHECKING
 
 import structlog
@@ -64,9 +63,9 @@
         if settings == self._settings:
             return
         names = [
-            field.name
-            for field in fields(settings)
-            if getattr(settings, field.name) != getattr(self._settings, field.name)
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
         ]
         self._settings = settings
         self._apply(settings)
--- a/libraries/proxy/src/bamboopier_proxy/store_schema.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_schema.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
+
 from bamboopier_objects.objects import FollowedStore, ObjectStore
 
 if TYPE_CHECKING:
@@ -13,8 +14,7 @@
     from bamboopier_decisions.forwarding.specs import DeclaredConfiguration, TargetEntry
 
 
-@dataclass(frozen=True, slots=True)
-class PublishedWeights:
+class PublishedWeights(msgspec.Struct, frozen=True):
     """A weight version that the operator published for a model."""
 
     model: str
--- a/libraries/proxy/src/bamboopier_proxy/target_orders.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_orders.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
+
 if TYPE_CHECKING:
     from result import Result
 
@@ -26,8 +27,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class TargetReport:
+class TargetReport(msgspec.Struct, frozen=True):
     """State that a target reports of itself."""
 
     # Empty if the target does not report its name.
@@ -45,8 +45,7 @@
     runs: frozenset[str] = frozenset()
 
 
-@dataclass(frozen=True, slots=True)
-class WeightOrder:
+class WeightOrder(msgspec.Struct, frozen=True):
     """Order to load one version of a model's weights."""
 
     model: str
--- a/libraries/proxy/src/bamboopier_proxy/weight_expiry_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_expiry_monitor.py
@@ -13,7 +13,6 @@
 
 import asyncio
 from contextlib import contextmanager
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import structlog
@@ -34,14 +33,18 @@
 log = structlog.get_logger()
 
 
-@dataclass(eq=False, slots=True)
 class PendingRequest:
     """A request at a target whose response has not started."""
 
-    call: Call
-    metadata: AttemptMetadata
-    connection: TargetConnection
-    aborted: bool = False
+    __slots__ = ("aborted", "call", "connection", "metadata")
+
+    def __init__(
+        self, call: Call, metadata: AttemptMetadata, connection: TargetConnection
+    ) -> None:
+        self.call = call
+        self.metadata = metadata
+        self.connection = connection
+        self.aborted = False
 
 
 class WeightExpiryMonitor:
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -26,7 +26,16 @@
 # The modules that the library ``decisions`` may import: pure computation only.
 PURE_MODULES = frozenset(
     {"__future__", "bisect", "collections", "dataclasses", "enum", "hashlib", "heapq"}
-    | {"hmac", "itertools", "math", "random", "struct", "typing", "functools"}
+    | {
+        "hmac",
+        "itertools",
+        "math",
+        "msgspec",
+        "random",
+        "struct",
+        "typing",
+        "functools",
+    }
 )
 
 
