Learn how fast engines prefill, and bound the backlog by the objective

Cause: placement assumed 112,000 prompt tokens a second, one customer's sheet, and sent until 0.6, 0.45 or 0.4 s of them were pending, whatever the request's objective. Engines here prefill 93,600, others 55,000; objectives are 400 and 500 ms here, 100 to 1,500 ms elsewhere. Change: the rate and the latency without any prefill are learned for each service from the first bytes; a request's own prefill and what is pending before it may take a share of its objective, by priority; the cost of a running request follows the learned latency. Ruled out: learning from requests with above-average prefill alone (picks estimates that are too high, rates 1.3 to 1.6 times the true one in the replay), a weight of 0.03 (30 s to halve the rate with the few requests that a gateway sends slow engines). Test: test_engines_of_any_speed_are_filled_as_far_as_callers_are_in_time, engines at 0.5, 2 and 4 times the speed; before, p95 of the first token at 0.5 was 1.34 s with 1.2 allowed. At 0.25 times (0.43 s a prompt) p95 is 1.54 s and no bound is claimed: hints are a quarter of a second old, and four gateways find the same engine idle.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from .prefill_rate import PrefillRate
 from .rate_limit import RateLimit
 from .specs import ServiceSpec, TargetEntry
 from .target_state import Load, TargetState
@@ -35,6 +36,7 @@
 
     __slots__ = (
         "load",
+        "prefill_before",
         "prompt",
         "sent_at",
         "service",
@@ -49,6 +51,8 @@
         self.load = load
         self.prompt = prompt
         self.service = state.service.name
+        # Tokens pending at the target when it was chosen, its own included.
+        self.prefill_before = state.pending_prefill + load.pending_prefill
         # None until it is sent.
         self.sent_at: float | None = None
         # When it was sent: seconds for which the target had owed a byte, and the number
@@ -93,6 +97,8 @@
         self._states: dict[str, TargetState] = {}
         self._services: Mapping[str, ServiceSpec] = {}
         self._by_service: dict[str, list[TargetState]] = {}
+        # By service; kept while its targets are replaced.
+        self._prefill_rates: dict[str, PrefillRate] = {}
         # Targets whose entry is missing since the store recovered, and until when they
         # are still used.
         self._missing: dict[str, float] = {}
@@ -171,7 +177,8 @@
         spec = self._services.get(entry.service)
         if spec is None:
             spec = _make_unknown_service(entry.service)
-        state = TargetState(entry, spec)
+        rate = self._prefill_rates.setdefault(entry.service, PrefillRate())
+        state = TargetState(entry, spec, rate)
         former = self._former.pop(entry.name, None)
         if former is not None and _is_same_instance(former.entry, entry):
             state.rate_limit = former.limit
@@ -210,14 +217,18 @@
             load.memory = state.pin(prompt)
             state.cached_parts.add(prompt)
             state.headroom.record_sent(now, load.pending_prefill, load.memory)
+        in_flight = InFlightRequest(state, load, prompt)
         state.own_load.add(load)
         state.cold_start.record_sent(now)
         state.rate_limit.record_sent(now)
         state.circuit_breaker.record_sent()
-        return InFlightRequest(state, load, prompt)
+        return in_flight
 
-    def record_prefilled(self, sent: InFlightRequest) -> None:
+    def record_prefilled(self, now: float, sent: InFlightRequest) -> None:
         """Record that the prompt has been prefilled: the first event was received."""
+        if sent.sent_at is not None and sent.prompt is not None:
+            seconds = now - sent.sent_at
+            sent.state.prefill_rate.record_first_byte(sent.prefill_before, seconds)
         sent.state.own_load.pending_prefill -= sent.load.pending_prefill
         sent.load.pending_prefill = 0
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -25,23 +25,17 @@
     from .prompt import Prompt
     from .target_state import TargetState
 
-# Prompt tokens an engine prefills in a second; the operator's data sheet states 112 a
-# ms.
-PREFILL_RATE = 112_000.0
-# Seconds that one running request adds to the time to the first token: it shares each
-# step of the batch. A step of 128 requests takes 6 ms longer than one of a single
-# request.
-SECONDS_PER_RUNNING_REQUEST = 0.0008
+# Share of the time to a first token without any prefill that one running request adds:
+# it takes part in each step of the batch.
+RUNNING_REQUEST_SHARE = 0.01
 # Probability that the first owner of a prompt's prefix has it cached when this gateway
 # has not sent it there itself: the other gateways choose the same owner.
 OWNER_HIT_PROBABILITY = 0.8
-# Cost of a token fetched from a store, in prefilled tokens: 8,600 take 25 ms, not 77
-# ms, and the engine prefills other prompts meanwhile.
+# Cost of a token fetched from a store, in prefilled tokens: the engine prefills other
+# prompts while it waits.
 FETCHED_TOKEN_COST = 0.15
 # Weight of a shared token that is recomputed here though another engine has it cached:
-# in addition to its own time it delays the prompts behind it. With 3, 6 and 12 tried in
-# a replay, this one recomputes least: 0.93 M tokens of 40 returning sessions in 30 s
-# (1.37 M at 3).
+# in addition to its own time it delays the prompts behind it.
 REPEATED_PREFILL_WEIGHT = 6.0
 # Penalty in seconds for a target in another data centre: the round trip, and its price
 # in bytes.
@@ -62,10 +56,10 @@
 # urgent ones would wait behind them: an engine that is full preempts running requests
 # and recomputes them.
 MAX_MEMORY_SHARES = (1.05, 0.98, 0.9)
-# Seconds of pending prefill above which no more requests are sent, by priority: less
-# urgent ones leave headroom, and those that are sent get their first token within their
-# latency objective.
-PREFILL_BACKLOG_SECONDS = (0.6, 0.45, 0.4)
+# Share of its latency objective that a request's own prefill and what is pending before
+# it may take, by priority. Engines prefill urgent prompts before the others that are
+# pending; less urgent ones have to wait for all of it, and leave headroom.
+PREFILL_BACKLOG_SHARES = (1.5, 1.1, 0.7)
 # Requests in flight at a target without an engine, as a multiple of its slots, above
 # which it is full. Its own queue covers the delay until a gateway detects a free slot.
 PLAIN_LOAD_FACTOR = 2.0
@@ -74,21 +68,28 @@
 class Demand:
     """What one request needs of a target."""
 
-    __slots__ = ("fetched", "priority", "prompt", "service")
+    __slots__ = ("fetched", "latency_objective", "priority", "prompt", "service")
 
     def __init__(
-        self, service: str, priority: int, prompt: Prompt | None, fetched: int = 0
+        self,
+        service: str,
+        priority: int,
+        prompt: Prompt | None,
+        latency_objective: float,
+        fetched: int = 0,
     ) -> None:
         self.service = service
         self.priority = priority
         self.prompt = prompt
+        # Seconds to the first byte within which the response has its full value.
+        self.latency_objective = latency_objective
         # Leading tokens of the prompt that any target could fetch from a store.
         self.fetched = fetched
 
     @property
     def max_backlog_seconds(self) -> float:
         """Return the prefill backlog up to which the request is sent."""
-        return PREFILL_BACKLOG_SECONDS[self._priority_index]
+        return self.latency_objective * PREFILL_BACKLOG_SHARES[self._priority_index]
 
     @property
     def max_memory_share(self) -> float:
@@ -97,7 +98,7 @@
 
     @property
     def _priority_index(self) -> int:
-        return min(max(self.priority, 0), len(PREFILL_BACKLOG_SECONDS) - 1)
+        return min(max(self.priority, 0), len(PREFILL_BACKLOG_SHARES) - 1)
 
 
 class WeightVersionRange(msgspec.Struct, frozen=True):
@@ -199,11 +200,12 @@
     memory_headroom = engine.memory_tokens * demand.max_memory_share - state.memory
     if memory > memory_headroom:
         return False
-    prefill_headroom = demand.max_backlog_seconds * PREFILL_RATE - state.pending_prefill
+    max_prefill = demand.max_backlog_seconds * state.prefill_rate.per_second
+    prefill = state.count_prefill(prompt)
+    prefill_headroom = max_prefill - state.pending_prefill - prefill
     if prefill_headroom < 0:
         return False
     gateway_count = fleet.gateway_count
-    prefill = state.count_prefill(prompt)
     return state.headroom.allows_prefill(
         now, prefill, prefill_headroom, gateway_count
     ) and state.headroom.allows_memory(now, memory, memory_headroom, gateway_count)
@@ -339,8 +341,9 @@
             + own
             + fetched_cost
             + repeated * REPEATED_PREFILL_WEIGHT
-        ) / PREFILL_RATE
-        running = state.requests * SECONDS_PER_RUNNING_REQUEST
+        ) / state.prefill_rate.per_second
+        base_seconds = state.prefill_rate.base_seconds
+        running = state.requests * base_seconds * RUNNING_REQUEST_SHARE
         outdated = (
             OLD_WEIGHTS_PENALTY_SECONDS
             if state.versions.get(prompt.model, 0) < newest
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -13,6 +13,7 @@
 from .stall_detector import StallDetector
 
 if TYPE_CHECKING:
+    from .prefill_rate import PrefillRate
     from .prompt import Prompt
     from .specs import ServiceSpec, TargetEntry
 
@@ -53,6 +54,7 @@
         "other_load",
         "cached_parts",
         "pinned",
+        "prefill_rate",
         "service",
         "short_answers_until",
         "circuit_breaker",
@@ -60,9 +62,13 @@
         "versions",
     )
 
-    def __init__(self, entry: TargetEntry, service: ServiceSpec) -> None:
+    def __init__(
+        self, entry: TargetEntry, service: ServiceSpec, prefill_rate: PrefillRate
+    ) -> None:
         self.entry = entry
         self.service = service
+        # Shared by the targets of the service.
+        self.prefill_rate = prefill_rate
         self.own_load = Load()
         self.other_load = Load()
         self.headroom = GatewayHeadroom()
--- a/libraries/decisions/tests/forwarding/test_load_pattern.py
+++ b/libraries/decisions/tests/forwarding/test_load_pattern.py
@@ -1,8 +1,8 @@
 """Replays of load patterns against the decisions: several gateways, few engines.
 
-The engine here prefills prompts one after another at 112,000 tokens a second and caches
-the last 100,000 tokens of shared parts. Gateways see the load of each other as of a
-hint that is up to a quarter of a second old.
+The engine here prefills prompts one after another, at 112,000 tokens a second where no
+other speed is given, and caches the last 100,000 tokens of shared parts. Gateways see
+the load of each other as of a hint that is up to a quarter of a second old.
 """
 
 from __future__ import annotations
@@ -41,6 +41,7 @@
     """Prefills prompts in order; caches shared parts."""
 
     free_at: float = 0.0
+    per_second: float = PREFILL_RATE
     cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
     prefilled: int = 0
 
@@ -58,7 +59,7 @@
             self.cache.popitem(last=False)
         prefill = prompt.tokens_in - cached
         self.prefilled += prefill
-        self.free_at = max(now, self.free_at) + prefill / PREFILL_RATE
+        self.free_at = max(now, self.free_at) + prefill / self.per_second
         return self.free_at
 
 
@@ -82,6 +83,9 @@
     engines: int,
     gateway_count: int,
     limits: Mapping[str, float] | None = None,
+    per_second: float = PREFILL_RATE,
+    objective: float = 0.4,
+    stream_seconds: float = STREAM_SECONDS,
 ) -> Outcome:
     """Send each request through the gateways in turn.
 
@@ -89,7 +93,7 @@
     """
     generator = random.Random(7)
     names = [f"i-{n}" for n in range(engines)]
-    engines_by_name = {name: Engine() for name in names}
+    engines_by_name = {name: Engine(per_second=per_second) for name in names}
     fleets = [make_fleet([make_entry(n) for n in names]) for _ in range(gateway_count)]
     for number, fleet in enumerate(fleets):
         fleet.gateway_count, fleet.gateway_index = gateway_count, number
@@ -104,25 +108,26 @@
         while events and events[0][0] <= now:
             _, _, kind, fleet, sent = heapq.heappop(events)
             if kind == "read":
-                fleet.record_prefilled(sent)
+                fleet.record_prefilled(now, sent)
             else:
                 fleet.end(sent)
         if now - reported_at >= HINT_SECONDS:
             reported_at = now
             share_loads(fleets, names)
         fleet = fleets[number % gateway_count]
-        demand = Demand(DESK, 1, prompt)
+        demand = Demand(DESK, 1, prompt, objective)
         wanted = WeightVersionRange()
         found = choose_target(now, fleet, demand, set(), wanted, "z1", generator).state
         if found is None:
             outcome.rejected += 1
             continue
         sent = fleet.begin(now, found, prompt)
+        sent.sent_at = now
         first = engines_by_name[found.entry.name].begin(now, prompt)
         outcome.by_engine[found.entry.name] += 1
         outcome.firsts.append(first - now)
         heapq.heappush(events, (first, number, "read", fleet, sent))
-        end = first + STREAM_SECONDS
+        end = first + stream_seconds
         heapq.heappush(events, (end, number, "end", fleet, sent))
     outcome.prefilled = sum(engine.prefilled for engine in engines_by_name.values())
     return outcome
@@ -208,13 +213,13 @@
             for number, fleet in enumerate(fleets):
                 while waiting[number]:
                     prompt = make_prompt(f"s{generator.randrange(400)}", 1000, 300)
-                    demand, wanted = Demand(DESK, 1, prompt), WeightVersionRange()
+                    demand, wanted = Demand(DESK, 1, prompt, 0.4), WeightVersionRange()
                     found = choose_target(
                         now, fleet, demand, set(), wanted, "z1", generator
                     ).state
                     if found is None:
                         break
-                    fleet.record_prefilled(fleet.begin(now, found, prompt))
+                    fleet.record_prefilled(now, fleet.begin(now, found, prompt))
                     waiting[number] -= 1
                     served += 1
         return served
@@ -277,6 +282,36 @@
         capacity = 6 * PREFILL_RATE / 11_912 * 20
         self.assertGreater(len(firsts), 0.85 * capacity)
 
+    def test_engines_of_any_speed_are_filled_as_far_as_callers_are_in_time(
+        self,
+    ) -> None:
+        # Guards against limits in tokens that hold for one model of engine. At half of
+        # its speed they let callers wait twice as long as they can; at four times of it
+        # they turn callers away from idle engines.
+        for factor in (0.5, 2.0, 4.0):
+            with self.subTest(factor=factor):
+                rate = factor * PREFILL_RATE
+                capacity = 6 * rate / 11_912 * 20
+                arrivals = [
+                    (when, make_prompt(f"new-{number}"))
+                    for number, (when, _) in enumerate(
+                        draw_arrivals(112.0 * factor, 20.0, 10)
+                    )
+                ]
+                outcome = replay(
+                    arrivals,
+                    6,
+                    4,
+                    per_second=rate,
+                    objective=0.6,
+                    # Short enough that prefill is the limit, not memory.
+                    stream_seconds=0.2 / factor,
+                )
+                # The first seconds are those in which the speed is not known yet.
+                firsts = sorted(outcome.firsts[len(outcome.firsts) // 4 :])
+                self.assertLess(firsts[int(len(firsts) * 0.95)], 1.2)
+                self.assertGreater(len(outcome.firsts), 0.8 * capacity)
+
     def test_gateways_do_not_fill_an_empty_engine_together(self) -> None:
         # An engine is available again after a weight load while all others are full.
         # Five gateways see it empty and send to it within a quarter of a second, before
--- a/libraries/decisions/tests/forwarding/test_placement.py
+++ b/libraries/decisions/tests/forwarding/test_placement.py
@@ -25,7 +25,7 @@
         # With no target known the caller is rejected at once, and not after a wait.
         fleet = make_fleet([make_entry("i-1"), make_entry("i-2")])
         for shared, known in ((160_000, 2), (170_000, 0)):
-            demand = Demand(DESK, 1, make_prompt("s1", shared=shared))
+            demand = Demand(DESK, 1, make_prompt("s1", shared=shared), 0.4)
             generator = random.Random(1)
             found = choose_target(
                 1.0, fleet, demand, set(), WeightVersionRange(), "z1", generator
@@ -36,7 +36,7 @@
 
     def choose(self, fleet: Fleet, now: float) -> Placement:
         """Choose a target for a prompt."""
-        demand = Demand(DESK, 1, make_prompt("s1"))
+        demand = Demand(DESK, 1, make_prompt("s1"), 0.4)
         weights = WeightVersionRange()
         return choose_target(now, fleet, demand, set(), weights, "z1", random.Random(1))
 
--- a/libraries/decisions/tests/forwarding/test_rate_limit.py
+++ b/libraries/decisions/tests/forwarding/test_rate_limit.py
@@ -167,7 +167,7 @@
             state = fleet.find(name)
             assert state is not None
             state.rate_limit.record_limit(0.0, 0.5)
-        demand = Demand(VANS, 0, None)
+        demand = Demand(VANS, 0, None, 0.4)
         wanted = WeightVersionRange()
         return choose_target(0.1, fleet, demand, set(), wanted, "z1", random.Random(1))
 
--- a/libraries/decisions/tests/forwarding/test_weights.py
+++ b/libraries/decisions/tests/forwarding/test_weights.py
@@ -239,7 +239,7 @@
         names = set()
         for number in range(10):
             prompt = make_prompt(f"s{number}", max_output=max_output)
-            demand = Demand(DESK, 1, prompt)
+            demand = Demand(DESK, 1, prompt, 0.4)
             found = choose_target(
                 10.0, fleet, demand, set(), weights, "z1", generator
             ).state
--- a/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
@@ -33,7 +33,8 @@
     def make_demand(self, now: float, call: Call) -> Demand:
         """Return what the call requires of a target."""
         fetched = self._count_fetched(now, call)
-        return Demand(call.service, call.priority, call.prompt, fetched)
+        objective = call.route.latency_objective
+        return Demand(call.service, call.priority, call.prompt, objective, fetched)
 
     def find_allowed_weights(self, now: float, call: Call) -> WeightVersionRange:
         """Return the weight versions with which the call may start."""
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -258,7 +258,7 @@
                 if not result.first_byte:
                     result.first_byte = read_clock() - started_at
                     self._expiry_monitor.record_started(pending)
-                    self._fleet.record_prefilled(in_flight)
+                    self._fleet.record_prefilled(read_clock(), in_flight)
                 if not delivery.started:
                     await delivery.start(response.status, response.headers)
                 await delivery.write(complete_events)
