--- a/tools/bench_load/table.py
+++ b/tools/bench_load/table.py
@@ -14,8 +14,9 @@
 
 from .baselines import PlainRouter, UnboundedFifo
 from .outcome import Outcome, evaluate
+from .policy import Policy
 from .scenarios import Scenario, list_scenarios
-from .simulation import Policy, Simulation
+from .simulation import Simulation
 
 MAX_RUNNING = 32
 MAX_WAITING = 64
