--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -14,19 +14,13 @@
 from bamboopier_decisions.claims.table import ClaimStatus
 from bamboopier_protocol import agent_pb2 as pb, agent_pb2_grpc
 
+from .attempt_runner import AttemptRunner
 from .claims import hash_key
-from .errors import BrokenResponseError, TargetUnreachableError
 from .event_builder import EventBuilder
 from .event_stream import EventStream
-from .forwarded_request import (
-    list_headers,
-    list_response_headers,
-    make_body,
-    read_max_wait,
-)
+from .forwarded_request import read_max_wait
 from .refusals import make_claim_refusal, make_rejection
 from .seen_attempts import SeenAttempts
-from .usage import UsageReader
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
@@ -40,15 +34,10 @@
     from .context import ContextBlockManager
     from .gate import AdmissionGate, Entry
     from .metrics import AgentMetrics
-    from .response_cache import CachedResponse, ResponseCache
+    from .response_cache import ResponseCache
     from .target import TargetClient
     from .target_monitor import TargetMonitor
 
-# How long a non-idempotent call may run past its deadline, so that its response is
-# cached when the caller repeats the key. Without a limit, calls to a hung target would
-# occupy all its slots.
-DEADLINE_GRACE_SECONDS = 60.0
-
 log = structlog.get_logger()
 
 
@@ -68,11 +57,12 @@
         metrics: AgentMetrics,
     ) -> None:
         self._settings = settings
-        self._target = target
         self._gate = gate
         self._claims = claims
         self._response_cache = response_cache
-        self._context = context
+        self._runner = AttemptRunner(
+            settings.target, target, response_cache, context, metrics
+        )
         self._monitor = monitor
         self._follower = follower
         self._metrics = metrics
@@ -234,7 +224,7 @@
         stream: EventStream,
     ) -> AsyncGenerator[pb.ServeEvent]:
         if request.idempotent or not request.idempotency_key:
-            running = self._run(request, builder, entry, stream, None)
+            running = self._runner.run(request, builder, entry, stream, None)
             async with aclosing(running) as events:
                 async for event in events:
                     yield event
@@ -282,7 +272,7 @@
         cached_response = self._response_cache.start(key, request.fingerprint)
         may_have_run = True
         try:
-            running = self._run(request, builder, entry, stream, cached_response)
+            running = self._runner.run(request, builder, entry, stream, cached_response)
             async with aclosing(running) as events:
                 async for event in events:
                     if event.HasField("not_run"):
@@ -299,98 +289,6 @@
                 # The attempt was cancelled before anything was sent to the target.
                 self._claims.abandon(service, granted)
 
-    async def _run(
-        self,
-        request: pb.ServeRequest,
-        builder: EventBuilder,
-        entry: Entry,
-        stream: EventStream,
-        cached_response: CachedResponse | None,
-    ) -> AsyncGenerator[pb.ServeEvent]:
-        started = time.monotonic()
-        fetched = await self._context.fetch(request) if request.model.model else 0
-        if time.monotonic() >= stream.deadline:
-            # This process was suspended or the platform was slow for so long that the
-            # caller has its final response. A resumed process must not run the request.
-            yield builder.make_not_run(pb.DEADLINE)
-            return
-        usage = UsageReader()
-        sent = time.monotonic()
-        first_byte = 0.0
-        stream.detached = not request.idempotent
-        try:
-            async with (
-                asyncio.timeout_at(stream.deadline + DEADLINE_GRACE_SECONDS),
-                self._target.open(
-                    request.method,
-                    request.path,
-                    list_headers(request),
-                    make_body(request),
-                ) as response,
-            ):
-                first_byte = time.monotonic() - sent
-                self._metrics.first_byte.observe(time.monotonic() - started)
-                version = response.headers.get("Weight-Version", "")
-                headers = list_response_headers(response)
-                if cached_response is not None:
-                    cached_response.status, cached_response.headers = (
-                        response.status,
-                        headers,
-                    )
-                    cached_response.weight_version = version
-                entry.mark_first_byte()
-                yield builder.make_head(response.status, headers, version)
-                async for chunk in response.content.iter_any():
-                    usage.add(chunk)
-                    if cached_response is not None:
-                        self._response_cache.add(cached_response, chunk)
-                    yield builder.make_chunk(chunk)
-        except TargetUnreachableError as error:
-            entry.failed = True
-            self._log_outcome(request, "not-run", 0)
-            yield builder.make_not_run(pb.TARGET_DOWN, detail=str(error))
-            return
-        except (BrokenResponseError, TimeoutError) as error:
-            entry.failed = True
-            self._log_outcome(request, "unknown", 0)
-            yield builder.make_unknown(pb.TARGET_CRASHED, str(error))
-            return
-        counts = usage.read()
-        entry.succeeded = True
-        if request.model.model:
-            prefill_tokens = max(0, counts.prompt_tokens - counts.cached_tokens)
-            self._context.record_response(
-                request, counts.cached_tokens, prefill_tokens, first_byte
-            )
-        entry.output_tokens = counts.completion_tokens
-        entry.prefill_tokens = max(0, counts.prompt_tokens - counts.cached_tokens)
-        self._count_tokens(counts.prompt_tokens, counts.cached_tokens, fetched)
-        self._log_outcome(request, "finished", counts.cached_tokens)
-        yield builder.make_finished(
-            pb.Finished(
-                prompt_tokens=counts.prompt_tokens,
-                cached_tokens=counts.cached_tokens,
-                fetched_tokens=fetched * self._context.find_block_tokens(request),
-                output_tokens=counts.completion_tokens,
-            )
-        )
-
-    def _count_tokens(self, prompt: int, cached: int, fetched: int) -> None:
-        self._metrics.outcomes.labels("finished").inc()
-        self._metrics.prompt_tokens.labels("recomputed").inc(max(0, prompt - cached))
-        self._metrics.prompt_tokens.labels("reused").inc(cached)
-        self._metrics.link_blocks.labels("fetch").inc(fetched)
-
-    def _log_outcome(self, request: pb.ServeRequest, outcome: str, cached: int) -> None:
-        log.info(
-            "attempt ended",
-            request_id=request.request_id,
-            workspace=request.workspace,
-            target=self._settings.target,
-            outcome=outcome,
-            cached_tokens=cached,
-        )
-
     def _log_refusal(self, request: pb.ServeRequest, event: pb.ServeEvent) -> None:
         self._metrics.outcomes.labels("not-run").inc()
         log.info(
--- a/libraries/agent/tests/test_service.py
+++ b/libraries/agent/tests/test_service.py
@@ -12,7 +12,7 @@
 
 from fault_matrix import CallFault
 
-from bamboopier_agent import claims, service as service_module
+from bamboopier_agent import attempt_runner, claims
 from bamboopier_protocol import agent_pb2 as pb
 
 from .builders import FakeObjects
@@ -134,7 +134,7 @@
 
     async def test_a_hung_target_does_not_hold_its_slot_forever(self) -> None:
         self.target.may_respond.clear()
-        no_grace = mock.patch.object(service_module, "DEADLINE_GRACE_SECONDS", 0)
+        no_grace = mock.patch.object(attempt_runner, "DEADLINE_GRACE_SECONDS", 0)
         async with asyncio.timeout(HANG_SECONDS):
             with no_grace:
                 last = await self.serve("hung", timeout_ms=20)
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -39,7 +39,7 @@
     ),
     Mutation(
         "an idempotent run is cancelled when its gateway disconnects",
-        "libraries/agent/src/bamboopier_agent/service.py",
+        "libraries/agent/src/bamboopier_agent/attempt_runner.py",
         "        stream.detached = not request.idempotent\n",
         "        stream.detached = True\n",
         "libraries/agent",
@@ -93,7 +93,7 @@
     ),
     Mutation(
         "a resumed process starts no run after the deadline",
-        "libraries/agent/src/bamboopier_agent/service.py",
+        "libraries/agent/src/bamboopier_agent/attempt_runner.py",
         "        if time.monotonic() >= stream.deadline:",
         "        if False:",
         "libraries/agent",
@@ -101,7 +101,7 @@
     ),
     Mutation(
         "an unresponsive target does not hold its slot forever",
-        "libraries/agent/src/bamboopier_agent/service.py",
+        "libraries/agent/src/bamboopier_agent/attempt_runner.py",
         "asyncio.timeout_at(stream.deadline + DEADLINE_GRACE_SECONDS)",
         "asyncio.timeout(None)",
         "libraries/agent",
--- a/tools/safeguards/publish_times_and_peers.py
+++ b/tools/safeguards/publish_times_and_peers.py
@@ -116,6 +116,49 @@
         "tests.forwarding.test_bounds.ColdStartLimitTests"
         ".test_more_gateways_than_requests_a_second_of_a_cold_target",
     ),
+    Mutation(
+        "a share of a cold target that is lent counts at its lender",
+        f"{FORWARDING}/cold_start_limit.py",
+        "        self._lent.extend([now + LOAN_SECONDS] * count)\n",
+        "",
+        "libraries/decisions",
+        "tests.forwarding.test_bounds.ColdStartLimitTests"
+        ".test_lent_shares_add_up_to_the_rate",
+    ),
+    Mutation(
+        "a share of a cold target is used only while its lender counts it",
+        f"{FORWARDING}/cold_start_limit.py",
+        "        if now >= until or not self.is_cold(now):\n",
+        "        if not self.is_cold(now):\n",
+        "libraries/decisions",
+        "tests.forwarding.test_bounds.ColdStartLimitTests.test_a_late_grant_is_not_used",
+    ),
+    Mutation(
+        "half of a share of a cold target stays for own callers",
+        f"{FORWARDING}/cold_start_limit.py",
+        "per_second, gateway_count) // 2)\n",
+        "per_second, gateway_count))\n",
+        "libraries/decisions",
+        "tests.forwarding.test_bounds.ColdStartLimitTests"
+        ".test_half_of_a_share_stays_for_own_callers",
+    ),
+    Mutation(
+        "waiting callers get idle shares of cold targets",
+        f"{PROXY}/capacity_loans.py",
+        "        if not wanted:\n",
+        "        if True:\n",
+        "libraries/proxy",
+        f"{GATEWAY_COUNT_TESTS}.test_waiting_callers_get_the_idle_shares_of_a_cold_target",
+    ),
+    Mutation(
+        "limits in tokens follow the observed speed of engines",
+        f"{FORWARDING}/prefill_rate.py",
+        "            self.per_second *= factor**WEIGHT\n",
+        "            pass\n",
+        "libraries/decisions",
+        "tests.forwarding.test_load_pattern.OverloadTests"
+        ".test_engines_of_any_speed_are_filled_as_far_as_callers_are_in_time",
+    ),
     Mutation(
         "a gateway without the gateway list assumes the smallest share",
         f"{PROXY}/gateway_state.py",
