Bound the requests for idle shares of cold targets to 7 KB a second

With many gateways and targets each would send eight requests of 600 bytes every 50 ms while callers wait, 96 KB/s, beyond the 22 KB/s of a node; and with more gateways than a target handles requests a second nobody has a share to lend. What load hints leave of the 22 KB/s is used; nothing is requested where nothing can be lent. Worked out from the message sizes, not measured. Test: test_nothing_is_requested_where_nothing_can_be_lent, which failed before.

--- a/libraries/proxy/src/bamboopier_proxy/capacity_loans.py
+++ b/libraries/proxy/src/bamboopier_proxy/capacity_loans.py
@@ -16,7 +16,7 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.cold_start_limit import LOAN_SECONDS
 
-from .hints import CapacityGrant, CapacityRequest, ColdTarget
+from .hints import CapacityGrant, CapacityRequest, ColdTarget, encode
 
 if TYPE_CHECKING:
     import random
@@ -32,6 +32,9 @@
 REQUEST_INTERVAL_SECONDS = 0.05
 # Maximum number of targets in one request, so that it fits a datagram.
 MAX_TARGETS = 24
+# Maximum rate of requests: what load hints leave of the 22 KB a second that a node may
+# use for control traffic.
+BYTES_PER_SECOND = 7_000
 
 log = structlog.get_logger()
 
@@ -39,8 +42,8 @@
 class Peers(Protocol):
     """The other gateways, as far as they are reachable by datagrams."""
 
-    def sample_peers(self) -> list[Endpoint]:
-        """Return some of the other gateways."""
+    def sample_peers(self, max_count: int) -> list[Endpoint]:
+        """Return up to ``max_count`` of the other gateways."""
         ...
 
     def send(self, hint: Hint, to: Endpoint) -> None:
@@ -85,8 +88,10 @@
             return
         nonce = next(self._nonces)
         self._requests[nonce] = now
-        for peer in self._peers.sample_peers():
-            self._peers.send(CapacityRequest(self._name, nonce, wanted), peer)
+        request = CapacityRequest(self._name, nonce, wanted)
+        allowed = BYTES_PER_SECOND * REQUEST_INTERVAL_SECONDS / len(encode(request))
+        for peer in self._peers.sample_peers(max(1, int(allowed))):
+            self._peers.send(request, peer)
 
     def answer(self, now: float, request: CapacityRequest, sender: Endpoint) -> None:
         """Lend what is left of this gateway's shares."""
@@ -138,13 +143,21 @@
         wanted = []
         for service in self._request_queues.list_waiting():
             states = self._fleet.list_targets(service, now)
-            cold = [state for state in states if state.cold_start.is_cold(now)]
+            cold = [state for state in states if self._may_borrow(now, state)]
             if not cold:
                 continue
             each = -(-self._request_queues.count(service) // len(cold))
             wanted += [ColdTarget(s.entry.name, s.entry.started_ms, each) for s in cold]
         return wanted[:MAX_TARGETS]
 
+    def _may_borrow(self, now: float, state: TargetState) -> bool:
+        """Return whether other gateways may have something to lend.
+
+        With more gateways than a target handles requests a second, none has.
+        """
+        per_second = state.service.cold_per_second
+        return state.cold_start.is_cold(now) and per_second >= self._fleet.gateway_count
+
     def _find(self, wanted: ColdTarget) -> TargetState | None:
         state = self._fleet.find(wanted.target)
         if state is None or state.entry.started_ms != wanted.started_ms:
--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -152,9 +152,11 @@
         """Borrow capacity of other gateways for waiting callers until cancelled."""
         await self._loans.run()
 
-    def sample_peers(self) -> list[Endpoint]:
-        """Return some of the other gateways."""
-        return self._sample_peers()
+    def sample_peers(self, max_count: int = MAX_PEERS) -> list[Endpoint]:
+        """Return up to ``max_count`` of the other gateways, and of ``MAX_PEERS``."""
+        return self._sample(
+            list(self._registry.peers.values()), min(max_count, MAX_PEERS)
+        )
 
     def send(self, hint: Hint, to: Endpoint) -> None:
         """Send a datagram."""
@@ -173,14 +175,9 @@
         )
         allowed = BYTES_PER_SECOND * HINT_SECONDS / len(encode(hint))
         silent = self._sample(self._registry.pop_silent(), MAX_PEERS)
-        for peer in [*self._sample_peers(max(1, int(allowed))), *silent]:
+        for peer in [*self.sample_peers(max(1, int(allowed))), *silent]:
             self._socket.send(hint, peer)
 
-    def _sample_peers(self, max_count: int = MAX_PEERS) -> list[Endpoint]:
-        return self._sample(
-            list(self._registry.peers.values()), min(max_count, MAX_PEERS)
-        )
-
     def _sample(self, peers: list[Endpoint], max_count: int) -> list[Endpoint]:
         return (
             peers if len(peers) <= max_count else self._random.sample(peers, max_count)
@@ -201,7 +198,7 @@
             return
         nonce = next(self._nonces)
         self._freshness_requests[nonce] = now
-        for peer in self._sample_peers():
+        for peer in self.sample_peers():
             self._socket.send(FreshnessRequest(self._name, nonce), peer)
 
     def _receive(self, hint: Hint, sender: tuple[str, int]) -> None:
--- a/libraries/proxy/tests/test_gateway_peers.py
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -236,6 +236,25 @@
         self.assertGreater(others, 0)
         self.assertLessEqual(own + borrowed + others, COLD_PER_SECOND)
 
+    async def test_nothing_is_requested_where_nothing_can_be_lent(self) -> None:
+        # Guards against requests at every gateway of a large installation that can have
+        # no answer: there a gateway has less than one request a second of a target.
+        service = ServiceSpec("desk", "/healthz", 10, 3.0, GATEWAYS - 1.0, None)
+        entry = TargetEntry("i-1", 1, "desk", "10.0.0.9", 80, "z1", 64, False, 3.0)
+        busy = self.gateways[0]
+        busy.state.fleet.set_services({"desk": service})
+        busy.state.fleet.put(self.now, entry)
+        queues = busy.state.request_queues
+        caller = asyncio.create_task(
+            queues.wait("desk", 1, 5.0, lambda: None, mock.Mock())
+        )
+        await asyncio.sleep(0)
+        busy.hint_exchange._socket.send.reset_mock()
+        busy.hint_exchange._loans.request(self.now)
+        busy.hint_exchange._socket.send.assert_not_called()
+        caller.cancel()
+        await asyncio.gather(caller, return_exceptions=True)
+
     async def test_a_removed_gateway_gets_one_hint_per_read(self) -> None:
         # A machine is removed, and its entry stays. The gateway is not counted again
         # because of the entry, and hints to its address cost almost nothing.
