Count a grant of idle shares that arrives twice only once

A network may duplicate a datagram; the borrower would have sent a cold target twice what its lender counts.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -88,7 +88,7 @@
 
     @property
     def max_backlog_seconds(self) -> float:
-        """Return the prefill backlog up to which the request is sent."""
+        """Return the prefill, its own included, up to which the request is sent."""
         return self.latency_objective * PREFILL_BACKLOG_SHARES[self._priority_index]
 
     @property
--- a/libraries/proxy/src/bamboopier_proxy/capacity_loans.py
+++ b/libraries/proxy/src/bamboopier_proxy/capacity_loans.py
@@ -51,6 +51,19 @@
         ...
 
 
+class _SentRequest:
+    """When a request was sent, and who has answered it.
+
+    A grant that the network delivers twice is lent only once.
+    """
+
+    __slots__ = ("lenders", "sent_at")
+
+    def __init__(self, sent_at: float) -> None:
+        self.sent_at = sent_at
+        self.lenders: set[str] = set()
+
+
 class CapacityLoans:
     """Requests capacity for waiting callers, and lends what its own callers leave."""
 
@@ -67,8 +80,8 @@
         self._request_queues = request_queues
         self._peers = peers
         self._nonces = itertools.count(random.getrandbits(32))
-        # Time at which each request was sent, by nonce.
-        self._requests: dict[int, float] = {}
+        # Requests that may still be answered, by nonce.
+        self._requests: dict[int, _SentRequest] = {}
 
     async def run(self) -> None:
         """Request capacity until cancelled."""
@@ -79,15 +92,15 @@
     def request(self, now: float) -> None:
         """Request capacity for the callers that wait, if any do."""
         self._requests = {
-            nonce: sent_at
-            for nonce, sent_at in self._requests.items()
-            if now - sent_at < LOAN_SECONDS
+            nonce: sent
+            for nonce, sent in self._requests.items()
+            if now - sent.sent_at < LOAN_SECONDS
         }
         wanted = self._list_wanted(now)
         if not wanted:
             return
         nonce = next(self._nonces)
-        self._requests[nonce] = now
+        self._requests[nonce] = _SentRequest(now)
         request = CapacityRequest(self._name, nonce, wanted)
         allowed = BYTES_PER_SECOND * REQUEST_INTERVAL_SECONDS / len(encode(request))
         for peer in self._peers.sample_peers(max(1, int(allowed))):
@@ -119,21 +132,22 @@
 
     def apply(self, now: float, grant: CapacityGrant) -> None:
         """Use what another gateway lends for the callers that wait."""
-        requested_at = self._requests.get(grant.nonce)
-        if requested_at is None:
+        request = self._requests.get(grant.nonce)
+        if request is None or grant.sender in request.lenders:
             return
+        request.lenders.add(grant.sender)
         services = set()
         for granted in grant.targets:
             state = self._find(granted)
             if state is None:
                 continue
-            if state.cold_start.borrow(now, requested_at, granted.requests):
+            if state.cold_start.borrow(now, request.sent_at, granted.requests):
                 services.add(state.service.name)
         log.info(
             "cold capacity borrowed",
             sender=grant.sender,
             targets={g.target: g.requests for g in grant.targets},
-            seconds=round(now - requested_at, 4),
+            seconds=round(now - request.sent_at, 4),
         )
         for service in services:
             self._request_queues.wake(service)
--- a/libraries/proxy/tests/test_gateway_peers.py
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -66,6 +66,8 @@
     async def asyncSetUp(self) -> None:
         self.now = 1000.0
         self.lost = False
+        # How often each datagram arrives.
+        self.copies = 1
         for module in ("hint_exchange", "gateway_registry"):
             patch = mock.patch(
                 f"bamboopier_proxy.{module}.read_clock", side_effect=lambda: self.now
@@ -97,7 +99,9 @@
 
         def send(hint: Hint, to: Endpoint) -> None:
             for other in self.gateways:
-                if Endpoint(other.host, PORT) == to and not self.lost:
+                if Endpoint(other.host, PORT) != to or self.lost:
+                    continue
+                for _ in range(self.copies):
                     other.hint_exchange._receive(hint, (gateway.host, PORT))
 
         patch = mock.patch.object(
@@ -236,6 +240,12 @@
         self.assertGreater(others, 0)
         self.assertLessEqual(own + borrowed + others, COLD_PER_SECOND)
 
+    async def test_a_grant_that_arrives_twice_counts_once(self) -> None:
+        # Guards against a datagram that the network duplicates: the borrower would send
+        # a cold target twice what its lender counts.
+        self.copies = 2
+        await self.test_waiting_callers_get_the_idle_shares_of_a_cold_target()
+
     async def test_nothing_is_requested_where_nothing_can_be_lent(self) -> None:
         # Guards against requests at every gateway of a large installation that can have
         # no answer: there a gateway has less than one request a second of a target.
