--- a/libraries/proxy/src/bamboopier_proxy/attempt_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_log.py
@@ -13,7 +13,7 @@
 
     from .active_configuration import ActiveConfiguration
     from .attempt_planner import AttemptPlanner
-    from .exchange import AttemptResult
+    from .attempt_result import AttemptResult
     from .messages import Call
     from .metrics import ProxyMetrics
 
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
-import msgspec
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.routing.messages import ExecutionStatus
 
+from .attempt_result import AttemptResult, BufferedResponse, Cause
 from .delivery import CallerDisconnectedError
 from .event_splitter import EventSplitter
 from .limit_updates import record_limit
-from .messages import AttemptMetadata
 from .target_pool import ConnectError
 from .target_response import BrokenResponseError
 
@@ -28,7 +26,7 @@
 
     from .delivery import Delivery
     from .header_codec import HeaderCodec
-    from .messages import Call, ResponseMetadata
+    from .messages import AttemptMetadata, Call, ResponseMetadata
     from .target_pool import TargetPool
     from .target_response import TargetResponse
     from .weight_expiry_monitor import PendingRequest, WeightExpiryMonitor
@@ -38,53 +36,6 @@
 MAX_BUFFERED_BYTES = 1024 * 1024
 
 
-class Cause(StrEnum):
-    """Why an attempt ended without a response for the caller."""
-
-    NONE = ""
-    CONNECT = "connect"
-    CLOSED = "target-closed"
-    # Its target stopped responding while the connection was made.
-    STALLED = "target-stalled"
-    # The timeout of its route had passed before it was sent.
-    LATE = "late"
-    # It had not started when its target's weight version expired.
-    OUTDATED = "outdated-weights"
-    NOT_RUN = "not-run"
-    MISDIRECTED = "misdirected"
-    BROKEN = "broken"
-    UNSEALED = "unsealed"
-    TIMEOUT = "timeout"
-
-
-class AttemptResult(msgspec.Struct):
-    """How an attempt ended; ``ran`` is what is certain about its execution."""
-
-    ran: ExecutionStatus
-    cause: Cause = Cause.NONE
-    detail: str = ""
-    status: int = 0
-    # The caller has the complete response.
-    delivered: bool = False
-    # A complete error response of the target itself, which may be relayed.
-    failure: BufferedResponse | None = None
-    weight_version: int = 0
-    first_byte: float = 0.0
-    # A target other than the expected one responded.
-    wrong_target: bool = False
-    # Metadata sent to the target, and its time; None if nothing was sent.
-    metadata: AttemptMetadata | None = None
-    sent_at: float | None = None
-
-
-class BufferedResponse(msgspec.Struct, frozen=True):
-    """A complete response that has not been relayed."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 class Exchange:
     """Sends calls to targets and relays their responses."""
 
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -13,7 +13,7 @@
 from bamboopier_decisions.forwarding.wait_queue import draw_retry_after, find_max_wait
 
 from .attempt_log import AttemptLog
-from .exchange import Cause
+from .attempt_result import Cause
 from .refusals import CallerError, ErrorCode, ExecutionStatus
 
 if TYPE_CHECKING:
@@ -30,8 +30,9 @@
 
     from .active_configuration import ActiveConfiguration
     from .attempt_planner import AttemptPlanner
+    from .attempt_result import AttemptResult
     from .delivery import Delivery
-    from .exchange import AttemptResult, Exchange
+    from .exchange import Exchange
     from .messages import AttemptMetadata, Call
     from .metrics import ProxyMetrics
     from .request_queues import RequestQueues
--- a/libraries/proxy/tests/test_exchange.py
+++ b/libraries/proxy/tests/test_exchange.py
@@ -13,8 +13,9 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+from bamboopier_proxy.attempt_result import AttemptResult
 from bamboopier_proxy.delivery import CallerDisconnectedError, Delivery
-from bamboopier_proxy.exchange import AttemptResult, Exchange
+from bamboopier_proxy.exchange import Exchange
 from bamboopier_proxy.weight_expiry_monitor import WeightExpiryMonitor
 
 if TYPE_CHECKING:
