Move or answer the callers of a silent target before they leave

What callers saw: an engine was suspended for five seconds with requests that it had not started. Resumable streams ended with the engine though eight others were free.

Cause: a stall only kept new requests away; no one decided about those that the target already had. Class: waiting for a peer for longer than the one waited for has any use of the result.

Ruled out: a lost reset (all requests of five gateways ended at the engine in the instant it resumed) and a gateway that noticed late (each closed within 5 ms of its caller's leaving).

Change: an attempt whose target is stalled is moved to another target after a second, if the request may run twice or its stream can be resumed, the retry budget allows it and a target has capacity. Every other caller without a part of its response gets a final one (502, outcome unknown) a quarter second before it leaves. Streams that have begun and may not be resumed wait on: nothing but the engine's next byte can reach their callers.

The four mutations of the safeguards are new.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -35,6 +35,7 @@
     """One request at one target, from its sending to its end."""
 
     __slots__ = (
+        "last_byte_at",
         "load",
         "prefill_before",
         "prompt",
@@ -55,6 +56,8 @@
         self.prefill_before = state.pending_prefill + load.pending_prefill
         # None until it is sent.
         self.sent_at: float | None = None
+        # When a part of its response was last received; at first when it was sent.
+        self.last_byte_at: float | None = None
         # When it was sent: seconds for which the target had owed a byte, and the number
         # of requests that were waiting for it.
         self.silence = 0.0
@@ -65,13 +68,14 @@
     def record_sent(self, now: float) -> None:
         """Record that the first byte is sent to the target."""
         detector = self.state.stall_detector
-        self.sent_at = now
+        self.sent_at = self.last_byte_at = now
         self.silence, self.waiting = detector.find_silence(now), detector.in_flight
         detector.record_sent(now)
 
     def record_byte(self, now: float) -> None:
         """Record that a part of the response was received."""
         detector = self.state.stall_detector
+        self.last_byte_at = now
         if self.started or self.sent_at is None:
             detector.record_byte(now)
             return
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/specs.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/specs.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
 import msgspec
@@ -56,6 +57,8 @@
     public: bool
     # Requests contain prompts whose parts targets may have cached.
     has_prompt: bool
+    # Seconds without an event after which callers abandon a stream.
+    caller_patience: float = math.inf
 
 
 class EngineSpec(msgspec.Struct, frozen=True):
--- a/libraries/proxy/src/bamboopier_proxy/attempt_result.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_result.py
@@ -28,6 +28,10 @@
     BROKEN = "broken"
     UNSEALED = "unsealed"
     TIMEOUT = "timeout"
+    # Its target stopped responding, and another one may run it.
+    MOVED = "moved"
+    # Its target stopped responding, and its caller was about to leave.
+    UNANSWERED = "unanswered"
 
 
 class AttemptResult(msgspec.Struct):
--- a/libraries/proxy/src/bamboopier_proxy/delivery.py
+++ b/libraries/proxy/src/bamboopier_proxy/delivery.py
@@ -34,6 +34,8 @@
         # The response announces that the connection closes after it.
         self.close_connection = False
         self._response: web.StreamResponse | None = None
+        # A write waits for the caller to read.
+        self.is_writing = False
 
     @property
     def started(self) -> bool:
@@ -117,8 +119,11 @@
                 task.uncancel()
 
     async def _write_with_timeout(self, work: Awaitable[object]) -> None:
+        self.is_writing = True
         try:
             async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
                 await work
         except (TimeoutError, ConnectionError) as error:
             raise CallerDisconnectedError(str(error) or type(error).__name__) from error
+        finally:
+            self.is_writing = False
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -14,6 +14,7 @@
 from .delivery import CallerDisconnectedError
 from .event_splitter import EventSplitter
 from .limit_updates import record_limit
+from .stall_monitor import MonitoredAttempt
 from .target_pool import ConnectError
 from .target_response import BrokenResponseError
 
@@ -27,6 +28,7 @@
     from .delivery import Delivery
     from .header_codec import HeaderCodec
     from .messages import AttemptMetadata, Call, ResponseMetadata
+    from .stall_monitor import StallMonitor
     from .target_pool import TargetPool
     from .target_response import TargetResponse
     from .weight_expiry_monitor import PendingRequest, WeightExpiryMonitor
@@ -45,11 +47,13 @@
         fleet: Fleet,
         codec: HeaderCodec,
         expiry_monitor: WeightExpiryMonitor,
+        stall_monitor: StallMonitor,
     ) -> None:
         self._pool = pool
         self._fleet = fleet
         self._codec = codec
         self._expiry_monitor = expiry_monitor
+        self._stall_monitor = stall_monitor
 
     async def send(
         self,
@@ -57,12 +61,14 @@
         in_flight: InFlightRequest,
         prepare: Callable[[], Result[AttemptMetadata, Cause]],
         delivery: Delivery,
+        claim_move: Callable[[], bool],
     ) -> AttemptResult:
         """Send ``call`` to the target of ``in_flight`` and relay its response.
 
         ``prepare`` is called right before the send; it returns the metadata for the
-        target, or why nothing may be sent, and may raise. Raises
-        ``CallerDisconnectedError`` when the caller has disconnected.
+        target, or why nothing may be sent, and may raise. ``claim_move`` returns
+        whether another target may run the request if this one stalls, and reserves the
+        retry. Raises ``CallerDisconnectedError`` when the caller has disconnected.
         """
         entry = in_flight.state.entry
         recently_used = not call.route.repeat.allows_rerun
@@ -90,7 +96,11 @@
         metadata, sent_at = prepared.unwrap(), read_clock()
         in_flight.record_sent(sent_at)
         done = False
-        with self._expiry_monitor.watch(call, metadata, connection) as pending:
+        attempt = MonitoredAttempt(call, in_flight, connection, delivery, claim_move)
+        with (
+            self._expiry_monitor.watch(call, metadata, connection) as pending,
+            self._stall_monitor.watch(attempt),
+        ):
             try:
                 async with asyncio.timeout(call.timeout_at - sent_at):
                     result = await self._send_and_relay(
@@ -109,8 +119,9 @@
                     self._pool.release(entry, connection)
                 else:
                     self._pool.discard(entry, connection)
-        if pending.aborted and result.cause is Cause.BROKEN:
-            result = AttemptResult(ExecutionStatus.UNKNOWN, Cause.OUTDATED)
+        aborted_for = Cause.OUTDATED if pending.aborted else attempt.aborted_for
+        if aborted_for is not None and result.cause is Cause.BROKEN:
+            result = AttemptResult(ExecutionStatus.UNKNOWN, aborted_for)
         result.metadata, result.sent_at = metadata, sent_at
         return result
 
@@ -214,6 +225,7 @@
                     await delivery.start(response.status, response.headers)
                 await delivery.write(complete_events)
                 call.last_event = splitter.last_event
+                call.waiting_since = read_clock()
         except BrokenResponseError as error:
             result.ran = ExecutionStatus.UNKNOWN
             result.cause = Cause.BROKEN
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -13,7 +13,7 @@
 from bamboopier_decisions.forwarding.wait_queue import draw_retry_after, find_max_wait
 
 from .attempt_log import AttemptLog
-from .attempt_result import Cause
+from .attempt_result import AttemptResult, Cause
 from .refusals import CallerError, ErrorCode, ExecutionStatus
 
 if TYPE_CHECKING:
@@ -30,7 +30,6 @@
 
     from .active_configuration import ActiveConfiguration
     from .attempt_planner import AttemptPlanner
-    from .attempt_result import AttemptResult
     from .delivery import Delivery
     from .exchange import Exchange
     from .messages import AttemptMetadata, Call
@@ -50,6 +49,9 @@
 # none.
 MIN_LIMIT_SHARE_PER_SECOND = 1e-6
 
+# Causes after which a retry is not paid for: nothing was sent, or it was spent before.
+FREE_RETRY_CAUSES = frozenset({Cause.CONNECT, Cause.CLOSED, Cause.STALLED, Cause.MOVED})
+
 log = structlog.get_logger()
 
 
@@ -103,7 +105,7 @@
             in_flight = await self._acquire_target(call)
             call.tried.append(in_flight.state.entry.name)
             try:
-                result = await self._send(call, in_flight, delivery)
+                result = await self._send(call, in_flight, delivery, runs, retry_budget)
                 self._record_outcome(call, in_flight, result)
             except BaseException:
                 in_flight.state.circuit_breaker.record_inconclusive()
@@ -124,12 +126,36 @@
                 return
 
     async def _send(
-        self, call: Call, in_flight: InFlightRequest, delivery: Delivery
+        self,
+        call: Call,
+        in_flight: InFlightRequest,
+        delivery: Delivery,
+        runs: int,
+        retry_budget: SharedRetryBudget,
     ) -> AttemptResult:
         def prepare() -> Result[AttemptMetadata, Cause]:
             return self._prepare(call, in_flight)
 
-        return await self._exchange.send(call, in_flight, prepare, delivery)
+        def claim_move() -> bool:
+            return self._claim_move(call, delivery, runs, retry_budget)
+
+        return await self._exchange.send(call, in_flight, prepare, delivery, claim_move)
+
+    def _claim_move(
+        self, call: Call, delivery: Delivery, runs: int, retry_budget: SharedRetryBudget
+    ) -> bool:
+        """Return whether another target may run a call whose target has stalled.
+
+        The retry is then spent.
+        """
+        moved = AttemptResult(ExecutionStatus.UNKNOWN, Cause.MOVED)
+        if not self._may_retry(call, moved, delivery, runs + 1):
+            return False
+        now = read_clock()
+        demand = self._planner.make_demand(now, call)
+        if self._select_target(call, demand, set(call.tried)).state is None:
+            return False
+        return retry_budget.try_spend(now, self._fleet.gateway_count)
 
     def _prepare(
         self, call: Call, in_flight: InFlightRequest
@@ -283,6 +309,9 @@
                     state.busy_until = now + REPLACED_BACKOFF_SECONDS
             case Cause.CLOSED | Cause.STALLED | Cause.LATE | Cause.OUTDATED:
                 state.circuit_breaker.record_inconclusive()
+            case Cause.MOVED | Cause.UNANSWERED:
+                # The stall detector keeps requests from it.
+                state.circuit_breaker.record_inconclusive()
             case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
                 state.circuit_breaker.record_failure(now)
                 if result.cause is Cause.BROKEN and not result.status:
@@ -298,7 +327,7 @@
     ) -> bool:
         """Return whether to retry; if not, the caller has its final response."""
         if self._may_retry(call, result, delivery, runs):
-            free = result.cause in (Cause.CONNECT, Cause.CLOSED, Cause.STALLED)
+            free = result.cause in FREE_RETRY_CAUSES
             if free or retry_budget.try_spend(read_clock(), self._fleet.gateway_count):
                 return True
         if delivery.started:
@@ -326,7 +355,7 @@
     ) -> bool:
         if len(call.tried) >= MAX_ATTEMPTS or read_clock() >= call.timeout_at:
             return False
-        if result.cause is Cause.TIMEOUT:
+        if result.cause in (Cause.TIMEOUT, Cause.UNANSWERED):
             return False
         if result.ran is ExecutionStatus.NOT_EXECUTED:
             return not delivery.started or call.last_event is not None
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -30,6 +30,7 @@
 from .metrics import ProxyMetrics
 from .pause_monitor import PauseMonitor
 from .settings_reloader import SettingsReloader
+from .stall_monitor import StallMonitor
 from .store_followers import StoreFollowers
 from .target_pool import TargetPool
 from .weight_expiry_monitor import WeightExpiryMonitor
@@ -71,11 +72,12 @@
     peers = GatewayPeers(settings, state, store, schema, part_store_client, generator)
     pool = TargetPool(codec.get_request_id_header())
     expiry_monitor = WeightExpiryMonitor(state.weights)
+    stall_monitor = StallMonitor()
     forwarder = Forwarder(
         state.fleet,
         state.active_configuration,
         AttemptPlanner(state.weights, state.part_store_index),
-        Exchange(pool, state.fleet, codec, expiry_monitor),
+        Exchange(pool, state.fleet, codec, expiry_monitor, stall_monitor),
         state.request_queues,
         metrics,
         peers.hint_exchange,
@@ -120,6 +122,7 @@
                 settings_reloader.run(),
                 pool.run(),
                 expiry_monitor.run(),
+                stall_monitor.run(),
             ):
                 await stack.enter_async_context(keep_running(work))
             await stack.enter_async_context(
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -61,11 +61,21 @@
     version: int
     fingerprint: bytes
     last_event: str | None = None
+    # Since when the caller has got nothing: its arrival, or the last event.
+    waiting_since: float = 0.0
     # Names of the targets of its attempts.
     tried: list[str] = msgspec.field(default_factory=list)
     # A target started it, or may have.
     may_have_run: bool = False
 
+    def __post_init__(self) -> None:
+        self.waiting_since = self.waiting_since or self.arrived
+
+    @property
+    def leaves_at(self) -> float:
+        """Return when the caller leaves if it gets nothing more."""
+        return min(self.timeout_at, self.waiting_since + self.route.caller_patience)
+
 
 class AttemptMetadata(msgspec.Struct, frozen=True):
     """Metadata sent to a target in addition to the caller's own headers."""
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -32,6 +32,7 @@
 from bamboopier_proxy.messages import AttemptMetadata, Call, ResponseMetadata
 from bamboopier_proxy.metrics import ProxyMetrics
 from bamboopier_proxy.request_queues import RequestQueues
+from bamboopier_proxy.stall_monitor import StallMonitor
 from bamboopier_proxy.target_response import TargetResponse
 from bamboopier_proxy.weight_expiry_monitor import WeightExpiryMonitor
 
@@ -123,6 +124,7 @@
                 self.fleet,
                 codec,
                 WeightExpiryMonitor(self.weights),
+                StallMonitor(),
             ),
             RequestQueues(),
             ProxyMetrics(),
--- a/libraries/proxy/tests/test_exchange.py
+++ b/libraries/proxy/tests/test_exchange.py
@@ -16,6 +16,7 @@
 from bamboopier_proxy.attempt_result import AttemptResult
 from bamboopier_proxy.delivery import CallerDisconnectedError, Delivery
 from bamboopier_proxy.exchange import Exchange
+from bamboopier_proxy.stall_monitor import StallMonitor
 from bamboopier_proxy.weight_expiry_monitor import WeightExpiryMonitor
 
 if TYPE_CHECKING:
@@ -105,12 +106,16 @@
         async with connect() as (caller, transport):
             request = cast("web.BaseRequest", SimpleNamespace(transport=transport))
             pool, fleet = ActingCallerPool(caller, act), mock.Mock()
-            exchange = Exchange(cast("Any", pool), fleet, mock.Mock(), EXPIRY_MONITOR)
+            exchange = Exchange(
+                cast("Any", pool), fleet, mock.Mock(), EXPIRY_MONITOR, StallMonitor()
+            )
             sent = mock.AsyncMock(return_value=AttemptResult(mock.Mock()))
             delivery = Delivery(request, lambda: False)
             with mock.patch.object(exchange, "_send_and_relay", sent):
                 try:
-                    await exchange.send(call, mock.Mock(), mock.Mock(), delivery)
+                    await exchange.send(
+                        call, mock.Mock(), mock.Mock(), delivery, mock.Mock()
+                    )
                 except CallerDisconnectedError:
                     self.assertFalse(sent.called)
         return pool, sent
--- a/tools/safeguards/stalled_targets.py
+++ b/tools/safeguards/stalled_targets.py
@@ -11,7 +11,44 @@
 PLACEMENT_TESTS = "tests.forwarding.test_placement.PlacementTests"
 REPORT_TESTS = "tests.test_stall_reports.StallReportTests"
 
+STALLED_ATTEMPT = f"{FORWARDING}/stalled_attempt.py"
+STALL_MONITOR = f"{PROXY}/stall_monitor.py"
+ATTEMPT_TESTS = "tests.forwarding.test_stalled_attempt.StalledAttemptTests"
+MONITOR_TESTS = "tests.test_stall_monitor.StallMonitorTests"
+
 MUTATIONS = (
+    Mutation(
+        "callers at a silent target are told before they leave",
+        STALLED_ATTEMPT,
+        "    if now >= leaves_at - RESPONSE_MARGIN_SECONDS:\n",
+        "    if now >= leaves_at:\n",
+        "libraries/decisions",
+        f"{ATTEMPT_TESTS}.test_an_attempt_is_moved_and_its_caller_answered_before_it_leaves",
+    ),
+    Mutation(
+        "an attempt is moved while its caller has time left",
+        STALLED_ATTEMPT,
+        "min(MOVE_AFTER_SECONDS, patience * MOVE_SHARE)",
+        "MOVE_AFTER_SECONDS",
+        "libraries/decisions",
+        f"{ATTEMPT_TESTS}.test_an_impatient_caller_leaves_the_other_target_half_of_the_time",
+    ),
+    Mutation(
+        "a gateway that was suspended reads before it ends attempts",
+        STALL_MONITOR,
+        "set() if paused else silent & self._silent",
+        "silent",
+        "libraries/proxy",
+        f"{MONITOR_TESTS}.test_bytes_that_came_during_a_suspension_are_read_first",
+    ),
+    Mutation(
+        "a target that waits for a slow caller is not ended",
+        STALL_MONITOR,
+        " or attempt.delivery.is_writing:",
+        ":",
+        "libraries/proxy",
+        f"{MONITOR_TESTS}.test_a_target_that_waits_for_a_slow_caller_is_not_at_fault",
+    ),
     Mutation(
         "a stalled target gets no requests while others respond",
         f"{FORWARDING}/placement.py",
