Count the patience of callers from before a suspension of their gateway

What callers saw: a gateway was suspended while they sent their requests, read these when it resumed, and sent some to engines that were suspended by then. It counted 3.2 s from its reading; its callers left up to 3.2 s earlier, without a response, and the engine had their requests on.

Cause: "now" was taken for the time at which a request was sent.

Change: what is read within a second after a suspension may have lain in a socket since its start; the time at which such a caller leaves is counted from there.

What costs it was not looked for.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/pause_tracker.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/pause_tracker.py
@@ -72,6 +72,20 @@
         pending = gap if gap >= PAUSE_SECONDS else 0.0
         return now - self._paused_seconds - pending
 
+    def find_unread_since(self, now: float) -> float:
+        """Return since when bytes that are read now may have been waiting unread.
+
+        Unlike ``find_earliest_arrival`` it leaves out what is retransmitted after a
+        pause: only what lay in this process's sockets counts.
+        """
+        if now - self._ticked_at >= PAUSE_SECONDS:
+            # The process is running again before the tick that is due.
+            return self._ticked_at
+        last = self._last
+        if last is None or now >= last.ended_at + CATCH_UP_SECONDS:
+            return now
+        return last.started_at
+
     def find_earliest_arrival(self, now: float) -> float:
         """Return the earliest time at which something read now may have arrived.
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/stalled_attempt.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/stalled_attempt.py
@@ -24,8 +24,9 @@
 # moved at the latest. The other target needs the rest.
 MOVE_SHARE = 0.5
 # Seconds before the caller leaves in which its final response is sent: an interval
-# between two checks, and the way to the caller.
-RESPONSE_MARGIN_SECONDS = 0.25
+# between two checks, the delay of a busy gateway in reading the request, and the way to
+# the caller.
+RESPONSE_MARGIN_SECONDS = 0.4
 
 
 class StallAction(StrEnum):
--- a/libraries/decisions/tests/forwarding/test_pause_tracker.py
+++ b/libraries/decisions/tests/forwarding/test_pause_tracker.py
@@ -48,6 +48,15 @@
         self.run_until(113.0, 113.0 + 3.0 + CATCH_UP_SECONDS)
         self.assertEqual(self.pauses.find_earliest_arrival(117.1), 117.1)
 
+    def test_what_lay_in_a_socket_is_read_soon_after_a_pause(self) -> None:
+        # Guards against requests that arrive after a pause and count as old.
+        self.run_until(100.0, 110.0)
+        self.assertEqual(self.pauses.find_unread_since(110.1), 110.1)
+        self.assertEqual(self.pauses.find_unread_since(113.0), 110.0)
+        self.run_until(113.0, 113.0 + CATCH_UP_SECONDS)
+        self.assertEqual(self.pauses.find_unread_since(113.9), 110.0)
+        self.assertEqual(self.pauses.find_unread_since(114.1), 114.1)
+
     def test_a_pause_soon_after_another_continues_it(self) -> None:
         # Input that waited in the first pause may still be unread when the second
         # starts.
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -225,7 +225,7 @@
                     await delivery.start(response.status, response.headers)
                 await delivery.write(complete_events)
                 call.last_event = splitter.last_event
-                call.waiting_since = read_clock()
+                call.last_event_at = read_clock()
         except BrokenResponseError as error:
             result.ran = ExecutionStatus.UNKNOWN
             result.cause = Cause.BROKEN
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -90,6 +90,7 @@
         state.active_configuration,
         forwarder,
         metrics,
+        state.pauses,
         settings.memory_bytes,
         generator,
     )
--- a/libraries/proxy/src/bamboopier_proxy/ingress.py
+++ b/libraries/proxy/src/bamboopier_proxy/ingress.py
@@ -23,6 +23,7 @@
 
     from aiohttp import web
 
+    from bamboopier_decisions.forwarding.pause_tracker import PauseTracker
     from bamboopier_decisions.forwarding.route_table import RouteTable
     from bamboopier_decisions.forwarding.specs import Route, Workspace
 
@@ -57,6 +58,7 @@
         active_configuration: ActiveConfiguration,
         forwarder: Forwarder,
         metrics: ProxyMetrics,
+        pauses: PauseTracker,
         memory_bytes: int,
         random: random.Random,
     ) -> None:
@@ -64,6 +66,7 @@
         self._active_configuration = active_configuration
         self._forwarder = forwarder
         self._metrics = metrics
+        self._pauses = pauses
         self._random = random
         self._bodies = BodyBudget(
             int(memory_bytes * BODY_MEMORY_SHARE), metrics.held_body_bytes
@@ -222,6 +225,7 @@
             prompt=metadata.prompt if route.has_prompt else None,
             priority=priority,
             arrived=arrived,
+            unread_seconds=arrived - self._pauses.find_unread_since(arrived),
             deadline=deadline,
             timeout_at=min(deadline, arrived + route.timeout),
             version=table.configuration.version,
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -61,20 +61,28 @@
     version: int
     fingerprint: bytes
     last_event: str | None = None
-    # Since when the caller has got nothing: its arrival, or the last event.
-    waiting_since: float = 0.0
+    # Seconds for which it may have been waiting unread before it arrived.
+    unread_seconds: float = 0.0
+    # When the caller got the last event; None before the first.
+    last_event_at: float | None = None
     # Names of the targets of its attempts.
     tried: list[str] = msgspec.field(default_factory=list)
     # A target started it, or may have.
     may_have_run: bool = False
 
-    def __post_init__(self) -> None:
-        self.waiting_since = self.waiting_since or self.arrived
-
     @property
     def leaves_at(self) -> float:
-        """Return when the caller leaves if it gets nothing more."""
-        return min(self.timeout_at, self.waiting_since + self.route.caller_patience)
+        """Return the earliest time at which the caller leaves if it gets nothing more.
+
+        Its own time runs from when it sent the request, which may be long before this
+        process, if that was suspended, read it.
+        """
+        sent_at = self.arrived - self.unread_seconds
+        waiting_since = sent_at if self.last_event_at is None else self.last_event_at
+        return min(
+            self.timeout_at - self.unread_seconds,
+            waiting_since + self.route.caller_patience,
+        )
 
 
 class AttemptMetadata(msgspec.Struct, frozen=True):
--- a/libraries/proxy/src/bamboopier_proxy/stall_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/stall_monitor.py
@@ -149,6 +149,7 @@
             silent_seconds=round(now - (in_flight.last_byte_at or now), 3),
             target_silence=round(in_flight.state.stall_detector.find_silence(now), 3),
             caller_leaves_in=round(call.leaves_at - now, 3),
+            unread_seconds=round(call.unread_seconds, 3),
             response_started=attempt.delivery.started,
         )
 
