Tell the callers of moved requests before they leave, too

What callers would see: a request is moved from a suspended engine to a slow one, and its caller leaves before that responds. The first engine still has the request then.

Cause: only the silence of the present target was looked at. Moved requests are now ended before their callers leave whichever target has them. After a suspension of the gateway no attempt is judged until what lay in its sockets was read, moved ones included.

--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -69,6 +69,8 @@
     tried: list[str] = msgspec.field(default_factory=list)
     # A target started it, or may have.
     may_have_run: bool = False
+    # It was moved from a target that had stalled, and may still have it.
+    moved: bool = False
 
     @property
     def leaves_at(self) -> float:
--- a/libraries/proxy/src/bamboopier_proxy/stall_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/stall_monitor.py
@@ -109,12 +109,13 @@
             for attempt in self._attempts
             if _is_silent(now, attempt.in_flight.state.stall_detector)
         }
-        confirmed = set() if paused else silent & self._silent
+        confirmed = silent & self._silent
         self._silent = silent
-        if not confirmed:
+        if paused:
             return
         for attempt in list(self._attempts):
-            if attempt.in_flight.state.entry.name in confirmed:
+            # The first target of a moved request may have it until its caller leaves.
+            if attempt.call.moved or attempt.in_flight.state.entry.name in confirmed:
                 self._check_attempt(now, attempt)
 
     def _check_attempt(self, now: float, attempt: MonitoredAttempt) -> None:
@@ -139,6 +140,7 @@
     def _abort(self, now: float, attempt: MonitoredAttempt, cause: Cause) -> None:
         self._attempts.discard(attempt)
         attempt.aborted_for = cause
+        attempt.call.moved |= cause is Cause.MOVED
         attempt.connection.abort()
         call, in_flight = attempt.call, attempt.in_flight
         log.info(
--- a/libraries/proxy/tests/test_stall_monitor.py
+++ b/libraries/proxy/tests/test_stall_monitor.py
@@ -26,10 +26,12 @@
         # Seconds for which the target has been silent, unusual or not.
         self.silence = 0.0
 
-    def start(self, *, movable: bool, **delivery: Any) -> MonitoredAttempt:
+    def start(
+        self, *, movable: bool, moved: bool = False, **delivery: Any
+    ) -> MonitoredAttempt:
         """Start an attempt whose target sends nothing from now on."""
         call = mock.Mock(
-            leaves_at=self.now + PATIENCE_SECONDS, unread_seconds=0.0, moved=False
+            leaves_at=self.now + PATIENCE_SECONDS, unread_seconds=0.0, moved=moved
         )
         in_flight = mock.Mock(last_byte_at=self.now)
         in_flight.state.entry.name = "i-1"
@@ -85,6 +87,16 @@
         self.pass_time(PATIENCE_SECONDS - 2.6 - 0.1)
         self.assertIs(attempt.aborted_for, Cause.UNANSWERED)
 
+    def test_a_caller_whose_request_was_moved_is_told_before_it_leaves(self) -> None:
+        # Guards against a request that its first target, which is suspended, still has
+        # when its caller leaves: the second one is only slow.
+        attempt = self.start(movable=False, moved=True)
+        self.stalled = False
+        self.pass_time(2.6)
+        self.assertIsNone(attempt.aborted_for)
+        self.pass_time(PATIENCE_SECONDS - 2.6 - 0.1)
+        self.assertIs(attempt.aborted_for, Cause.UNANSWERED)
+
     def test_nothing_is_ended_while_the_target_responds(self) -> None:
         # Guards against the end of a response that is only slow.
         attempt = self.start(movable=True)
@@ -96,6 +108,7 @@
         # Guards against a gateway that is suspended, and takes its own silence for
         # that of all targets when it resumes.
         attempt = self.start(movable=True)
+        self.pass_time(0.2)
         self.now += 2.5
         self.monitor.check(self.now)
         self.assertIsNone(attempt.aborted_for)
--- a/tools/safeguards/stalled_targets.py
+++ b/tools/safeguards/stalled_targets.py
@@ -36,11 +36,28 @@
     Mutation(
         "a gateway that was suspended reads before it ends attempts",
         STALL_MONITOR,
-        "set() if paused else silent & self._silent",
-        "silent",
+        "        if paused:\n            return\n",
+        "",
         "libraries/proxy",
         f"{MONITOR_TESTS}.test_bytes_that_came_during_a_suspension_are_read_first",
     ),
+    Mutation(
+        "callers whose requests were moved are told before they leave",
+        STALL_MONITOR,
+        "attempt.call.moved or ",
+        "",
+        "libraries/proxy",
+        f"{MONITOR_TESTS}.test_a_caller_whose_request_was_moved_is_told_before_it_leaves",
+    ),
+    Mutation(
+        "the patience of callers counts from before a suspension",
+        f"{PROXY}/messages.py",
+        "self.arrived - self.unread_seconds",
+        "self.arrived",
+        "platform",
+        "tests.test_stalled_engines.StalledEngineTests"
+        ".test_requests_that_waited_for_a_suspended_gateway_are_answered_in_time",
+    ),
     Mutation(
         "a target that waits for a slow caller is not ended",
         STALL_MONITOR,
