Grant targets the rest that they ask for

Cause: nothing read an engine's Retry-After. Class: a peer's statement about the future for which only the present was noted.

It holds for the choice, for requests that wait and are woken, and right before each send; an entry that expires and is listed again keeps it. After it the number of requests in flight starts at one and grows with the responses. If all targets rest or are rate-limited, or the request was sent to all of them, it is refused at once, with a Retry-After after the first end, spread over 0.8 s. Before, a time that was later than a third of the caller's time was cut to that: the same for all callers with the same deadline. A stalled target is probed while the others rest. What a response reports of its target is applied in a module of its own.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -14,6 +14,7 @@
 
 from .prefill_rate import PrefillRate
 from .rate_limit import RateLimit
+from .rest_period import RestPeriod
 from .specs import ServiceSpec, TargetEntry
 from .target_state import Load, TargetState
 
@@ -25,7 +26,7 @@
 # Seconds after the store recovered in which an entry that is missing may only have
 # expired during the outage: live targets are listed again within two.
 STORE_RECOVERY_SECONDS = 2.2
-# Targets without an entry whose rate limits are kept.
+# Targets without an entry whose reports are kept.
 MAX_FORMER_TARGETS = 64
 # For ``store_recovered_at``: the store had no outage.
 NEVER = float("-inf")
@@ -39,6 +40,7 @@
         "load",
         "prefill_before",
         "prompt",
+        "ramped",
         "sent_at",
         "service",
         "silence",
@@ -54,6 +56,8 @@
         self.service = state.service.name
         # Tokens pending at the target when it was chosen, its own included.
         self.prefill_before = state.pending_prefill + load.pending_prefill
+        # It counts among the few requests right after a rest of the target.
+        self.ramped = state.rest.record_sent()
         # None until it is sent.
         self.sent_at: float | None = None
         # When a part of its response was last received; at first when it was sent.
@@ -88,10 +92,11 @@
 
 
 class _FormerTarget(msgspec.Struct, frozen=True):
-    """A target without an entry that had reported a rate limit."""
+    """What a target without an entry had reported, which still holds."""
 
     entry: TargetEntry
     limit: RateLimit
+    rest: RestPeriod
 
 
 class Fleet:
@@ -185,7 +190,7 @@
         state = TargetState(entry, spec, rate)
         former = self._former.pop(entry.name, None)
         if former is not None and _is_same_instance(former.entry, entry):
-            state.rate_limit = former.limit
+            state.rate_limit, state.rest = former.limit, former.rest
         if entry.cold_seconds > 0:
             state.cold_start.start(now, entry.cold_seconds)
         self._states[entry.name] = state
@@ -208,7 +213,7 @@
             return
         self._missing.pop(name, None)
         del self._states[name]
-        self._remember_rate_limit(state)
+        self._remember_reports(now, state)
         self._index_by_service()
 
     def begin(
@@ -238,6 +243,8 @@
 
     def end(self, sent: InFlightRequest) -> None:
         """Record the end of a request."""
+        if sent.ramped:
+            sent.state.rest.record_end()
         own = sent.state.own_load
         own.requests -= sent.load.requests
         if sent.prompt is not None:
@@ -249,16 +256,17 @@
         for name, state in self._states.items():
             state.other_load = loads.get(name) or Load()
 
-    def _remember_rate_limit(self, state: TargetState) -> None:
-        """Keep the rate limit of a target that is no longer listed.
+    def _remember_reports(self, now: float, state: TargetState) -> None:
+        """Keep what a target that is no longer listed had reported.
 
-        Guards against a burst: a rate-limited target is cut off from the store, so its
-        entry expires, and is listed again. Without its limit it would receive a burst
-        from all gateways before the first response.
+        Guards against a burst: a rate-limited or resting target is cut off from the
+        store, so its entry expires, and is listed again. It would receive a burst
+        before its first response.
         """
-        if not state.rate_limit.in_force:
+        if not state.rate_limit.in_force and not state.rest.is_resting(now):
             return
-        self._former[state.entry.name] = _FormerTarget(state.entry, state.rate_limit)
+        name = state.entry.name
+        self._former[name] = _FormerTarget(state.entry, state.rate_limit, state.rest)
         if len(self._former) > MAX_FORMER_TARGETS:
             del self._former[next(iter(self._former))]
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -108,16 +108,22 @@
     oldest: int = 0
 
 
-class RateLimitedTargets(msgspec.Struct, frozen=True):
-    """Targets whose rate limits allow this gateway no further request for now."""
+class LimitedTargets(msgspec.Struct, frozen=True):
+    """Targets that accept no request of this gateway until a time that is known.
 
+    They have asked for rest, or its share of their rate limits is used up.
+    """
+
+    # Those that the request has not been sent to.
     count: int
-    # No other target is known that the request has not been sent to.
+    # There is no other target that the request has not been sent to.
     covers_all: bool
-    # When the first of them accepts a request again.
+    # When the first of ``count`` accepts a request again; infinity without any.
     next_at: float
-    # Requests a second that all of them together accept from this gateway.
+    # Requests a second that those in ``count`` accept together from this gateway.
     gateway_rate: float
+    # When the first of all targets, tried or not, accepts requests of this gateway.
+    free_at: float
 
 
 class Placement:
@@ -131,7 +137,7 @@
         known: int,
         open_: int,
         usable: int,
-        limited: RateLimitedTargets,
+        limited: LimitedTargets,
     ) -> None:
         # The chosen target; None when all usable ones are full, or none is usable.
         self.state = state
@@ -140,7 +146,7 @@
         self.known = known
         self.usable = usable
         self.open = open_
-        # The targets that get no request now because of the rate limit they reported.
+        # The targets that get no request now because of what they reported.
         self.limited = limited
 
 
@@ -166,9 +172,9 @@
         and _can_try(now, fleet, state)
         and _serves(state, demand, weights.oldest)
     ]
-    candidates = _exclude_stalled(now, candidates)
-    limited = _find_limited(now, fleet, candidates)
+    limited = _find_limited(now, fleet, known)
     usable = [state for state in candidates if state not in limited]
+    usable = _exclude_stalled(now, usable)
     if _is_long(demand):
         usable = _exclude_draining(now, usable)
     with_capacity = [
@@ -181,8 +187,7 @@
         if with_capacity
         else None
     )
-    untried = sum(state.entry.name not in tried for state in known)
-    described = _describe_limited(limited, untried)
+    described = _describe_limited(now, limited, known, tried)
     return Placement(best, len(known), len(with_capacity), len(usable), described)
 
 
@@ -226,6 +231,8 @@
 def _can_try(now: float, fleet: Fleet, state: TargetState) -> bool:
     if now < state.busy_until or not state.circuit_breaker.allows_request(now):
         return False
+    if not state.rest.allows_request(now):
+        return False
     rate = state.service.cold_per_second
     return rate <= 0 or state.cold_start.may_send(
         now, rate, fleet.gateway_count, fleet.gateway_index
@@ -245,25 +252,32 @@
 def _find_limited(
     now: float, fleet: Fleet, states: list[TargetState]
 ) -> dict[TargetState, float]:
-    """Return the targets that their rate limits exclude now, and until when."""
+    """Return the targets that what they reported excludes now, and until when."""
     limited = {}
     for state in states:
-        next_at = state.rate_limit.find_next(
+        allowed_at = state.rate_limit.find_next(
             now, fleet.gateway_count, fleet.gateway_index
         )
+        next_at = max(allowed_at, state.rest.until)
         if next_at > now:
             limited[state] = next_at
     return limited
 
 
 def _describe_limited(
-    limited: dict[TargetState, float], untried: int
-) -> RateLimitedTargets:
-    return RateLimitedTargets(
-        len(limited),
-        len(limited) == untried,
-        min(limited.values(), default=math.inf),
-        sum(state.rate_limit.gateway_rate for state in limited),
+    now: float,
+    limited: dict[TargetState, float],
+    known: list[TargetState],
+    tried: Set[str],
+) -> LimitedTargets:
+    untried = [state for state in known if state.entry.name not in tried]
+    waiting = [state for state in untried if state in limited]
+    return LimitedTargets(
+        len(waiting),
+        len(waiting) == len(untried),
+        min((limited[state] for state in waiting), default=math.inf),
+        sum(state.rate_limit.gateway_rate for state in waiting),
+        min((limited.get(state, now) for state in known), default=now),
     )
 
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -10,6 +10,7 @@
 from .gateway_headroom import GatewayHeadroom
 from .part_cache_estimate import PartCacheEstimate
 from .rate_limit import RateLimit
+from .rest_period import RestPeriod
 from .stall_detector import StallDetector
 
 if TYPE_CHECKING:
@@ -55,6 +56,7 @@
         "cached_parts",
         "pinned",
         "prefill_rate",
+        "rest",
         "service",
         "short_answers_until",
         "circuit_breaker",
@@ -76,6 +78,7 @@
         self.stall_detector = StallDetector()
         self.cold_start = ColdStartLimit(hash_phase(entry.name))
         self.rate_limit = RateLimit(hash_phase(entry.name))
+        self.rest = RestPeriod()
         # Until then it rejects requests, as it reported.
         self.busy_until = float("-inf")
         # Until then it gets short responses only: it is about to load new weights.
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/wait_queue.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/wait_queue.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -39,13 +40,19 @@
 ) -> float:
     """Return the random seconds after which a rejected request should return.
 
-    No capacity is expected for ``capacity_in`` seconds; a caller that returned before
-    would be rejected again.
+    No capacity is expected for ``capacity_in`` seconds, infinity if that is unknown; a
+    caller that returned before would be rejected again. It is told so even if it will
+    not wait for as long: what it does then is its own choice.
     """
     shortest, longest = RETRY_AFTER_SECONDS
     max_seconds = remaining * RETRY_AFTER_SHARE
-    first = min(max(shortest, capacity_in), max_seconds)
-    return random.uniform(first, max(first, min(longest, max_seconds)))
+    if math.isinf(capacity_in):
+        capacity_in = max_seconds
+    first = max(min(shortest, max_seconds), capacity_in)
+    spread = longest - shortest
+    if capacity_in < max_seconds:
+        spread = min(spread, max_seconds - first)
+    return random.uniform(first, first + spread)
 
 
 class WaitQueue:
--- a/libraries/decisions/tests/forwarding/test_fleet.py
+++ b/libraries/decisions/tests/forwarding/test_fleet.py
@@ -59,6 +59,21 @@
         self.assertTrue(again.cold_start.is_cold(7.9))
         self.assertFalse(self.fleet.is_open(state, 5.0))
 
+    def test_a_rest_holds_for_an_instance_that_is_listed_again(self) -> None:
+        # Guards against requests to a resting engine whose entry expires in an outage;
+        # a new instance under its name has asked for nothing.
+        for started_ms, resting in ((1, True), (2, False)):
+            with self.subTest(started_ms=started_ms):
+                fleet = make_fleet([make_entry("i-1")])
+                state = fleet.find("i-1")
+                assert state is not None
+                state.rest.record_rest(1.0, 30.0)
+                fleet.remove(2.0, "i-1")
+                fleet.put(3.0, make_entry("i-1", started_ms=started_ms))
+                again = fleet.find("i-1")
+                assert again is not None
+                self.assertIs(again.rest.is_resting(4.0), resting)
+
     def test_targets_of_a_drained_data_centre_are_not_listed(self) -> None:
         self.fleet.put(1.0, make_entry("i-3", data_centre="z2"))
         self.fleet.drain_data_centres(["z1"])
--- a/libraries/decisions/tests/forwarding/test_placement.py
+++ b/libraries/decisions/tests/forwarding/test_placement.py
@@ -51,6 +51,52 @@
             found = self.choose(fleet, 2.0 + step * 0.01)
             self.assertIsNot(found.state, stalled)
 
+    def test_a_resting_target_gets_nothing_beside_other_troubles(self) -> None:
+        # Guards against a rest that is forgotten beside a stall, a cold start, a load
+        # of weights or a rate limit.
+        for trouble in ("none", "stall", "cold", "load", "limit"):
+            fleet = make_fleet([make_entry("i-1"), make_entry("i-2")])
+            resting, other = fleet.find("i-1"), fleet.find("i-2")
+            assert resting is not None
+            assert other is not None
+            resting.rest.record_rest(2.0, 3.0)
+            match trouble:
+                case "stall":
+                    other.stall_detector.record_report(2.0, 1.0)
+                case "cold":
+                    other.cold_start.start(2.0, 3.0)
+                case "load":
+                    other.busy_until = 5.0
+                case "limit":
+                    other.rate_limit.record_limit(2.0, 0.1)
+            for step in range(20):
+                with self.subTest(trouble, step=step):
+                    found = self.choose(fleet, 2.0 + step * 0.1)
+                    self.assertIsNot(found.state, resting)
+                    if found.state is not None:
+                        fleet.begin(2.0 + step * 0.1, found.state, None)
+
+    def test_a_stalled_target_is_probed_while_the_others_rest(self) -> None:
+        # Guards against a service that serves nobody: its targets rest or have stalled.
+        fleet = make_fleet([make_entry("i-1"), make_entry("i-2")])
+        resting, stalled = fleet.find("i-1"), fleet.find("i-2")
+        assert resting is not None
+        assert stalled is not None
+        resting.rest.record_rest(2.0, 3.0)
+        stalled.stall_detector.record_report(2.0, 1.0)
+        self.assertIs(self.choose(fleet, 2.0).state, stalled)
+
+    def test_the_first_end_of_all_rests_is_known(self) -> None:
+        # Guards against callers that are told to return while all targets rest.
+        fleet = make_fleet([make_entry("i-1"), make_entry("i-2")])
+        for name, seconds in (("i-1", 3.0), ("i-2", 5.0)):
+            state = fleet.find(name)
+            assert state is not None
+            state.rest.record_rest(2.0, seconds)
+        limited = self.choose(fleet, 2.0).limited
+        self.assertTrue(limited.covers_all)
+        self.assertEqual((limited.next_at, limited.free_at), (5.0, 5.0))
+
     def test_one_request_at_a_time_probes_a_stalled_target_without_others(self) -> None:
         # Guards against a lone engine that is never used again after a stall.
         fleet = make_fleet([make_entry("i-1")])
--- a/libraries/proxy/src/bamboopier_proxy/attempt_result.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_result.py
@@ -19,6 +19,8 @@
     CLOSED = "target-closed"
     # Its target stopped responding while the connection was made.
     STALLED = "target-stalled"
+    # Its target asked for rest while the connection was made.
+    RESTING = "target-resting"
     # The timeout of its route had passed before it was sent.
     LATE = "late"
     # It had not started when its target's weight version expired.
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -13,9 +13,9 @@
 from .attempt_result import AttemptResult, BufferedResponse, Cause
 from .delivery import CallerDisconnectedError
 from .event_splitter import EventSplitter
-from .limit_updates import record_limit
 from .stall_monitor import MonitoredAttempt
 from .target_pool import ConnectError
+from .target_reports import record_reports
 from .target_response import BrokenResponseError
 
 if TYPE_CHECKING:
@@ -142,13 +142,7 @@
         response_metadata = self._codec.parse_response_headers(
             response.status, response.headers
         )
-        self._record_metadata(call, in_flight, response_metadata)
-        if (
-            response_metadata.sealed or response_metadata.not_run
-        ) and not response_metadata.misdirected:
-            record_limit(
-                in_flight.state, started_at, response_metadata, call.request_id
-            )
+        record_reports(call, in_flight, started_at, response_metadata)
         if response_metadata.not_run or response_metadata.misdirected:
             await response.read_all(MAX_BUFFERED_BYTES)
             cause = (
@@ -252,19 +246,3 @@
         if call.body or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             lines.append(f"Content-Length: {len(call.body)}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-    def _record_metadata(
-        self,
-        call: Call,
-        in_flight: InFlightRequest,
-        response_metadata: ResponseMetadata,
-    ) -> None:
-        state = in_flight.state
-        if (
-            call.prompt is not None
-            and response_metadata.weight_version
-            and not response_metadata.misdirected
-        ):
-            state.record_version(call.prompt.model, response_metadata.weight_version)
-        if response_metadata.cold_seconds > 0:
-            state.cold_start.start(read_clock(), response_metadata.cold_seconds)
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -50,7 +50,9 @@
 MIN_LIMIT_SHARE_PER_SECOND = 1e-6
 
 # Causes after which a retry is not paid for: nothing was sent, or it was spent before.
-FREE_RETRY_CAUSES = frozenset({Cause.CONNECT, Cause.CLOSED, Cause.STALLED, Cause.MOVED})
+FREE_RETRY_CAUSES = frozenset(
+    {Cause.CONNECT, Cause.CLOSED, Cause.STALLED, Cause.RESTING, Cause.MOVED}
+)
 
 log = structlog.get_logger()
 
@@ -168,6 +170,8 @@
         if now >= call.timeout_at:
             return Err(Cause.LATE)
         self._check_freshness(call, now)
+        if in_flight.state.rest.is_resting(now):
+            return Err(Cause.RESTING)
         is_open = self._fleet.is_open(in_flight.state, now)
         if not is_open or not self._planner.may_start(now, call, in_flight):
             return Err(Cause.CLOSED)
@@ -210,11 +214,12 @@
     def _check_limits(self, call: Call, placement: Placement, latest: float) -> None:
         """Refuse a request whose turn at all its targets comes after ``latest``.
 
-        All its targets are rate-limited: each accepts as many requests per second as it
-        reports, and the waiting requests ahead of this one are sent first.
+        All its targets rest or are rate-limited: each accepts as many requests per
+        second as it reports, and the waiting requests ahead of this one are sent first.
+        A request that was sent to all of them has no turn.
         """
         limited = placement.limited
-        if limited.count == 0 or not limited.covers_all:
+        if not limited.covers_all:
             return
         before = self._request_queues.count_before(call.service, call.priority)
         turn = limited.next_at + before / max(
@@ -246,6 +251,7 @@
             usable=placement.usable,
             open=placement.open,
             limited=placement.limited.count,
+            free_in=round(placement.limited.free_at - now, 3),
             waiting=self._request_queues.count(call.service),
             tried=call.tried,
         )
@@ -254,11 +260,9 @@
                 ErrorCode.OUTCOME_UNKNOWN, code.value, ExecutionStatus.UNKNOWN
             )
         limited = placement.limited
-        seconds_to_capacity = (
-            limited.next_at - now if limited.covers_all and limited.count else 0.0
-        )
+        seconds_to_capacity = limited.free_at - now if limited.covers_all else 0.0
         wait = draw_retry_after(
-            call.timeout_at - now, self._random, seconds_to_capacity
+            call.timeout_at - now, self._random, max(0.0, seconds_to_capacity)
         )
         return CallerError(
             code, "no target has room", ExecutionStatus.NOT_EXECUTED, wait
@@ -307,7 +311,13 @@
                 if result.wrong_target:
                     # This instance of the target has ended; its entry expires later.
                     state.busy_until = now + REPLACED_BACKOFF_SECONDS
-            case Cause.CLOSED | Cause.STALLED | Cause.LATE | Cause.OUTDATED:
+            case (
+                Cause.CLOSED
+                | Cause.STALLED
+                | Cause.RESTING
+                | Cause.LATE
+                | Cause.OUTDATED
+            ):
                 state.circuit_breaker.record_inconclusive()
             case Cause.MOVED | Cause.UNANSWERED:
                 # The stall detector keeps requests from it.
--- a/libraries/proxy/tests/test_attempts.py
+++ b/libraries/proxy/tests/test_attempts.py
@@ -72,6 +72,19 @@
         min_retry_after = min(2.0, 0.3 * TIMEOUT_SECONDS)
         self.assertGreaterEqual(caught.exception.retry_after, min_retry_after)
 
+    async def test_nothing_is_sent_to_a_target_that_asks_for_rest_meanwhile(
+        self,
+    ) -> None:
+        # Guards against requests whose connections are being made while the target
+        # asks another request for rest.
+        state = self.harness.fleet.list_targets("desk", 0.0)[0]
+        self.harness.on_connect = lambda: state.rest.record_rest(
+            self.harness.clock.now, 2.0
+        )
+        error = await self.expect_refusal()
+        self.assertIs(error.ran, ExecutionStatus.NOT_EXECUTED)
+        self.assertGreaterEqual(error.retry_after, 2.0)
+
     async def test_a_key_is_refused_when_the_configuration_gets_stale(self) -> None:
         # Guards against running the request of a revoked key: the configuration was
         # confirmed 4.5 s ago and may be used for keys for 5 s, and connecting takes
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -26,6 +26,7 @@
     outdated_configurations,
     publish_times_and_peers,
     stalled_targets,
+    target_reports,
     weight_loads,
 )
 
@@ -47,6 +48,7 @@
     *outdated_configurations.MUTATIONS,
     *drains_and_shutdown.MUTATIONS,
     *stalled_targets.MUTATIONS,
+    *target_reports.MUTATIONS,
 )
 
 
