Send nothing more to targets whose responses report that they leave

Cause: nothing read Server-Leaving; only the store's word counted. Class: a state that is learned from one source although the peer itself states it.

Change: a response of the instance, a rejection and a 421 of its own included, marks it as leaving for this gateway: it is not chosen, and requests that wait or connect are not sent. The mark stays with the instance while its entry comes and goes; a new instance has none. A 421 of another instance at the address says nothing of this one.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -97,6 +97,7 @@
     entry: TargetEntry
     limit: RateLimit
     rest: RestPeriod
+    leaving: bool
 
 
 class Fleet:
@@ -134,7 +135,7 @@
         return [
             state
             for state in self._by_service.get(service, ())
-            if not state.entry.leaving and state.entry.data_centre not in closed
+            if not state.leaving and state.entry.data_centre not in closed
         ]
 
     def is_open(self, state: TargetState, now: float) -> bool:
@@ -142,7 +143,7 @@
         self._remove_expired(now)
         return (
             self._states.get(state.entry.name) is state
-            and not state.entry.leaving
+            and not state.leaving
             and state.entry.data_centre not in self._drained_data_centres
         )
 
@@ -191,6 +192,7 @@
         former = self._former.pop(entry.name, None)
         if former is not None and _is_same_instance(former.entry, entry):
             state.rate_limit, state.rest = former.limit, former.rest
+            state.reports_leaving = former.leaving
         if entry.cold_seconds > 0:
             state.cold_start.start(now, entry.cold_seconds)
         self._states[entry.name] = state
@@ -208,7 +210,7 @@
         if state is None:
             return
         until = store_recovered_at + STORE_RECOVERY_SECONDS
-        if now < until and not state.entry.leaving:
+        if now < until and not state.leaving:
             self._missing.setdefault(name, until)
             return
         self._missing.pop(name, None)
@@ -261,12 +263,18 @@
 
         Guards against a burst: a rate-limited or resting target is cut off from the
         store, so its entry expires, and is listed again. It would receive a burst
-        before its first response.
+        before its first response. One that leaves would get requests again.
         """
-        if not state.rate_limit.in_force and not state.rest.is_resting(now):
+        has_reported = (
+            state.rate_limit.in_force
+            or state.rest.is_resting(now)
+            or state.reports_leaving
+        )
+        if not has_reported:
             return
-        name = state.entry.name
-        self._former[name] = _FormerTarget(state.entry, state.rate_limit, state.rest)
+        self._former[state.entry.name] = _FormerTarget(
+            state.entry, state.rate_limit, state.rest, state.reports_leaving
+        )
         if len(self._former) > MAX_FORMER_TARGETS:
             del self._former[next(iter(self._former))]
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -56,6 +56,7 @@
         "cached_parts",
         "pinned",
         "prefill_rate",
+        "reports_leaving",
         "rest",
         "service",
         "short_answers_until",
@@ -79,6 +80,8 @@
         self.cold_start = ColdStartLimit(hash_phase(entry.name))
         self.rate_limit = RateLimit(hash_phase(entry.name))
         self.rest = RestPeriod()
+        # One of its responses reported that it leaves, whatever its entry says.
+        self.reports_leaving = False
         # Until then it rejects requests, as it reported.
         self.busy_until = float("-inf")
         # Until then it gets short responses only: it is about to load new weights.
@@ -90,6 +93,11 @@
         # there is one, the engine cannot evict the part.
         self.pinned: Counter[str] = Counter()
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether it leaves, and gets no more requests."""
+        return self.entry.leaving or self.reports_leaving
+
     @property
     def slots(self) -> int:
         """Return the maximum number of concurrent requests."""
--- a/libraries/decisions/tests/forwarding/test_fleet.py
+++ b/libraries/decisions/tests/forwarding/test_fleet.py
@@ -59,6 +59,24 @@
         self.assertTrue(again.cold_start.is_cold(7.9))
         self.assertFalse(self.fleet.is_open(state, 5.0))
 
+    def test_a_target_that_reports_leaving_stays_away(self) -> None:
+        # Guards against requests to an engine that leaves during an outage: its entry
+        # says ready, expires, and is listed again. A new instance may be used.
+        for started_ms, names in ((1, ["i-2"]), (2, ["i-1", "i-2"])):
+            with self.subTest(started_ms=started_ms):
+                self.setUp()
+                state = self.fleet.find("i-1")
+                assert state is not None
+                state.reports_leaving = True
+                self.assertEqual(self.list_names(1.0), ["i-2"])
+                self.assertFalse(self.fleet.is_open(state, 1.0))
+                self.fleet.put(2.0, make_entry("i-1"))
+                self.assertEqual(self.list_names(2.0), ["i-2"])
+                self.fleet.remove(3.0, "i-1", store_recovered_at=3.0)
+                self.assertIsNone(self.fleet.find("i-1"))
+                self.fleet.put(4.0, make_entry("i-1", started_ms=started_ms))
+                self.assertEqual(self.list_names(4.0), names)
+
     def test_a_rest_holds_for_an_instance_that_is_listed_again(self) -> None:
         # Guards against requests to a resting engine whose entry expires in an outage;
         # a new instance under its name has asked for nothing.
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -123,6 +123,8 @@
     # together; valid as long as its responses report it; None if it is unreadable.
     reports_limit: bool = False
     limit_per_second: float | None = None
+    # The target leaves: it serves what it has, and wants nothing more.
+    leaving: bool = False
     # The target rejects the request and wants nothing from this gateway for some time;
     # None if that is unreadable.
     asks_for_rest: bool = False
--- a/libraries/proxy/src/bamboopier_proxy/target_reports.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_reports.py
@@ -25,6 +25,10 @@
     state = in_flight.state
     if metadata.cold_seconds > 0:
         state.cold_start.start(read_clock(), metadata.cold_seconds)
+    # The instance itself also rejects what expects other weights.
+    if metadata.misdirected and metadata.target != state.entry.name:
+        return
+    _record_leaving(call, in_flight, metadata)
     if metadata.misdirected:
         return
     if call.prompt is not None and metadata.weight_version:
@@ -34,6 +38,18 @@
         record_limit(state, sent_at, metadata, call.request_id)
 
 
+def _record_leaving(
+    call: Call, in_flight: InFlightRequest, metadata: ResponseMetadata
+) -> None:
+    """Record that the target leaves; an instance that leaves does not come back."""
+    state = in_flight.state
+    if not metadata.leaving or state.reports_leaving:
+        return
+    state.reports_leaving = True
+    name, request_id = state.entry.name, call.request_id
+    log.info("target reports that it leaves", target=name, request_id=request_id)
+
+
 def _record_rest(
     call: Call, in_flight: InFlightRequest, metadata: ResponseMetadata
 ) -> None:
--- a/tools/safeguards/target_reports.py
+++ b/tools/safeguards/target_reports.py
@@ -61,6 +61,40 @@
         "libraries/decisions",
         f"{FLEET_TESTS}.test_a_rest_holds_for_an_instance_that_is_listed_again",
     ),
+    Mutation(
+        "a target that reports that it leaves gets no requests",
+        f"{FORWARDING}/target_state.py",
+        "self.entry.leaving or self.reports_leaving",
+        "self.entry.leaving",
+        "libraries/decisions",
+        f"{FLEET_TESTS}.test_a_target_that_reports_leaving_stays_away",
+    ),
+    Mutation(
+        "a target that leaves is not used when it is listed again",
+        FLEET,
+        "            state.reports_leaving = former.leaving\n",
+        "",
+        "libraries/decisions",
+        f"{FLEET_TESTS}.test_a_target_that_reports_leaving_stays_away",
+    ),
+    Mutation(
+        "a rejection for other weights reports that the target leaves",
+        "libraries/proxy/src/bamboopier_proxy/target_reports.py",
+        " and metadata.target != state.entry.name",
+        "",
+        "libraries/proxy",
+        "tests.test_target_reports.TargetReportTests"
+        ".test_every_response_of_the_instance_may_report_that_it_leaves",
+    ),
+    Mutation(
+        "only responses after a rest admit more requests",
+        "libraries/proxy/src/bamboopier_proxy/target_reports.py",
+        "        if in_flight.ramped:\n            state",
+        "        if True:\n            state",
+        "libraries/proxy",
+        "tests.test_target_reports.TargetReportTests"
+        ".test_only_responses_to_requests_after_a_rest_admit_more",
+    ),
     Mutation(
         "callers are told a time after the first rest ends",
         f"{FORWARDING}/wait_queue.py",
