Grant rest to targets that ask an agent for it, too

An agent reads its engine's report up to twelve times a second while weights are published, and orders loads. A 503 with Retry-After was taken for a read that failed, and repeated. It now sends nothing until the rest is over, then goes on. The test in platform.resting_engines failed before (5 reads within a rest of 1.5 s).

--- a/libraries/proxy/src/bamboopier_proxy/target_orders.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_orders.py
@@ -27,6 +27,12 @@
     UNKNOWN = "unknown"
 
 
+class RestRequest(msgspec.Struct, frozen=True):
+    """The target rejects a call and wants nothing from this machine for some time."""
+
+    seconds: float
+
+
 class TargetReport(msgspec.Struct, frozen=True):
     """State that a target reports of itself."""
 
@@ -61,10 +67,12 @@
 class TargetOrders(Protocol):
     """Calls to the target on the agent's machine."""
 
-    async def read_report(self) -> Result[TargetReport, str]:
+    async def read_report(self) -> Result[TargetReport, str | RestRequest]:
         """Return the current report of the target."""
         ...
 
-    async def order_weights(self, order: WeightOrder) -> Result[None, OrderError]:
+    async def order_weights(
+        self, order: WeightOrder
+    ) -> Result[None, OrderError | RestRequest]:
         """Order a weight load; Ok means that the version is loading or loaded."""
         ...
--- a/libraries/proxy/src/bamboopier_proxy/weight_updater.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_updater.py
@@ -17,13 +17,14 @@
 from result import Err, Ok
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.rest_period import RestPeriod
 from bamboopier_decisions.forwarding.rollout_order import (
     count_concurrent_loads,
     find_wave_delay,
 )
 from bamboopier_decisions.forwarding.weight_load_drain import WeightLoadDrain
 
-from .target_orders import OrderError, WeightOrder
+from .target_orders import OrderError, RestRequest, WeightOrder
 
 if TYPE_CHECKING:
     import random
@@ -88,6 +89,7 @@
         self._wanted_since = 0.0
         self._drain: WeightLoadDrain | None = None
         self._target = ""
+        self._rest = RestPeriod()
         self._random = random
         self.changed = asyncio.Event()
 
@@ -223,6 +225,9 @@
         response = await self._orders.order_weights(order)
         self._drain = None
         error = response.err_value if isinstance(response, Err) else None
+        if isinstance(error, RestRequest):
+            self._record_rest(error)
+            return
         log.info(
             "weights ordered",
             model=model,
@@ -258,5 +263,17 @@
         )
 
     async def _read(self) -> TargetReport | None:
+        """Return the target's report; None if there is none, or the target rests."""
+        if self._rest.is_resting(read_clock()):
+            return None
         response = await self._orders.read_report()
-        return response.ok_value if isinstance(response, Ok) else None
+        if isinstance(response, Ok):
+            return response.ok_value
+        if isinstance(response.err_value, RestRequest):
+            self._record_rest(response.err_value)
+        return None
+
+    def _record_rest(self, request: RestRequest) -> None:
+        if self._rest.record_rest(read_clock(), request.seconds):
+            seconds = request.seconds
+            log.info("target asks for rest", target=self._target, seconds=seconds)
