Apply stored rate limits before their targets are used

What callers saw: nothing; a rate-limited engine got 16 requests where 11 are allowed from a gateway that had just started (platform.limits:test_restarted_gateways_restore_a_limit, once, beside load).

Cause: the gateway read the stored limits before the list of targets, and compared the two every half second; until then it sent as many requests as the targets have slots, 16. Class: a peer's word that is known and not yet in force when the first request is sent.

Change: stored limits are applied whenever targets are listed or change, before waiting requests are woken, and a gateway is not ready until it has read them.

--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -100,6 +100,7 @@
         return (
             not ingress.stopping
             and followers.loaded
+            and peers.loaded
             and state.active_configuration.freshness.is_fresh(read_clock())
         )
 
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -68,6 +68,7 @@
         self._limits = LimitRecords(
             store, schema.rate_limits_prefix, state.fleet, self._registry
         )
+        state.target_listeners.append(self._limits.apply_waiting)
         self._server = PeerServer(
             Endpoint(settings.host, settings.first_port),
             self._registry.has_host,
@@ -108,6 +109,11 @@
     ) -> None:
         await self._stack.aclose()
 
+    @property
+    def loaded(self) -> bool:
+        """Return whether the rate limits that the store contains were read."""
+        return self._limits.loaded
+
     def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that have to run until the gateway stops."""
         settings = self._settings
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -18,6 +18,8 @@
 from .store_availability import StoreAvailability
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bamboopier_decisions.forwarding.pause_tracker import PauseTracker
     from bamboopier_decisions.forwarding.specs import DeclaredConfiguration
 
@@ -52,6 +54,8 @@
         )
         self.loader = ConfigurationLoader(schema, self.active_configuration)
         self._services: tuple[str, ...] = ()
+        # Called when targets were listed or changed, before requests are sent to them.
+        self.target_listeners: list[Callable[[], None]] = []
 
     def apply_settings(self, changed: ProxySettings) -> None:
         """Apply the limits of changed settings."""
@@ -66,8 +70,10 @@
         self.fleet.gateway_count, self.fleet.gateway_index = count, index
         log.info("gateways counted", gateways=count, place=index)
 
-    def wake_all(self) -> None:
-        """Retry target selection for all pending requests: targets have changed."""
+    def handle_changed_targets(self) -> None:
+        """Retry target selection for all pending requests."""
+        for listener in self.target_listeners:
+            listener()
         for service in self._services:
             self.request_queues.wake(service)
 
--- a/libraries/proxy/src/bamboopier_proxy/limit_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/limit_records.py
@@ -69,6 +69,8 @@
         self._stored: dict[str, tuple[LimitEntry, int]] = {}
         # Entries that were read before their targets were listed.
         self._waiting: dict[str, LimitEntry] = {}
+        # Whether the entries were read once.
+        self.loaded = False
 
     async def run(self) -> None:
         """Read once, then write changes until cancelled."""
@@ -78,7 +80,7 @@
             await asyncio.sleep(RETRY_SECONDS)
         expires_at = read_clock() + ENTRY_WAIT_SECONDS
         while True:
-            self._apply()
+            self.apply_waiting()
             if self._waiting and read_clock() >= expires_at:
                 self._waiting.clear()
             await self._write_all()
@@ -97,9 +99,15 @@
                 continue
             self._stored[name] = entry, found.version
             self._waiting[name] = entry
+        self.loaded = True
         return True
 
-    def _apply(self) -> None:
+    def apply_waiting(self) -> None:
+        """Apply the entries whose targets are listed by now.
+
+        Called whenever targets change: one that is used before its entry is applied
+        would get a burst.
+        """
         now = read_clock()
         for name, entry in list(self._waiting.items()):
             state = self._fleet.find(name)
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -53,7 +53,12 @@
         )
         self._targets = self._follow(
             schema.targets_prefix,
-            TargetObserver(schema, state.fleet, state.availability, state.wake_all),
+            TargetObserver(
+                schema,
+                state.fleet,
+                state.availability,
+                state.handle_changed_targets,
+            ),
             TARGETS_WATCH_SECONDS,
         )
         self._weights = self._follow(
