Tell callers the end of all rests after their last attempt, too

A request may be sent to four targets. Where each of these asked for rest and there were no others, its caller was told to return after 0.4 to 1.2 s, while all still rested: the end of an attempt did not ask what is known of the targets. The test failed before (0.76 s told, rests of 3 s).

--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -259,15 +259,17 @@
             return CallerError(
                 ErrorCode.OUTCOME_UNKNOWN, code.value, ExecutionStatus.UNKNOWN
             )
-        limited = placement.limited
-        seconds_to_capacity = limited.free_at - now if limited.covers_all else 0.0
-        wait = draw_retry_after(
-            call.timeout_at - now, self._random, max(0.0, seconds_to_capacity)
-        )
+        wait = self._draw_retry_after(now, call.timeout_at, placement)
         return CallerError(
             code, "no target has room", ExecutionStatus.NOT_EXECUTED, wait
         )
 
+    def _draw_retry_after(self, now: float, end: float, placement: Placement) -> float:
+        """Return the seconds after which a caller that waits until ``end`` may return."""
+        limited = placement.limited
+        seconds = max(0.0, limited.free_at - now) if limited.covers_all else 0.0
+        return draw_retry_after(max(0.0, end - now), self._random, seconds)
+
     def _check_freshness(self, call: Call, now: float) -> None:
         """Refuse a request with a key once the key may have been revoked."""
         if call.workspace is None:
@@ -355,7 +357,9 @@
         now = read_clock()
         # The caller may wait longer than its route's timeout, and retry.
         end = call.timeout_at if now < call.timeout_at else call.deadline
-        wait = draw_retry_after(max(0.0, end - now), self._random)
+        demand = self._planner.make_demand(now, call)
+        placement = self._select_target(call, demand, set(call.tried))
+        wait = self._draw_retry_after(now, end, placement)
         raise CallerError(
             ErrorCode.OVERLOADED, result.cause.value, ExecutionStatus.NOT_EXECUTED, wait
         )
