--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -265,7 +265,7 @@
         )
 
     def _draw_retry_after(self, now: float, end: float, placement: Placement) -> float:
-        """Return the seconds after which a caller that waits until ``end`` may return."""
+        """Return the seconds after which a caller that leaves at ``end`` returns."""
         limited = placement.limited
         seconds = max(0.0, limited.free_at - now) if limited.covers_all else 0.0
         return draw_retry_after(max(0.0, end - now), self._random, seconds)
