--- a/libraries/proxy/src/bamboopier_proxy/stall_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/stall_monitor.py
@@ -31,6 +31,7 @@
 
     from bamboopier_decisions.forwarding.fleet import InFlightRequest
     from bamboopier_decisions.forwarding.stall_detector import StallDetector
+    from bamboopier_decisions.forwarding.target_state import TargetState
 
     from .delivery import Delivery
     from .messages import Call
@@ -77,18 +78,22 @@
 
     def __init__(self) -> None:
         self._attempts: set[MonitoredAttempt] = set()
+        # Those of requests that were moved before.
+        self._moved: set[MonitoredAttempt] = set()
         self._checked_at = read_clock()
         # Targets that were silent at the last check.
-        self._silent: set[str] = set()
+        self._silent: set[TargetState] = set()
 
     @contextmanager
     def watch(self, attempt: MonitoredAttempt) -> Iterator[MonitoredAttempt]:
         """Track an attempt from its send until it ends."""
         self._attempts.add(attempt)
+        if attempt.call.moved:
+            self._moved.add(attempt)
         try:
             yield attempt
         finally:
-            self._attempts.discard(attempt)
+            self._forget(attempt)
 
     async def run(self) -> None:
         """Check at intervals until cancelled."""
@@ -104,19 +109,18 @@
         """
         paused = now - self._checked_at >= PAUSE_SECONDS
         self._checked_at = now
-        silent = {
-            attempt.in_flight.state.entry.name
-            for attempt in self._attempts
-            if _is_silent(now, attempt.in_flight.state.stall_detector)
-        }
+        used = {attempt.in_flight.state for attempt in self._attempts}
+        silent = {state for state in used if _is_silent(now, state.stall_detector)}
         confirmed = silent & self._silent
         self._silent = silent
         if paused:
             return
-        for attempt in list(self._attempts):
-            # The first target of a moved request may have it until its caller leaves.
-            if attempt.call.moved or attempt.in_flight.state.entry.name in confirmed:
-                self._check_attempt(now, attempt)
+        # The first target of a moved request may have it until its caller leaves.
+        checked = set(self._moved)
+        if confirmed:
+            checked |= {a for a in self._attempts if a.in_flight.state in confirmed}
+        for attempt in checked:
+            self._check_attempt(now, attempt)
 
     def _check_attempt(self, now: float, attempt: MonitoredAttempt) -> None:
         call, silent_since = attempt.call, attempt.in_flight.last_byte_at
@@ -137,8 +141,12 @@
         elif action is StallAction.END:
             self._abort(now, attempt, Cause.UNANSWERED)
 
-    def _abort(self, now: float, attempt: MonitoredAttempt, cause: Cause) -> None:
+    def _forget(self, attempt: MonitoredAttempt) -> None:
         self._attempts.discard(attempt)
+        self._moved.discard(attempt)
+
+    def _abort(self, now: float, attempt: MonitoredAttempt, cause: Cause) -> None:
+        self._forget(attempt)
         attempt.aborted_for = cause
         attempt.call.moved |= cause is Cause.MOVED
         attempt.connection.abort()
--- a/tools/safeguards/stalled_targets.py
+++ b/tools/safeguards/stalled_targets.py
@@ -44,8 +44,8 @@
     Mutation(
         "callers whose requests were moved are told before they leave",
         STALL_MONITOR,
-        "attempt.call.moved or ",
-        "",
+        "set(self._moved)",
+        "set()",
         "libraries/proxy",
         f"{MONITOR_TESTS}.test_a_caller_whose_request_was_moved_is_told_before_it_leaves",
     ),
