--- a/tools/bench_load/agent.py
+++ b/tools/bench_load/agent.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from bamboopier_decisions.admission.messages import (
     AdmissionRequested,
@@ -26,10 +26,14 @@
 from .engine import SimulatedEngine
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bamboopier_decisions.admission.messages import AdmissionEvent
 
+    from .clock import SimulatedClock
+    from .engine import EngineShape
     from .orders import Order
-    from .simulation import Simulation
+    from .policy import AdmissionInterface
 
 # Seconds that a message between a gateway and an agent takes.
 HOP_SECONDS = 0.001
@@ -48,16 +52,44 @@
     first_byte: float = 0.0
 
 
+class AttemptObserver(Protocol):
+    """What learns how attempts at agents go on."""
+
+    def report_first_byte(self, agent: SimulatedAgent, attempt: Attempt) -> None:
+        """Handle the first token of an attempt."""
+        ...
+
+    def end_attempt(
+        self, attempt: Attempt, ended: AttemptEnded, load: TargetLoad
+    ) -> None:
+        """Handle the end of an attempt, with the agent's load at that time."""
+        ...
+
+    def abandon(self, order_id: str) -> None:
+        """Handle a request whose caller disconnected at its deadline."""
+        ...
+
+
 class SimulatedAgent:
     """An agent, through which all requests to its engine pass."""
 
-    def __init__(self, simulation: Simulation, name: str, cold: bool) -> None:
+    def __init__(
+        self,
+        name: str,
+        clock: SimulatedClock,
+        shape: EngineShape,
+        make_admission: Callable[[], AdmissionInterface],
+        observer: AttemptObserver,
+        *,
+        cold: bool,
+    ) -> None:
         self.name = name
-        self._simulation = simulation
-        self._clock = simulation.clock
-        self.engine = SimulatedEngine(simulation.clock, simulation.shape, cold)
+        self._clock = clock
+        self._make_admission = make_admission
+        self._observer = observer
+        self.engine = SimulatedEngine(clock, shape, cold)
         self.engine.on_restart = partial(self._handle_restart)
-        self.admission = simulation.make_admission()
+        self.admission = make_admission()
         self.stopped = False
         self._attempts: dict[str, Attempt] = {}
         self._tick()
@@ -80,7 +112,7 @@
         for attempt_id in list(self._attempts):
             self.engine.cancel(attempt_id)
             self._fail(attempt_id)
-        self.admission = self._simulation.make_admission()
+        self.admission = self._make_admission()
 
     def stop(self) -> None:
         """Stop admission: waiting requests are rejected, running ones continue."""
@@ -92,7 +124,7 @@
         self.stopped = False
         self.engine.reset_warmup()
         self.engine.starts += 1
-        self.admission = self._simulation.make_admission()
+        self.admission = self._make_admission()
 
     def serve(self, attempt: Attempt) -> None:
         """Request admission for an attempt from a gateway."""
@@ -153,7 +185,7 @@
         self.handle_event(
             FirstTokenReceived(self._clock.now, attempt_id, uncached_tokens)
         )
-        self._simulation.report_first_byte(self, attempt)
+        self._observer.report_first_byte(self, attempt)
 
     def _finish(self, attempt_id: str) -> None:
         attempt = self._attempts.pop(attempt_id)
@@ -185,7 +217,7 @@
         self.handle_event(
             RequestFinished(self._clock.now, attempt_id, False, cancelled=True)
         )
-        self._simulation.abandon(order_id)
+        self._observer.abandon(order_id)
 
     def _respond(
         self,
@@ -207,7 +239,7 @@
         )
         load = self.report()
         self._clock.call_later(
-            HOP_SECONDS, lambda: self._simulation.end_attempt(attempt, ended, load)
+            HOP_SECONDS, lambda: self._observer.end_attempt(attempt, ended, load)
         )
 
     def _handle_restart(self) -> None:
--- a/tools/bench_load/simulation.py
+++ b/tools/bench_load/simulation.py
@@ -63,11 +63,16 @@
             policy.make_router(Random(self._random.random())) for _ in range(gateways)
         ]
         names = [f"t{number}" for number in range(targets)]
-        self.agents = {name: SimulatedAgent(self, name, cold) for name in names}
+        self.agents = {
+            name: SimulatedAgent(
+                name, self.clock, self.shape, self._make_admission, self, cold=cold
+            )
+            for name in names
+        }
         self._routers_by_order: dict[str, RouterInterface] = {}
         self.update_fleet(names)
 
-    def make_admission(self) -> AdmissionInterface:
+    def _make_admission(self) -> AdmissionInterface:
         """Return new admission decisions for an agent process."""
         return self._policy.make_admission(Random(self._random.random()))
 
