Let a connect with little time left end no other one

A caller with time left was told "overloaded", or its request went to another target, although the only agent it needed answered a moment later.

Cause: calls that connect to one agent at the same time wait on one channel, each for the time that its own caller has left. The first of them whose time ran out discarded the channel, and every other one got no connection.

Evidence: test_a_connect_with_little_time_left_ends_no_other, real gRPC. Two calls wait for an agent that does not accept yet; the one with 50 ms gives up, then the agent accepts.

Change: a channel counts the callers that wait for it; the last of them that leaves without a connection closes it. Only a channel that never had a connection is closed that way: one that had may carry streams, and the next connect replaces it.

--- a/libraries/gateway/src/bamboopier_gateway/agent_channel.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_channel.py
@@ -20,10 +20,12 @@
 class AgentChannel:
     """A channel for one connection to an agent; it is not used for a second one."""
 
-    __slots__ = ("_channel", "_was_ready")
+    __slots__ = ("_channel", "_waiting", "_was_ready")
 
     def __init__(self, channel: grpc.aio.Channel) -> None:
         self._channel = channel
+        # Number of callers in ``connect``.
+        self._waiting = 0
         self._was_ready = False
 
     @property
@@ -40,17 +42,29 @@
         """
         return self._was_ready and not self.is_ready
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Return whether it never had a connection, and no caller waits for one."""
+        return self._waiting == 0 and not self._was_ready
+
     def make_stub(self) -> agent_pb2_grpc.AgentStub:
         """Return a stub for calls on this channel."""
         return agent_pb2_grpc.AgentStub(self._channel)
 
     async def connect(self, timeout: float) -> bool:
-        """Wait for the connection; return False if there is none after ``timeout``."""
-        with suppress(TimeoutError, grpc.aio.UsageError):
-            async with asyncio.timeout(timeout):
-                if await _wait_for_connection(self._channel):
-                    self._was_ready = True
-                    return True
+        """Wait for the connection; return False if there is none after ``timeout``.
+
+        Callers that wait at the same time share one attempt.
+        """
+        self._waiting += 1
+        try:
+            with suppress(TimeoutError, grpc.aio.UsageError):
+                async with asyncio.timeout(timeout):
+                    if await _wait_for_connection(self._channel):
+                        self._was_ready = True
+                        return True
+        finally:
+            self._waiting -= 1
         return False
 
     async def close(self) -> None:
--- a/libraries/gateway/src/bamboopier_gateway/agent_connections.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_connections.py
@@ -77,7 +77,8 @@
         channel = self._find_channel(address)
         if await channel.connect(min(timeout, CONNECT_TIMEOUT_SECONDS)):
             return channel.make_stub()
-        self._discard(address, channel)
+        if channel.is_abandoned:
+            await self._discard(address, channel)
         return None
 
     async def connect_with_retries(
@@ -119,20 +120,21 @@
                 return stub
         return None
 
-    def _discard(self, address: str, channel: AgentChannel) -> None:
-        """Close a channel that has no connection; the next call opens another.
+    async def _discard(self, address: str, channel: AgentChannel) -> None:
+        """Close a channel that never had a connection; the next call opens another.
 
         gRPC keeps reconnecting an open channel five times a second. A gateway with the
         146 targets of a failed data centre would spend several times its processor
         budget on that.
         """
         if self._channels.get(address) is channel:
-            self._close(self._channels.pop(address))
+            del self._channels[address]
+            await channel.abort()
 
     def _find_channel(self, address: str) -> AgentChannel:
         channel = self._channels.get(address)
         if channel is not None and channel.has_lost_connection:
-            self._discard(address, channel)
+            self._close(self._channels.pop(address))
             channel = None
         if channel is None:
             opened = self._certificates.open_channel(address, CHANNEL_OPTIONS)
--- a/libraries/gateway/tests/test_agent_connections.py
+++ b/libraries/gateway/tests/test_agent_connections.py
@@ -73,6 +73,21 @@
         self.assertTrue(accepted.is_set())
         server.close()
 
+    async def test_a_connect_with_little_time_left_ends_no_other(self) -> None:
+        # Guards against a request that finds no connection because another one, whose
+        # caller's deadline was near, gave up the channel that both were waiting for.
+        agent = FakeAgent(block_forever)
+        async with (
+            asyncio.timeout(HANG_SECONDS),
+            start_relayed_agent(agent) as (relay, address),
+            AgentConnections() as agents,
+        ):
+            relay.may_accept.clear()
+            patient = asyncio.create_task(agents.connect(address))
+            self.assertIsNone(await agents.connect(address, 0.05))
+            relay.may_accept.set()
+            self.assertIsNotNone(await patient)
+
     async def test_a_channel_closed_during_a_probe(self) -> None:
         # A silent agent is probed for one order when the gateway closes its channel,
         # which cancels the probe. The order is "not run"; if the cancellation counted
