Report no failure of an earlier connection attempt to a new one

A request was refused as overloaded, or sent elsewhere, although its only agent had started and was idle.

Cause: gRPC lets the channels of a process share their subchannels. A channel to an agent that was not there is closed at once, but gRPC takes its subchannel down in other threads. A connect in the meantime opened a channel on the same subchannel, which was in its back-off and reported the old failure before anything was tried.

Change: channels to agents have subchannels of their own.

--- a/libraries/gateway/src/bamboopier_gateway/agent_connections.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_connections.py
@@ -30,6 +30,9 @@
     # gRPC would otherwise resend a call when a connection fails early; whether a
     # request may be repeated is the router's decision.
     ("grpc.enable_retries", 0),
+    # Channels would otherwise share their connection attempts, and a new channel would
+    # report the failure of an attempt that an earlier one made.
+    ("grpc.use_local_subchannel_pool", 1),
     # An agent that was replaced is reconnected within a second.
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
--- a/libraries/gateway/tests/test_agent_connections.py
+++ b/libraries/gateway/tests/test_agent_connections.py
@@ -7,7 +7,7 @@
 
 import grpc
 
-from bamboopier_gateway.agent_connections import AgentConnections
+from bamboopier_gateway.agent_connections import CHANNEL_OPTIONS, AgentConnections
 from bamboopier_protocol.agent_pb2_grpc import (
     AgentServicer,
     add_AgentServicer_to_server,
@@ -125,3 +125,22 @@
                 self.assertIsNotNone(await agents.connect(address))
             finally:
                 await server.stop(None)
+
+    async def test_a_failure_of_another_channel_is_not_reported(self) -> None:
+        # Guards against "overloaded" while the only target is idle, because a channel
+        # that is still being closed had failed to connect before the agent started.
+        server, port = await start_agent("127.0.0.1:0")
+        await server.stop(None)
+        address = f"127.0.0.1:{port}"
+        async with (
+            asyncio.timeout(HANG_SECONDS),
+            grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS) as earlier,
+            AgentConnections() as agents,
+        ):
+            state = earlier.get_state(try_to_connect=True)
+            while state is not grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                await earlier.wait_for_state_change(state)
+                state = earlier.get_state()
+            server, _ = await start_agent(address)
+            self.assertIsNotNone(await agents.connect(address))
+            await server.stop(None)
