Send the rest of a response before a stopping gateway ends

A caller that reads slowly lost the end of a complete response when its gateway was stopped.

Cause: a request counts as finished once its last bytes are written, and up to 64 KiB of them may lie in the process because the kernel's buffer for that caller is full. The gateway then closed its connections, which sends such bytes in the background, and the process ended before they were sent. Found while looking for other places of the class "an agent that stops cuts what is still being sent".

Evidence: a listener with a response of 60,000 bytes and small socket buffers; the caller reads two seconds after the end of the listener and of its event loop: 12,288 bytes arrived on.

Change: the gateway stops listening, closes its connections and then waits until each one has ended, within the shutdown timeout and until a second signal. A closed connection ends once the kernel has all of its bytes; a caller that takes none is disconnected after write_timeout_seconds. `requests cut` gives the connections that are left.

Test: test_listener; it fails without the wait (the close ends in 0.02 s with the response unsent).

--- a/libraries/gateway/src/bamboopier_gateway/connection.py
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -52,6 +52,40 @@
         ...
 
 
+class OpenConnections:
+    """Counts open connections up to a limit."""
+
+    __slots__ = ("_all_closed", "_limit", "count")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._all_closed = asyncio.Event()
+        self._all_closed.set()
+        self.count = 0
+
+    def add(self) -> bool:
+        """Count an opened connection; return False when there are too many."""
+        if self.count >= self._limit:
+            return False
+        self.count += 1
+        self._all_closed.clear()
+        return True
+
+    def remove(self) -> None:
+        """Count a closed connection."""
+        self.count -= 1
+        if self.count == 0:
+            self._all_closed.set()
+
+    async def wait_until_all_closed(self) -> None:
+        """Return once no connection is open.
+
+        A connection that is being closed counts until the kernel has accepted all bytes
+        written to it. It delivers them after the process has ended, too.
+        """
+        await self._all_closed.wait()
+
+
 class CallerConnection(web.RequestHandler):
     """aiohttp's connection with this gateway's limits.
 
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -84,7 +84,7 @@
         poll = TargetPoll(fleet, agents, follower, router)
         await stack.enter_async_context(keep_running(poll.run()))
         await stack.enter_async_context(keep_running(certificates.follow()))
-        await stack.enter_async_context(
+        listener = await stack.enter_async_context(
             CallerListener(
                 settings, application.make_application(), metrics, caller_context
             )
@@ -112,16 +112,26 @@
             log.info("gateway stopping", open_requests=application.open_requests)
             await asyncio.sleep(STOP_DELAY_SECONDS)
             timeout = settings.shutdown_timeout_seconds
-            end = await signals.wait_until(application.wait_until_idle(), timeout)
+            finishing = _finish_requests(application, listener)
+            end = await signals.wait_until(finishing, timeout)
             if end is not ShutdownOutcome.IDLE:
                 log.warning(
                     "requests cut",
                     reason=end.value,
                     open_requests=application.open_requests,
+                    open_connections=listener.open_connections,
                 )
                 await application.abort_requests()
             log.info("gateway stopped")
 
 
+async def _finish_requests(
+    application: GatewayApplication, listener: CallerListener
+) -> None:
+    """Return once every caller has been sent its response."""
+    await application.wait_until_idle()
+    await listener.close_connections()
+
+
 def _discard_decision(_: object) -> None:
     """Ignore a decision: a change of the fleet requires none."""
--- a/libraries/gateway/src/bamboopier_gateway/listener.py
+++ b/libraries/gateway/src/bamboopier_gateway/listener.py
@@ -9,7 +9,7 @@
 
 from bamboopier_daemon.listening import convert_listen_errors
 
-from .connection import CallerConnection
+from .connection import CallerConnection, OpenConnections
 
 if TYPE_CHECKING:
     import ssl
@@ -40,7 +40,7 @@
         self._settings = settings
         self._metrics = metrics
         self._tls_context = tls_context
-        self._open_count = 0
+        self._connections = OpenConnections(settings.max_connections)
         self._server: asyncio.Server | None = None
         self._runner = web.AppRunner(
             application,
@@ -70,23 +70,40 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self._server is not None:
-            self._server.close()
-        await self._runner.cleanup()
+        await self._stop_listening()
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are not closed yet."""
+        return self._connections.count
+
+    async def close_connections(self) -> None:
+        """Stop listening, and return once all responses have been sent.
+
+        A process that ended earlier would cut the last part of a response whose caller
+        reads it slowly.
+        """
+        await self._stop_listening()
+        await self._connections.wait_until_all_closed()
 
     def add(self) -> bool:
         """Count an opened connection; return False when there are too many."""
-        if self._open_count >= self._settings.max_connections:
+        if not self._connections.add():
             self._metrics.refused_connections.inc()
             return False
-        self._open_count += 1
-        self._metrics.connections.set(self._open_count)
+        self._metrics.connections.set(self._connections.count)
         return True
 
     def remove(self) -> None:
         """Count a closed connection."""
-        self._open_count -= 1
-        self._metrics.connections.set(self._open_count)
+        self._connections.remove()
+        self._metrics.connections.set(self._connections.count)
+
+    async def _stop_listening(self) -> None:
+        """Refuse new connections and close the open ones."""
+        if self._server is not None:
+            self._server.close()
+        await self._runner.cleanup()
 
     def _get_handshake_timeout(self) -> float | None:
         if self._tls_context is None:
--- a/tools/safeguards/drains_and_shutdown.py
+++ b/tools/safeguards/drains_and_shutdown.py
@@ -107,6 +107,14 @@
         "tests.test_shutdown.GracefulTests."
         "test_a_gateway_finishes_streams_and_refuses_new_requests",
     ),
+    Mutation(
+        "a stopping gateway sends the rest of its responses to slow callers",
+        "libraries/gateway/src/bamboopier_gateway/listener.py",
+        "        await self._connections.wait_until_all_closed()\n",
+        "",
+        "libraries/gateway",
+        "tests.test_listener",
+    ),
     Mutation(
         "a gateway forced to stop reports the outcome to open callers",
         "libraries/gateway/src/bamboopier_gateway/daemon.py",
