Send the rest of a response before a stopping gateway of the platform ends

Change: once no request is open, the gateway closes its connections and waits until each one has ended, for as long as its grace allows. A caller that takes nothing for 5 s is disconnected by the kernel. `requests cut` gives the connections that are left.

Test: test_caller_listener; it fails without the wait. platform's test_stopping passes.

--- a/libraries/proxy/src/bamboopier_proxy/caller_listener.py
+++ b/libraries/proxy/src/bamboopier_proxy/caller_listener.py
@@ -8,7 +8,7 @@
 import structlog
 from aiohttp import web
 
-from bamboopier_gateway.connection import CallerConnection
+from bamboopier_gateway.connection import CallerConnection, OpenConnections
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -30,6 +30,8 @@
 # Seconds for which the remainder of a refused body is read and discarded.
 LINGERING_SECONDS = 1.0
 MAX_HEADERS = 100
+# Seconds that a running handler has before it is cancelled.
+CLOSE_SECONDS = 0.2
 
 log = structlog.get_logger()
 
@@ -58,7 +60,7 @@
         self._read_limits = read_limits
         self._server: asyncio.Server | None = None
         self._manager = web.Server(handle, handler_cancellation=True)
-        self._count = 0
+        self._connections = OpenConnections(MAX_CONNECTIONS)
 
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
@@ -76,9 +78,16 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self._server is not None:
-            self._server.close()
-        await self._manager.shutdown(0.2)
+        await self._stop_listening()
+
+    async def close_connections(self) -> None:
+        """Stop listening, and return once all responses have been sent.
+
+        A process that ended earlier would cut the last part of a response whose caller
+        reads it slowly.
+        """
+        await self._stop_listening()
+        await self._connections.wait_until_all_closed()
 
     def close_when_idle(self) -> None:
         """Close idle connections; the others close after their current request."""
@@ -88,15 +97,25 @@
 
     def add(self) -> bool:
         """Count an opened connection; False when ``MAX_CONNECTIONS`` is reached."""
-        if self._count >= MAX_CONNECTIONS:
-            log.warning("connection refused", open=self._count)
+        if not self._connections.add():
+            log.warning("connection refused", open=self.open_connections)
             return False
-        self._count += 1
         return True
 
     def remove(self) -> None:
         """Count a closed connection."""
-        self._count -= 1
+        self._connections.remove()
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are not closed yet."""
+        return self._connections.count
+
+    async def _stop_listening(self) -> None:
+        """Refuse new connections and close the open ones."""
+        if self._server is not None:
+            self._server.close()
+        await self._manager.shutdown(CLOSE_SECONDS)
 
     def _make_connection(self) -> asyncio.Protocol:
         limits = self._read_limits()
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -162,6 +162,11 @@
     try:
         async with asyncio.timeout(remaining):
             await ingress.idle.wait()
+            await listener.close_connections()
     except TimeoutError:
-        log.warning("requests cut", open_requests=ingress.open_requests)
+        log.warning(
+            "requests cut",
+            open_requests=ingress.open_requests,
+            open_connections=listener.open_connections,
+        )
     log.info("gateway stopped", open_requests=ingress.open_requests)
--- a/tools/safeguards/drains_and_shutdown.py
+++ b/tools/safeguards/drains_and_shutdown.py
@@ -115,6 +115,14 @@
         "libraries/gateway",
         "tests.test_listener",
     ),
+    Mutation(
+        "a stopping gateway on the users' platform does so, too",
+        "libraries/proxy/src/bamboopier_proxy/caller_listener.py",
+        "        await self._connections.wait_until_all_closed()\n",
+        "",
+        "libraries/proxy",
+        "tests.test_caller_listener",
+    ),
     Mutation(
         "a gateway forced to stop reports the outcome to open callers",
         "libraries/gateway/src/bamboopier_gateway/daemon.py",
