Send responses for as long as an agent's shutdown may take

A caller that read slowly lost the end of a complete response when the agent was stopped, with "outcome unknown" or a reset, and no log line told of it: the agent ended with status 0.

Cause: once no request ran, the agent gave gRPC a fixed 30 s to pass its responses on to the gateways (FLUSH_TIMEOUT_SECONDS) and then cancelled all calls. The shutdown timeout, 600 s by default, was not over, so nothing counted as cut. Agents run until their gateways have taken what targets have completed; a gateway takes it as fast as its caller reads.

Evidence: a gateway that reads one event of a response of 14 MB, pauses for 32 s and reads on. With a grace of 30 s the stream ended with UNAVAILABLE "Cancelling all calls"; with the shutdown timeout all events arrive and the agent ends at once.

Change: gRPC's grace is the shutdown timeout, which StopSignals ends and logs first. `requests cut` gives the streams whose last event gRPC had not taken (`unsent`): with none running at the target, `running` alone said that nothing was lost. The stop is a module of its own, so that it can be tested with a server in the same process.

Test: agent's test_shutdown, two tests; the first failed before (AioRpcError), the second is new with the key. A gateway's write_timeout_seconds bounds callers that read nothing, as before. What is new: a suspended gateway keeps a stopping agent for the shutdown timeout, not for 30 s.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -22,7 +22,7 @@
 from bamboopier_daemon.listening import convert_listen_errors
 from bamboopier_daemon.peer_check import PeerCheck
 from bamboopier_daemon.process_metrics import add_process_metrics
-from bamboopier_daemon.stopping import ShutdownOutcome, StopSignals
+from bamboopier_daemon.stopping import StopSignals
 from bamboopier_decisions.admission.controller import AdmissionController
 from bamboopier_decisions.membership.lease import Lease
 from bamboopier_objects.follower import ConfigurationFollower
@@ -44,6 +44,7 @@
 from .metrics import AgentMetrics
 from .response_cache import ResponseCache
 from .service import AgentService
+from .shutdown import stop_serving
 from .store_client import StoreClient
 from .target import TargetClient
 from .target_monitor import TargetMonitor
@@ -55,8 +56,6 @@
 
 # For releasing abandoned claims; takes longer only if the platform is unavailable.
 CLAIM_RELEASE_TIMEOUT_SECONDS = 5.0
-# For responses that the target has completed and their gateway has not yet received.
-FLUSH_TIMEOUT_SECONDS = 30.0
 LEASE_RELEASE_TIMEOUT_SECONDS = 2.0
 
 log = structlog.get_logger()
@@ -180,14 +179,7 @@
             availability_gate.shut_down()
             log.info("agent stopping", running=gate.admission.running)
             timeout = settings.shutdown_timeout_seconds
-            end = await signals.wait_until(_finish_requests(gate, server), timeout)
-            if end is not ShutdownOutcome.IDLE:
-                # Gateways see these streams end early and correctly report the outcome
-                # as unknown to their callers.
-                log.warning(
-                    "requests cut", reason=end.value, running=gate.admission.running
-                )
-                await server.stop(grace=None)
+            await stop_serving(signals, gate, service, server, timeout)
             with suppress(TimeoutError):
                 await asyncio.wait_for(
                     claims.wait_until_released(), CLAIM_RELEASE_TIMEOUT_SECONDS
@@ -199,12 +191,6 @@
             log.info("agent stopped")
 
 
-async def _finish_requests(gate: AdmissionGate, server: grpc.aio.Server) -> None:
-    """Return once no request runs and gateways have received all responses."""
-    await gate.wait_until_idle()
-    await server.stop(grace=FLUSH_TIMEOUT_SECONDS)
-
-
 async def _run_weight_updates(
     lease: LeaseManager, weight_updater: WeightUpdater, generator: random.Random
 ) -> None:
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -68,6 +68,8 @@
         self._metrics = metrics
         self._seen = SeenAttempts()
         self._tasks: set[asyncio.Task[None]] = set()
+        # Streams whose last event gRPC has not taken yet.
+        self.open_streams = 0
 
     async def Serve(  # noqa: N802 (the name is the protocol's)
         self, request: pb.ServeRequest, context: Any
@@ -93,12 +95,14 @@
         run = asyncio.create_task(self._serve_attempt(request, builder, stream))
         self._tasks.add(run)
         run.add_done_callback(self._tasks.discard)
+        self.open_streams += 1
         try:
             async with aclosing(stream.read()) as events:
                 async for event in events:
                     yield event
             await run
         finally:
+            self.open_streams -= 1
             stream.disconnect()
             if not stream.detached:
                 run.cancel()
--- a/libraries/agent/tests/service_builders.py
+++ b/libraries/agent/tests/service_builders.py
@@ -58,7 +58,17 @@
             yield chunk
 
 
-def make_service(objects: FakeObjects, target: FakeTarget, name: str) -> AgentService:
+def make_gate() -> AdmissionGate:
+    """Return the gate of a target that runs up to eight requests."""
+    return AdmissionGate(AdmissionController(8, 8, random.Random(1)))
+
+
+def make_service(
+    objects: FakeObjects,
+    target: FakeTarget,
+    name: str,
+    gate: AdmissionGate | None = None,
+) -> AgentService:
     """Return the service of one agent beside ``target``."""
     address = Address("127.0.0.1", 1)
     settings = AgentSettings(
@@ -74,7 +84,7 @@
     return AgentService(
         settings,
         untyped_target,
-        AdmissionGate(AdmissionController(8, 8, random.Random(1))),
+        gate or make_gate(),
         ClaimTable(objects, name),
         ResponseCache(10_000),
         context,
--- a/tools/safeguards/drains_and_shutdown.py
+++ b/tools/safeguards/drains_and_shutdown.py
@@ -90,14 +90,21 @@
     ),
     Mutation(
         "a stopping agent waits for its streams",
-        "libraries/agent/src/bamboopier_agent/daemon.py",
-        "    await gate.wait_until_idle()\n"
-        "    await server.stop(grace=FLUSH_TIMEOUT_SECONDS)\n",
+        "libraries/agent/src/bamboopier_agent/shutdown.py",
+        "    await gate.wait_until_idle()\n    await server.stop(grace=timeout)\n",
         "    await server.stop(grace=0.0)\n",
         ".",
         "tests.test_shutdown.GracefulTests."
         "test_an_agent_finishes_streams_while_new_work_goes_elsewhere",
     ),
+    Mutation(
+        "a stopping agent sends its responses for as long as its shutdown may take",
+        "libraries/agent/src/bamboopier_agent/shutdown.py",
+        "    await server.stop(grace=timeout)\n",
+        "    await server.stop(grace=min(timeout, 30.0))\n",
+        "libraries/agent",
+        "tests.test_shutdown",
+    ),
     Mutation(
         "a stopping gateway waits for its streams",
         "libraries/gateway/src/bamboopier_gateway/daemon.py",
