Let the test relay read on while it holds data

The fault is the test's relay; the product did what it should.

Change: during a pause the relay reads on and keeps what it reads; resume forwards all of it, in order, and only then is a connection that its gateway has closed closed at the agent. The check and the time limit are as they were.

--- a/libraries/gateway/tests/relayed_agents.py
+++ b/libraries/gateway/tests/relayed_agents.py
@@ -40,6 +40,8 @@
         self.received = b""
         self._is_forwarding = asyncio.Event()
         self._is_forwarding.set()
+        # Data from the gateway that arrived during a pause, with its writer.
+        self._held: list[tuple[asyncio.StreamWriter, bytes]] = []
         self.is_holding_call = asyncio.Event()
         self._disconnects_at_next_call = False
 
@@ -64,12 +66,15 @@
         self._disconnects_at_next_call = True
 
     def pause(self) -> None:
-        """Stop forwarding data from the gateway; connections stay open."""
+        """Hold data from the gateway; connections stay open."""
         self._is_forwarding.clear()
 
     def resume(self) -> None:
         """Forward the held data, and all later data."""
         self._is_forwarding.set()
+        for writer, data in self._held:
+            writer.write(data)
+        self._held.clear()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -89,15 +94,20 @@
         with suppress(ConnectionError):
             while data := await reader.read(BUFFER_BYTES):
                 self.received += data
-                if not self._is_forwarding.is_set() and _has_call(data):
-                    self.is_holding_call.set()
-                await self._is_forwarding.wait()
-                if not self._disconnects_at_next_call:
+                if not self._is_forwarding.is_set():
+                    self._hold(data, writer)
+                elif not self._disconnects_at_next_call:
                     writer.write(data)
                 elif _has_call(data):
                     self.disconnect()
+        await self._is_forwarding.wait()
         writer.transport.abort()
 
+    def _hold(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        self._held.append((writer, data))
+        if _has_call(data):
+            self.is_holding_call.set()
+
     async def _forward_responses(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
