Move the recall of claimed keys out of the forwarder

The tests of both listeners share one check, and AgentConnections.get_stub, which bypassed the wait for a connection and was used by one test and one tool, is gone. No change of behaviour.

--- a/libraries/gateway/src/bamboopier_gateway/agent_connections.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_connections.py
@@ -63,10 +63,6 @@
         for channel in self._channels.values():
             await channel.abort()
 
-    def get_stub(self, address: str) -> AgentStub:
-        """Return a stub for the agent at ``address``."""
-        return self._find_channel(address).make_stub()
-
     async def connect(
         self, address: str, timeout: float = CONNECT_TIMEOUT_SECONDS
     ) -> AgentStub | None:
--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -5,7 +5,6 @@
 import time
 from typing import TYPE_CHECKING
 
-import grpc
 import structlog
 
 from bamboopier_decisions.routing.messages import (
@@ -23,6 +22,7 @@
 
 from .attempt import Attempt, AttemptResult
 from .errors import CallerError, ErrorCode, make_refusal
+from .recall import Recall
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -38,8 +38,6 @@
     from .metrics import GatewayMetrics
     from .shared_quarantine import SharedQuarantine
 
-# For an agent that still runs; one that is gone or suspended must not delay the caller.
-RECALL_TIMEOUT_SECONDS = 2.0
 # Causes that no other target can avoid: all agents claim keys at the same platform.
 _CLAIM_MESSAGES: dict[int, str] = {
     pb.PLATFORM_DOWN: "the platform does not answer, so the key cannot be claimed",
@@ -67,6 +65,7 @@
         self._router = router
         self._fleet = fleet
         self._agents = agents
+        self._recall = Recall(agents)
         self._follower = follower
         self._metrics = metrics
         self._quarantine = quarantine
@@ -82,7 +81,7 @@
                 self._log_choice(call, decision)
                 result = await self._run_attempt(call, decision, delivery)
                 if result.cause in (pb.KEY_CLAIMED, pb.KEY_REUSED):
-                    return await self._recall(call, result, delivery)
+                    return await self._recall.respond(call, result, delivery)
                 if result.cause in _CLAIM_MESSAGES:
                     raise _make_claim_error(result)
                 if (
@@ -182,47 +181,6 @@
         )
         raise make_refusal(refuse)
 
-    async def _recall(
-        self, call: Call, result: AttemptResult, delivery: Delivery
-    ) -> web.StreamResponse:
-        """Answer a repeated idempotency key without running the request again."""
-        if result.cause == pb.KEY_REUSED:
-            message = "this idempotency key was used for another request"
-            raise CallerError(ErrorCode.KEY_REUSED, message)
-        remaining = call.deadline - time.monotonic()
-        stub = await self._agents.connect_with_retries(result.claimed_by, remaining)
-        if stub is None:
-            raise _make_unknown_outcome_error()
-        request = pb.RecallRequest(
-            workspace=call.workspace,
-            service=call.service,
-            idempotency_key=call.idempotency_key,
-            fingerprint=call.fingerprint,
-            claim_id=result.claim_id,
-        )
-        try:
-            remaining = call.deadline - time.monotonic()
-            limit = max(0.0, min(RECALL_TIMEOUT_SECONDS, remaining))
-            reply = await stub.Recall(request, timeout=limit)
-        except grpc.aio.AioRpcError as error:
-            raise _make_unknown_outcome_error() from error
-        if reply.state == pb.RecallReply.NEVER_RAN:
-            message = "an earlier claim of this key never ran and is being released"
-            raise CallerError(
-                ErrorCode.CLAIM_UNAVAILABLE, message, ExecutionStatus.NOT_EXECUTED, 1.0
-            )
-        if reply.state == pb.RecallReply.RUNNING:
-            message = "a request with this idempotency key is under way"
-            raise CallerError(
-                ErrorCode.KEY_IN_PROGRESS, message, ExecutionStatus.UNKNOWN, 1.0
-            )
-        if reply.state != pb.RecallReply.KEPT:
-            raise _make_unknown_outcome_error()
-        await delivery.start(reply.head)
-        await delivery.write(reply.body)
-        await delivery.finish()
-        return delivery.response
-
     def _log_choice(self, call: Call, send: Send) -> None:
         self._metrics.attempts.labels(call.service, send.reason.value).inc()
         log.info(
@@ -296,11 +254,6 @@
     )
 
 
-def _make_unknown_outcome_error() -> CallerError:
-    message = "this idempotency key has been claimed before; its outcome is not known"
-    return CallerError(ErrorCode.OUTCOME_UNKNOWN, message, ExecutionStatus.UNKNOWN)
-
-
 def _make_arrival(call: Call) -> RequestArrived:
     model = call.model
     return RequestArrived(
--- a/libraries/gateway/tests/test_forwarder.py
+++ b/libraries/gateway/tests/test_forwarder.py
@@ -140,9 +140,9 @@
         await self.forward(make_call(body=ORDER, deadline=deadline))
         self.assertTrue(self.delivery.complete)
         self.relays[0].resume()
-        await self.connections.get_stub(self.addresses["near"]).Report(
-            pb.ReportRequest()
-        )
+        near = await self.connections.connect(self.addresses["near"])
+        assert near is not None
+        await near.Report(pb.ReportRequest())
         self.assertEqual([len(each.received) for each in self.agents], [0, 1])
         self.assertNotIn(ORDER, self.relays[0].received)
 
--- a/libraries/gateway/tests/test_recall.py
+++ b/libraries/gateway/tests/test_recall.py
@@ -18,7 +18,7 @@
 from bamboopier_gateway.agent_connections import AgentConnections
 from bamboopier_gateway.attempt import AttemptResult
 from bamboopier_gateway.errors import CallerError, ErrorCode
-from bamboopier_gateway.forwarder import Forwarder
+from bamboopier_gateway.recall import Recall
 from bamboopier_protocol import agent_pb2 as pb
 from bamboopier_protocol.agent_pb2_grpc import (
     AgentServicer,
@@ -55,9 +55,7 @@
 
     async def recall(self, seconds: float) -> CallerError:
         """Return the error for a caller with ``seconds`` until its deadline."""
-        other: Any = None
         async with asyncio.timeout(HANG_SECONDS), AgentConnections() as agents:
-            forwarder = Forwarder(other, other, agents, other, other, other)
             claimed = AttemptResult(
                 ExecutionStatus.NOT_EXECUTED,
                 pb.KEY_CLAIMED,
@@ -67,7 +65,7 @@
             call = make_call(deadline=time.monotonic() + seconds)
             delivery: Any = FakeDelivery()
             with self.assertRaises(CallerError) as raised:
-                await forwarder._recall(call, claimed, delivery)
+                await Recall(agents).respond(call, claimed, delivery)
         return raised.exception
 
     async def test_the_claim_holder_runs_it(self) -> None:
--- a/tools/capacity/connections.py
+++ b/tools/capacity/connections.py
@@ -64,7 +64,9 @@
 async def _open_as_gateway(ports: tuple[int, ...]) -> None:
     async with AgentConnections() as agents:
         for port in ports:
-            stub = agents.get_stub(f"{HOST}:{port}")
+            stub = await agents.connect(f"{HOST}:{port}")
+            if stub is None:
+                raise ConnectionError(f"no agent at port {port}")
             await stub.Report(pb.ReportRequest())
         print("ready", flush=True)
         await _wait_for_input_end()
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -65,9 +65,9 @@
     ),
     Mutation(
         "connecting to a claim holder that stalls briefly is retried",
-        "libraries/gateway/src/bamboopier_gateway/forwarder.py",
-        "self._agents.connect_with_retries(result.claimed_by, remaining)",
-        "self._agents.connect(result.claimed_by, remaining)",
+        "libraries/gateway/src/bamboopier_gateway/recall.py",
+        "self._agents.connect_with_retries(claimed.claimed_by, remaining)",
+        "self._agents.connect(claimed.claimed_by, remaining)",
         "libraries/gateway",
         "tests.test_recall.RecallTests.test_the_claim_holder_stalls_briefly",
     ),
--- a/tools/slow_caller.py
+++ b/tools/slow_caller.py
@@ -7,20 +7,48 @@
 
 import asyncio
 import socket
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING, Protocol, Self
+
+from aiohttp import web
+from processes import HOST
 
 if TYPE_CHECKING:
-    from aiohttp import web
+    import unittest
 
 BUFFER_BYTES = 4096
 READ_BYTES = 65_536
+BODY = b"x" * 60_000
+# Longer than a close that does not wait for the caller.
+PAUSE_SECONDS = 1.0
+
+
+class Listener(Protocol):
+    """Accepts callers' connections."""
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections that are not closed yet."""
+        ...
+
+    async def close_connections(self) -> None:
+        """Return once all responses have been sent."""
+        ...
 
 
-def limit_send_buffer(request: web.BaseRequest) -> None:
-    """Let the kernel buffer little of the response to ``request``."""
-    assert request.transport is not None
-    connection = request.transport.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+class LargeResponse:
+    """Responds with more than the kernel buffers."""
+
+    def __init__(self) -> None:
+        # Set once a request has been received.
+        self.started = asyncio.Event()
+
+    async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Respond with ``BODY``."""
+        assert request.transport is not None
+        connection = request.transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+        self.started.set()
+        return web.Response(body=BODY)
 
 
 class SlowCaller:
@@ -48,3 +76,17 @@
             received += data
         self._connection.close()
         return received
+
+
+async def check_close_waits(
+    test: unittest.TestCase, listener: Listener, port: int, response: LargeResponse
+) -> None:
+    """Check that a listener that closes sends the rest to a caller that reads late."""
+    caller = await SlowCaller.connect(HOST, port)
+    await response.started.wait()
+    closing = asyncio.create_task(listener.close_connections())
+    done, _ = await asyncio.wait({closing}, timeout=PAUSE_SECONDS)
+    test.assertEqual(done, set())
+    test.assertTrue((await caller.read()).endswith(BODY))
+    await closing
+    test.assertEqual(listener.open_connections, 0)
