Log what the holder of a claimed idempotency key replied

A caller's 502 outcome_unknown for a repeated key left no trace at the gateway: whether the holder could not be reached, did not answer in time, or no longer had the response.

Each recall now writes `claim holder asked` with the request's id, the claim, the holder, the reply or why there is none, and the time it took. test_the_claim_holder_is_gone checks the line too.

--- a/libraries/gateway/src/bamboopier_gateway/recall.py
+++ b/libraries/gateway/src/bamboopier_gateway/recall.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import grpc
+import structlog
 
 from bamboopier_decisions.routing.messages import ExecutionStatus
 from bamboopier_protocol import agent_pb2 as pb
@@ -24,6 +25,8 @@
 RECALL_TIMEOUT_SECONDS = 2.0
 RETRY_AFTER_SECONDS = 1.0
 
+log = structlog.get_logger()
+
 
 class Recall:
     """Asks the agent that holds a claim for the response; nothing runs again."""
@@ -64,9 +67,11 @@
 
     async def _ask_holder(self, call: Call, claimed: AttemptResult) -> pb.RecallReply:
         """Return the holder's reply; raises ``CallerError`` if it gives none."""
-        remaining = call.deadline - time.monotonic()
+        started = time.monotonic()
+        remaining = call.deadline - started
         stub = await self._agents.connect_with_retries(claimed.claimed_by, remaining)
         if stub is None:
+            _log_reply(call, claimed, started, "unreachable")
             raise _make_unknown_outcome_error()
         request = pb.RecallRequest(
             workspace=call.workspace,
@@ -80,10 +85,29 @@
         try:
             reply: pb.RecallReply = await stub.Recall(request, timeout=limit)
         except grpc.aio.AioRpcError as error:
+            detail = f"{error.code().name}: {error.details()}"
+            _log_reply(call, claimed, started, "no-reply", detail)
             raise _make_unknown_outcome_error() from error
+        _log_reply(call, claimed, started, pb.RecallReply.State.Name(reply.state))
         return reply
 
 
+def _log_reply(
+    call: Call, claimed: AttemptResult, started: float, reply: str, detail: str = ""
+) -> None:
+    log.info(
+        "claim holder asked",
+        request_id=call.request_id,
+        workspace=call.workspace,
+        service=call.service,
+        claim_id=claimed.claim_id,
+        holder=claimed.claimed_by,
+        reply=reply,
+        detail=detail,
+        seconds=round(time.monotonic() - started, 3),
+    )
+
+
 def _make_unknown_outcome_error() -> CallerError:
     message = "this idempotency key has been claimed before; its outcome is not known"
     return CallerError(ErrorCode.OUTCOME_UNKNOWN, message, ExecutionStatus.UNKNOWN)
--- a/libraries/gateway/tests/test_recall.py
+++ b/libraries/gateway/tests/test_recall.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import grpc
+from structlog.testing import capture_logs
 
 from bamboopier_decisions.routing.messages import ExecutionStatus
 from bamboopier_gateway.agent_connections import AgentConnections
@@ -85,7 +86,14 @@
 
     async def test_the_claim_holder_is_gone(self) -> None:
         self.relay.disconnect()
-        error = await self.recall(STALL_SECONDS)
+        with capture_logs() as lines:
+            error = await self.recall(STALL_SECONDS)
+        # The caller's request id leads to the cause.
+        (line,) = lines
+        self.assertEqual(
+            (line["event"], line["request_id"], line["holder"], line["reply"]),
+            ("claim holder asked", "request-1", self.address, "unreachable"),
+        )
         self.assertEqual(
             (error.code, error.ran),
             (ErrorCode.OUTCOME_UNKNOWN, ExecutionStatus.UNKNOWN),
