--- a/tools/safeguards/drains_and_shutdown.py
+++ b/tools/safeguards/drains_and_shutdown.py
@@ -108,8 +108,8 @@
     Mutation(
         "a stopping gateway waits for its streams",
         "libraries/gateway/src/bamboopier_gateway/daemon.py",
-        "application.wait_until_idle(), timeout)",
-        "asyncio.sleep(0), timeout)",
+        "    await application.wait_until_idle()\n",
+        "    await asyncio.sleep(0)\n",
         ".",
         "tests.test_shutdown.GracefulTests."
         "test_a_gateway_finishes_streams_and_refuses_new_requests",
