Close the channel of a caller that left while its gateway connected

Each caller that disconnects while its gateway connects to an agent that does not answer left a channel behind on which gRPC went on connecting, three to five times a second, until the next request or poll for that agent.

Cause: the channel was closed after a failed connect, and a cancelled one raises before that.

Change: the channel is closed on that way, too, unless others wait for it.

--- a/libraries/gateway/src/bamboopier_gateway/agent_connections.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_connections.py
@@ -78,11 +78,14 @@
         as "unknown".
         """
         channel = self._find_channel(address)
-        if await channel.connect(min(timeout, CONNECT_TIMEOUT_SECONDS)):
-            return channel.make_stub()
-        if channel.is_abandoned:
-            await self._discard(address, channel)
-        return None
+        try:
+            if await channel.connect(min(timeout, CONNECT_TIMEOUT_SECONDS)):
+                return channel.make_stub()
+            return None
+        finally:
+            # Also when the caller has disconnected meanwhile.
+            if channel.is_abandoned:
+                await self._discard(address, channel)
 
     async def connect_with_retries(
         self, address: str, timeout: float = CONNECT_TIMEOUT_SECONDS
--- a/libraries/gateway/tests/test_agent_connections.py
+++ b/libraries/gateway/tests/test_agent_connections.py
@@ -56,6 +56,29 @@
             self.assertEqual(attempts, attempts_after_connect)
         server.close()
 
+    async def test_a_caller_that_leaves_causes_no_reconnecting(self) -> None:
+        # Guards against connection attempts without any request after a caller has
+        # disconnected while its gateway was connecting.
+        attempts = 0
+        accepted = asyncio.Event()
+
+        async def count(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal attempts
+            attempts += 1
+            accepted.set()
+            await asyncio.sleep(HANG_SECONDS)
+
+        server = await asyncio.start_server(count, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with AgentConnections() as agents:
+            connecting = asyncio.create_task(agents.connect(address))
+            await accepted.wait()
+            connecting.cancel()
+            await asyncio.wait({connecting})
+            await asyncio.sleep(1.0)
+            self.assertEqual(attempts, 1)
+        server.close()
+
     async def test_an_unresponsive_agent_is_sent_nothing(self) -> None:
         # The kernel of a suspended VM still accepts connections, but nothing responds
         # on them. A call handed to gRPC would wait there until its deadline and end as
