Reserve a slice of ports for each test process

Cause: test processes took a slice of the ports by their process id, and two that run side by side may have ids that differ by a multiple of the 40 slices. A port that one had assigned to a process which had not started yet was free for the other, too. The tests of one whole run start up to five such processes at a time. The fault is the test tools'; no process of the product was involved.

Evidence: the agent's error names port 26617, of the slice of that run; four other test runs ran.

Test: test_processes_that_run_side_by_side_use_different_ports; with slices by process id both get the same slice.

--- a/libraries/gateway/tests/test_listener.py
+++ b/libraries/gateway/tests/test_listener.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from aiohttp import web
-from processes import HOST, find_port
+from ports import HOST, find_port
 from slow_caller import LargeResponse, check_close_waits
 
 from bamboopier_configuration.settings import Address
--- a/libraries/proxy/tests/test_caller_listener.py
+++ b/libraries/proxy/tests/test_caller_listener.py
@@ -7,7 +7,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from processes import HOST, find_port
+from ports import HOST, find_port
 from slow_caller import LargeResponse, check_close_waits
 
 from bamboopier_proxy.caller_listener import CallerListener
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -13,7 +13,8 @@
 from urllib.parse import urlsplit
 
 from fault_matrix import Cell, Fault, Hop, Step
-from processes import BLOCK_SECRET, HOST, Installation, fetch, find_port
+from ports import HOST, find_port
+from processes import BLOCK_SECRET, Installation, fetch
 
 from bamboopier_agent.claims import hash_key
 
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Self
 
 from fault_matrix import Step
-from processes import HOST
+from ports import HOST
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from processes import HOST, Installation, find_port
+from ports import HOST, find_port
+from processes import Installation
 
 from .builders import EXAMPLES
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,7 +6,8 @@
 import time
 import unittest
 
-from processes import Installation, StartError, find_port
+from ports import PortSlice, find_port
+from processes import Installation, StartError
 
 
 class PortTests(unittest.TestCase):
@@ -16,6 +17,13 @@
         ports = [find_port() for _ in range(200)]
         self.assertEqual(len(set(ports)), len(ports))
 
+    def test_processes_that_run_side_by_side_use_different_ports(self) -> None:
+        # Guards against "address in use" because another test process, with a process
+        # id that differs by a multiple of the slices, has assigned the same port.
+        first, second = PortSlice.reserve(7), PortSlice.reserve(7)
+        ports = [s.find_port() for s in (first, second) for _ in range(300)]
+        self.assertEqual(len(set(ports)), len(ports))
+
 
 class EndedDaemonTests(unittest.TestCase):
     def test_waiting_for_a_daemon_that_ended_fails_at_once(self) -> None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -8,9 +8,7 @@
 
 import json
 import os
-import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,16 +19,14 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Self
 
+from ports import HOST, find_port
+
 if TYPE_CHECKING:
     from types import TracebackType
 
 BLOCK_SECRET = "5a" * 32
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
-HOST = "127.0.0.1"
-LISTEN_PORTS = range(12_000, 32_000)
-# Test files run in parallel processes, each of which uses its own slice of the ports.
-PORT_SLICES = 40
 
 
 class StartError(Exception):
@@ -316,32 +312,6 @@
     }
 
 
-def find_port() -> int:
-    """Return a free loopback port that was not returned before.
-
-    The range is below the system's ephemeral ports: an outgoing connection could use a
-    port from those before the process that should listen on it has started. A free port
-    may already be assigned to a process that has not started yet.
-    """
-    size = len(LISTEN_PORTS) // PORT_SLICES
-    start = os.getpid() % PORT_SLICES * size
-    own = LISTEN_PORTS[start : start + size]
-    while True:
-        port = secrets.choice(own)
-        if port in _assigned:
-            continue
-        _assigned.add(port)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-
-
-_assigned: set[int] = set()
-
-
 def fetch(url: str) -> bytes:
     """Return the body at ``url``."""
     with urllib.request.urlopen(url, timeout=10) as response:
--- a/tools/slow_caller.py
+++ b/tools/slow_caller.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Protocol, Self
 
 from aiohttp import web
-from processes import HOST
+from ports import HOST
 
 if TYPE_CHECKING:
     import unittest
