--- a/tools/safeguards/drains_and_shutdown.py
+++ b/tools/safeguards/drains_and_shutdown.py
@@ -70,6 +70,24 @@
         "tests.test_stopping_agents.StoppingAgentTests."
         "test_streams_of_a_stopping_agent_cause_no_reconnecting",
     ),
+    Mutation(
+        "a call that gives up connecting leaves the channel to those that wait",
+        "libraries/gateway/src/bamboopier_gateway/agent_channel.py",
+        "self._waiting == 0 and not self._was_ready",
+        "not self._was_ready",
+        "libraries/gateway",
+        "tests.test_agent_connections.AgentConnectionsTests."
+        "test_a_connect_with_little_time_left_ends_no_other",
+    ),
+    Mutation(
+        "channels do not share connection attempts",
+        "libraries/gateway/src/bamboopier_gateway/agent_connections.py",
+        '    ("grpc.use_local_subchannel_pool", 1),\n',
+        "",
+        "libraries/gateway",
+        "tests.test_agent_connections.AgentConnectionsTests."
+        "test_a_failure_of_another_channel_is_not_reported",
+    ),
     Mutation(
         "a drain that conflicts with another operator's is retried",
         "libraries/cli/src/bamboopier_cli/publishing.py",
