Ask a channel that was ready for no second connection

What callers saw: nothing at once.

Cause: connect read the state of a channel up to three times, and the last read asks gRPC to connect. An agent's GOAWAY that arrived in between turned READY into IDLE, and the old channel, whose streams go on, connected again and again.

Why the fix works: a channel that was ready is read once, without asking it to connect, and never asked to connect afterwards, also by callers that waited for the same attempt.

Found with it: the test's limit against hanging was entered in asyncSetUp, whose task has ended when the test runs, so it never acted; it stands around the loop now.

Left: a call starts one step of the event loop after connect returned its stub. A goodbye in that step still makes gRPC reconnect.

--- a/libraries/gateway/src/bamboopier_gateway/agent_channel.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_channel.py
@@ -20,13 +20,14 @@
 class AgentChannel:
     """A channel for one connection to an agent; it is not used for a second one."""
 
-    __slots__ = ("_channel", "_waiting", "_was_ready")
+    __slots__ = ("_channel", "_waiting", "was_ready")
 
     def __init__(self, channel: grpc.aio.Channel) -> None:
         self._channel = channel
         # Number of callers in ``connect``.
         self._waiting = 0
-        self._was_ready = False
+        # From then on calls may use the channel, and nothing else makes it connect.
+        self.was_ready = False
 
     @property
     def is_ready(self) -> bool:
@@ -40,12 +41,12 @@
         An agent that stops completes the streams of its connection. A call on the same
         channel would make gRPC reconnect, over and over while those streams last.
         """
-        return self._was_ready and not self.is_ready
+        return self.was_ready and not self.is_ready
 
     @property
     def is_abandoned(self) -> bool:
         """Return whether it never had a connection, and no caller waits for one."""
-        return self._waiting == 0 and not self._was_ready
+        return self._waiting == 0 and not self.was_ready
 
     def make_stub(self) -> agent_pb2_grpc.AgentStub:
         """Return a stub for calls on this channel."""
@@ -60,9 +61,7 @@
         try:
             with suppress(TimeoutError, grpc.aio.UsageError):
                 async with asyncio.timeout(timeout):
-                    if await _wait_for_connection(self._channel):
-                        self._was_ready = True
-                        return True
+                    return await self._wait_for_connection()
         finally:
             self._waiting -= 1
         return False
@@ -75,29 +74,29 @@
         """Cancel the running calls and close."""
         await self._channel.close(None)
 
+    async def _wait_for_connection(self) -> bool:
+        """Wait while the channel connects; return False at the first new failure.
 
-async def _wait_for_connection(channel: grpc.aio.Channel) -> bool:
-    """Wait while the channel connects; return False at the first new failure.
-
-    A failure from before this call is not conclusive: the agent may have started since,
-    and gRPC may only be waiting for the end of its back-off. If it counted, a request
-    would be refused as overloaded although its only target is idle.
-    """
-    if channel.get_state() is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
-        with suppress(TimeoutError):
-            async with asyncio.timeout(RECONNECT_TIMEOUT_SECONDS):
-                return await _wait_until_ready(channel, until_failure=False)
-        return False
-    return await _wait_until_ready(channel, until_failure=True)
-
-
-async def _wait_until_ready(channel: grpc.aio.Channel, *, until_failure: bool) -> bool:
-    """Wait for a connection, or for a failure if ``until_failure``."""
-    state = channel.get_state(try_to_connect=True)
-    while state is not grpc.ChannelConnectivity.READY:
-        failed = state is grpc.ChannelConnectivity.TRANSIENT_FAILURE
-        if (failed and until_failure) or state is grpc.ChannelConnectivity.SHUTDOWN:
+        A failure from before this call is not conclusive: the agent may have started
+        since, and gRPC may only be waiting for the end of its back-off. If it counted,
+        a request would be refused as overloaded although its only target is idle.
+        """
+        if self._channel.get_state() is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RECONNECT_TIMEOUT_SECONDS):
+                    return await self._wait_until_ready(until_failure=False)
             return False
-        await channel.wait_for_state_change(state)
-        state = channel.get_state(try_to_connect=True)
-    return True
+        return await self._wait_until_ready(until_failure=True)
+
+    async def _wait_until_ready(self, *, until_failure: bool) -> bool:
+        """Wait for a connection, or for a failure if ``until_failure``."""
+        while not self.was_ready:
+            state = self._channel.get_state(try_to_connect=True)
+            if state is grpc.ChannelConnectivity.READY:
+                self.was_ready = True
+                return True
+            failed = state is grpc.ChannelConnectivity.TRANSIENT_FAILURE
+            if (failed and until_failure) or state is grpc.ChannelConnectivity.SHUTDOWN:
+                return False
+            await self._channel.wait_for_state_change(state)
+        return self.is_ready
--- a/libraries/gateway/src/bamboopier_gateway/agent_connections.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_connections.py
@@ -78,6 +78,8 @@
         as "unknown".
         """
         channel = self._find_channel(address)
+        if channel.was_ready:
+            return channel.make_stub()
         try:
             if await channel.connect(min(timeout, CONNECT_TIMEOUT_SECONDS)):
                 return channel.make_stub()
@@ -138,6 +140,7 @@
             await channel.abort()
 
     def _find_channel(self, address: str) -> AgentChannel:
+        """Return a channel that is ready or has never had a connection."""
         channel = self._channels.get(address)
         if channel is not None and channel.has_lost_connection:
             self._close(self._channels.pop(address))
--- a/libraries/gateway/tests/test_stopping_agents.py
+++ b/libraries/gateway/tests/test_stopping_agents.py
@@ -87,7 +87,6 @@
 
 class StoppingAgentTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        await self.enterAsyncContext(asyncio.timeout(HANG_SECONDS))
         self.agent = await self.enterAsyncContext(start_streaming_agent())
         self.agents = await self.enterAsyncContext(AgentConnections())
 
@@ -106,11 +105,12 @@
 
     async def stop_agent(self) -> None:
         """Stop the agent, and connect to it until that fails."""
-        await self.agent.stop_accepting()
-        while True:
-            if await self.agents.connect(self.agent.address) is None:
-                return
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(HANG_SECONDS):
+            await self.agent.stop_accepting()
+            while True:
+                if await self.agents.connect(self.agent.address) is None:
+                    return
+                await asyncio.sleep(0.01)
 
     async def test_a_failed_connect_cuts_no_stream(self) -> None:
         # Guards against streams that end early when another call finds their stopping
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -164,8 +164,8 @@
     Mutation(
         "the gateway sends only on an established connection",
         "libraries/gateway/src/bamboopier_gateway/agent_channel.py",
-        "if await _wait_for_connection(self._channel):\n",
-        "if self._channel.get_state(try_to_connect=True):\n",
+        "return await self._wait_for_connection()\n",
+        "return self._channel.get_state(try_to_connect=True) is not None\n",
         "libraries/gateway",
         "tests.test_agent_connections.AgentConnectionsTests.test_an_unresponsive_agent_is_sent_nothing",
     ),
--- a/tools/safeguards/drains_and_shutdown.py
+++ b/tools/safeguards/drains_and_shutdown.py
@@ -70,11 +70,19 @@
         "tests.test_stopping_agents.StoppingAgentTests."
         "test_streams_of_a_stopping_agent_cause_no_reconnecting",
     ),
+    Mutation(
+        "a connection that is lost during a connect is not made again",
+        "libraries/gateway/src/bamboopier_gateway/agent_channel.py",
+        "while not self.was_ready:",
+        "while True:",
+        "libraries/gateway",
+        "tests.test_agent_channel",
+    ),
     Mutation(
         "a call that gives up connecting leaves the channel to those that wait",
         "libraries/gateway/src/bamboopier_gateway/agent_channel.py",
-        "self._waiting == 0 and not self._was_ready",
-        "not self._was_ready",
+        "self._waiting == 0 and not self.was_ready",
+        "not self.was_ready",
         "libraries/gateway",
         "tests.test_agent_connections.AgentConnectionsTests."
         "test_a_connect_with_little_time_left_ends_no_other",
