Let the time limit of the agent's shutdown tests act

The limit against hanging was entered in asyncSetUp, whose task has ended when the test runs: it never acted, and a response that is never sent would have held the run. It stands around the shutdown now. Found by a mutation that hung a test of the gateway with the same pattern. No check or bound changed.

--- a/libraries/agent/tests/test_shutdown.py
+++ b/libraries/agent/tests/test_shutdown.py
@@ -44,7 +44,6 @@
 
 class SlowGatewayTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        await self.enterAsyncContext(asyncio.timeout(HANG_SECONDS))
         self.gate = make_gate()
         target = LargeResponseTarget()
         self.service = make_service(FakeObjects(), target, "agent-1", self.gate)
@@ -67,9 +66,10 @@
     async def stop(self, timeout: float) -> list[Any]:
         """Stop the agent and return what it has logged."""
         with StopSignals() as signals, capture_logs() as lines:
-            await shutdown.stop_serving(
-                signals, self.gate, self.service, self.server, timeout
-            )
+            async with asyncio.timeout(HANG_SECONDS):
+                await shutdown.stop_serving(
+                    signals, self.gate, self.service, self.server, timeout
+                )
         return lines
 
     async def test_a_completed_response_is_sent_until_the_shutdown_timeout(
