Check the target before an agent opens its port

Cause: the agent listened before the monitor had polled the target once. A gateway that asked in between got a report with accepting false and believed it until its next poll.

Change: the agent waits for the first poll, a second at most, before it opens its port. A target that does not answer in time counts as unavailable, as before. Until then a connect is refused at once, which a gateway takes for "not started yet" and asks again.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -57,6 +57,9 @@
 # For releasing abandoned claims; takes longer only if the platform is unavailable.
 CLAIM_RELEASE_TIMEOUT_SECONDS = 5.0
 LEASE_RELEASE_TIMEOUT_SECONDS = 2.0
+# A gateway that asks before the target was checked counts it as unavailable until its
+# next poll. A target that takes longer than this counts as unavailable.
+FIRST_CHECK_TIMEOUT_SECONDS = 1.0
 
 log = structlog.get_logger()
 
@@ -150,6 +153,7 @@
         stack.push_async_callback(server.stop, None)
         add_AgentServicer_to_server(service, server)
         add_PeerServicer_to_server(PeerService(follower.store, vms), server)
+        await monitor.wait_until_checked(FIRST_CHECK_TIMEOUT_SECONDS)
         with convert_listen_errors("listen", settings.listen):
             certificates.add_port(server, str(settings.listen))
         await server.start()
--- a/libraries/agent/src/bamboopier_agent/target_monitor.py
+++ b/libraries/agent/src/bamboopier_agent/target_monitor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -31,11 +32,19 @@
         self.start_id = ""
         self.version = ""
         self.reachable = False
+        self._checked = asyncio.Event()
+
+    async def wait_until_checked(self, timeout: float) -> None:
+        """Return after the first poll, or after ``timeout`` seconds without one."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._checked.wait()
 
     async def run(self) -> None:
         """Poll until cancelled; the target is on this VM, so no link is used."""
         while True:
             await self.refresh()
+            self._checked.set()
             await asyncio.sleep(POLL_SECONDS)
 
     async def refresh(self) -> None:
