--- a/libraries/gateway/src/bamboopier_gateway/agent_channel.py
+++ b/libraries/gateway/src/bamboopier_gateway/agent_channel.py
@@ -26,7 +26,7 @@
         self._channel = channel
         # Number of callers in ``connect``.
         self._waiting = 0
-        # From then on calls may use the channel, and nothing else makes it connect.
+        # Set once it has had its connection; it is not asked to connect after that.
         self.was_ready = False
 
     @property
--- a/libraries/gateway/tests/test_agent_channel.py
+++ b/libraries/gateway/tests/test_agent_channel.py
@@ -61,7 +61,7 @@
 
     async def test_a_connection_lost_during_connect_is_not_made_again(self) -> None:
         # Guards against connection attempts without a request, five a second while the
-        # streams of a stopping agent last, when its goodbye arrives during a connect.
+        # streams of a stopping agent last, when its GOAWAY arrives during a connect.
         for callers in (1, 2, 3):
             for reads in range(1, 8):
                 with self.subTest(callers=callers, reads=reads):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -165,4 +165,13 @@
         "libraries/gateway",
         "tests.test_prompt",
     ),
+    Mutation(
+        "an agent opens its port once it has checked its target",
+        "libraries/agent/src/bamboopier_agent/daemon.py",
+        "        await monitor.wait_until_checked(FIRST_CHECK_TIMEOUT_SECONDS)\n",
+        "",
+        ".",
+        "tests.test_readiness.ReadinessTests."
+        "test_the_first_report_of_an_agent_follows_a_check_of_its_target",
+    ),
 )
