--- a/tools/safeguards/stalled_targets.py
+++ b/tools/safeguards/stalled_targets.py
@@ -69,7 +69,7 @@
     Mutation(
         "a stalled target gets no requests while others respond",
         f"{FORWARDING}/placement.py",
-        "    candidates = _exclude_stalled(now, candidates)\n",
+        "    usable = _exclude_stalled(now, usable)\n",
         "",
         "libraries/decisions",
         f"{PLACEMENT_TESTS}.test_a_stalled_target_is_not_used_while_others_respond",
--- a/tools/safeguards/target_reports.py
+++ b/tools/safeguards/target_reports.py
@@ -56,7 +56,7 @@
     Mutation(
         "a rest holds for an instance that is listed again",
         FLEET,
-        " and not state.rest.is_resting(now)",
+        "            or state.rest.is_resting(now)\n",
         "",
         "libraries/decisions",
         f"{FLEET_TESTS}.test_a_rest_holds_for_an_instance_that_is_listed_again",
