Log recorded crashes, and the fingerprint of each attempt

The logs could not tell apart why a request that crashes engines is not refused: that its crash does not count, that it counts and is dropped as an outage, or that it never reaches the other gateways. `crash recorded` says who saw the crash, of which request and target, and how many targets count against the request (0: taken for an outage and dropped); `attempt ended` carries the fingerprint by which repeats are recognised. No decision changes.

--- a/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
@@ -68,13 +68,17 @@
         self._last_crash: dict[str, float] = {}
         self._shared_entries: dict[bytes, float] = {}
 
-    def record_crash(self, now: float, fingerprint: bytes, target: str) -> None:
-        """Record that ``target`` crashed while it had the request."""
+    def record_crash(self, now: float, fingerprint: bytes, target: str) -> int:
+        """Record that ``target`` crashed while it had the request.
+
+        Return the number of targets that count against the request; 0 if the crash was
+        taken for an outage, and the evidence since its start was dropped.
+        """
         self._remove_expired(now)
         self._last_crash[target] = now
         if self._is_outage(now):
             self._discard_since(now - OUTAGE_SECONDS)
-            return
+            return 0
         suspect = self._suspects.setdefault(fingerprint, _Suspect())
         self._suspects.move_to_end(fingerprint)
         suspect.targets[target] = now
@@ -82,6 +86,7 @@
         self._by_target.setdefault(target, set()).add(fingerprint)
         if len(self._suspects) > MAX_SUSPECTS:
             self._remove(next(iter(self._suspects)))
+        return len(suspect.targets)
 
     def set_shared_entries(self, entries: list[QuarantineEntry]) -> None:
         """Replace the entries that other gateways have published."""
--- a/libraries/proxy/src/bamboopier_proxy/attempt_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_log.py
@@ -48,6 +48,7 @@
             "attempt ended",
             request_id=call.request_id,
             service=call.service,
+            fingerprint=call.fingerprint.hex(),
             target=state.entry.name,
             ran=result.ran.value,
             cause=result.cause.value,
--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -132,7 +132,7 @@
     def record_crash(self, fingerprint: bytes, target: str) -> None:
         """Record and announce a target that crashed while it had a request."""
         now = read_clock()
-        self._quarantine.record_crash(now, fingerprint, target)
+        self._record_crash(now, fingerprint, target, self._name)
         self._crashes.append((now, CrashHint(fingerprint, target)))
 
     def find_wait(self, fingerprint: bytes) -> float:
@@ -228,7 +228,20 @@
         self._limits.apply(now, hint.sender, hint.limits)
         self._stalls.apply(now, hint.loads)
         for found in hint.crashes:
-            self._quarantine.record_crash(now, found.fingerprint, found.target)
+            self._record_crash(now, found.fingerprint, found.target, hint.sender)
+
+    def _record_crash(
+        self, now: float, fingerprint: bytes, target: str, seen_by: str
+    ) -> None:
+        crashed_targets = self._quarantine.record_crash(now, fingerprint, target)
+        log.info(
+            "crash recorded",
+            fingerprint=fingerprint.hex(),
+            target=target,
+            seen_by=seen_by,
+            # 0: taken for an outage, and dropped with what was known.
+            crashed_targets=crashed_targets,
+        )
 
     def _handle_weight_load(self, hint: WeightLoadHint) -> None:
         state = self._fleet.find(hint.target)
