Judge crashes by repeats, not by how many targets end

Cause: more than four crashed targets within 10 s were taken for an outage, which dropped all evidence of that time, also such as had already led to a refusal, and recorded no more while it lasted. Two requests that need three crashes each make six; one that comes often enough makes five. The safeguard meant a lost data centre, and met the very thing that it was to let through.

Change: a request is a culprit if targets ended with it, one of which got it after another had ended with it, and none completed it in between. When a data centre is lost, all repeats that run there were sent before, whatever their number and order. Two requests that always crash together no longer acquit each other for good: one more crash, and both are refused. A crash keeps its age when it is told on. The quarantine lasts ten minutes at gateways of the platform, too (30 s before): each end of it is one more crash at each gateway. Both ways to a target share the decision.

Ruled out: a spread of at least 0.2 s between crashes as a further condition.

--- a/libraries/gateway/src/bamboopier_gateway/forwarder.py
+++ b/libraries/gateway/src/bamboopier_gateway/forwarder.py
@@ -79,16 +79,13 @@
         try:
             while isinstance(decision, Send):
                 self._log_choice(call, decision)
+                sent_at = time.monotonic()
                 result = await self._run_attempt(call, decision, delivery)
                 if result.cause in (pb.KEY_CLAIMED, pb.KEY_REUSED):
                     return await self._recall.respond(call, result, delivery)
                 if result.cause in _CLAIM_MESSAGES:
                     raise _make_claim_error(result)
-                if (
-                    result.cause in _CRASH_CAUSES
-                    and result.ran is ExecutionStatus.UNKNOWN
-                ):
-                    self._quarantine.record_crash(call, decision.target)
+                self._record_evidence(call, decision, result, sent_at)
                 decision = self._report_end(call, decision, result, delivery)
         finally:
             self._router.abandon(call.request_id)
@@ -103,6 +100,16 @@
             return await delivery.fail(error)
         return delivery.response
 
+    def _record_evidence(
+        self, call: Call, send: Send, result: AttemptResult, sent_at: float
+    ) -> None:
+        """Record whether the target crashed with the call, or completed it."""
+        if result.ran is ExecutionStatus.EXECUTED:
+            self._quarantine.record_completed(call)
+        elif result.cause in _CRASH_CAUSES and result.ran is ExecutionStatus.UNKNOWN:
+            seconds = time.monotonic() - sent_at
+            self._quarantine.record_crash(call, send.target, seconds)
+
     async def _run_attempt(
         self, call: Call, send: Send, delivery: Delivery
     ) -> AttemptResult:
--- a/libraries/gateway/src/bamboopier_gateway/shared_quarantine.py
+++ b/libraries/gateway/src/bamboopier_gateway/shared_quarantine.py
@@ -11,7 +11,11 @@
 import structlog
 from result import Err, Ok
 
-from bamboopier_decisions.quarantine.quarantine import Quarantine, QuarantineEntry
+from bamboopier_decisions.quarantine.quarantine import (
+    Crash,
+    Quarantine,
+    QuarantineEntry,
+)
 from bamboopier_objects.errors import VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
@@ -55,9 +59,15 @@
         """Return for how many seconds the call is refused; 0 if it is not."""
         return self._quarantine.find_wait(time.time(), make_fingerprint(call))
 
-    def record_crash(self, call: Call, target: str) -> None:
-        """Record that ``target`` crashed while it had the call."""
-        self._quarantine.record_crash(time.time(), make_fingerprint(call), target)
+    def record_crash(self, call: Call, target: str, seconds: float) -> None:
+        """Record that ``target`` crashed ``seconds`` after it was sent the call."""
+        now = time.time()
+        crash = Crash(make_fingerprint(call), target, now - seconds, now)
+        self._quarantine.record_crash(now, crash)
+
+    def record_completed(self, call: Call) -> None:
+        """Record that a target completed the call."""
+        self._quarantine.record_completed(time.time(), make_fingerprint(call))
 
     async def publish(self) -> None:
         """Publish the entries that this gateway adds, until cancelled."""
--- a/libraries/gateway/tests/test_forwarder.py
+++ b/libraries/gateway/tests/test_forwarder.py
@@ -88,7 +88,9 @@
         follower = SimpleNamespace(directory=SimpleNamespace(generation=1))
         follower.record_announced = lambda _: None
         quarantine = SimpleNamespace(
-            find_wait=lambda _: 0.0, record_crash=lambda *_: None
+            find_wait=lambda _: 0.0,
+            record_crash=lambda *_: None,
+            record_completed=lambda _: None,
         )
         return Forwarder(
             router,
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -11,6 +11,7 @@
 from bamboopier_decisions.forwarding.placement import choose_target
 from bamboopier_decisions.forwarding.specs import RetrySafety
 from bamboopier_decisions.forwarding.wait_queue import draw_retry_after, find_max_wait
+from bamboopier_decisions.quarantine.quarantine import Crash
 
 from .attempt_log import AttemptLog
 from .attempt_result import AttemptResult, Cause
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
 
     from result import Result
 
@@ -60,8 +62,12 @@
 class CrashQuarantine(Protocol):
     """Requests that crashed targets, at this gateway and at others."""
 
-    def record_crash(self, fingerprint: bytes, target: str) -> None:
-        """Record that a target crashed while it had the request."""
+    def record_crashes(self, crashes: Iterable[Crash]) -> None:
+        """Record and announce crashes that were seen here."""
+        ...
+
+    def record_completed(self, fingerprint: bytes) -> None:
+        """Record that a target completed a request."""
         ...
 
     def find_wait(self, fingerprint: bytes) -> float:
@@ -303,6 +309,7 @@
                 state.circuit_breaker.record_failure(now)
             case Cause.NONE:
                 state.circuit_breaker.record_success()
+                self._quarantine.record_completed(call.fingerprint)
             case Cause.CONNECT:
                 state.circuit_breaker.record_unreachable(now)
             case Cause.NOT_RUN:
@@ -327,7 +334,9 @@
             case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
                 state.circuit_breaker.record_failure(now)
                 if result.cause is Cause.BROKEN and not result.status:
-                    self._quarantine.record_crash(call.fingerprint, state.entry.name)
+                    name, sent_at = state.entry.name, in_flight.sent_at or now
+                    crash = Crash(call.fingerprint, name, sent_at, now)
+                    self._quarantine.record_crashes([crash])
 
     async def _retry_or_finish(
         self,
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -30,10 +30,9 @@
     from .store_schema import Store, StoreSchema
 
 # Number of different targets that must have crashed with one request before it is
-# refused, and for how long it is refused. Two crashes could be a coincidence, and a
-# wrong quarantine must not block a path that many callers request.
+# refused: two crashes could be a coincidence, and a wrong quarantine must not block a
+# path that many callers request.
 CRASHES_TO_QUARANTINE = 3
-QUARANTINE_SECONDS = 30.0
 
 
 class GatewayPeers:
@@ -84,7 +83,7 @@
             self._registry,
             state.fleet,
             state.active_configuration,
-            Quarantine(CRASHES_TO_QUARANTINE, QUARANTINE_SECONDS),
+            Quarantine(CRASHES_TO_QUARANTINE),
             state.request_queues,
             self._configuration_relay.request,
             random,
--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -18,6 +18,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.target_state import Load
+from bamboopier_decisions.quarantine.quarantine import Crash
 
 from .capacity_loans import CapacityLoans
 from .hint_socket import HintSocket
@@ -39,7 +40,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
     from types import TracebackType
     from typing import Self
 
@@ -107,7 +108,7 @@
         # Time at which each freshness request was sent, by nonce.
         self._freshness_requests: dict[int, float] = {}
         self._received: dict[str, tuple[float, LoadHint]] = {}
-        self._crashes: list[tuple[float, CrashHint]] = []
+        self._crashes: list[Crash] = []
         self._limits = LimitHints(fleet, random)
         self._stalls = StallReports(fleet)
         self._loans = CapacityLoans(name, fleet, request_queues, self, random)
@@ -129,11 +130,16 @@
     ) -> None:
         await self._socket.__aexit__(kind, error, traceback)
 
-    def record_crash(self, fingerprint: bytes, target: str) -> None:
-        """Record and announce a target that crashed while it had a request."""
+    def record_crashes(self, crashes: Iterable[Crash]) -> None:
+        """Record and announce targets that crashed while they had requests."""
         now = read_clock()
-        self._record_crash(now, fingerprint, target, self._name)
-        self._crashes.append((now, CrashHint(fingerprint, target)))
+        for crash in crashes:
+            self._record_crash(now, crash, self._name)
+            self._crashes.append(crash)
+
+    def record_completed(self, fingerprint: bytes) -> None:
+        """Record that a target completed a request."""
+        self._quarantine.record_completed(read_clock(), fingerprint)
 
     def find_wait(self, fingerprint: bytes) -> float:
         """Return the seconds for which a request is refused; 0 if it is not."""
@@ -164,13 +170,15 @@
 
     def _send_loads(self) -> None:
         now = read_clock()
-        self._crashes = [b for b in self._crashes if now - b[0] < CRASH_REPEAT_SECONDS]
+        self._crashes = [
+            c for c in self._crashes if now - c.ended_at < CRASH_REPEAT_SECONDS
+        ]
         hint = LoadHint(
             self._name,
             next(self._numbers),
             self._started_ms,
             list_load_hints(now, self._fleet),
-            [b for _, b in self._crashes[:8]],
+            [_make_crash_hint(now, crash) for crash in self._crashes[:8]],
             self._limits.list_hints(now),
         )
         allowed = BYTES_PER_SECOND * HINT_SECONDS / len(encode(hint))
@@ -228,18 +236,23 @@
         self._limits.apply(now, hint.sender, hint.limits)
         self._stalls.apply(now, hint.loads)
         for found in hint.crashes:
-            self._record_crash(now, found.fingerprint, found.target, hint.sender)
-
-    def _record_crash(
-        self, now: float, fingerprint: bytes, target: str, seen_by: str
-    ) -> None:
-        crashed_targets = self._quarantine.record_crash(now, fingerprint, target)
+            crash = Crash(
+                found.fingerprint,
+                found.target,
+                now - found.sent_age / 1000,
+                now - found.ended_age / 1000,
+            )
+            self._record_crash(now, crash, hint.sender)
+
+    def _record_crash(self, now: float, crash: Crash, seen_by: str) -> None:
+        crashed_targets = self._quarantine.record_crash(now, crash)
         log.info(
             "crash recorded",
-            fingerprint=fingerprint.hex(),
-            target=target,
+            fingerprint=crash.fingerprint.hex(),
+            target=crash.target,
             seen_by=seen_by,
-            # 0: taken for an outage, and dropped with what was known.
+            ended_seconds_ago=round(now - crash.ended_at, 3),
+            # 0: known.
             crashed_targets=crashed_targets,
         )
 
@@ -306,6 +319,15 @@
         self._fleet.set_other_loads(loads)
 
 
+def _make_crash_hint(now: float, crash: Crash) -> CrashHint:
+    return CrashHint(
+        crash.fingerprint,
+        crash.target,
+        int((now - crash.sent_at) * 1000),
+        int((now - crash.ended_at) * 1000),
+    )
+
+
 def list_load_hints(now: float, fleet: Fleet) -> list[TargetLoadHint]:
     """Return what this gateway has in flight, at stalled and busy targets first."""
     states = (fleet.find(name) for name in fleet.names)
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -30,10 +30,14 @@
 
 
 class CrashHint(msgspec.Struct, array_like=True):
-    """A target that crashed while it had a request."""
+    """A target that ended while it had a request; ages are in milliseconds."""
 
     fingerprint: bytes
     target: str
+    # Since the request was sent to the target.
+    sent_age: int = 0
+    # Since the target ended.
+    ended_age: int = 0
 
 
 class TargetLimitHint(msgspec.Struct, array_like=True):
