Tell other gateways first of requests that crashed most targets, and what is refused

What callers saw: a request that one gateway refuses ended three more engines at each gateway that started later, or that had not heard of it.

Cause: a hint had room for the eight oldest crashes of the last two seconds, and an engine ends with up to 128 requests; what did not fit was never told, and a gateway that starts later heard of nothing.

Change: crashes are told for ten seconds, those of requests that crashed most targets first, the others in turn, and at once when they are seen. What is refused is told for as long as it is refused, by every gateway that knows. An entry that is told on keeps its end: a later end counts only if it is a minute later, so entries that circulate still expire. A hint that grows too large for a datagram drops its last loads.

An old gateway reads the new hints and the other way round: the new fields stand at the end and have defaults.

--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -18,14 +18,13 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.target_state import Load
-from bamboopier_decisions.quarantine.quarantine import Crash
 
 from .capacity_loans import CapacityLoans
+from .crash_hints import CrashHints
 from .hint_socket import HintSocket
 from .hints import (
     CapacityGrant,
     CapacityRequest,
-    CrashHint,
     FreshnessRequest,
     FreshnessResponse,
     Hint,
@@ -33,6 +32,7 @@
     TargetLoadHint,
     WeightLoadHint,
     encode,
+    shorten,
 )
 from .limit_hints import LimitHints
 from .settings import Endpoint
@@ -46,7 +46,7 @@
 
     from bamboopier_decisions.forwarding.fleet import Fleet
     from bamboopier_decisions.forwarding.target_state import TargetState
-    from bamboopier_decisions.quarantine.quarantine import Quarantine
+    from bamboopier_decisions.quarantine.quarantine import Crash, Quarantine
 
     from .active_configuration import ActiveConfiguration
     from .gateway_registry import GatewayRegistry
@@ -70,8 +70,6 @@
 MAX_FRESH_SECONDS = 2.0
 # Time for which a response to a freshness request is accepted.
 FRESHNESS_TIMEOUT_SECONDS = 2.0
-# Time for which a crash is repeated in each hint, since datagrams may be lost.
-CRASH_REPEAT_SECONDS = 2.0
 
 log = structlog.get_logger()
 
@@ -96,7 +94,6 @@
         self._registry = registry
         self._fleet = fleet
         self._active_configuration = active_configuration
-        self._quarantine = quarantine
         # Called with the address of a gateway that has a newer configuration.
         self._on_newer = on_newer
         self._random = random
@@ -108,7 +105,7 @@
         # Time at which each freshness request was sent, by nonce.
         self._freshness_requests: dict[int, float] = {}
         self._received: dict[str, tuple[float, LoadHint]] = {}
-        self._crashes: list[Crash] = []
+        self._crashes = CrashHints(quarantine, random)
         self._limits = LimitHints(fleet, random)
         self._stalls = StallReports(fleet)
         self._loans = CapacityLoans(name, fleet, request_queues, self, random)
@@ -131,19 +128,20 @@
         await self._socket.__aexit__(kind, error, traceback)
 
     def record_crashes(self, crashes: Iterable[Crash]) -> None:
-        """Record and announce targets that crashed while they had requests."""
-        now = read_clock()
-        for crash in crashes:
-            self._record_crash(now, crash, self._name)
-            self._crashes.append(crash)
+        """Record targets that ended with requests, and announce them at once.
+
+        Until the others know, each sends them to further targets.
+        """
+        self._crashes.record(read_clock(), crashes, self._name)
+        self._send_loads()
 
     def record_completed(self, fingerprint: bytes) -> None:
         """Record that a target completed a request."""
-        self._quarantine.record_completed(read_clock(), fingerprint)
+        self._crashes.record_completed(read_clock(), fingerprint)
 
     def find_wait(self, fingerprint: bytes) -> float:
         """Return the seconds for which a request is refused; 0 if it is not."""
-        return self._quarantine.find_wait(read_clock(), fingerprint)
+        return self._crashes.find_wait(read_clock(), fingerprint)
 
     async def run(self) -> None:
         """Send hints until cancelled."""
@@ -170,16 +168,16 @@
 
     def _send_loads(self) -> None:
         now = read_clock()
-        self._crashes = [
-            c for c in self._crashes if now - c.ended_at < CRASH_REPEAT_SECONDS
-        ]
-        hint = LoadHint(
-            self._name,
-            next(self._numbers),
-            self._started_ms,
-            list_load_hints(now, self._fleet),
-            [_make_crash_hint(now, crash) for crash in self._crashes[:8]],
-            self._limits.list_hints(now),
+        hint = shorten(
+            LoadHint(
+                self._name,
+                next(self._numbers),
+                self._started_ms,
+                list_load_hints(now, self._fleet),
+                self._crashes.list_crashes(now),
+                self._limits.list_hints(now),
+                self._crashes.list_refused(now),
+            )
         )
         allowed = BYTES_PER_SECOND * HINT_SECONDS / len(encode(hint))
         silent = self._sample(self._registry.pop_silent(), MAX_PEERS)
@@ -235,26 +233,7 @@
         self._registry.record_hint(hint.sender, *sender)
         self._limits.apply(now, hint.sender, hint.limits)
         self._stalls.apply(now, hint.loads)
-        for found in hint.crashes:
-            crash = Crash(
-                found.fingerprint,
-                found.target,
-                now - found.sent_age / 1000,
-                now - found.ended_age / 1000,
-            )
-            self._record_crash(now, crash, hint.sender)
-
-    def _record_crash(self, now: float, crash: Crash, seen_by: str) -> None:
-        crashed_targets = self._quarantine.record_crash(now, crash)
-        log.info(
-            "crash recorded",
-            fingerprint=crash.fingerprint.hex(),
-            target=crash.target,
-            seen_by=seen_by,
-            ended_seconds_ago=round(now - crash.ended_at, 3),
-            # 0: known.
-            crashed_targets=crashed_targets,
-        )
+        self._crashes.apply(now, hint.sender, hint.crashes, hint.refused)
 
     def _handle_weight_load(self, hint: WeightLoadHint) -> None:
         state = self._fleet.find(hint.target)
@@ -319,15 +298,6 @@
         self._fleet.set_other_loads(loads)
 
 
-def _make_crash_hint(now: float, crash: Crash) -> CrashHint:
-    return CrashHint(
-        crash.fingerprint,
-        crash.target,
-        int((now - crash.sent_at) * 1000),
-        int((now - crash.ended_at) * 1000),
-    )
-
-
 def list_load_hints(now: float, fleet: Fleet) -> list[TargetLoadHint]:
     """Return what this gateway has in flight, at stalled and busy targets first."""
     states = (fleet.find(name) for name in fleet.names)
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -40,6 +40,14 @@
     ended_age: int = 0
 
 
+class QuarantineHint(msgspec.Struct, array_like=True):
+    """A request that is refused since it crashes targets."""
+
+    fingerprint: bytes
+    # Milliseconds for which it is still refused.
+    remaining: int
+
+
 class TargetLimitHint(msgspec.Struct, array_like=True):
     """The rate limit of a target as reported to one gateway.
 
@@ -70,6 +78,7 @@
     loads: list[TargetLoadHint]
     crashes: list[CrashHint]
     limits: list[TargetLimitHint] = []
+    refused: list[QuarantineHint] = []
 
 
 class WeightLoadHint(msgspec.Struct, array_like=True, tag="order"):
@@ -142,6 +151,13 @@
     return msgspec.msgpack.encode(hint)
 
 
+def shorten(hint: LoadHint) -> LoadHint:
+    """Return the hint without its last loads, if it is too large for a datagram."""
+    while hint.loads and len(encode(hint)) > MAX_BYTES:
+        hint = msgspec.structs.replace(hint, loads=hint.loads[:-1])
+    return hint
+
+
 def decode(data: bytes) -> Hint | None:
     """Decode a hint; return None for invalid bytes."""
     try:
