Count a crash after the response's head, and only if the target ended

Cause: an attempt counted as a crash only while it had no status. The status told a crash from a response that a live engine broke off, which it does not: either can come before and after the head.

Change: every attempt without a complete response is remembered for a second, also those whose callers left or that were moved away. After a broken connection the target is checked: if another connection to it is open it lives, else one connection attempt tells. One that refuses connections has ended, with all that it had. A probe that succeeds is kept for the next request, so a target that breaks off responses costs no more than the connection that replaces the broken one.

Ruled out: the entry in the store or its start time as the proof, which come three heartbeats later; a request's status; a response of another instance at the address, which comes only if a request is sent there.

--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -0,0 +1,159 @@
+"""Finds out which targets ended, and which requests they had.
+
+A broken response alone shows no crash: a target may reset one connection and live on.
+One that ended closes all its connections and refuses new ones.
+
+Load pattern: a target ends with dozens of requests at once, which costs one connection
+attempt; one that only breaks off responses has other open connections, and costs none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import structlog
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.quarantine.quarantine import Crash
+
+from .target_pool import ConnectError, TargetRefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from types import TracebackType
+    from typing import Self
+
+    from bamboopier_decisions.forwarding.fleet import InFlightRequest
+    from bamboopier_decisions.forwarding.specs import TargetEntry
+
+    from .messages import Call
+    from .target_pool import TargetPool
+
+# Time until the other connections of a target that ended are seen as closed.
+SETTLE_SECONDS = 0.02
+# Time for which an attempt that ended without a complete response counts for a target
+# that ends next: a caller may leave shortly before its request crashes the target.
+UNFINISHED_SECONDS = 1.0
+# Maximum number of request ids in a log line.
+MAX_LOGGED_IDS = 8
+
+log = structlog.get_logger()
+
+TargetKey = tuple[str, int]
+
+
+class CrashRecords(Protocol):
+    """What is known of crashes, here and at other gateways."""
+
+    def record_crashes(self, crashes: Iterable[Crash]) -> None:
+        """Record and announce crashes that were seen here."""
+        ...
+
+    def record_completed(self, fingerprint: bytes) -> None:
+        """Record that a target completed a request."""
+        ...
+
+    def find_wait(self, fingerprint: bytes) -> float:
+        """Return the seconds for which a request is refused; 0 if it is not."""
+        ...
+
+
+class _UnfinishedAttempt:
+    """An attempt without a complete response."""
+
+    __slots__ = ("ended_at", "fingerprint", "request_id", "sent_at")
+
+    def __init__(self, call: Call, sent_at: float, ended_at: float) -> None:
+        self.fingerprint = call.fingerprint
+        self.request_id = call.request_id
+        self.sent_at = sent_at
+        self.ended_at = ended_at
+
+
+class CrashMonitor:
+    """Checks targets after broken responses, while its context is open."""
+
+    def __init__(self, pool: TargetPool, records: CrashRecords) -> None:
+        self._pool = pool
+        self._records = records
+        self._unfinished: dict[TargetKey, list[_UnfinishedAttempt]] = {}
+        self._checks: dict[TargetKey, asyncio.Task[None]] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        checks = list(self._checks.values())
+        for check in checks:
+            check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
+
+    def find_wait(self, fingerprint: bytes) -> float:
+        """Return the seconds for which a request is refused; 0 if it is not."""
+        return self._records.find_wait(fingerprint)
+
+    def record_completed(self, call: Call) -> None:
+        """Record that a target completed the request."""
+        self._records.record_completed(call.fingerprint)
+
+    def record_unfinished(
+        self, call: Call, in_flight: InFlightRequest, *, broken: bool
+    ) -> None:
+        """Record an attempt that ended without a complete response.
+
+        With ``broken`` its connection failed, and the target is checked.
+        """
+        if in_flight.sent_at is None:
+            return
+        now = read_clock()
+        entry = in_flight.state.entry
+        key = (entry.name, entry.started_ms)
+        self._remove_outdated(now)
+        attempt = _UnfinishedAttempt(call, in_flight.sent_at, now)
+        self._unfinished.setdefault(key, []).append(attempt)
+        if not broken or key in self._checks:
+            return
+        check = asyncio.create_task(self._check(key, entry))
+        self._checks[key] = check
+        check.add_done_callback(lambda _: self._checks.pop(key, None))
+
+    async def _check(self, key: TargetKey, entry: TargetEntry) -> None:
+        """Record the unfinished attempts at a target as crashes if it ended."""
+        await asyncio.sleep(SETTLE_SECONDS)
+        if self._pool.has_open_connection(entry):
+            return
+        if not await self._has_ended(entry):
+            return
+        now = read_clock()
+        attempts = self._unfinished.pop(key, [])
+        recent = [a for a in attempts if now - a.ended_at < UNFINISHED_SECONDS]
+        log.info(
+            "target ended",
+            target=entry.name,
+            unfinished=len(recent),
+            request_ids=[a.request_id for a in recent[:MAX_LOGGED_IDS]],
+        )
+        self._records.record_crashes(
+            Crash(a.fingerprint, entry.name, a.sent_at, a.ended_at) for a in recent
+        )
+
+    async def _has_ended(self, entry: TargetEntry) -> bool:
+        """Return whether nothing listens at the target's address."""
+        try:
+            await self._pool.check(entry)
+        except TargetRefusedError:
+            return True
+        except ConnectError as error:
+            log.info("target not checked", target=entry.name, reason=str(error))
+        return False
+
+    def _remove_outdated(self, now: float) -> None:
+        for key, attempts in list(self._unfinished.items()):
+            if now - attempts[-1].ended_at >= UNFINISHED_SECONDS:
+                del self._unfinished[key]
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import structlog
 from result import Err, Ok
@@ -11,7 +11,6 @@
 from bamboopier_decisions.forwarding.placement import choose_target
 from bamboopier_decisions.forwarding.specs import RetrySafety
 from bamboopier_decisions.forwarding.wait_queue import draw_retry_after, find_max_wait
-from bamboopier_decisions.quarantine.quarantine import Crash
 
 from .attempt_log import AttemptLog
 from .attempt_result import AttemptResult, Cause
@@ -19,7 +18,6 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
 
     from result import Result
 
@@ -32,6 +30,7 @@
 
     from .active_configuration import ActiveConfiguration
     from .attempt_planner import AttemptPlanner
+    from .crash_monitor import CrashMonitor
     from .delivery import Delivery
     from .exchange import Exchange
     from .messages import AttemptMetadata, Call
@@ -59,22 +58,6 @@
 log = structlog.get_logger()
 
 
-class CrashQuarantine(Protocol):
-    """Requests that crashed targets, at this gateway and at others."""
-
-    def record_crashes(self, crashes: Iterable[Crash]) -> None:
-        """Record and announce crashes that were seen here."""
-        ...
-
-    def record_completed(self, fingerprint: bytes) -> None:
-        """Record that a target completed a request."""
-        ...
-
-    def find_wait(self, fingerprint: bytes) -> float:
-        """Return the seconds for which the request is refused; 0 if it is not."""
-        ...
-
-
 class Forwarder:
     """Selects targets, runs attempts, and decides whether to retry."""
 
@@ -86,7 +69,7 @@
         exchange: Exchange,
         request_queues: RequestQueues,
         metrics: ProxyMetrics,
-        quarantine: CrashQuarantine,
+        crash_monitor: CrashMonitor,
         retry_budgets: SharedRetryBudgets,
         data_centre: str,
         random: random.Random,
@@ -98,7 +81,7 @@
         self._request_queues = request_queues
         self._attempt_log = AttemptLog(planner, active_configuration, metrics)
         self._metrics = metrics
-        self._quarantine = quarantine
+        self._crash_monitor = crash_monitor
         self._retry_budgets = retry_budgets
         self._data_centre = data_centre
         self._random = random
@@ -117,6 +100,7 @@
                 self._record_outcome(call, in_flight, result)
             except BaseException:
                 in_flight.state.circuit_breaker.record_inconclusive()
+                self._crash_monitor.record_unfinished(call, in_flight, broken=False)
                 self._attempt_log.record_abandoned(call, in_flight)
                 raise
             finally:
@@ -290,10 +274,10 @@
         raise make_stale_configuration_error(self._active_configuration, now)
 
     def _check_quarantine(self, call: Call) -> None:
-        """Refuse a request that crashed the targets that ran it."""
-        wait = self._quarantine.find_wait(call.fingerprint)
+        """Refuse a request that crashes the targets that run it."""
+        wait = self._crash_monitor.find_wait(call.fingerprint)
         if wait > 0:
-            message = "this request broke the targets that ran it"
+            message = "this request crashes the targets that run it"
             raise CallerError(
                 ErrorCode.OVERLOADED, message, ExecutionStatus.NOT_EXECUTED, wait
             )
@@ -309,7 +293,7 @@
                 state.circuit_breaker.record_failure(now)
             case Cause.NONE:
                 state.circuit_breaker.record_success()
-                self._quarantine.record_completed(call.fingerprint)
+                self._crash_monitor.record_completed(call)
             case Cause.CONNECT:
                 state.circuit_breaker.record_unreachable(now)
             case Cause.NOT_RUN:
@@ -331,12 +315,11 @@
             case Cause.MOVED | Cause.UNANSWERED:
                 # The stall detector keeps requests from it.
                 state.circuit_breaker.record_inconclusive()
+                self._crash_monitor.record_unfinished(call, in_flight, broken=False)
             case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
                 state.circuit_breaker.record_failure(now)
-                if result.cause is Cause.BROKEN and not result.status:
-                    name, sent_at = state.entry.name, in_flight.sent_at or now
-                    crash = Crash(call.fingerprint, name, sent_at, now)
-                    self._quarantine.record_crashes([crash])
+                broken = result.cause is Cause.BROKEN
+                self._crash_monitor.record_unfinished(call, in_flight, broken=broken)
 
     async def _retry_or_finish(
         self,
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -22,6 +22,7 @@
 
 from .attempt_planner import AttemptPlanner
 from .caller_listener import CallerListener, serve_readiness
+from .crash_monitor import CrashMonitor
 from .exchange import Exchange
 from .forwarder import Forwarder
 from .gateway_peers import GatewayPeers
@@ -73,6 +74,7 @@
     pool = TargetPool(codec.get_request_id_header())
     expiry_monitor = WeightExpiryMonitor(state.weights)
     stall_monitor = StallMonitor()
+    crash_monitor = CrashMonitor(pool, peers.hint_exchange)
     forwarder = Forwarder(
         state.fleet,
         state.active_configuration,
@@ -80,7 +82,7 @@
         Exchange(pool, state.fleet, codec, expiry_monitor, stall_monitor),
         state.request_queues,
         metrics,
-        peers.hint_exchange,
+        crash_monitor,
         state.retry_budgets,
         settings.data_centre,
         generator,
@@ -116,6 +118,7 @@
         with StopSignals() as signals:
             await stack.enter_async_context(pool)
             await stack.enter_async_context(peers)
+            await stack.enter_async_context(crash_monitor)
             for work in (
                 pause_monitor.run(),
                 *followers.list_coroutines(),
--- a/libraries/proxy/src/bamboopier_proxy/target_pool.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_pool.py
@@ -35,6 +35,10 @@
     """The connection could not be established; nothing was sent."""
 
 
+class TargetRefusedError(Exception):
+    """Nothing listens at the target's address."""
+
+
 class TargetPool:
     """Keeps connections by target instance; leaving the context closes them all."""
 
@@ -95,6 +99,27 @@
         """Close a connection whose response is not needed, or is incomplete."""
         self._close((entry.name, entry.started_ms), connection)
 
+    def has_open_connection(self, entry: TargetEntry) -> bool:
+        """Return whether any connection to the target is still open."""
+        connections = self._open.get((entry.name, entry.started_ms), ())
+        return any(connection.is_alive for connection in connections)
+
+    async def check(self, entry: TargetEntry) -> None:
+        """Connect to the target, and keep the connection.
+
+        Raises ``TargetRefusedError`` if nothing listens there, and ``ConnectError`` if
+        that cannot be told.
+        """
+        try:
+            connection = await self._connect((entry.name, entry.started_ms), entry)
+        except ConnectError as error:
+            if isinstance(
+                error.__cause__, ConnectionRefusedError | ConnectionResetError
+            ):
+                raise TargetRefusedError(str(error)) from error
+            raise
+        self.release_unused(entry, connection)
+
     def close_expired(self) -> None:
         """Close connections that were idle for too long."""
         now = read_clock()
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -112,9 +112,8 @@
         self.fleet.set_services(make_declared().services)
         self.fleet.put(self.clock.now, make_entry())
         codec = cast("Any", StubCodec())
-        quarantine = mock.Mock()
-        quarantine.find_wait.return_value = 0.0
-        self.quarantine = quarantine
+        self.crash_monitor = mock.Mock()
+        self.crash_monitor.find_wait.return_value = 0.0
         self.forwarder = Forwarder(
             self.fleet,
             self.active_configuration,
@@ -128,7 +127,7 @@
             ),
             RequestQueues(),
             ProxyMetrics(),
-            quarantine,
+            self.crash_monitor,
             SharedRetryBudgets(RetryBudgetLimits(0.2, 54.0, 10.0)),
             "z1",
             random.Random(1),
--- a/libraries/proxy/tests/test_attempts.py
+++ b/libraries/proxy/tests/test_attempts.py
@@ -56,7 +56,7 @@
         self.advance_while_connecting(TIMEOUT_SECONDS + 1)
         error = await self.expect_refusal()
         self.assertIs(error.ran, ExecutionStatus.NOT_EXECUTED)
-        self.assertFalse(self.harness.quarantine.record_crashes.called)
+        self.assertFalse(self.harness.crash_monitor.record_unfinished.called)
         breaker = self.harness.fleet.list_targets("desk", 0.0)[0].circuit_breaker
         self.assertEqual(breaker.failure_rate, 0.0)
 
--- /dev/null
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -0,0 +1,98 @@
+"""Which broken responses show that their target ended."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING, Any, cast
+from unittest import mock
+
+from bamboopier_proxy.crash_monitor import UNFINISHED_SECONDS, CrashMonitor
+from bamboopier_proxy.target_pool import ConnectError, TargetRefusedError
+
+from .forwarder_builders import Clock, make_call, make_entry
+
+if TYPE_CHECKING:
+    from bamboopier_proxy.messages import Call
+
+RUN_SECONDS = 0.1
+
+
+class CrashMonitorTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = Clock()
+        patch = mock.patch("bamboopier_proxy.crash_monitor.read_clock", self.clock.read)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.enterContext(
+            mock.patch("bamboopier_proxy.crash_monitor.SETTLE_SECONDS", 0.0)
+        )
+        self.pool = mock.Mock()
+        self.pool.has_open_connection.return_value = False
+        self.pool.check = mock.AsyncMock(side_effect=TargetRefusedError)
+        self.records = mock.Mock()
+        self.records.record_crashes.side_effect = lambda c: self.crashes.extend(c)
+        self.crashes: list[Any] = []
+        self.monitor = CrashMonitor(self.pool, self.records)
+        await self.enterAsyncContext(self.monitor)
+
+    def end_attempt(self, fingerprint: bytes, *, broken: bool) -> Call:
+        """End an attempt at the only target without a complete response."""
+        call = make_call(self.clock.now, keyed=False, prompt=False)
+        call.fingerprint = fingerprint
+        in_flight = mock.Mock(sent_at=self.clock.now - RUN_SECONDS)
+        in_flight.state.entry = make_entry()
+        self.monitor.record_unfinished(call, in_flight, broken=broken)
+        return call
+
+    async def finish_checks(self) -> list[bytes]:
+        """Return the requests that are held to have crashed the target."""
+        await asyncio.gather(*self.monitor._checks.values())
+        return [crash.fingerprint for crash in self.crashes]
+
+    async def test_a_target_that_refuses_connections_ended_with_all_it_had(
+        self,
+    ) -> None:
+        # Guards against a crash that is not recorded: a response had begun, or the
+        # caller left right before.
+        self.end_attempt(b"left", broken=False)
+        self.end_attempt(b"broken", broken=True)
+        self.end_attempt(b"beside", broken=True)
+        self.assertEqual(await self.finish_checks(), [b"left", b"broken", b"beside"])
+        crash = self.crashes[0]
+        self.assertEqual(crash.target, make_entry().name)
+        self.assertAlmostEqual(crash.ended_at - crash.sent_at, RUN_SECONDS)
+        self.pool.check.assert_awaited_once()
+
+    async def test_a_target_that_lives_on_has_crashed_with_nothing(self) -> None:
+        # Guards against a request that is refused since its target broke off responses.
+        for open_connection, outcome in (
+            (True, TargetRefusedError),
+            (False, None),
+            (False, ConnectError),
+        ):
+            with self.subTest(open_connection=open_connection, outcome=outcome):
+                self.pool.has_open_connection.return_value = open_connection
+                self.pool.check = mock.AsyncMock(side_effect=outcome)
+                self.end_attempt(b"broken", broken=True)
+                self.assertEqual(await self.finish_checks(), [])
+                self.assertEqual(self.pool.check.called, not open_connection)
+
+    async def test_attempts_that_ended_long_before_do_not_count(self) -> None:
+        # Guards against a request that counts for a target that ended seconds later.
+        self.end_attempt(b"long before", broken=False)
+        self.clock.now += UNFINISHED_SECONDS
+        self.end_attempt(b"broken", broken=True)
+        self.assertEqual(await self.finish_checks(), [b"broken"])
+
+    async def test_an_attempt_that_was_not_sent_is_no_evidence(self) -> None:
+        # Guards against requests of callers that left while the gateway connected.
+        call = make_call(self.clock.now, keyed=False, prompt=False)
+        in_flight = cast("Any", mock.Mock(sent_at=None))
+        self.monitor.record_unfinished(call, in_flight, broken=True)
+        self.assertEqual(await self.finish_checks(), [])
+        self.pool.check.assert_not_called()
+
+
+if __name__ == "__main__":
+    unittest.main()
