Check the quarantine of a request right before each send

What callers saw: nothing new; a request that waited, connected or was retried while the evidence against it arrived ended one more engine.

Cause: the check stood at the start of a request only; a retry follows 5 to 50 ms after a crash, a wait in the queue lasts seconds.

Change: the check is among those made right before the send. A request that may have run by then is told so (502); any other one is refused as not run, with a time.

Evidence: proxy.attempts failed before (the request was sent).

--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -154,11 +154,13 @@
     ) -> Result[AttemptMetadata, Cause]:
         """Return the metadata for the target, or why nothing may be sent now.
 
-        Raises ``CallerError`` once the request's key may have been revoked.
+        Raises ``CallerError`` once the request's key may have been revoked, or the
+        request was found to crash targets.
         """
         now = read_clock()
         if now >= call.timeout_at:
             return Err(Cause.LATE)
+        self._check_quarantine(call)
         self._check_freshness(call, now)
         if in_flight.state.rest.is_resting(now):
             return Err(Cause.RESTING)
@@ -276,11 +278,16 @@
     def _check_quarantine(self, call: Call) -> None:
         """Refuse a request that crashes the targets that run it."""
         wait = self._crash_monitor.find_wait(call.fingerprint)
-        if wait > 0:
-            message = "this request crashes the targets that run it"
+        if wait <= 0:
+            return
+        message = "this request crashes the targets that run it"
+        if call.may_have_run:
             raise CallerError(
-                ErrorCode.OVERLOADED, message, ExecutionStatus.NOT_EXECUTED, wait
+                ErrorCode.OUTCOME_UNKNOWN, message, ExecutionStatus.UNKNOWN
             )
+        raise CallerError(
+            ErrorCode.OVERLOADED, message, ExecutionStatus.NOT_EXECUTED, wait
+        )
 
     def _record_outcome(
         self, call: Call, in_flight: InFlightRequest, result: AttemptResult
--- a/libraries/proxy/tests/test_attempts.py
+++ b/libraries/proxy/tests/test_attempts.py
@@ -85,6 +85,21 @@
         self.assertIs(error.ran, ExecutionStatus.NOT_EXECUTED)
         self.assertGreaterEqual(error.retry_after, 2.0)
 
+    async def test_nothing_is_sent_of_a_request_that_is_quarantined_meanwhile(
+        self,
+    ) -> None:
+        # Guards against a request that waits or connects while the evidence against it
+        # arrives, and that crashes one more target.
+        monitor = self.harness.crash_monitor
+
+        def quarantine() -> None:
+            monitor.find_wait.return_value = 30.0
+
+        self.harness.on_connect = quarantine
+        error = await self.expect_refusal()
+        self.assertIs(error.ran, ExecutionStatus.NOT_EXECUTED)
+        self.assertEqual(error.retry_after, 30.0)
+
     async def test_a_key_is_refused_when_the_configuration_gets_stale(self) -> None:
         # Guards against running the request of a revoked key: the configuration was
         # confirmed 4.5 s ago and may be used for keys for 5 s, and connecting takes
