Tell a target that ended from one that broke off a response, at agents

What callers saw: at the product's own interface two broken responses of a request made it a culprit for ten minutes, though its targets lived on.

Change: after a broken response an agent asks its target, a quarter of a second at most, before it reports the outcome: another start, or nothing that listens, is a crash; any other is RESPONSE_BROKEN, which is no evidence.

--- a/libraries/agent/src/bamboopier_agent/attempt_runner.py
+++ b/libraries/agent/src/bamboopier_agent/attempt_runner.py
@@ -24,6 +24,7 @@
     from .metrics import AgentMetrics
     from .response_cache import CachedResponse, ResponseCache
     from .target import TargetClient
+    from .target_monitor import TargetMonitor
 
 # How long a non-idempotent call may run past its deadline, so that its response is
 # cached when the caller repeats the key. Without a limit, calls to a hung target would
@@ -42,12 +43,14 @@
         target: TargetClient,
         response_cache: ResponseCache,
         context: ContextBlockManager,
+        monitor: TargetMonitor,
         metrics: AgentMetrics,
     ) -> None:
         self._target_name = target_name
         self._target = target
         self._response_cache = response_cache
         self._context = context
+        self._monitor = monitor
         self._metrics = metrics
 
     async def run(
@@ -72,6 +75,7 @@
         usage = UsageReader()
         sent = time.monotonic()
         first_byte = 0.0
+        start_id = self._monitor.start_id
         stream.detached = not request.idempotent
         try:
             async with (
@@ -108,7 +112,9 @@
         except (BrokenResponseError, TimeoutError) as error:
             entry.failed = True
             self._log_outcome(request, "unknown", 0)
-            yield builder.make_unknown(pb.TARGET_CRASHED, str(error))
+            has_ended = await self._monitor.has_ended(start_id)
+            cause = pb.TARGET_CRASHED if has_ended else pb.RESPONSE_BROKEN
+            yield builder.make_unknown(cause, str(error))
             return
         counts = usage.read()
         entry.succeeded = True
--- a/libraries/agent/src/bamboopier_agent/service.py
+++ b/libraries/agent/src/bamboopier_agent/service.py
@@ -61,7 +61,7 @@
         self._claims = claims
         self._response_cache = response_cache
         self._runner = AttemptRunner(
-            settings.target, target, response_cache, context, metrics
+            settings.target, target, response_cache, context, monitor, metrics
         )
         self._monitor = monitor
         self._follower = follower
--- a/libraries/agent/src/bamboopier_agent/target.py
+++ b/libraries/agent/src/bamboopier_agent/target.py
@@ -187,6 +187,10 @@
             ) as response:
                 content = await response.read()
                 return Ok(msgspec.json.decode(content, type=kind))
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                return Err(TargetUnreachableError(str(error)))
+            return Err(BrokenResponseError(str(error)))
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
             return Err(BrokenResponseError(str(error) or type(error).__name__))
 
--- a/libraries/agent/src/bamboopier_agent/target_monitor.py
+++ b/libraries/agent/src/bamboopier_agent/target_monitor.py
@@ -11,12 +11,16 @@
 
 from bamboopier_decisions.admission.messages import TargetRestarted
 
+from .errors import TargetUnreachableError
+
 if TYPE_CHECKING:
     from .context import ContextBlockManager
     from .gate import AdmissionGate
     from .target import TargetClient
 
 POLL_SECONDS = 0.5
+# Time for a check of whether the target ended: a caller waits for its outcome.
+CHECK_TIMEOUT_SECONDS = 0.25
 
 
 class TargetMonitor:
@@ -32,6 +36,8 @@
         self.start_id = ""
         self.version = ""
         self.reachable = False
+        # Nothing listens at its address.
+        self._refuses = False
         self._checked = asyncio.Event()
 
     async def wait_until_checked(self, timeout: float) -> None:
@@ -52,15 +58,29 @@
         result = await self._target.read_state()
         if isinstance(result, Err):
             self.reachable = False
+            self._refuses = isinstance(result.err_value, TargetUnreachableError)
             return
         state = result.ok_value
         self.reachable = True
+        self._refuses = False
         self.version = state.version
         if state.start_id != self.start_id:
             self._handle_restart(state.start_id)
         if state.version:
             await self._read_events()
 
+    async def has_ended(self, start_id: str) -> bool:
+        """Return whether the target's instance that had ``start_id`` has ended.
+
+        A broken response alone shows no crash: the target may break one connection and
+        live on. One that ended reports another start, or nothing listens there.
+        """
+        if self.start_id == start_id:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
+                    await self.refresh()
+        return self.start_id != start_id or self._refuses
+
     def _handle_restart(self, start_id: str) -> None:
         self.start_id = start_id
         self._event_position = 0
--- a/libraries/agent/tests/service_builders.py
+++ b/libraries/agent/tests/service_builders.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from bamboopier_agent.claims import ClaimTable
-from bamboopier_agent.errors import TargetUnreachableError
+from bamboopier_agent.errors import BrokenResponseError, TargetUnreachableError
 from bamboopier_agent.gate import AdmissionGate
 from bamboopier_agent.metrics import AgentMetrics
 from bamboopier_agent.response_cache import ResponseCache
@@ -35,6 +35,9 @@
         self.runs = 0
         self.cancelled = 0
         self.reachable = True
+        # It breaks off its responses, and ends with that.
+        self.breaks_off = False
+        self.ends = False
         self.running = asyncio.Event()
         self.may_respond = asyncio.Event()
         self.may_respond.set()
@@ -56,6 +59,11 @@
     async def _list_chunks(self) -> AsyncIterator[bytes]:
         for chunk in CHUNKS:
             yield chunk
+            if self.breaks_off:
+                raise BrokenResponseError("the connection was closed")
+
+    async def has_ended(self, start_id: str) -> bool:
+        return self.ends
 
 
 def make_gate() -> AdmissionGate:
@@ -79,6 +87,7 @@
         directory=directory, record_announced=lambda _: None
     )
     monitor: Any = SimpleNamespace(reachable=True, start_id="s", version="")
+    monitor.has_ended = target.has_ended
     untyped_target: Any = target
     context: Any = SimpleNamespace(find_block_tokens=lambda _: 0)
     return AgentService(
