Do not take targets that end at the same moment for repeats

Change: at gateways of the platform the crashes must spread over 0.1 s. At the own interface, where two crashes are the limit and the retry follows at once, nothing changes.

--- a/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py
@@ -79,17 +79,26 @@
         self.crashes[crash.target] = crash
         self.last = max(self.last, crash.ended_at)
 
-    def was_repeated(self) -> bool:
-        """Return whether a target got the request after another had ended with it."""
+    def was_repeated(self, min_spread_seconds: float) -> bool:
+        """Return whether a target got the request after another had ended with it.
+
+        All of them must have ended over ``min_spread_seconds`` or more.
+        """
         first = min(crash.ended_at for crash in self.crashes.values())
-        return max(crash.sent_at for crash in self.crashes.values()) > first
+        last_sent = max(crash.sent_at for crash in self.crashes.values())
+        return last_sent > first and self.last - first >= min_spread_seconds
 
 
 class Quarantine:
     """One gateway's evidence and the entries of the other gateways."""
 
-    def __init__(self, min_targets: int = MIN_CRASHED_TARGETS) -> None:
+    def __init__(
+        self, min_targets: int = MIN_CRASHED_TARGETS, min_spread_seconds: float = 0.0
+    ) -> None:
         self._min_targets = min_targets
+        # Guards against targets that end at the same moment, a retry of a request
+        # included that was sent to one before its end was seen.
+        self._min_spread_seconds = min_spread_seconds
         self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
         self._by_target: dict[str, set[bytes]] = {}
         self._shared_entries: dict[bytes, float] = {}
@@ -199,7 +208,9 @@
         if now - suspect.last >= QUARANTINE_SECONDS:
             return False
         count = len(suspect.crashes)
-        if count < self._min_targets or not suspect.was_repeated():
+        if count < self._min_targets:
+            return False
+        if not suspect.was_repeated(self._min_spread_seconds):
             return False
         sharing = (self._by_target[target] for target in suspect.crashes)
         beside = set.intersection(*sharing) - {fingerprint}
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -33,6 +33,9 @@
 # refused: two crashes could be a coincidence, and a wrong quarantine must not block a
 # path that many callers request.
 CRASHES_TO_QUARANTINE = 3
+# Time over which they must have ended: connections to targets that end at the same
+# moment close within some milliseconds, in which a retry may still be sent on one.
+CRASH_SPREAD_SECONDS = 0.1
 
 
 class GatewayPeers:
@@ -83,7 +86,7 @@
             self._registry,
             state.fleet,
             state.active_configuration,
-            Quarantine(CRASHES_TO_QUARANTINE),
+            Quarantine(CRASHES_TO_QUARANTINE, CRASH_SPREAD_SECONDS),
             state.request_queues,
             self._configuration_relay.request,
             random,
--- a/tools/safeguards/at_most_once.py
+++ b/tools/safeguards/at_most_once.py
@@ -271,8 +271,8 @@
     Mutation(
         "a lost data centre quarantines no request",
         "libraries/decisions/src/bamboopier_decisions/quarantine/quarantine.py",
-        "if count < self._min_targets or not suspect.was_repeated():\n",
-        "if count < self._min_targets:\n",
+        "        return last_sent > first and self.last",
+        "        return self.last",
         "libraries/decisions",
         "tests.test_quarantine",
     ),
