Log software versions, and which stream an attempt resumed

`attempt ended` now tells a stream that a gateway resumed within one response from one that its caller took up, and names the software version of each engine (`software_version`, `resumed_after`, `resumed_request_id`); `target changed` names it, too. No decision changes.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/specs.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/specs.py
@@ -145,3 +145,6 @@
     cold_seconds: float
     # Weight version by model.
     versions: dict[str, int] = msgspec.field(default_factory=dict)
+    # Version of its software. What two of them write in one stream does not fit
+    # together.
+    software_version: str = ""
--- a/libraries/proxy/src/bamboopier_proxy/attempt_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_log.py
@@ -50,6 +50,10 @@
             service=call.service,
             fingerprint=call.fingerprint.hex(),
             target=state.entry.name,
+            software_version=state.entry.software_version,
+            # Of a resumed stream: after which event, and which request began it.
+            resumed_after=metadata.last_event if metadata else None,
+            resumed_request_id=call.resumed_request_id,
             ran=result.ran.value,
             cause=result.cause.value,
             detail=result.detail,
--- a/libraries/proxy/src/bamboopier_proxy/ingress.py
+++ b/libraries/proxy/src/bamboopier_proxy/ingress.py
@@ -236,6 +236,7 @@
                 body,
             ),
             last_event=metadata.last_event,
+            resumed_request_id=metadata.resumed_request_id,
         )
 
     async def _send_error(
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -25,6 +25,8 @@
     last_event: str | None
     # End-to-end headers that are forwarded unchanged.
     forwarded_headers: HeaderList
+    # Id of the request that brought the first event of that stream; None if unnamed.
+    resumed_request_id: str | None = None
 
 
 def make_fingerprint(method: str, raw_path: str, workspace: str, body: bytes) -> bytes:
@@ -61,6 +63,8 @@
     version: int
     fingerprint: bytes
     last_event: str | None = None
+    # Id of the request that brought the first event of the stream that it resumes.
+    resumed_request_id: str | None = None
     # Seconds for which it may have been waiting unread before it arrived.
     unread_seconds: float = 0.0
     # When the caller got the last event; None before the first.
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -96,6 +96,7 @@
             leaving=entry.leaving,
             cold_seconds=entry.cold_seconds,
             versions=entry.versions,
+            software_version=entry.software_version,
             version=change.version,
         )
         self._wake()
