Store which requests are refused, for gateways that all restart

What callers saw: nothing yet; after a power loss of all gateways a request that crashes engines would end three more of them.

Cause: what is refused was known to processes only.

Change: one entry in the store for each refused request, written once by one gateway, removed when it ends; gateways read the entries when they start.

Evidence: platform.crashing_requests, all gateways killed and one started: nothing was stored before (the test waited in vain); no further engine ends now. proxy.stored_records.

--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -16,6 +16,7 @@
 from .part_follower import PartFollower
 from .part_relay import PartRelay
 from .peer_server import PeerServer
+from .quarantine_records import QuarantineRecords
 from .settings import Endpoint
 from .stream_versions import StreamVersions
 
@@ -73,6 +74,10 @@
             store, schema.rate_limits_prefix, state.fleet, self._registry
         )
         state.target_listeners.append(self._limits.apply_waiting)
+        quarantine = Quarantine(CRASHES_TO_QUARANTINE, CRASH_SPREAD_SECONDS)
+        self._quarantine_records = QuarantineRecords(
+            store, schema.quarantine_prefix, quarantine, self._registry
+        )
         self._server = PeerServer(
             Endpoint(settings.host, settings.first_port),
             self._registry.has_host,
@@ -88,7 +93,7 @@
             self._registry,
             state.fleet,
             state.active_configuration,
-            Quarantine(CRASHES_TO_QUARANTINE, CRASH_SPREAD_SECONDS),
+            quarantine,
             state.request_queues,
             self._configuration_relay.request,
             random,
@@ -139,4 +144,5 @@
             self.hint_exchange.run_loans(),
             self._parts.run(),
             self._limits.run(),
+            self._quarantine_records.run(),
         ]
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
@@ -0,0 +1,102 @@
+"""Stores which requests are refused since they crash targets, for restarts.
+
+Guards against a simultaneous restart of all gateways: none could tell the others, and
+each such request would crash targets anew. One write for each request that is refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.quarantine.quarantine import QuarantineEntry
+
+from .stored_records import StoredRecords
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.quarantine.quarantine import Quarantine
+
+    from .gateway_registry import GatewayRegistry
+    from .store_schema import Store
+
+# Interval between checks for changes.
+CHECK_SECONDS = 0.5
+# An entry is rewritten if the request is refused for this much longer.
+MIN_EXTENSION_MS = 60_000
+
+log = structlog.get_logger()
+
+
+class QuarantineRecord(msgspec.Struct):
+    """A request that is refused; its name is the fingerprint in hexadecimal."""
+
+    # Milliseconds since 1970.
+    until: int
+
+
+class QuarantineRecords:
+    """Entries below a key prefix, one for each refused request."""
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        quarantine: Quarantine,
+        registry: GatewayRegistry,
+    ) -> None:
+        self._quarantine = quarantine
+        self._records = StoredRecords(
+            store, prefix, QuarantineRecord, _is_current, registry
+        )
+
+    async def run(self) -> None:
+        """Read once, then write changes until cancelled."""
+        await self.read()
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            await self.write()
+
+    async def read(self) -> None:
+        """Apply the stored entries."""
+        records = await self._records.read()
+        now, time_of_day = read_clock(), time.time()
+        for name, record in records.items():
+            remaining = record.until / 1000 - time_of_day
+            fingerprint = _parse_name(name)
+            if fingerprint is None or remaining <= 0:
+                continue
+            self._quarantine.add_shared_entry(
+                QuarantineEntry(fingerprint, now + remaining)
+            )
+            log.info("stored quarantine read", fingerprint=name, seconds=remaining)
+
+    async def write(self) -> None:
+        """Write the requests that are refused by now, and remove those of before."""
+        now, time_of_day = read_clock(), time.time()
+        refused = {
+            entry.fingerprint.hex(): entry
+            for entry in self._quarantine.list_refused(now)
+        }
+        for name, entry in refused.items():
+            until = int((time_of_day + entry.until - now) * 1000)
+            await self._records.write(name, QuarantineRecord(until))
+        for name in [n for n in self._records.names if n not in refused]:
+            await self._records.remove(name)
+
+
+def _is_current(stored: QuarantineRecord, record: QuarantineRecord) -> bool:
+    return record.until < stored.until + MIN_EXTENSION_MS
+
+
+def _parse_name(name: str) -> bytes | None:
+    """Return the fingerprint; None if the name is not one."""
+    try:
+        return bytes.fromhex(name)
+    except ValueError:
+        log.warning("invalid entry ignored", key=name, reason="not hexadecimal")
+        return None
--- a/libraries/proxy/src/bamboopier_proxy/store_schema.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_schema.py
@@ -43,6 +43,8 @@
     publish_times_prefix: str
     # Rate limits that targets report.
     rate_limits_prefix: str
+    # Requests that are refused since they crash targets.
+    quarantine_prefix: str
 
     def decode_configuration(self, value: bytes) -> Result[DeclaredConfiguration, str]:
         """Return a configuration, or why it is invalid."""
