Store which software versions serve, for gateways that all restart

What callers saw: nothing yet; after a power loss of all gateways streams that callers take up would be refused for 30 s, though one version alone serves.

Cause: a gateway knows the versions only since it started.

Change: one entry in the store for each service, with the versions that are listed, those of the last 30 s, and since when nothing was missed; written by one gateway when it changes. A gateway that starts goes on from there; what is listed no more counts as gone from then.

Evidence: platform.software_versions, two tests that failed before: a stream of unknown origin goes on after a restart with one version and is refused with two.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
@@ -1,4 +1,4 @@
-"""Tells whether one software version alone served a service for long enough.
+"""Tells which software versions may have begun a stream of a service.
 
 Load pattern: mostly one version serves, and each stream goes on at any target of its
 service, whichever gateway began it. A second version appears within seconds while
@@ -10,26 +10,40 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Set
 
-# Seconds for which a version must have been the only one: longer than the streams of
-# callers last.
+# Seconds for which a version counts: longer than the streams of callers last.
 STREAM_SECONDS = 30.0
 # Maximum age of the list of targets: another gateway may have sent streams to a version
 # that appeared since.
 MAX_LIST_AGE_SECONDS = 5.0
 
-NEVER = float("-inf")
+# For a version that is listed now.
+LISTED = float("inf")
+
+
+class VersionRecord(msgspec.Struct, frozen=True):
+    """What is known of one service. Times are in seconds on the caller's clock."""
+
+    # Since when no change was missed.
+    complete_since: float
+    listed: frozenset[str]
+    # When versions that are not listed any more were last listed.
+    former: dict[str, float]
 
 
 class VersionHistory:
     """Software versions that targets of each service had, as this process saw them."""
 
     def __init__(self) -> None:
-        # Since when no change of the list was missed.
+        # Since when no change of the list was missed; None before the first list.
         self._complete_since: float | None = None
-        # By service and version, when it was last listed; infinity while it is.
+        # The same by service, where it was known before this process started.
+        self._restored_since: dict[str, float] = {}
+        # By service and version, when it was last listed.
         self._last_listed: dict[str, dict[str, float]] = {}
 
     def record_list(self, now: float, known_until: float) -> None:
@@ -38,24 +52,50 @@
         All changes until ``known_until`` have been reported; minus infinity before the
         first list. A version that came and went in a long gap was missed.
         """
-        is_gap = now - known_until > MAX_LIST_AGE_SECONDS
-        if self._complete_since is None or is_gap:
+        if self._complete_since is None:
+            self._complete_since = now
+        elif now - known_until > MAX_LIST_AGE_SECONDS:
             self._complete_since = now
+            self._restored_since.clear()
 
     def update(self, now: float, listed: Mapping[str, Set[str]]) -> None:
         """Record which versions the listed targets of each service have."""
         for service, versions in listed.items():
-            self._last_listed.setdefault(service, {}).update(
-                dict.fromkeys(versions, float("inf"))
-            )
+            last_listed = self._last_listed.setdefault(service, {})
+            last_listed.update(dict.fromkeys(versions, LISTED))
         for service, last_listed in self._last_listed.items():
             listed_now = listed.get(service, frozenset())
             for version, last in list(last_listed.items()):
-                if last == float("inf") and version not in listed_now:
+                if last == LISTED and version not in listed_now:
                     last_listed[version] = now
                 elif now - last >= STREAM_SECONDS:
                     del last_listed[version]
 
+    def restore(self, service: str, record: VersionRecord) -> None:
+        """Add what gateways knew of a service before this process started."""
+        self._restored_since[service] = record.complete_since
+        last_listed = self._last_listed.setdefault(service, {})
+        for version, last in record.former.items():
+            last_listed[version] = max(last, last_listed.get(version, last))
+        # The next update finds out whether they still are.
+        last_listed.update(dict.fromkeys(record.listed, LISTED))
+
+    def list_records(self, now: float) -> dict[str, VersionRecord]:
+        """Return what is known of each service, for gateways that start later."""
+        records = {}
+        for service, last_listed in self._last_listed.items():
+            since = self._find_complete_since(service)
+            if since is None:
+                continue
+            listed = frozenset(v for v, last in last_listed.items() if last == LISTED)
+            former = {
+                version: last
+                for version, last in last_listed.items()
+                if last != LISTED and now - last < STREAM_SECONDS
+            }
+            records[service] = VersionRecord(since, listed, former)
+        return records
+
     def find_recent(
         self, now: float, service: str, list_age: float
     ) -> frozenset[str] | None:
@@ -64,9 +104,10 @@
         ``list_age`` is the time for which changes of the list may be missing, in
         seconds.
         """
-        if self._complete_since is None or list_age > MAX_LIST_AGE_SECONDS:
+        since = self._find_complete_since(service)
+        if since is None or list_age > MAX_LIST_AGE_SECONDS:
             return None
-        if now - self._complete_since < STREAM_SECONDS:
+        if now - since < STREAM_SECONDS:
             return None
         last_listed = self._last_listed.get(service, {})
         return frozenset(
@@ -74,3 +115,9 @@
             for version, last in last_listed.items()
             if now - last < STREAM_SECONDS
         )
+
+    def _find_complete_since(self, service: str) -> float | None:
+        if self._complete_since is None:
+            return None
+        restored = self._restored_since.get(service, self._complete_since)
+        return min(restored, self._complete_since)
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -19,6 +19,7 @@
 from .quarantine_records import QuarantineRecords
 from .settings import Endpoint
 from .stream_versions import StreamVersions
+from .version_records import VersionRecords
 
 if TYPE_CHECKING:
     import random
@@ -78,6 +79,12 @@
         self._quarantine_records = QuarantineRecords(
             store, schema.quarantine_prefix, quarantine, self._registry
         )
+        self._version_records = VersionRecords(
+            store,
+            schema.software_versions_prefix,
+            state.version_history,
+            self._registry,
+        )
         self._server = PeerServer(
             Endpoint(settings.host, settings.first_port),
             self._registry.has_host,
@@ -145,4 +152,5 @@
             self._parts.run(),
             self._limits.run(),
             self._quarantine_records.run(),
+            self._version_records.run(),
         ]
--- a/libraries/proxy/src/bamboopier_proxy/store_schema.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_schema.py
@@ -45,6 +45,8 @@
     rate_limits_prefix: str
     # Requests that are refused since they crash targets.
     quarantine_prefix: str
+    # Software versions that targets of each service had.
+    software_versions_prefix: str
 
     def decode_configuration(self, value: bytes) -> Result[DeclaredConfiguration, str]:
         """Return a configuration, or why it is invalid."""
--- a/libraries/proxy/tests/test_stored_records.py
+++ b/libraries/proxy/tests/test_stored_records.py
@@ -11,13 +11,19 @@
 from result import Err, Ok
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.version_history import (
+    STREAM_SECONDS,
+    VersionHistory,
+)
 from bamboopier_decisions.quarantine.quarantine import Crash, Quarantine
 from bamboopier_objects.errors import PlatformUnavailableError, VersionConflictError
 from bamboopier_objects.objects import Listing, StoredObject
 from bamboopier_proxy.quarantine_records import QuarantineRecords
 from bamboopier_proxy.stored_records import StoredRecords
+from bamboopier_proxy.version_records import VersionRecords
 
 PREFIX = "records/"
+SERVICE, OLD, NEW = "desk", "v1", "v1.1"
 
 
 class FakeStore:
@@ -145,6 +151,31 @@
         await records.write()
         self.assertEqual(self.store.objects, {})
 
+    def make_history(self, listed: set[str]) -> tuple[VersionHistory, VersionRecords]:
+        history = VersionHistory()
+        records = VersionRecords(self.store, PREFIX, history, self.registry)
+        history.record_list(read_clock(), float("-inf"))
+        history.update(read_clock(), {SERVICE: listed})
+        return history, records
+
+    async def test_versions_are_known_after_a_restart(self) -> None:
+        # Guards against streams of unknown origin that go on at the only version that
+        # is listed after a restart, and against such that are refused though it has
+        # been the only one for long.
+        before, records = self.make_history({OLD})
+        with mock.patch.object(
+            before, "_complete_since", read_clock() - STREAM_SECONDS
+        ):
+            await records.write()
+        for listed, recent in (({OLD}, {OLD}), ({NEW}, {OLD, NEW})):
+            with self.subTest(listed=listed):
+                history, started = self.make_history(listed)
+                self.assertIsNone(history.find_recent(read_clock(), SERVICE, 0.5))
+                await started.read()
+                now = read_clock()
+                history.update(now, {SERVICE: listed})
+                self.assertEqual(history.find_recent(now, SERVICE, 0.5), recent)
+
 
 if __name__ == "__main__":
     unittest.main()
