Know the versions from the first start of the system on, and ask for callers that name nothing

Where one version serves they must go on all the same; in the first half minute of the system, and at a gateway that has just restarted beside others, they would have been refused.

Change: on the first start of the whole system (its settings say so) no stream can be older than the list of targets. A gateway that can't tell asks others also where the caller names no request; they answer if one version alone has served.

Evidence: decisions.forwarding.test_software_versions, proxy.stream_versions.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
@@ -23,6 +23,8 @@
 
 # For a version that is listed now.
 LISTED = float("inf")
+# For a time before all others.
+NEVER = float("-inf")
 
 
 class VersionRecord(msgspec.Struct, frozen=True):
@@ -38,9 +40,10 @@
 class VersionHistory:
     """Software versions that targets of each service had, as this process saw them."""
 
-    def __init__(self) -> None:
-        # Since when no change of the list was missed; None before the first list.
-        self._complete_since: float | None = None
+    def __init__(self, *, first_start: bool = False) -> None:
+        # Since when no change of the list was missed; None before the first list. If
+        # the whole system starts for the first time, no stream can be older.
+        self._complete_since = -STREAM_SECONDS if first_start else None
         # The same by service, where it was known before this process started.
         self._restored_since: dict[str, float] = {}
         # By service and version, when it was last listed.
@@ -52,8 +55,9 @@
         All changes until ``known_until`` have been reported; minus infinity before the
         first list. A version that came and went in a long gap was missed.
         """
-        if self._complete_since is None:
-            self._complete_since = now
+        if known_until == NEVER:
+            if self._complete_since is None:
+                self._complete_since = now
         elif now - known_until > MAX_LIST_AGE_SECONDS:
             self._complete_since = now
             self._restored_since.clear()
--- a/libraries/decisions/tests/forwarding/test_software_versions.py
+++ b/libraries/decisions/tests/forwarding/test_software_versions.py
@@ -73,6 +73,15 @@
         # Guards against a gateway that starts after the stream began.
         self.assertIsNone(self.find(STREAM_SECONDS - 0.1))
 
+    def test_no_stream_is_older_than_the_system(self) -> None:
+        # Guards against streams that are refused in the first half minute of all.
+        first = VersionHistory(first_start=True)
+        first.record_list(1.0, NEVER)
+        first.update(1.0, {DESK: {OLD}})
+        self.assertEqual(first.find_recent(2.0, DESK, 0.5), {OLD})
+        first.record_list(20.0, 10.0)
+        self.assertIsNone(first.find_recent(20.0, DESK, 0.5))
+
     def test_an_old_list_shows_nothing(self) -> None:
         # Guards against a gateway that is cut off from the store while a version
         # appears that other gateways use.
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -160,7 +160,12 @@
                     settings.callers, ingress.handle, state.find_caller_limits
                 )
             )
-            log.info("gateway started", vm=settings.vm, listen=str(settings.callers))
+            log.info(
+                "gateway started",
+                vm=settings.vm,
+                listen=str(settings.callers),
+                first_start=settings.first_start,
+            )
             await signals.wait_for_first()
             await _stop(settings, ingress, listener)
 
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -47,7 +47,7 @@
         self.fleet = Fleet()
         self.fleet.gateway_count, self.fleet.gateway_index = ASSUMED_GATEWAYS, None
         self.part_store_index = PartStoreIndex()
-        self.version_history = VersionHistory()
+        self.version_history = VersionHistory(first_start=settings.first_start)
         self.weights = WeightVersions(settings.version_seconds)
         self.retry_budgets = SharedRetryBudgets(settings.retries)
         self.availability = StoreAvailability()
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -48,3 +48,5 @@
     lease_seconds: float
     retries: RetryBudgetLimits
     memory_bytes: int
+    # The whole system starts for the first time: no request was sent before.
+    first_start: bool = False
--- a/libraries/proxy/src/bamboopier_proxy/stream_versions.py
+++ b/libraries/proxy/src/bamboopier_proxy/stream_versions.py
@@ -142,9 +142,10 @@
 
     async def _find(self, call: Call) -> StreamOrigin | None:
         services = _list_services(call)
-        if call.resumed_request_id is None:
-            return self._find_only(services)
-        key = _make_key(call, call.resumed_request_id)
+        # A caller that names no request can still be helped by those who know that one
+        # version alone has served.
+        name = call.resumed_request_id
+        key = _make_key(call, name) if name is not None else b""
         known = self._find_known(key, services)
         if known is not None:
             return known
--- a/libraries/proxy/tests/test_gateway_peers.py
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -45,6 +45,7 @@
             host=self.host,
             first_port=PORT,
             version_seconds=9.0,
+            first_start=False,
             key_seconds=None,
             retries=RetryBudgetLimits(0.2, 54, 10.0),
         )
--- a/libraries/proxy/tests/test_stream_versions.py
+++ b/libraries/proxy/tests/test_stream_versions.py
@@ -152,8 +152,9 @@
             self.assertEqual(call.software_version, OLD)
         self.assertEqual(gateway.sent, [])
         # Another one, that has just started, learns it from this one.
-        call = await self.resume(self.gateways[1], "never-seen")
-        self.assertEqual(call.software_version, OLD)
+        for resumes in ("never-seen", None):
+            call = await self.resume(self.gateways[1], resumes)
+            self.assertEqual(call.software_version, OLD)
 
     async def test_an_old_list_needs_another_gateway(self) -> None:
         # Guards against a gateway that is cut off from the store, and goes on at the
