Take no open connection for a sign that a target lives

What callers saw: a request ended further engines although each crash was seen.

Cause: after a broken response the target was held to live on if another connection to it was open.

Change: one connection attempt tells, always. Where the target lives on, the connection is kept and replaces the broken one.

--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -1,10 +1,11 @@
 """Finds out which targets ended, and which requests they had.
 
 A broken response alone shows no crash: a target may reset one connection and live on.
-One that ended closes all its connections and refuses new ones.
+One that ended refuses new connections. That others are still open shows nothing: their
+ends may arrive later, or be lost.
 
 Load pattern: a target ends with dozens of requests at once, which costs one connection
-attempt; one that only breaks off responses has other open connections, and costs none.
+attempt. At one that only breaks off responses, it replaces the broken connection.
 """
 
 from __future__ import annotations
@@ -30,7 +31,8 @@
     from .messages import Call
     from .target_pool import TargetPool
 
-# Time until the other connections of a target that ended are seen as closed.
+# Time in which the other attempts at a target that ended break, too, and in which it
+# stops listening.
 SETTLE_SECONDS = 0.02
 # Time for which an attempt that ended without a complete response counts for a target
 # that ends next: a caller may leave shortly before its request crashes the target.
@@ -126,8 +128,6 @@
     async def _check(self, key: TargetKey, entry: TargetEntry) -> None:
         """Record the unfinished attempts at a target as crashes if it ended."""
         await asyncio.sleep(SETTLE_SECONDS)
-        if self._pool.has_open_connection(entry):
-            return
         if not await self._has_ended(entry):
             return
         now = read_clock()
--- a/libraries/proxy/src/bamboopier_proxy/target_connection.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_connection.py
@@ -73,15 +73,6 @@
             and not self._transport.is_closing()
         )
 
-    @property
-    def is_alive(self) -> bool:
-        """Return whether neither side has closed it, in use or not."""
-        return (
-            not self._closed
-            and self._transport is not None
-            and not self._transport.is_closing()
-        )
-
     async def send_request(
         self, head: bytes, body: bytes, request_id: str, method: str
     ) -> TargetResponse:
--- a/libraries/proxy/src/bamboopier_proxy/target_pool.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_pool.py
@@ -99,11 +99,6 @@
         """Close a connection whose response is not needed, or is incomplete."""
         self._close((entry.name, entry.started_ms), connection)
 
-    def has_open_connection(self, entry: TargetEntry) -> bool:
-        """Return whether any connection to the target is still open."""
-        connections = self._open.get((entry.name, entry.started_ms), ())
-        return any(connection.is_alive for connection in connections)
-
     async def check(self, entry: TargetEntry) -> None:
         """Connect to the target, and keep the connection.
 
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -28,7 +28,6 @@
             mock.patch("bamboopier_proxy.crash_monitor.SETTLE_SECONDS", 0.0)
         )
         self.pool = mock.Mock()
-        self.pool.has_open_connection.return_value = False
         self.pool.check = mock.AsyncMock(side_effect=TargetRefusedError)
         self.records = mock.Mock()
         self.records.record_crashes.side_effect = lambda c: self.crashes.extend(c)
@@ -66,17 +65,12 @@
 
     async def test_a_target_that_lives_on_has_crashed_with_nothing(self) -> None:
         # Guards against a request that is refused since its target broke off responses.
-        for open_connection, outcome in (
-            (True, TargetRefusedError),
-            (False, None),
-            (False, ConnectError),
-        ):
-            with self.subTest(open_connection=open_connection, outcome=outcome):
-                self.pool.has_open_connection.return_value = open_connection
+        for outcome in (None, ConnectError):
+            with self.subTest(outcome=outcome):
                 self.pool.check = mock.AsyncMock(side_effect=outcome)
                 self.end_attempt(b"broken", broken=True)
                 self.assertEqual(await self.finish_checks(), [])
-                self.assertEqual(self.pool.check.called, not open_connection)
+                self.pool.check.assert_awaited_once()
 
     async def test_attempts_that_ended_long_before_do_not_count(self) -> None:
         # Guards against a request that counts for a target that ended seconds later.
