Check targets whose attempts were closed here a moment later

What callers saw: nothing seen; a request that ends its engine right after its caller has left, or was moved away, would not count, as its own connection is closed by then.

Change: such an attempt's target is checked 0.4 s later, within the second for which the attempt is remembered; a broken connection there brings the check forward.

Evidence: proxy.crash_monitor failed before (no check was made).

--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -34,6 +34,9 @@
 # Time in which the other attempts at a target that ended break, too, and in which it
 # stops listening.
 SETTLE_SECONDS = 0.02
+# Time after an attempt whose connection was closed here, until its target is checked: a
+# request may still end it.
+LATE_CHECK_SECONDS = 0.4
 # Time for which an attempt that ended without a complete response counts for a target
 # that ends next: a caller may leave shortly before its request crashes the target.
 UNFINISHED_SECONDS = 1.0
@@ -73,6 +76,16 @@
         self.ended_at = ended_at
 
 
+class _Check:
+    """A check of a target that is due."""
+
+    __slots__ = ("is_late", "task")
+
+    def __init__(self, task: asyncio.Task[None], *, is_late: bool) -> None:
+        self.task = task
+        self.is_late = is_late
+
+
 class CrashMonitor:
     """Checks targets after broken responses, while its context is open."""
 
@@ -80,7 +93,7 @@
         self._pool = pool
         self._records = records
         self._unfinished: dict[TargetKey, list[_UnfinishedAttempt]] = {}
-        self._checks: dict[TargetKey, asyncio.Task[None]] = {}
+        self._checks: dict[TargetKey, _Check] = {}
 
     async def __aenter__(self) -> Self:
         return self
@@ -91,10 +104,10 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        checks = list(self._checks.values())
-        for check in checks:
-            check.cancel()
-        await asyncio.gather(*checks, return_exceptions=True)
+        tasks = [check.task for check in self._checks.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def find_wait(self, fingerprint: bytes) -> float:
         """Return the seconds for which a request is refused; 0 if it is not."""
@@ -109,7 +122,8 @@
     ) -> None:
         """Record an attempt that ended without a complete response.
 
-        With ``broken`` its connection failed, and the target is checked.
+        The target is checked: at once if the connection failed (``broken``), later if
+        it was closed here, since the caller had left or the target was silent.
         """
         if in_flight.sent_at is None:
             return
@@ -119,15 +133,29 @@
         self._remove_outdated(now)
         attempt = _UnfinishedAttempt(call, in_flight.sent_at, now)
         self._unfinished.setdefault(key, []).append(attempt)
-        if not broken or key in self._checks:
-            return
-        check = asyncio.create_task(self._check(key, entry))
+        self._schedule_check(key, entry, is_late=not broken)
+
+    def _schedule_check(
+        self, key: TargetKey, entry: TargetEntry, *, is_late: bool
+    ) -> None:
+        scheduled = self._checks.get(key)
+        if scheduled is not None:
+            if is_late or not scheduled.is_late:
+                return
+            scheduled.task.cancel()
+        delay = LATE_CHECK_SECONDS if is_late else SETTLE_SECONDS
+        task = asyncio.create_task(self._check(key, entry, delay))
+        check = _Check(task, is_late=is_late)
         self._checks[key] = check
-        check.add_done_callback(lambda _: self._checks.pop(key, None))
+        task.add_done_callback(lambda _: self._forget(key, check))
+
+    def _forget(self, key: TargetKey, check: _Check) -> None:
+        if self._checks.get(key) is check:
+            del self._checks[key]
 
-    async def _check(self, key: TargetKey, entry: TargetEntry) -> None:
+    async def _check(self, key: TargetKey, entry: TargetEntry, delay: float) -> None:
         """Record the unfinished attempts at a target as crashes if it ended."""
-        await asyncio.sleep(SETTLE_SECONDS)
+        await asyncio.sleep(delay)
         if not await self._has_ended(entry):
             return
         now = read_clock()
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -24,9 +24,9 @@
         patch = mock.patch("bamboopier_proxy.crash_monitor.read_clock", self.clock.read)
         patch.start()
         self.addCleanup(patch.stop)
-        self.enterContext(
-            mock.patch("bamboopier_proxy.crash_monitor.SETTLE_SECONDS", 0.0)
-        )
+        for name in ("SETTLE_SECONDS", "LATE_CHECK_SECONDS"):
+            path = f"bamboopier_proxy.crash_monitor.{name}"
+            self.enterContext(mock.patch(path, 0.0))
         self.pool = mock.Mock()
         self.pool.check = mock.AsyncMock(side_effect=TargetRefusedError)
         self.records = mock.Mock()
@@ -46,7 +46,8 @@
 
     async def finish_checks(self) -> list[bytes]:
         """Return the requests that are held to have crashed the target."""
-        await asyncio.gather(*self.monitor._checks.values())
+        tasks = [check.task for check in self.monitor._checks.values()]
+        await asyncio.gather(*tasks, return_exceptions=True)
         return [crash.fingerprint for crash in self.crashes]
 
     async def test_a_target_that_refuses_connections_ended_with_all_it_had(
@@ -63,6 +64,16 @@
         self.assertAlmostEqual(crash.ended_at - crash.sent_at, RUN_SECONDS)
         self.pool.check.assert_awaited_once()
 
+    async def test_a_request_counts_whose_caller_left_before_its_target_ended(
+        self,
+    ) -> None:
+        # Guards against a request that ends one target after the other, since each of
+        # its callers leaves in the moment before.
+        self.end_attempt(b"left", broken=False)
+        self.end_attempt(b"left too", broken=False)
+        self.assertEqual(await self.finish_checks(), [b"left", b"left too"])
+        self.pool.check.assert_awaited_once()
+
     async def test_a_target_that_lives_on_has_crashed_with_nothing(self) -> None:
         # Guards against a request that is refused since its target broke off responses.
         for outcome in (None, ConnectError):
