--- a/libraries/decisions/tests/test_quarantine.py
+++ b/libraries/decisions/tests/test_quarantine.py
@@ -101,7 +101,9 @@
         # milliseconds in which the ends of several targets are noticed.
         quarantine = Quarantine(3, 0.1)
         for number, target in enumerate("abc"):
-            record(quarantine, 10.0 + number * 0.01 + RUN_SECONDS, OTHER, target)
+            ended_at = 10.0 + number * 0.01
+            crash = make_crash(ended_at, OTHER, target, sent_at=ended_at - 0.005)
+            quarantine.record_crash(ended_at, crash)
         self.assertEqual(quarantine.find_wait(11.0, OTHER), 0)
         record(quarantine, 10.2, OTHER, "d")
         self.assertGreater(quarantine.find_wait(11.0, OTHER), 0)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -22,6 +22,7 @@
     bounds,
     claims,
     configuration,
+    crashing_requests,
     drains_and_shutdown,
     outdated_configurations,
     publish_times_and_peers,
@@ -49,6 +50,7 @@
     *drains_and_shutdown.MUTATIONS,
     *stalled_targets.MUTATIONS,
     *target_reports.MUTATIONS,
+    *crashing_requests.MUTATIONS,
 )
 
 
