--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -26,6 +26,7 @@
     drains_and_shutdown,
     outdated_configurations,
     publish_times_and_peers,
+    software_versions,
     stalled_targets,
     target_reports,
     weight_loads,
@@ -51,6 +52,7 @@
     *stalled_targets.MUTATIONS,
     *target_reports.MUTATIONS,
     *crashing_requests.MUTATIONS,
+    *software_versions.MUTATIONS,
 )
 
 
