Select the gateways that are told of a stream on a ring

Silent gateways are skipped, so the ring stays the same at all gateways while hints come and go. proxy.gateway_registry.

--- a/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
@@ -27,6 +27,7 @@
 from result import Err, Ok, Result
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.routing.hash_ring import HashRing, compute_points
 from bamboopier_decisions.routing.rendezvous import rank
 from bamboopier_objects.errors import PlatformError, VersionConflictError
 from bamboopier_objects.objects import ABSENT
@@ -109,6 +110,10 @@
         # yet.
         self._silent: list[Endpoint] = []
         self._reported_count = (0, 0)
+        # All registered gateways, this one included, on a ring that is the same at all
+        # gateways: those that are silent are skipped when it is searched.
+        self._ring_names: list[str] = []
+        self._ring = HashRing([])
         # Whether the list was read at least once: before that only the gateways that
         # sent a hint are known, which may not be all.
         self._has_list = False
@@ -133,10 +138,18 @@
         return rank(key.encode(), names, count)
 
     def select_peers(self, key: bytes, count: int) -> list[Endpoint]:
-        """Select ``count`` of the other gateways for ``key`` by rendezvous hashing."""
+        """Select ``count`` of the other gateways for ``key`` by consistent hashing."""
         peers = self.peers
-        names = rank(key, peers, count) if len(peers) > count else list(peers)
-        return [peers[name] for name in names]
+        if len(peers) <= count:
+            return list(peers.values())
+        selected: dict[str, Endpoint] = {}
+        for index in self._ring.walk(key):
+            name = self._ring_names[index]
+            if name in peers:
+                selected[name] = peers[name]
+            if len(selected) == count:
+                break
+        return list(selected.values())
 
     def is_own(self, name: str) -> bool:
         """Return whether ``name`` is the name of this gateway."""
@@ -184,6 +197,7 @@
             if name != self._own and name not in self._peers
         ]
         self._has_list = True
+        self._update_ring(sorted(entries.ok_value))
         self._report_count()
         return True
 
@@ -194,6 +208,11 @@
             await asyncio.sleep(pause * self._random.uniform(0.8, 1.0))
             self._drop_silent()
 
+    def _update_ring(self, names: list[str]) -> None:
+        if names != self._ring_names:
+            self._ring_names = names
+            self._ring = HashRing([compute_points(name) for name in names])
+
     def _find_pause(self) -> float:
         return max(READ_SECONDS, len(self._peers) / ENTRIES_PER_SECOND)
 
--- a/libraries/proxy/tests/test_gateway_registry.py
+++ b/libraries/proxy/tests/test_gateway_registry.py
@@ -1,4 +1,4 @@
-"""Tests of how often the list of gateways is read."""
+"""Tests of how often the list of gateways is read, and of what follows from it."""
 
 from __future__ import annotations
 
@@ -48,6 +48,38 @@
         # Pauses are drawn between four fifths of the interval and the full interval.
         self.assertLess(spent * 0.8, MAX_BYTES_PER_SECOND)
 
+    async def test_gateways_select_alike_whom_to_tell(self) -> None:
+        # Guards against a stream that is told to some gateways and asked of others, and
+        # against one that is told to a gateway that is gone.
+        entries = {f"g-{n}": GatewayEntry(f"10.0.0.{n}", 7000, 1) for n in range(12)}
+        objects = tuple(
+            StoredObject(f"g/{name}", 1, msgspec.json.encode(entry))
+            for name, entry in entries.items()
+        )
+        store = mock.AsyncMock()
+        store.list.return_value = Ok(Listing(1, objects))
+        store.write.return_value = Ok(1)
+        registries = []
+        for name in ("g-0", "g-1"):
+            registry = GatewayRegistry(
+                store, "g/", random.Random(1), mock.Mock(), PauseTracker(0.0)
+            )
+            await registry.register(name, entries[name])
+            await registry.read()
+            registries.append(registry)
+        teller, asker = registries
+        for number in range(50):
+            key = b"stream-%d" % number
+            told = teller.select_peers(key, 3)
+            self.assertEqual(len(set(told)), 3)
+            # The teller and the asker themselves are not among their peers.
+            common = set(told) & set(asker.select_peers(key, 3))
+            self.assertGreaterEqual(len(common), 1)
+            gone = next(name for name, e in entries.items() if e.endpoint == told[0])
+            with mock.patch.dict(teller._peers):
+                del teller._peers[gone]
+                self.assertEqual(teller.select_peers(key, 3)[:2], told[1:])
+
 
 if __name__ == "__main__":
     unittest.main()
