--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -8,13 +8,13 @@
 from result import Err, Ok
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.forwarding.placement import choose_target
 from bamboopier_decisions.forwarding.specs import RetrySafety
-from bamboopier_decisions.forwarding.wait_queue import draw_retry_after, find_max_wait
 
 from .attempt_log import AttemptLog
 from .attempt_result import AttemptResult, Cause
 from .refusals import CallerError, ErrorCode, ExecutionStatus
+from .target_outcomes import TargetOutcomes
+from .target_selector import TargetSelector
 
 if TYPE_CHECKING:
     import random
@@ -22,7 +22,6 @@
     from result import Result
 
     from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
-    from bamboopier_decisions.forwarding.placement import Demand, Placement
     from bamboopier_decisions.forwarding.shared_retry_budget import (
         SharedRetryBudget,
         SharedRetryBudgets,
@@ -40,17 +39,6 @@
 
 # Attempts of one request, including those that a target rejected without running.
 MAX_ATTEMPTS = 4
-# Seconds for which a target gets no requests after it rejected one without running it:
-# it is full, stopping, or loading weights.
-NOT_RUN_BACKOFF_SECONDS = 0.15
-# Seconds for which a target gets no requests after another target responded at its
-# address. Its entry expires after three missed heartbeats; a new instance has an entry
-# of its own.
-REPLACED_BACKOFF_SECONDS = 5.0
-# Requests per second below which a gateway's share of the targets' limits counts as
-# none.
-MIN_LIMIT_SHARE_PER_SECOND = 1e-6
-
 # Causes after which a retry is not paid for: nothing was sent, or it was spent before.
 FREE_RETRY_CAUSES = frozenset(
     {Cause.CONNECT, Cause.CLOSED, Cause.STALLED, Cause.RESTING, Cause.MOVED}
@@ -60,7 +48,7 @@
 
 
 class Forwarder:
-    """Selects targets, runs attempts, and decides whether to retry."""
+    """Runs attempts, and decides whether to retry."""
 
     def __init__(
         self,
@@ -82,12 +70,13 @@
         self._exchange = exchange
         self._request_queues = request_queues
         self._attempt_log = AttemptLog(planner, active_configuration, metrics)
-        self._metrics = metrics
+        self._selector = TargetSelector(
+            fleet, planner, request_queues, metrics, data_centre, random
+        )
+        self._outcomes = TargetOutcomes(crash_monitor)
         self._crash_monitor = crash_monitor
         self._stream_versions = stream_versions
         self._retry_budgets = retry_budgets
-        self._data_centre = data_centre
-        self._random = random
 
     async def forward(self, call: Call, delivery: Delivery) -> None:
         """Respond to the caller; raises ``CallerError`` for an error of this system."""
@@ -97,14 +86,13 @@
         retry_budget.record_request(read_clock())
         runs = 0
         while True:
-            in_flight = await self._acquire_target(call)
+            in_flight = await self._selector.acquire(call)
             call.tried.append(in_flight.state.entry.name)
             try:
                 result = await self._send(call, in_flight, delivery, runs, retry_budget)
-                self._record_outcome(call, in_flight, result)
+                self._outcomes.record(call, in_flight, result)
             except BaseException:
-                in_flight.state.circuit_breaker.record_inconclusive()
-                self._crash_monitor.record_unfinished(call, in_flight, broken=False)
+                self._outcomes.record_abandoned(call, in_flight)
                 self._attempt_log.record_abandoned(call, in_flight)
                 raise
             finally:
@@ -149,7 +137,7 @@
             return False
         now = read_clock()
         demand = self._planner.make_demand(now, call)
-        if self._select_target(call, demand, set(call.tried)).state is None:
+        if self._selector.select(call, demand, set(call.tried)).state is None:
             return False
         return retry_budget.try_spend(now, self._fleet.gateway_count)
 
@@ -176,96 +164,6 @@
             return Err(Cause.STALLED)
         return Ok(self._planner.make_metadata(now, call, in_flight))
 
-    async def _acquire_target(self, call: Call) -> InFlightRequest:
-        """Acquire a slot at a target; raises ``CallerError`` if there is none."""
-        demand = self._planner.make_demand(read_clock(), call)
-        tried = set(call.tried)
-        placement = self._select_target(call, demand, tried)
-        if placement.state is not None:
-            return self._fleet.begin(read_clock(), placement.state, call.prompt)
-        if placement.known == 0:
-            raise self._refuse(call, ErrorCode.NO_TARGET, placement)
-        started_at = read_clock()
-        seconds = find_max_wait(
-            call.route.latency_objective, call.timeout_at - started_at
-        )
-        self._check_limits(call, placement, started_at + seconds)
-
-        def try_acquire() -> InFlightRequest | None:
-            found = self._select_target(call, demand, tried)
-            if found.state is None:
-                return None
-            return self._fleet.begin(read_clock(), found.state, call.prompt)
-
-        in_flight = await self._request_queues.wait(
-            call.service, call.priority, seconds, try_acquire, self._fleet.end
-        )
-        waited = read_clock() - started_at
-        self._metrics.waited.labels(call.service).observe(waited)
-        if in_flight is None:
-            placement = self._select_target(call, demand, tried)
-            raise self._refuse(call, ErrorCode.OVERLOADED, placement)
-        return in_flight
-
-    def _check_limits(self, call: Call, placement: Placement, latest: float) -> None:
-        """Refuse a request whose turn at all its targets comes after ``latest``.
-
-        All its targets rest or are rate-limited: each accepts as many requests per
-        second as it reports, and the waiting requests ahead of this one are sent first.
-        A request that was sent to all of them has no turn.
-        """
-        limited = placement.limited
-        if not limited.covers_all:
-            return
-        before = self._request_queues.count_before(call.service, call.priority)
-        turn = limited.next_at + before / max(
-            limited.gateway_rate, MIN_LIMIT_SHARE_PER_SECOND
-        )
-        if turn > latest:
-            raise self._refuse(call, ErrorCode.OVERLOADED, placement)
-
-    def _select_target(self, call: Call, demand: Demand, tried: set[str]) -> Placement:
-        now = read_clock()
-        allowed_weights = self._planner.find_allowed_weights(now, call)
-        return choose_target(
-            now,
-            self._fleet,
-            demand,
-            tried,
-            allowed_weights,
-            self._data_centre,
-            self._random,
-        )
-
-    def _refuse(self, call: Call, code: ErrorCode, placement: Placement) -> CallerError:
-        now = read_clock()
-        log.info(
-            "no target available",
-            request_id=call.request_id,
-            service=call.service,
-            known=placement.known,
-            usable=placement.usable,
-            open=placement.open,
-            limited=placement.limited.count,
-            free_in=round(placement.limited.free_at - now, 3),
-            waiting=self._request_queues.count(call.service),
-            tried=call.tried,
-        )
-        if call.may_have_run:
-            return CallerError(
-                ErrorCode.OUTCOME_UNKNOWN, code.value, ExecutionStatus.UNKNOWN
-            )
-        wait = self._draw_retry_after(now, call.timeout_at, placement)
-        return CallerError(
-            code, "no target has room", ExecutionStatus.NOT_EXECUTED, wait
-        )
-
-    def _draw_retry_after(self, now: float, end: float, placement: Placement) -> float:
-        """Return the seconds after which a caller that leaves at ``end`` returns."""
-        limited = placement.limited
-        seconds = max(0.0, limited.free_at - now) if limited.covers_all else 0.0
-        return draw_retry_after(max(0.0, end - now), self._random, seconds)
-
     def _check_freshness(self, call: Call, now: float) -> None:
         """Refuse a request with a key once the key may have been revoked."""
         if call.workspace is None:
@@ -293,45 +191,6 @@
             ErrorCode.OVERLOADED, message, ExecutionStatus.NOT_EXECUTED, wait
         )
 
-    def _record_outcome(
-        self, call: Call, in_flight: InFlightRequest, result: AttemptResult
-    ) -> None:
-        """Update the state of the target by the result of an attempt."""
-        state = in_flight.state
-        now = read_clock()
-        match result.cause:
-            case Cause.NONE if result.failure is not None:
-                state.circuit_breaker.record_failure(now)
-            case Cause.NONE:
-                state.circuit_breaker.record_success()
-                self._crash_monitor.record_completed(call)
-            case Cause.CONNECT:
-                state.circuit_breaker.record_unreachable(now)
-            case Cause.NOT_RUN:
-                state.busy_until = now + NOT_RUN_BACKOFF_SECONDS
-                state.circuit_breaker.record_inconclusive()
-            case Cause.MISDIRECTED:
-                state.circuit_breaker.record_inconclusive()
-                if result.wrong_target:
-                    # This instance of the target has ended; its entry expires later.
-                    state.busy_until = now + REPLACED_BACKOFF_SECONDS
-            case (
-                Cause.CLOSED
-                | Cause.STALLED
-                | Cause.RESTING
-                | Cause.LATE
-                | Cause.OUTDATED
-            ):
-                state.circuit_breaker.record_inconclusive()
-            case Cause.MOVED | Cause.UNANSWERED:
-                # The stall detector keeps requests from it.
-                state.circuit_breaker.record_inconclusive()
-                self._crash_monitor.record_unfinished(call, in_flight, broken=False)
-            case Cause.BROKEN | Cause.UNSEALED | Cause.TIMEOUT:
-                state.circuit_breaker.record_failure(now)
-                broken = result.cause is Cause.BROKEN
-                self._crash_monitor.record_unfinished(call, in_flight, broken=broken)
-
     async def _retry_or_finish(
         self,
         call: Call,
@@ -361,8 +220,8 @@
         # The caller may wait longer than its route's timeout, and retry.
         end = call.timeout_at if now < call.timeout_at else call.deadline
         demand = self._planner.make_demand(now, call)
-        placement = self._select_target(call, demand, set(call.tried))
-        wait = self._draw_retry_after(now, end, placement)
+        placement = self._selector.select(call, demand, set(call.tried))
+        wait = self._selector.draw_retry_after(now, end, placement)
         raise CallerError(
             ErrorCode.OVERLOADED, result.cause.value, ExecutionStatus.NOT_EXECUTED, wait
         )
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -0,0 +1,141 @@
+"""Chooses the target of a request, and waits for one to have room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.placement import choose_target
+from bamboopier_decisions.forwarding.wait_queue import draw_retry_after, find_max_wait
+
+from .refusals import CallerError, ErrorCode, ExecutionStatus
+
+if TYPE_CHECKING:
+    import random
+
+    from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
+    from bamboopier_decisions.forwarding.placement import Demand, Placement
+
+    from .attempt_planner import AttemptPlanner
+    from .messages import Call
+    from .metrics import ProxyMetrics
+    from .request_queues import RequestQueues
+
+# Requests per second below which a gateway's share of the targets' limits counts as
+# none.
+MIN_LIMIT_SHARE_PER_SECOND = 1e-6
+
+log = structlog.get_logger()
+
+
+class TargetSelector:
+    """Selects targets, and lets requests wait while all of them are full."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        planner: AttemptPlanner,
+        request_queues: RequestQueues,
+        metrics: ProxyMetrics,
+        data_centre: str,
+        random: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._planner = planner
+        self._request_queues = request_queues
+        self._metrics = metrics
+        self._data_centre = data_centre
+        self._random = random
+
+    async def acquire(self, call: Call) -> InFlightRequest:
+        """Acquire a slot at a target; raises ``CallerError`` if there is none."""
+        demand = self._planner.make_demand(read_clock(), call)
+        tried = set(call.tried)
+        placement = self.select(call, demand, tried)
+        if placement.state is not None:
+            return self._fleet.begin(read_clock(), placement.state, call.prompt)
+        if placement.known == 0:
+            raise self._refuse(call, ErrorCode.NO_TARGET, placement)
+        started_at = read_clock()
+        seconds = find_max_wait(
+            call.route.latency_objective, call.timeout_at - started_at
+        )
+        self._check_limits(call, placement, started_at + seconds)
+
+        def try_acquire() -> InFlightRequest | None:
+            found = self.select(call, demand, tried)
+            if found.state is None:
+                return None
+            return self._fleet.begin(read_clock(), found.state, call.prompt)
+
+        in_flight = await self._request_queues.wait(
+            call.service, call.priority, seconds, try_acquire, self._fleet.end
+        )
+        waited = read_clock() - started_at
+        self._metrics.waited.labels(call.service).observe(waited)
+        if in_flight is None:
+            placement = self.select(call, demand, tried)
+            raise self._refuse(call, ErrorCode.OVERLOADED, placement)
+        return in_flight
+
+    def _check_limits(self, call: Call, placement: Placement, latest: float) -> None:
+        """Refuse a request whose turn at all its targets comes after ``latest``.
+
+        All its targets rest or are rate-limited: each accepts as many requests per
+        second as it reports, and the waiting requests ahead of this one are sent first.
+        A request that was sent to all of them has no turn.
+        """
+        limited = placement.limited
+        if not limited.covers_all:
+            return
+        before = self._request_queues.count_before(call.service, call.priority)
+        turn = limited.next_at + before / max(
+            limited.gateway_rate, MIN_LIMIT_SHARE_PER_SECOND
+        )
+        if turn > latest:
+            raise self._refuse(call, ErrorCode.OVERLOADED, placement)
+
+    def select(self, call: Call, demand: Demand, tried: set[str]) -> Placement:
+        """Return the best target that the request was not sent to, if there is one."""
+        now = read_clock()
+        allowed_weights = self._planner.find_allowed_weights(now, call)
+        return choose_target(
+            now,
+            self._fleet,
+            demand,
+            tried,
+            allowed_weights,
+            self._data_centre,
+            self._random,
+        )
+
+    def _refuse(self, call: Call, code: ErrorCode, placement: Placement) -> CallerError:
+        now = read_clock()
+        log.info(
+            "no target available",
+            request_id=call.request_id,
+            service=call.service,
+            known=placement.known,
+            usable=placement.usable,
+            open=placement.open,
+            limited=placement.limited.count,
+            free_in=round(placement.limited.free_at - now, 3),
+            waiting=self._request_queues.count(call.service),
+            tried=call.tried,
+        )
+        if call.may_have_run:
+            return CallerError(
+                ErrorCode.OUTCOME_UNKNOWN, code.value, ExecutionStatus.UNKNOWN
+            )
+        wait = self.draw_retry_after(now, call.timeout_at, placement)
+        return CallerError(
+            code, "no target has room", ExecutionStatus.NOT_EXECUTED, wait
+        )
+
+    def draw_retry_after(self, now: float, end: float, placement: Placement) -> float:
+        """Return the seconds after which a caller that leaves at ``end`` returns."""
+        limited = placement.limited
+        seconds = max(0.0, limited.free_at - now) if limited.covers_all else 0.0
+        return draw_retry_after(max(0.0, end - now), self._random, seconds)
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -142,6 +142,8 @@
         call = make_call(self.clock.now, keyed=keyed, prompt=prompt)
         with (
             mock.patch("bamboopier_proxy.forwarder.read_clock", self.clock.read),
+            mock.patch("bamboopier_proxy.target_selector.read_clock", self.clock.read),
+            mock.patch("bamboopier_proxy.target_outcomes.read_clock", self.clock.read),
             mock.patch("bamboopier_proxy.exchange.read_clock", self.clock.read),
         ):
             await self.forwarder.forward(call, delivery)
--- a/tools/safeguards/crashing_requests.py
+++ b/tools/safeguards/crashing_requests.py
@@ -42,7 +42,7 @@
     ),
     Mutation(
         "a crash after the response's head counts",
-        _PROXY + "forwarder.py",
+        _PROXY + "target_outcomes.py",
         "broken = result.cause is Cause.BROKEN\n",
         "broken = result.cause is Cause.BROKEN and not result.status\n",
         "platform",
