--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -18,6 +18,7 @@
 from .peer_server import PeerServer
 from .quarantine_records import QuarantineRecords
 from .settings import Endpoint
+from .stored_records import keep_records
 from .stream_versions import StreamVersions
 from .version_records import VersionRecords
 
@@ -151,6 +152,6 @@
             self.hint_exchange.run_loans(),
             self._parts.run(),
             self._limits.run(),
-            self._quarantine_records.run(),
-            self._version_records.run(),
+            keep_records(self._quarantine_records),
+            keep_records(self._version_records),
         ]
--- a/libraries/proxy/src/bamboopier_proxy/limit_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/limit_records.py
@@ -19,7 +19,7 @@
 from bamboopier_decisions.forwarding.rate_limit import NEVER, LimitUpdate
 
 from .limit_updates import apply_limit_update
-from .stored_records import StoredRecords
+from .stored_records import CHECK_SECONDS, StoredRecords
 
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.fleet import Fleet
@@ -27,8 +27,6 @@
     from .gateway_registry import GatewayRegistry
     from .store_schema import Store
 
-# Interval between checks for changes.
-CHECK_SECONDS = 0.5
 # Time for which an entry that was read waits for its target to be listed.
 ENTRY_WAIT_SECONDS = 10.0
 # A limit is rewritten if it is more than this factor above or below the stored value.
--- a/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -24,8 +23,6 @@
     from .gateway_registry import GatewayRegistry
     from .store_schema import Store
 
-# Interval between checks for changes.
-CHECK_SECONDS = 0.5
 # An entry is rewritten if the request is refused for this much longer.
 MIN_EXTENSION_MS = 60_000
 
@@ -54,13 +51,6 @@
             store, prefix, QuarantineRecord, _is_current, registry
         )
 
-    async def run(self) -> None:
-        """Read once, then write changes until cancelled."""
-        await self.read()
-        while True:
-            await asyncio.sleep(CHECK_SECONDS)
-            await self.write()
-
     async def read(self) -> None:
         """Apply the stored entries."""
         records = await self._records.read()
--- a/libraries/proxy/src/bamboopier_proxy/stored_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/stored_records.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 import msgspec
 import structlog
@@ -27,10 +27,32 @@
 T = TypeVar("T")
 
 RETRY_SECONDS = 0.4
+# Interval between checks for changes.
+CHECK_SECONDS = 0.5
 
 log = structlog.get_logger()
 
 
+class RecordKeeper(Protocol):
+    """Keeps one kind of entry in the store in line with the state of this process."""
+
+    async def read(self) -> None:
+        """Apply the stored entries."""
+        ...
+
+    async def write(self) -> None:
+        """Write what has changed."""
+        ...
+
+
+async def keep_records(keeper: RecordKeeper) -> None:
+    """Read once, then write changes until cancelled."""
+    await keeper.read()
+    while True:
+        await asyncio.sleep(CHECK_SECONDS)
+        await keeper.write()
+
+
 class StoredRecords(Generic[T]):
     """Entries of one type below a key prefix, by name."""
 
--- a/libraries/proxy/src/bamboopier_proxy/version_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/version_records.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -25,8 +24,6 @@
     from .gateway_registry import GatewayRegistry
     from .store_schema import Store
 
-# Interval between checks for changes.
-CHECK_SECONDS = 0.5
 
 log = structlog.get_logger()
 
@@ -56,13 +53,6 @@
             store, prefix, StoredVersions, _is_current, registry
         )
 
-    async def run(self) -> None:
-        """Read once, then write changes until cancelled."""
-        await self.read()
-        while True:
-            await asyncio.sleep(CHECK_SECONDS)
-            await self.write()
-
     async def read(self) -> None:
         """Apply the stored entries."""
         stored = await self._records.read()
