Forget unfinished attempts at a busy target

Found in reading the diff: while callers leave one target all the time, the list of its unfinished attempts was never cut, only dropped once the last was a second old. The test failed before (50 of at most 6 were kept).

--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
 import structlog
@@ -92,7 +93,8 @@
     def __init__(self, pool: TargetPool, records: CrashRecords) -> None:
         self._pool = pool
         self._records = records
-        self._unfinished: dict[TargetKey, list[_UnfinishedAttempt]] = {}
+        # Those of the last ``UNFINISHED_SECONDS``, the oldest first.
+        self._unfinished: dict[TargetKey, deque[_UnfinishedAttempt]] = {}
         self._checks: dict[TargetKey, _Check] = {}
 
     async def __aenter__(self) -> Self:
@@ -132,7 +134,7 @@
         key = (entry.name, entry.started_ms)
         self._remove_outdated(now)
         attempt = _UnfinishedAttempt(call, in_flight.sent_at, now)
-        self._unfinished.setdefault(key, []).append(attempt)
+        self._unfinished.setdefault(key, deque()).append(attempt)
         self._schedule_check(key, entry, is_late=not broken)
 
     def _schedule_check(
@@ -159,8 +161,8 @@
         if not await self._has_ended(entry):
             return
         now = read_clock()
-        attempts = self._unfinished.pop(key, [])
-        recent = [a for a in attempts if now - a.ended_at < UNFINISHED_SECONDS]
+        self._remove_outdated(now)
+        recent = list(self._unfinished.pop(key, ()))
         log.info(
             "target ended",
             target=entry.name,
@@ -183,5 +185,7 @@
 
     def _remove_outdated(self, now: float) -> None:
         for key, attempts in list(self._unfinished.items()):
-            if now - attempts[-1].ended_at >= UNFINISHED_SECONDS:
+            while attempts and now - attempts[0].ended_at >= UNFINISHED_SECONDS:
+                attempts.popleft()
+            if not attempts:
                 del self._unfinished[key]
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -90,6 +90,15 @@
         self.end_attempt(b"broken", broken=True)
         self.assertEqual(await self.finish_checks(), [b"broken"])
 
+    async def test_attempts_at_a_busy_target_are_forgotten(self) -> None:
+        # Guards against memory that grows while callers leave one target all the time.
+        self.pool.check = mock.AsyncMock()
+        for _ in range(50):
+            self.end_attempt(b"left", broken=False)
+            self.clock.now += UNFINISHED_SECONDS / 5
+        (attempts,) = self.monitor._unfinished.values()
+        self.assertLessEqual(len(attempts), 6)
+
     async def test_an_attempt_that_was_not_sent_is_no_evidence(self) -> None:
         # Guards against requests of callers that left while the gateway connected.
         call = make_call(self.clock.now, keyed=False, prompt=False)
