--- a/libraries/decisions/src/bamboopier_decisions/admission/controller.py
+++ b/libraries/decisions/src/bamboopier_decisions/admission/controller.py
@@ -16,7 +16,7 @@
 from typing import TYPE_CHECKING
 
 from .concurrency_limit import ConcurrencyLimit
-from .cost_estimator import MIN_DECODE_SAMPLE_TOKENS, CostEstimator
+from .cost_estimator import CostEstimator
 from .fair_queue import FairQueue, QueuedRequest
 from .heavy_hitters import HeavyHitters
 from .messages import (
@@ -35,6 +35,7 @@
     Tick,
 )
 from .retry_schedule import RetrySchedule
+from .running_requests import RunningRequests
 from .throughput_ratio import ThroughputRatio
 
 if TYPE_CHECKING:
@@ -52,20 +53,6 @@
 MIN_STANDING_QUEUE_LENGTH = 4
 
 
-class _RunningRequest:
-    """A request that the target is processing."""
-
-    __slots__ = ("arrival", "first_token_at", "request", "started_at")
-
-    def __init__(
-        self, request: QueuedRequest, arrival: AdmissionRequested, started_at: float
-    ) -> None:
-        self.request = request
-        self.arrival = arrival
-        self.started_at = started_at
-        self.first_token_at: float | None = None
-
-
 class AdmissionController:
     """Admits requests to one target; one instance per agent."""
 
@@ -76,9 +63,9 @@
         self._limit = ConcurrencyLimit(max_running)
         self._queue = FairQueue()
         self._arrivals: dict[str, AdmissionRequested] = {}
-        self._running: dict[str, _RunningRequest] = {}
         self._stopping = False
         self._cost_estimator = CostEstimator()
+        self._running = RunningRequests(self._limit, self._cost_estimator)
         self._retry_schedule = RetrySchedule(random)
         self._heavy_hitters = HeavyHitters()
         self._throughput = ThroughputRatio()
@@ -134,7 +121,7 @@
             case AdmissionRequested():
                 return self._handle_arrival(event)
             case FirstTokenReceived():
-                self._record_first_token(event)
+                self._running.record_first_token(event)
                 return []
             case RequestFinished():
                 return self._handle_end(event)
@@ -244,8 +231,7 @@
                 break
             request_id = queued.request_id
             self._throughput.add_started_cost(queued.cost)
-            arrival = self._arrivals.pop(request_id)
-            self._running[request_id] = _RunningRequest(queued, arrival, now)
+            self._running.start(queued, self._arrivals.pop(request_id), now)
             decisions.append(Start(request_id))
         return decisions
 
@@ -255,64 +241,15 @@
             return True
         return not self._heavy_hitters.is_heavy_hitter(now, queued.workspace, limit)
 
-    def _record_first_token(self, event: FirstTokenReceived) -> None:
-        running = self._running.get(event.request_id)
-        if running is None or running.first_token_at is not None:
-            return
-        running.first_token_at = event.now
-        if event.prefill_tokens > 0:
-            self._measure_prefill(running, event.prefill_tokens)
-
-    def _measure_prefill(self, running: _RunningRequest, prefill_tokens: int) -> None:
-        if running.first_token_at is None:
-            return
-        seconds = running.first_token_at - running.started_at
-        # Prompts that are prefilled concurrently share the engine's prefill rate.
-        ratio = self._cost_estimator.compare_first_token(prefill_tokens, seconds) / len(
-            self._running
-        )
-        self._limit.record_first_token(ratio)
-        prompt_tokens = running.arrival.prompt_tokens
-        self._cost_estimator.record_first_token(prompt_tokens, prefill_tokens, seconds)
-
     def _handle_end(self, event: RequestFinished) -> list[AdmissionDecision]:
-        running = self._running.get(event.request_id)
-        if running is None:
+        ended = self._running.end(event, is_queue_empty=len(self._queue) == 0)
+        if ended is None:
             return []
-        if event.prefill_tokens > 0:
-            self._measure_prefill(running, event.prefill_tokens)
-        del self._running[event.request_id]
-        seconds = event.now - running.started_at
-        self._queue.charge(
-            running.request.workspace,
-            (seconds - running.request.cost) / running.request.weight,
-        )
-        if event.succeeded:
-            self._record_success(event, running, seconds)
-        elif not event.cancelled:
-            self._limit.record_failure()
+        seconds = event.now - ended.started_at
+        request = ended.request
+        self._queue.charge(request.workspace, (seconds - request.cost) / request.weight)
         return self._start_next(event.now)
 
-    def _record_success(
-        self, event: RequestFinished, running: _RunningRequest, seconds: float
-    ) -> None:
-        decode_seconds = event.now - (running.first_token_at or running.started_at)
-        arrival = running.arrival
-        tokens = event.output_tokens
-        self._cost_estimator.record_success(
-            seconds, decode_seconds, tokens, arrival.max_tokens
-        )
-        latency = 0.0
-        if tokens >= MIN_DECODE_SAMPLE_TOKENS:
-            latency = decode_seconds / tokens
-        elif arrival.max_tokens == 0:
-            latency = seconds
-        in_use = len(self._running) + 1
-        if len(self._queue) > 0:
-            # Requests of heavy hitters may be queued although slots are free.
-            in_use = max(in_use, self._limit.value)
-        self._limit.record_success(in_use, latency)
-
     def _stop(self, now: float) -> list[AdmissionDecision]:
         self._stopping = True
         queued = self._queue.list_all()
