--- a/libraries/cli/src/bamboopier_cli/commands/restore.py
+++ b/libraries/cli/src/bamboopier_cli/commands/restore.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
-
-from ..output import render
-from ..publishing import fail_if_nodes_behind, set_drained
+from ..draining import change_drain
 
 
 def restore(
@@ -24,12 +21,6 @@
     With --wait the command returns once all nodes have the change in force, and fails
     with the names of those that do not after TIMEOUT seconds.
     """
-    result = asyncio.run(
-        set_drained(platform, place, name, drained=False, wait=wait, timeout=timeout)
+    return change_drain(
+        platform, place, name, drained=False, wait=wait, timeout=timeout, json=json
     )
-    fail_if_nodes_behind(result)
-    if not result.changed:
-        text = f"{place} {name} was restored already (generation {result.generation})"
-    else:
-        text = f"{place} {name} restored by generation {result.generation}"
-    return render(result, text, json)
