--- a/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
@@ -27,7 +27,7 @@
 NEVER = float("-inf")
 
 
-class VersionRecord(msgspec.Struct, frozen=True):
+class ServiceVersions(msgspec.Struct, frozen=True):
     """What is known of one service. Times are in seconds on the caller's clock."""
 
     # Since when no change was missed.
@@ -75,7 +75,7 @@
                 elif now - last >= STREAM_SECONDS:
                     del last_listed[version]
 
-    def restore(self, service: str, record: VersionRecord) -> None:
+    def restore(self, service: str, record: ServiceVersions) -> None:
         """Add what gateways knew of a service before this process started."""
         self._restored_since[service] = record.complete_since
         last_listed = self._last_listed.setdefault(service, {})
@@ -84,7 +84,7 @@
         # The next update finds out whether they still are.
         last_listed.update(dict.fromkeys(record.listed, LISTED))
 
-    def list_records(self, now: float) -> dict[str, VersionRecord]:
+    def list_records(self, now: float) -> dict[str, ServiceVersions]:
         """Return what is known of each service, for gateways that start later."""
         records = {}
         for service, last_listed in self._last_listed.items():
@@ -97,7 +97,7 @@
                 for version, last in last_listed.items()
                 if last != LISTED and now - last < STREAM_SECONDS
             }
-            records[service] = VersionRecord(since, listed, former)
+            records[service] = ServiceVersions(since, listed, former)
         return records
 
     def find_recent(
--- a/libraries/proxy/src/bamboopier_proxy/version_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/version_records.py
@@ -14,7 +14,7 @@
 import structlog
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.forwarding.version_history import VersionRecord
+from bamboopier_decisions.forwarding.version_history import ServiceVersions
 
 from .stored_records import StoredRecords
 
@@ -60,7 +60,7 @@
         for service, versions in stored.items():
             former = {v: ms / 1000 + offset for v, ms in versions.former.items()}
             since = versions.complete_since / 1000 + offset
-            record = VersionRecord(since, frozenset(versions.listed), former)
+            record = ServiceVersions(since, frozenset(versions.listed), former)
             self._history.restore(service, record)
             log.info("stored versions read", service=service, versions=versions.listed)
 
