Check busy targets only when a connection breaks

New connections are priced, and engines accept few while their queue is long.

Change: the late check is made only where no other attempt of the gateway is in flight at the target: if it ends, that one breaks, and the target is checked at once.

--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -5,7 +5,9 @@
 ends may arrive later, or be lost.
 
 Load pattern: a target ends with dozens of requests at once, which costs one connection
-attempt. At one that only breaks off responses, it replaces the broken connection.
+attempt. At one that only breaks off responses, it replaces the broken connection. Where
+many callers leave a busy target, it costs nothing: if the target ends, other attempts
+break.
 """
 
 from __future__ import annotations
@@ -28,6 +30,7 @@
 
     from bamboopier_decisions.forwarding.fleet import InFlightRequest
     from bamboopier_decisions.forwarding.specs import TargetEntry
+    from bamboopier_decisions.forwarding.target_state import TargetState
 
     from .messages import Call
     from .target_pool import TargetPool
@@ -135,18 +138,18 @@
         self._remove_outdated(now)
         attempt = _UnfinishedAttempt(call, in_flight.sent_at, now)
         self._unfinished.setdefault(key, deque()).append(attempt)
-        self._schedule_check(key, entry, is_late=not broken)
+        self._schedule_check(key, in_flight.state, is_late=not broken)
 
     def _schedule_check(
-        self, key: TargetKey, entry: TargetEntry, *, is_late: bool
+        self, key: TargetKey, state: TargetState, *, is_late: bool
     ) -> None:
         scheduled = self._checks.get(key)
         if scheduled is not None:
             if is_late or not scheduled.is_late:
                 return
             scheduled.task.cancel()
-        delay = LATE_CHECK_SECONDS if is_late else SETTLE_SECONDS
-        task = asyncio.create_task(self._check(key, entry, delay))
+        run = self._check_late(key, state) if is_late else self._check(key, state)
+        task = asyncio.create_task(run)
         check = _Check(task, is_late=is_late)
         self._checks[key] = check
         task.add_done_callback(lambda _: self._forget(key, check))
@@ -155,9 +158,16 @@
         if self._checks.get(key) is check:
             del self._checks[key]
 
-    async def _check(self, key: TargetKey, entry: TargetEntry, delay: float) -> None:
+    async def _check_late(self, key: TargetKey, state: TargetState) -> None:
+        """Check a target at which no other attempt would break if it ended."""
+        await asyncio.sleep(LATE_CHECK_SECONDS)
+        if state.stall_detector.in_flight == 0:
+            await self._check(key, state)
+
+    async def _check(self, key: TargetKey, state: TargetState) -> None:
         """Record the unfinished attempts at a target as crashes if it ended."""
-        await asyncio.sleep(delay)
+        await asyncio.sleep(SETTLE_SECONDS)
+        entry = state.entry
         if not await self._has_ended(entry):
             return
         now = read_clock()
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -32,6 +32,8 @@
         self.records = mock.Mock()
         self.records.record_crashes.side_effect = lambda c: self.crashes.extend(c)
         self.crashes: list[Any] = []
+        # Attempts of other requests at the target.
+        self.others = 0
         self.monitor = CrashMonitor(self.pool, self.records)
         await self.enterAsyncContext(self.monitor)
 
@@ -41,6 +43,7 @@
         call.fingerprint = fingerprint
         in_flight = mock.Mock(sent_at=self.clock.now - RUN_SECONDS)
         in_flight.state.entry = make_entry()
+        in_flight.state.stall_detector.in_flight = self.others
         self.monitor.record_unfinished(call, in_flight, broken=broken)
         return call
 
@@ -74,6 +77,16 @@
         self.assertEqual(await self.finish_checks(), [b"left", b"left too"])
         self.pool.check.assert_awaited_once()
 
+    async def test_callers_that_leave_a_busy_target_cost_no_connections(self) -> None:
+        # Guards against connections to targets that are too busy to answer in time,
+        # one for each check: if such a target ends, its other attempts break.
+        self.others = 3
+        self.end_attempt(b"left", broken=False)
+        self.assertEqual(await self.finish_checks(), [])
+        self.pool.check.assert_not_called()
+        self.end_attempt(b"broken", broken=True)
+        self.assertEqual(await self.finish_checks(), [b"left", b"broken"])
+
     async def test_a_target_that_lives_on_has_crashed_with_nothing(self) -> None:
         # Guards against a request that is refused since its target broke off responses.
         for outcome in (None, ConnectError):
