Log that stored entries were not read at a start

Found when reading the diff.

test_unreadable_entries_and_an_outage_do_no_harm expects the line; it failed before ('invalid entry ignored' alone). No decision changes; seconds in 'stored quarantine read' are rounded.

--- a/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
@@ -63,7 +63,8 @@
             self._quarantine.add_shared_entry(
                 QuarantineEntry(fingerprint, now + remaining)
             )
-            log.info("stored quarantine read", fingerprint=name, seconds=remaining)
+            seconds = round(remaining, 1)
+            log.info("stored quarantine read", fingerprint=name, seconds=seconds)
 
     async def write(self) -> None:
         """Write the requests that are refused by now, and remove those of before."""
--- a/libraries/proxy/src/bamboopier_proxy/stored_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/stored_records.py
@@ -90,6 +90,8 @@
     async def _try_read(self) -> dict[str, T] | None:
         listing = await self._store.list(self._prefix)
         if isinstance(listing, Err):
+            reason = str(listing.err_value)
+            log.warning("entries not read", prefix=self._prefix, reason=reason)
             return None
         entries: dict[str, T] = {}
         for found in listing.ok_value.objects:
--- a/libraries/proxy/src/bamboopier_proxy/version_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/version_records.py
@@ -24,7 +24,6 @@
     from .gateway_registry import GatewayRegistry
     from .store_schema import Store
 
-
 log = structlog.get_logger()
 
 
--- a/libraries/proxy/tests/test_stored_records.py
+++ b/libraries/proxy/tests/test_stored_records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from result import Err, Ok
+from structlog.testing import capture_logs
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.version_history import (
@@ -98,8 +99,13 @@
         # Guards against a gateway that does not start because of one entry.
         self.store.objects = {f"{PREFIX}a": (b"1", 1), f"{PREFIX}b": (b"{", 1)}
         self.store.failing_lists = 1
-        with mock.patch("bamboopier_proxy.stored_records.RETRY_SECONDS", 0.0):
+        with (
+            mock.patch("bamboopier_proxy.stored_records.RETRY_SECONDS", 0.0),
+            capture_logs() as lines,
+        ):
             self.assertEqual(await self.make_records().read(), {"a": 1})
+        events = [line["event"] for line in lines]
+        self.assertEqual(events, ["entries not read", "invalid entry ignored"])
 
 
 class RestartTests(unittest.IsolatedAsyncioTestCase):
