Show two cases in which a stream still goes on at another software version

Found when reading the change once more, by asking of each constant where it comes from. Two failing tests, listed:

- A version counts for 30 s after it was last listed, and a record of a stream for 60 s: figures of the installations that we know.
A route declares its timeout; with 120 s a stream without a record goes on at the version that replaced its own ('CallerError not raised').
- A gateway whose list is up to 5 s old believes the only version in it before it asks the gateways that were told of the stream ('v1' != 'v1.1').

--- a/libraries/proxy/tests/test_stream_versions.py
+++ b/libraries/proxy/tests/test_stream_versions.py
@@ -168,6 +168,33 @@
         call = await self.resume(gateway, "request-1")
         self.assertEqual(call.software_version, NEW)
 
+    async def test_a_list_of_seconds_ago_needs_another_gateway(self) -> None:
+        # Guards against a gateway that has just been cut off from the store, and takes
+        # the only version that it knows for the one that a stream began with.
+        gateway = self.gateways[0]
+        gateway.history.record_list(self.clock.now, float("-inf"))
+        gateway.list_version(self.clock.now, OLD)
+        self.clock.now += STREAM_SECONDS
+        gateway.list_age = 3.0
+        self.begin(self.gateways[3], "request-1", NEW)
+        call = await self.resume(gateway, "request-1")
+        self.assertEqual(call.software_version, NEW)
+
+    async def test_a_stream_of_a_long_timeout_is_not_guessed(self) -> None:
+        # Guards against a stream that lasts longer than others, and goes on at the
+        # version that replaced the one that began it.
+        gateway = self.gateways[0]
+        gateway.history.record_list(self.clock.now, float("-inf"))
+        gateway.list_version(self.clock.now, OLD)
+        self.clock.now += STREAM_SECONDS
+        gateway.fleet.remove(self.clock.now, f"i-{OLD}")
+        gateway.list_version(self.clock.now, NEW)
+        self.clock.now += 2 * STREAM_SECONDS
+        call = self.make_call("again", "request-1")
+        call.route = msgspec.structs.replace(call.route, timeout=4 * STREAM_SECONDS)
+        with self.assertRaises(CallerError):
+            await gateway.versions.bind(call)
+
     async def test_requests_that_resume_nothing_are_not_bound(self) -> None:
         # Guards against new streams that are refused or bound.
         call = self.make_call("request-1")
