Log which parts of prompts the requests of an ended target shared

When requests with one part crashed engines, nobody could see from the logs that they had one in common: lines named a fingerprint of the whole request only. 'target ended' now counts the requests by shared part, 'attempt ended' names the parts.

--- a/libraries/proxy/src/bamboopier_proxy/attempt_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_log.py
@@ -17,6 +17,9 @@
     from .messages import Call
     from .metrics import ProxyMetrics
 
+# Maximum number of parts of a prompt in a log line.
+MAX_LOGGED_PARTS = 8
+
 log = structlog.get_logger()
 
 
@@ -68,6 +71,7 @@
             memory=state.memory,
             silence=round(in_flight.silence, 3),
             waiting=in_flight.waiting,
+            parts=_list_part_names(call),
             tokens_in=call.prompt.tokens_in if call.prompt else 0,
             tokens_out=call.prompt.tokens_out if call.prompt else 0,
             configuration=call.version,
@@ -88,3 +92,9 @@
             waiting=in_flight.waiting,
             target_silence=round(in_flight.state.stall_detector.find_silence(now), 3),
         )
+
+
+def _list_part_names(call: Call) -> list[str]:
+    if call.prompt is None:
+        return []
+    return [part.name for part in call.prompt.parts[:MAX_LOGGED_PARTS]]
--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING, Protocol
 
 import structlog
@@ -44,8 +44,9 @@
 # Time for which an attempt that ended without a complete response counts for a target
 # that ends next: a caller may leave shortly before its request crashes the target.
 UNFINISHED_SECONDS = 1.0
-# Maximum number of request ids in a log line.
+# Maximum number of request ids, and of parts of prompts, in a log line.
 MAX_LOGGED_IDS = 8
+MAX_LOGGED_PARTS = 8
 
 log = structlog.get_logger()
 
@@ -71,10 +72,12 @@
 class _UnfinishedAttempt:
     """An attempt without a complete response."""
 
-    __slots__ = ("ended_at", "fingerprint", "request_id", "sent_at")
+    __slots__ = ("ended_at", "fingerprint", "part_names", "request_id", "sent_at")
 
     def __init__(self, call: Call, sent_at: float, ended_at: float) -> None:
         self.fingerprint = call.fingerprint
+        parts = call.prompt.shared_parts if call.prompt is not None else ()
+        self.part_names = frozenset(part.name for part in parts)
         self.request_id = call.request_id
         self.sent_at = sent_at
         self.ended_at = ended_at
@@ -178,6 +181,7 @@
             target=entry.name,
             unfinished=len(recent),
             request_ids=[a.request_id for a in recent[:MAX_LOGGED_IDS]],
+            requests_by_part=_count_requests_by_part(recent),
         )
         self._records.record_crashes(
             Crash(a.fingerprint, entry.name, a.sent_at, a.ended_at) for a in recent
@@ -199,3 +203,9 @@
                 attempts.popleft()
             if not attempts:
                 del self._unfinished[key]
+
+
+def _count_requests_by_part(attempts: list[_UnfinishedAttempt]) -> dict[str, int]:
+    """Return the number of attempts by shared part, for those that most have."""
+    counts = Counter(name for a in attempts for name in a.part_names)
+    return dict(counts.most_common(MAX_LOGGED_PARTS))
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Any, cast
 from unittest import mock
 
+from structlog.testing import capture_logs
+
 from bamboopier_proxy.crash_monitor import UNFINISHED_SECONDS, CrashMonitor
 from bamboopier_proxy.target_pool import ConnectError, TargetRefusedError
 
@@ -37,9 +39,11 @@
         self.monitor = CrashMonitor(self.pool, self.records)
         await self.enterAsyncContext(self.monitor)
 
-    def end_attempt(self, fingerprint: bytes, *, broken: bool) -> Call:
+    def end_attempt(
+        self, fingerprint: bytes, *, broken: bool, prompt: bool = False
+    ) -> Call:
         """End an attempt at the only target without a complete response."""
-        call = make_call(self.clock.now, keyed=False, prompt=False)
+        call = make_call(self.clock.now, keyed=False, prompt=prompt)
         call.fingerprint = fingerprint
         in_flight = mock.Mock(sent_at=self.clock.now - RUN_SECONDS)
         in_flight.state.entry = make_entry()
@@ -112,6 +116,15 @@
         (attempts,) = self.monitor._unfinished.values()
         self.assertLessEqual(len(attempts), 6)
 
+    async def test_the_end_of_a_target_names_the_parts_of_what_it_had(self) -> None:
+        # Guards against ends that nobody can trace to a part that all requests share.
+        with capture_logs() as logs:
+            for _ in range(2):
+                self.end_attempt(b"broken", broken=True, prompt=True)
+            await self.finish_checks()
+        (line,) = [entry for entry in logs if entry["event"] == "target ended"]
+        self.assertEqual(line["requests_by_part"], {"aa": 2})
+
     async def test_an_attempt_that_was_not_sent_is_no_evidence(self) -> None:
         # Guards against requests of callers that left while the gateway connected.
         call = make_call(self.clock.now, keyed=False, prompt=False)
