Take a response that ends with its connection for complete only at a live target

Its responses had neither a length nor chunks, so the end of the connection ended each of them, and counted as a completion that clears the request.

Such a response is now complete for the evidence if its target still accepts a connection, and one more request at the target's end if it refuses one. If that can't be told, it is neither. What the caller gets is as before. Ruled out: to treat it as broken, since engines may answer so at any time.

--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -2,7 +2,8 @@
 
 A broken response alone shows no crash: a target may reset one connection and live on.
 One that ended refuses new connections. That others are still open shows nothing: their
-ends may arrive later, or be lost.
+ends may arrive later, or be lost. A response without a length or chunks that ends with
+its connection is complete only if its target lives on.
 
 Load pattern: a target ends with dozens of requests at once, which costs one connection
 attempt. At one that only breaks off responses, it replaces the broken connection. Where
@@ -70,11 +71,26 @@
 
 
 class _UnfinishedAttempt:
-    """An attempt without a complete response."""
-
-    __slots__ = ("ended_at", "fingerprint", "part_names", "request_id", "sent_at")
-
-    def __init__(self, call: Call, sent_at: float, ended_at: float) -> None:
+    """An attempt without a response that is certain to be complete."""
+
+    __slots__ = (
+        "ended_at",
+        "ended_with_connection",
+        "fingerprint",
+        "part_names",
+        "request_id",
+        "sent_at",
+    )
+
+    def __init__(
+        self,
+        call: Call,
+        sent_at: float,
+        ended_at: float,
+        *,
+        ended_with_connection: bool,
+    ) -> None:
+        self.ended_with_connection = ended_with_connection
         self.fingerprint = call.fingerprint
         parts = call.prompt.shared_parts if call.prompt is not None else ()
         self.part_names = frozenset(part.name for part in parts)
@@ -135,17 +151,32 @@
         """
         if in_flight.sent_at is None:
             return
+        self._add_unfinished(call, in_flight, ended_with_connection=False)
+        self._schedule_check(in_flight.state, is_late=not broken)
+
+    def record_connection_end(self, call: Call, in_flight: InFlightRequest) -> None:
+        """Record a response without a length or chunks that ended with its connection.
+
+        It counts as completed if its target still accepts connections.
+        """
+        self._add_unfinished(call, in_flight, ended_with_connection=True)
+        self._schedule_check(in_flight.state, is_late=False)
+
+    def _add_unfinished(
+        self, call: Call, in_flight: InFlightRequest, *, ended_with_connection: bool
+    ) -> None:
         now = read_clock()
-        entry = in_flight.state.entry
-        key = (entry.name, entry.started_ms)
         self._remove_outdated(now)
-        attempt = _UnfinishedAttempt(call, in_flight.sent_at, now)
+        sent_at = in_flight.sent_at
+        assert sent_at is not None
+        attempt = _UnfinishedAttempt(
+            call, sent_at, now, ended_with_connection=ended_with_connection
+        )
+        key = _make_key(in_flight.state.entry)
         self._unfinished.setdefault(key, deque()).append(attempt)
-        self._schedule_check(key, in_flight.state, is_late=not broken)
 
-    def _schedule_check(
-        self, key: TargetKey, state: TargetState, *, is_late: bool
-    ) -> None:
+    def _schedule_check(self, state: TargetState, *, is_late: bool) -> None:
+        key = _make_key(state.entry)
         scheduled = self._checks.get(key)
         if scheduled is not None:
             if is_late or not scheduled.is_late:
@@ -171,8 +202,12 @@
         """Record the unfinished attempts at a target as crashes if it ended."""
         await asyncio.sleep(SETTLE_SECONDS)
         entry = state.entry
-        if not await self._has_ended(entry):
-            return
+        match await self._has_ended(entry):
+            case False:
+                self._record_completed_at(key)
+                return
+            case None:
+                return
         now = read_clock()
         self._remove_outdated(now)
         recent = list(self._unfinished.pop(key, ()))
@@ -187,14 +222,25 @@
             Crash(a.fingerprint, entry.name, a.sent_at, a.ended_at) for a in recent
         )
 
-    async def _has_ended(self, entry: TargetEntry) -> bool:
-        """Return whether nothing listens at the target's address."""
+    def _record_completed_at(self, key: TargetKey) -> None:
+        """Record that the responses which ended with their connections are complete."""
+        unfinished = self._unfinished.pop(key, deque())
+        for attempt in unfinished:
+            if attempt.ended_with_connection:
+                self._records.record_completed(attempt.fingerprint)
+        remaining = deque(a for a in unfinished if not a.ended_with_connection)
+        if remaining:
+            self._unfinished[key] = remaining
+
+    async def _has_ended(self, entry: TargetEntry) -> bool | None:
+        """Return whether nothing listens at the target's address; None if unknown."""
         try:
             await self._pool.check(entry)
         except TargetRefusedError:
             return True
         except ConnectError as error:
             log.info("target not checked", target=entry.name, reason=str(error))
+            return None
         return False
 
     def _remove_outdated(self, now: float) -> None:
@@ -205,6 +251,10 @@
                 del self._unfinished[key]
 
 
+def _make_key(entry: TargetEntry) -> TargetKey:
+    return entry.name, entry.started_ms
+
+
 def _count_requests_by_part(attempts: list[_UnfinishedAttempt]) -> dict[str, int]:
     """Return the number of attempts by shared part, for those that most have."""
     counts = Counter(name for a in attempts for name in a.part_names)
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -175,6 +175,7 @@
                 call, response, response_metadata, delivery, started_at
             )
         result.weight_version = response_metadata.weight_version
+        result.ends_with_connection = response.ends_with_connection
         return result
 
     async def _relay_complete(
--- a/libraries/proxy/src/bamboopier_proxy/target_connection.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_connection.py
@@ -195,7 +195,10 @@
         self._keep_alive = self._parser.should_keep_alive() and self._length_known
         self._record_idle_limit()
         self._response = TargetResponse(
-            status, tuple(self._headers), self._set_reading_paused
+            status,
+            tuple(self._headers),
+            self._set_reading_paused,
+            ends_with_connection=not self._length_known,
         )
         if self._pending_response is not None and not self._pending_response.done():
             self._pending_response.set_result(self._response)
--- a/libraries/proxy/src/bamboopier_proxy/target_outcomes.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_outcomes.py
@@ -39,6 +39,9 @@
         match result.cause:
             case Cause.NONE if result.failure is not None:
                 state.circuit_breaker.record_failure(now)
+            case Cause.NONE if result.ends_with_connection:
+                state.circuit_breaker.record_success()
+                self._crash_monitor.record_connection_end(call, in_flight)
             case Cause.NONE:
                 state.circuit_breaker.record_success()
                 self._crash_monitor.record_completed(call)
--- a/libraries/proxy/src/bamboopier_proxy/target_response.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_response.py
@@ -30,15 +30,24 @@
         "_pause",
         "_waiter",
         "complete",
+        "ends_with_connection",
         "headers",
         "status",
     )
 
     def __init__(
-        self, status: int, headers: HeaderList, pause: Callable[[bool], None]
+        self,
+        status: int,
+        headers: HeaderList,
+        pause: Callable[[bool], None],
+        *,
+        ends_with_connection: bool = False,
     ) -> None:
         self.status = status
         self.headers = headers
+        # Without a length or chunks it ends alike whether the target completed it or
+        # ended itself.
+        self.ends_with_connection = ends_with_connection
         # Called with True to stop, and False to resume, reading the connection.
         self._pause = pause
         self._chunks: deque[bytes] = deque()
