Divide a target's rate limit by the requests that each gateway gets

Cause: a limit was divided by the number of gateways, on the assumption that callers are spread; the idle shares of the others were nobody's.

Each gateway counts its callers' requests over 1.5 s, the refused ones included, and tells them with its hints for services whose targets limit them; its share is that of its requests, a fifth of the whole stays equal. A hint of the form of before has no such counts; a gateway that knows none takes an equal share.

Ruled out: loans as for cold targets. Not changed: time slots (more gateways than a target accepts requests a second), which stay equal.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from .demand_share import DemandShares
 from .prefill_rate import PrefillRate
 from .rate_limit import RateLimit
 from .rest_period import RestPeriod
@@ -118,6 +119,7 @@
         # Number of gateways that share the targets, and the index of this one by name.
         self.gateway_count = 1
         self.gateway_index: int | None = 0
+        self.demand_shares = DemandShares()
 
     @property
     def names(self) -> list[str]:
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -272,7 +272,10 @@
     limited = {}
     for state in states:
         allowed_at = state.rate_limit.find_next(
-            now, fleet.gateway_count, fleet.gateway_index
+            now,
+            fleet.gateway_count,
+            fleet.gateway_index,
+            _find_share(now, fleet, state),
         )
         next_at = max(allowed_at, state.rest.until)
         if next_at > now:
@@ -280,6 +283,12 @@
     return limited
 
 
+def _find_share(now: float, fleet: Fleet, state: TargetState) -> float | None:
+    if not state.rate_limit.in_force:
+        return None
+    return fleet.demand_shares.find_share(now, state.entry.service, fleet.gateway_count)
+
+
 def _describe_limited(
     now: float,
     limited: dict[TargetState, float],
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
@@ -3,7 +3,7 @@
 Load pattern: a rate-limited target reports in its responses the rate that it accepts
 from all gateways together. Each response reaches one gateway, and each gateway has
 enough callers to use all of that rate. Gateways therefore forward the reported limit to
-each other, and each is limited to an equal share.
+each other, and each is limited to its share: that of its requests among those of all.
 
 With few gateways each has a token bucket that holds one second of its share, so that
 callers who arrive together are served. With more gateways than the target accepts
@@ -57,6 +57,7 @@
         "_ended_at",
         "_refilled_at",
         "_gateway_count",
+        "_share",
         "_reported_at",
         "_own_ended_at",
         "_own_reported_at",
@@ -79,6 +80,7 @@
         self._credits = 0.0
         self._refilled_at = NEVER
         self._gateway_count = 1
+        self._share = 1.0
         # The time slot in which a request was sent.
         self._used_time_slot: int | None = None
 
@@ -126,22 +128,33 @@
         )
 
     def may_send(
-        self, now: float, gateway_count: int, gateway_index: int | None
+        self,
+        now: float,
+        gateway_count: int,
+        gateway_index: int | None,
+        share: float | None = None,
     ) -> bool:
         """Return whether this gateway's share allows one more request.
 
         ``gateway_index`` is this gateway's index, from 0, in the order of the gateways'
-        names; while it is None the gateway has no time slot.
+        names; while it is None the gateway has no time slot. ``share`` is from 0 to 1;
+        equal shares if it is None. Time slots are equal.
         """
-        return self.find_next(now, gateway_count, gateway_index) <= now
+        return self.find_next(now, gateway_count, gateway_index, share) <= now
 
     def find_next(
-        self, now: float, gateway_count: int, gateway_index: int | None
+        self,
+        now: float,
+        gateway_count: int,
+        gateway_index: int | None,
+        share: float | None = None,
     ) -> float:
         """Return when this gateway may send the next request; infinity for never."""
         if not self.in_force:
             return now
         self._gateway_count = max(1, gateway_count)
+        equal = 1.0 / self._gateway_count
+        self._share = equal if share is None or self._uses_time_slots else share
         if self._uses_time_slots:
             return self._find_time_slot(now, gateway_index)
         self._refill(now)
@@ -161,7 +174,7 @@
     @property
     def gateway_rate(self) -> float:
         """Return this gateway's share in requests a second."""
-        return self._rate / self._gateway_count
+        return self._rate * self._share
 
     @property
     def _rate(self) -> float:
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -84,6 +84,7 @@
         await self._stream_versions.bind(call)
         retry_budget = self._retry_budgets.find(call.service)
         retry_budget.record_request(read_clock())
+        self._fleet.demand_shares.record_request(read_clock(), call.service)
         runs = 0
         while True:
             in_flight = await self._selector.acquire(call)
--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -25,6 +25,7 @@
 from .hints import (
     CapacityGrant,
     CapacityRequest,
+    DemandHint,
     FreshnessRequest,
     FreshnessResponse,
     Hint,
@@ -183,6 +184,7 @@
                 self._crashes.list_crashes(now),
                 self._limits.list_hints(now),
                 self._crashes.list_refused(now),
+                list_demand_hints(now, self._fleet),
             )
         )
         allowed = BYTES_PER_SECOND * HINT_SECONDS / len(encode(hint))
@@ -293,10 +295,13 @@
     def _apply_loads(self) -> None:
         now = read_clock()
         loads: dict[str, Load] = {}
+        demands: dict[str, list[float]] = {}
         for name, (received_at, hint) in list(self._received.items()):
             if now - received_at > STALE_SECONDS:
                 del self._received[name]
                 continue
+            for demand in hint.demands:
+                demands.setdefault(demand.service, []).append(demand.per_second)
             for load_hint in hint.loads:
                 load = loads.setdefault(load_hint.target, Load())
                 load.add(
@@ -305,6 +310,7 @@
                     )
                 )
         self._fleet.set_other_loads(loads)
+        self._fleet.demand_shares.set_others(demands)
 
 
 def list_load_hints(now: float, fleet: Fleet) -> list[TargetLoadHint]:
@@ -316,6 +322,14 @@
     return [_make_load_hint(now, s, s in stalled) for s in used[:MAX_TARGETS]]
 
 
+def list_demand_hints(now: float, fleet: Fleet) -> list[DemandHint]:
+    """Return this gateway's requests for services whose targets limit them."""
+    states = (fleet.find(name) for name in fleet.names)
+    services = {s.entry.service for s in states if s and s.rate_limit.in_force}
+    count = fleet.demand_shares.count_per_second
+    return [DemandHint(name, round(count(now, name), 2)) for name in sorted(services)]
+
+
 def _is_used(now: float, state: TargetState) -> bool:
     """Return whether a target has requests in flight, or responded a moment ago."""
     byte_age = now - state.stall_detector.last_byte_at
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -67,6 +67,13 @@
     reported_since_age: int
 
 
+class DemandHint(msgspec.Struct, array_like=True):
+    """The requests that one gateway gets for a service whose targets limit them."""
+
+    service: str
+    per_second: float
+
+
 class LoadHint(msgspec.Struct, array_like=True, tag="load"):
     """Load that one gateway has in flight, and recent crashes and rate limits."""
 
@@ -79,6 +86,7 @@
     crashes: list[CrashHint]
     limits: list[TargetLimitHint] = []
     refused: list[QuarantineHint] = []
+    demands: list[DemandHint] = []
 
 
 class WeightLoadHint(msgspec.Struct, array_like=True, tag="order"):
