Let streams last as long as the timeout of their route

A stream of a route with a long timeout (120 s in the test) went on at the version that had replaced the one which began it, since versions counted for 30 s and origins for 60 s, whatever the route declared. Cause: figures of the installations we know stood for what a configuration says.

What may have begun a stream is now judged by the timeout of its route; former versions and origins are kept by the longest timeout of the configured stream routes.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/stream_origins.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/stream_origins.py
@@ -13,8 +13,10 @@
 
 import msgspec
 
-# Seconds after its first event for which a stream may be resumed.
+# Seconds after its first event for which a stream may be resumed, at least.
 RETENTION_SECONDS = 60.0
+# The same as a multiple of the longest timeout of a route: callers try again.
+RETENTION_FACTOR = 2.0
 # Many times the streams that begin within the retention at a gateway and at those that
 # tell it, at the size the system is designed for; some 200 bytes each.
 MAX_ORIGINS = 20_000
@@ -39,9 +41,14 @@
 
     def __init__(self, max_origins: int = MAX_ORIGINS) -> None:
         self._max_origins = max_origins
+        self._retention = RETENTION_SECONDS
         # The least recently recorded first.
         self._origins: OrderedDict[bytes, tuple[float, StreamOrigin]] = OrderedDict()
 
+    def set_longest_stream(self, seconds: float) -> None:
+        """Set how long streams may last by the timeouts of their routes."""
+        self._retention = max(RETENTION_SECONDS, RETENTION_FACTOR * seconds)
+
     def record(self, now: float, key: bytes, origin: StreamOrigin) -> StreamOrigin:
         """Record the origin of a stream, or that it goes on; return what is known.
 
@@ -56,12 +63,12 @@
     def find(self, now: float, key: bytes) -> StreamOrigin | None:
         """Return the origin of a stream, or None if it is not known."""
         recorded_at, origin = self._origins.get(key, (now, None))
-        return origin if now - recorded_at < RETENTION_SECONDS else None
+        return origin if now - recorded_at < self._retention else None
 
     def _remove_expired(self, now: float) -> None:
         while self._origins:
             key, (recorded_at, _) = next(iter(self._origins.items()))
-            is_recent = now - recorded_at < RETENTION_SECONDS
+            is_recent = now - recorded_at < self._retention
             if is_recent and len(self._origins) <= self._max_origins:
                 break
             del self._origins[key]
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/version_history.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Set
 
-# Seconds for which a version counts: longer than the streams of callers last.
+# Seconds for which a version counts at least; longer where a route's timeout is.
 STREAM_SECONDS = 30.0
 # Maximum age of the list of targets: another gateway may have sent streams to a version
 # that appeared since.
@@ -41,6 +41,8 @@
     """Software versions that targets of each service had, as this process saw them."""
 
     def __init__(self, *, first_start: bool = False) -> None:
+        # For how long versions that are not listed any more are kept.
+        self._retention = STREAM_SECONDS
         # Since when no change of the list was missed; None before the first list. If
         # the whole system starts for the first time, no stream can be older.
         self._complete_since = -STREAM_SECONDS if first_start else None
@@ -49,6 +51,10 @@
         # By service and version, when it was last listed.
         self._last_listed: dict[str, dict[str, float]] = {}
 
+    def set_longest_stream(self, seconds: float) -> None:
+        """Set how long streams may last by the timeouts of their routes."""
+        self._retention = max(STREAM_SECONDS, seconds)
+
     def record_list(self, now: float, known_until: float) -> None:
         """Record that a complete list was read.
 
@@ -72,7 +78,7 @@
             for version, last in list(last_listed.items()):
                 if last == LISTED and version not in listed_now:
                     last_listed[version] = now
-                elif now - last >= STREAM_SECONDS:
+                elif now - last >= self._retention:
                     del last_listed[version]
 
     def restore(self, service: str, record: ServiceVersions) -> None:
@@ -95,29 +101,32 @@
             former = {
                 version: last
                 for version, last in last_listed.items()
-                if last != LISTED and now - last < STREAM_SECONDS
+                if last != LISTED and now - last < self._retention
             }
             records[service] = ServiceVersions(since, listed, former)
         return records
 
     def find_recent(
-        self, now: float, service: str, list_age: float
+        self,
+        now: float,
+        service: str,
+        list_age: float,
+        stream_seconds: float = STREAM_SECONDS,
     ) -> frozenset[str] | None:
         """Return the versions that may have begun a stream; None if not certain.
 
-        ``list_age`` is the time for which changes of the list may be missing, in
-        seconds.
+        ``list_age`` is the time for which changes of the list may be missing, and
+        ``stream_seconds`` how long the stream may last, both in seconds.
         """
+        longest = max(STREAM_SECONDS, stream_seconds)
         since = self._find_complete_since(service)
         if since is None or list_age > MAX_LIST_AGE_SECONDS:
             return None
-        if now - since < STREAM_SECONDS:
+        if now - since < longest:
             return None
         last_listed = self._last_listed.get(service, {})
         return frozenset(
-            version
-            for version, last in last_listed.items()
-            if now - last < STREAM_SECONDS
+            version for version, last in last_listed.items() if now - last < longest
         )
 
     def _find_complete_since(self, service: str) -> float | None:
--- a/libraries/decisions/tests/forwarding/test_software_versions.py
+++ b/libraries/decisions/tests/forwarding/test_software_versions.py
@@ -52,6 +52,14 @@
         known = [n for n in range(5) if origins.find(5.0, b"%d" % n) is not None]
         self.assertEqual(known, [2, 3, 4])
 
+    def test_an_origin_is_kept_for_as_long_as_its_stream_may_last(self) -> None:
+        # Guards against a long stream that is refused, since its origin was forgotten.
+        origins = StreamOrigins()
+        origins.set_longest_stream(RETENTION_SECONDS)
+        origins.record(1.0, KEY, StreamOrigin(DESK, OLD))
+        self.assertIsNotNone(origins.find(1.0 + RETENTION_SECONDS, KEY))
+        self.assertIsNone(origins.find(1.0 + 2 * RETENTION_SECONDS, KEY))
+
 
 class VersionHistoryTests(unittest.TestCase):
     def setUp(self) -> None:
@@ -106,6 +114,23 @@
         self.assertEqual(self.find(gone + STREAM_SECONDS - 0.1), {OLD, NEW})
         self.assertEqual(self.find(gone + STREAM_SECONDS), {NEW})
 
+    def test_a_version_counts_for_as_long_as_the_longest_timeout(self) -> None:
+        # Guards against a stream of a long timeout that goes on at the version which
+        # replaced the one that began it.
+        timeout = 4 * STREAM_SECONDS
+        self.history.set_longest_stream(timeout)
+        self.history.update(1.0, {DESK: {NEW}})
+        for now in (2 * STREAM_SECONDS, timeout):
+            self.history.update(now, {DESK: {NEW}})
+            self.assertEqual(
+                self.history.find_recent(now, DESK, 0.5, timeout),
+                {OLD, NEW} if now == timeout else None,
+            )
+        self.assertEqual(self.find(timeout), {NEW})
+        self.history.update(1.0 + timeout, {DESK: {NEW}})
+        recent = self.history.find_recent(1.0 + timeout, DESK, 0.5, timeout)
+        self.assertEqual(recent, {NEW})
+
     def test_services_have_versions_of_their_own(self) -> None:
         # Guards against another service's release that makes streams unknown.
         self.history.update(1.0, {DESK: {OLD}, "vans": {OLD, NEW}})
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -128,6 +128,7 @@
             self._is_selected,
             random,
         )
+        state.stream_listeners.append(self.stream_versions.set_longest_stream)
         self.hint_exchange.listeners += [
             self.stream_versions.receive,
             self.part_evidence.receive,
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -59,6 +59,8 @@
         self._services: tuple[str, ...] = ()
         # Called when targets were listed or changed, before requests are sent to them.
         self.target_listeners: list[Callable[[], None]] = []
+        # Called with the longest timeout of a stream's route, in seconds.
+        self.stream_listeners: list[Callable[[float], None]] = []
 
     def apply_settings(self, changed: ProxySettings) -> None:
         """Apply the limits of changed settings."""
@@ -89,5 +91,8 @@
     def _apply(self, declared: DeclaredConfiguration) -> None:
         self._services = tuple(declared.services)
         self.fleet.set_services(declared.services)
+        longest = max((r.timeout for r in declared.routes if r.streams), default=0.0)
+        for listener in self.stream_listeners:
+            listener(longest)
         managed = [s for s in declared.part_stores if s.managed]
         self.part_store_index.set_stores({s.address: s.capacity for s in managed})
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -156,6 +156,8 @@
     nonce: int
     key: bytes
     services: list[str]
+    # Timeout of the stream's route in seconds.
+    timeout: float = 0.0
 
 
 class StreamAnswer(msgspec.Struct, array_like=True, tag="began"):
--- a/libraries/proxy/src/bamboopier_proxy/stream_versions.py
+++ b/libraries/proxy/src/bamboopier_proxy/stream_versions.py
@@ -84,6 +84,11 @@
         self._nonces = itertools.count(random.getrandbits(32))
         self._queries: dict[int, asyncio.Future[StreamOrigin]] = {}
 
+    def set_longest_stream(self, seconds: float) -> None:
+        """Set how long streams may last by the timeouts of their routes."""
+        self._origins.set_longest_stream(seconds)
+        self._history.set_longest_stream(seconds)
+
     def record_event(self, call: Call, entry: TargetEntry) -> None:
         """Bind a call to the target of its first event, and tell other gateways."""
         call.software_version = entry.software_version
@@ -146,39 +151,44 @@
         # version alone has served.
         name = call.resumed_request_id
         key = _make_key(call, name) if name is not None else b""
-        known = self._find_known(key, services)
+        timeout = call.route.timeout
+        known = self._find_known(key, services, timeout)
         if known is not None:
             return known
         neighbours = self._peers.select_peers(key, NEIGHBOURS)
-        return await self._ask(key, services, neighbours) or await self._ask(
-            key, services, self._peers.sample_peers(MAX_ASKED)
+        return await self._ask(key, services, timeout, neighbours) or await self._ask(
+            key, services, timeout, self._peers.sample_peers(MAX_ASKED)
         )
 
-    def _find_known(self, key: bytes, services: list[str]) -> StreamOrigin | None:
+    def _find_known(
+        self, key: bytes, services: list[str], timeout: float
+    ) -> StreamOrigin | None:
         """Return the origin of a stream by what this gateway knows itself."""
-        return self._origins.find(read_clock(), key) or self._find_only(services)
+        return self._origins.find(read_clock(), key) or self._find_only(
+            services, timeout
+        )
 
-    def _find_only(self, services: list[str]) -> StreamOrigin | None:
+    def _find_only(self, services: list[str], timeout: float) -> StreamOrigin | None:
         """Return the first service, and the only version that any of them had."""
         now, age = read_clock(), self._find_list_age()
         self._history.update(now, self._fleet.list_software_versions())
         versions: set[str] = set()
         for service in services:
-            recent = self._history.find_recent(now, service, age)
+            recent = self._history.find_recent(now, service, age, timeout)
             if recent is None:
                 return None
             versions |= recent
         return StreamOrigin(services[0], versions.pop()) if len(versions) == 1 else None
 
     async def _ask(
-        self, key: bytes, services: list[str], peers: list[Endpoint]
+        self, key: bytes, services: list[str], timeout: float, peers: list[Endpoint]
     ) -> StreamOrigin | None:
         nonce = next(self._nonces)
         answer: asyncio.Future[StreamOrigin]
         answer = asyncio.get_running_loop().create_future()
         self._queries[nonce] = answer
         for peer in peers:
-            self._peers.send(StreamQuery(nonce, key, services), peer)
+            self._peers.send(StreamQuery(nonce, key, services, timeout), peer)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 return await answer
@@ -188,7 +198,7 @@
             del self._queries[nonce]
 
     def _answer(self, query: StreamQuery, sender: Endpoint) -> None:
-        origin = self._find_known(query.key, query.services)
+        origin = self._find_known(query.key, query.services, query.timeout)
         if origin is None:
             return
         answer = StreamAnswer(query.nonce, origin.service, origin.software_version)
--- a/tools/safeguards/software_versions.py
+++ b/tools/safeguards/software_versions.py
@@ -35,7 +35,7 @@
     Mutation(
         "a list that was just read shows no version",
         _FORWARDING + "version_history.py",
-        "        if now - since < STREAM_SECONDS:\n            return None\n",
+        "        if now - since < longest:\n            return None\n",
         "",
         "libraries/decisions",
         "tests.forwarding.test_software_versions",
