--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -10,14 +10,12 @@
 
 import asyncio
 import itertools
-import math
 import time
 from typing import TYPE_CHECKING
 
 import structlog
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.forwarding.target_state import Load
 
 from .capacity_loans import CapacityLoans
 from .crash_hints import CrashHints
@@ -25,17 +23,16 @@
 from .hints import (
     CapacityGrant,
     CapacityRequest,
-    DemandHint,
     FreshnessRequest,
     FreshnessResponse,
     Hint,
     LoadHint,
-    TargetLoadHint,
     WeightLoadHint,
     encode,
     shorten,
 )
 from .limit_hints import LimitHints
+from .load_hints import LoadHints
 from .settings import Endpoint
 from .stall_reports import StallReports
 
@@ -46,26 +43,19 @@
     from typing import Self
 
     from bamboopier_decisions.forwarding.fleet import Fleet
-    from bamboopier_decisions.forwarding.target_state import TargetState
     from bamboopier_decisions.quarantine.quarantine import Crash, Quarantine
 
     from .active_configuration import ActiveConfiguration
     from .gateway_registry import GatewayRegistry
     from .request_queues import RequestQueues
 
-# Interval between hints, and the age after which a hint is discarded.
+# Interval between hints.
 HINT_SECONDS = 0.25
-STALE_SECONDS = 1.2
 # Maximum number of peers that get each hint.
 MAX_PEERS = 8
-# Age up to which a byte from a target without requests in flight is reported: a gateway
-# whose single request there got no response learns that the target responds.
-RECENT_BYTE_SECONDS = 0.5
 # Maximum rate of load hints: two thirds of what a node may use for control traffic. If
 # many targets have requests in flight, each hint goes to fewer, randomly chosen peers.
 BYTES_PER_SECOND = 15_000
-# Maximum number of targets in one hint, the busiest first, so that it fits a datagram.
-MAX_TARGETS = 24
 # Age of the own confirmation from which peers are asked for theirs: the confirmation of
 # a large configuration by a watch is one to two seconds old.
 MAX_FRESH_SECONDS = 2.0
@@ -105,7 +95,7 @@
         self._nonces = itertools.count(random.getrandbits(32))
         # Time at which each freshness request was sent, by nonce.
         self._freshness_requests: dict[int, float] = {}
-        self._received: dict[str, tuple[float, LoadHint]] = {}
+        self._loads = LoadHints(fleet)
         self._crashes = CrashHints(quarantine, random)
         self._limits = LimitHints(fleet, random)
         self._stalls = StallReports(fleet)
@@ -153,7 +143,7 @@
             self._stalls.log_changes(read_clock())
             self._send_loads()
             self._request_freshness()
-            self._apply_loads()
+            self._loads.apply(read_clock())
 
     async def run_loans(self) -> None:
         """Borrow capacity of other gateways for waiting callers until cancelled."""
@@ -180,11 +170,11 @@
                 self._name,
                 next(self._numbers),
                 self._started_ms,
-                list_load_hints(now, self._fleet),
+                self._loads.list_loads(now),
                 self._crashes.list_crashes(now),
                 self._limits.list_hints(now),
                 self._crashes.list_refused(now),
-                list_demand_hints(now, self._fleet),
+                self._loads.list_demands(now),
             )
         )
         allowed = BYTES_PER_SECOND * HINT_SECONDS / len(encode(hint))
@@ -234,13 +224,9 @@
                     listener(hint, Endpoint(*sender))
 
     def _handle_load_hint(self, hint: LoadHint, sender: tuple[str, int]) -> None:
-        last_received = self._received.get(hint.sender)
-        if last_received is not None:
-            last_number = (last_received[1].started_ms, last_received[1].number)
-            if (hint.started_ms, hint.number) <= last_number:
-                return
         now = read_clock()
-        self._received[hint.sender] = (now, hint)
+        if not self._loads.record(now, hint):
+            return
         self._registry.record_hint(hint.sender, *sender)
         self._limits.apply(now, hint.sender, hint.limits)
         self._stalls.apply(now, hint.loads)
@@ -291,60 +277,3 @@
         self._active_configuration.confirm(
             response.version, sent_at - response.age_ms / 1000
         )
-
-    def _apply_loads(self) -> None:
-        now = read_clock()
-        loads: dict[str, Load] = {}
-        demands: dict[str, list[float]] = {}
-        for name, (received_at, hint) in list(self._received.items()):
-            if now - received_at > STALE_SECONDS:
-                del self._received[name]
-                continue
-            for demand in hint.demands:
-                demands.setdefault(demand.service, []).append(demand.per_second)
-            for load_hint in hint.loads:
-                load = loads.setdefault(load_hint.target, Load())
-                load.add(
-                    Load(
-                        load_hint.requests, load_hint.memory, load_hint.pending_prefill
-                    )
-                )
-        self._fleet.set_other_loads(loads)
-        self._fleet.demand_shares.set_others(demands)
-
-
-def list_load_hints(now: float, fleet: Fleet) -> list[TargetLoadHint]:
-    """Return what this gateway has in flight, at stalled and busy targets first."""
-    states = (fleet.find(name) for name in fleet.names)
-    used = [s for s in states if s is not None and _is_used(now, s)]
-    stalled = {s for s in used if s.stall_detector.has_detected_stall(now)}
-    used.sort(key=lambda s: (s not in stalled, -s.own_load.requests))
-    return [_make_load_hint(now, s, s in stalled) for s in used[:MAX_TARGETS]]
-
-
-def list_demand_hints(now: float, fleet: Fleet) -> list[DemandHint]:
-    """Return this gateway's requests for services whose targets limit them."""
-    states = (fleet.find(name) for name in fleet.names)
-    services = {s.entry.service for s in states if s and s.rate_limit.in_force}
-    count = fleet.demand_shares.count_per_second
-    return [DemandHint(name, round(count(now, name), 2)) for name in sorted(services)]
-
-
-def _is_used(now: float, state: TargetState) -> bool:
-    """Return whether a target has requests in flight, or responded a moment ago."""
-    byte_age = now - state.stall_detector.last_byte_at
-    return state.own_load.requests > 0 or byte_age < RECENT_BYTE_SECONDS
-
-
-def _make_load_hint(now: float, state: TargetState, stalled: bool) -> TargetLoadHint:
-    detector = state.stall_detector
-    byte_age = now - detector.last_byte_at
-    return TargetLoadHint(
-        state.entry.name,
-        state.own_load.requests,
-        state.own_load.memory,
-        state.own_load.pending_prefill,
-        # Rounded up: a byte must not look later than it was.
-        math.ceil(byte_age * 1000) if math.isfinite(byte_age) else None,
-        int(detector.find_silence(now) * 1000) if stalled else 0,
-    )
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/load_hints.py
@@ -0,0 +1,106 @@
+"""Exchanges between gateways the load that each has in flight at targets.
+
+Load pattern: several gateways send to the same few engines. Each knows the load of the
+others by their hints, which are up to a quarter of a second old when they arrive.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from bamboopier_decisions.forwarding.target_state import Load
+
+from .hints import DemandHint, LoadHint, TargetLoadHint
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import Fleet
+    from bamboopier_decisions.forwarding.target_state import TargetState
+
+# Age after which a hint is discarded.
+STALE_SECONDS = 1.2
+# Age up to which a byte from a target without requests in flight is reported: a gateway
+# whose single request there got no response learns that the target responds.
+RECENT_BYTE_SECONDS = 0.5
+# Maximum number of targets in one hint, the busiest first, so that it fits a datagram.
+MAX_TARGETS = 24
+
+
+class LoadHints:
+    """Creates this gateway's load hints and applies those of the others."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        # The last hint of each gateway, and when it arrived.
+        self._received: dict[str, tuple[float, LoadHint]] = {}
+
+    def record(self, now: float, hint: LoadHint) -> bool:
+        """Record a hint; return False if a later one has arrived before."""
+        last_received = self._received.get(hint.sender)
+        if last_received is not None:
+            last_number = (last_received[1].started_ms, last_received[1].number)
+            if (hint.started_ms, hint.number) <= last_number:
+                return False
+        self._received[hint.sender] = (now, hint)
+        return True
+
+    def apply(self, now: float) -> None:
+        """Set the loads and demands of the other gateways by their last hints."""
+        loads: dict[str, Load] = {}
+        demands: dict[str, list[float]] = {}
+        for name, (received_at, hint) in list(self._received.items()):
+            if now - received_at > STALE_SECONDS:
+                del self._received[name]
+                continue
+            for demand in hint.demands:
+                demands.setdefault(demand.service, []).append(demand.per_second)
+            for load_hint in hint.loads:
+                loads.setdefault(load_hint.target, Load()).add(_make_load(load_hint))
+        self._fleet.set_other_loads(loads)
+        self._fleet.demand_shares.set_others(demands)
+
+    def list_loads(self, now: float) -> list[TargetLoadHint]:
+        """Return this gateway's load at stalled and busy targets first."""
+        return list_load_hints(now, self._fleet)
+
+    def list_demands(self, now: float) -> list[DemandHint]:
+        """Return this gateway's requests for services whose targets limit them."""
+        states = (self._fleet.find(name) for name in self._fleet.names)
+        services = {s.entry.service for s in states if s and s.rate_limit.in_force}
+        count = self._fleet.demand_shares.count_per_second
+        return [
+            DemandHint(name, round(count(now, name), 2)) for name in sorted(services)
+        ]
+
+
+def list_load_hints(now: float, fleet: Fleet) -> list[TargetLoadHint]:
+    """Return what this gateway has in flight, at stalled and busy targets first."""
+    states = (fleet.find(name) for name in fleet.names)
+    used = [s for s in states if s is not None and _is_used(now, s)]
+    stalled = {s for s in used if s.stall_detector.has_detected_stall(now)}
+    used.sort(key=lambda s: (s not in stalled, -s.own_load.requests))
+    return [_make_load_hint(now, s, s in stalled) for s in used[:MAX_TARGETS]]
+
+
+def _is_used(now: float, state: TargetState) -> bool:
+    """Return whether a target has requests in flight, or responded a moment ago."""
+    byte_age = now - state.stall_detector.last_byte_at
+    return state.own_load.requests > 0 or byte_age < RECENT_BYTE_SECONDS
+
+
+def _make_load_hint(now: float, state: TargetState, stalled: bool) -> TargetLoadHint:
+    detector = state.stall_detector
+    byte_age = now - detector.last_byte_at
+    return TargetLoadHint(
+        state.entry.name,
+        state.own_load.requests,
+        state.own_load.memory,
+        state.own_load.pending_prefill,
+        # Rounded up: a byte must not look later than it was.
+        math.ceil(byte_age * 1000) if math.isfinite(byte_age) else None,
+        int(detector.find_silence(now) * 1000) if stalled else 0,
+    )
+
+
+def _make_load(hint: TargetLoadHint) -> Load:
+    return Load(hint.requests, hint.memory, hint.pending_prefill)
--- a/libraries/proxy/tests/test_stall_reports.py
+++ b/libraries/proxy/tests/test_stall_reports.py
@@ -8,8 +8,8 @@
 
 from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
 from bamboopier_proxy import stall_reports
-from bamboopier_proxy.hint_exchange import list_load_hints
 from bamboopier_proxy.hints import LoadHint, decode, encode
+from bamboopier_proxy.load_hints import list_load_hints
 from bamboopier_proxy.stall_reports import StallReports
 
 from .forwarder_builders import make_declared, make_entry
--- a/tools/safeguards/stalled_targets.py
+++ b/tools/safeguards/stalled_targets.py
@@ -124,7 +124,7 @@
     ),
     Mutation(
         "a response to one gateway ends the silence at another",
-        f"{PROXY}/hint_exchange.py",
+        f"{PROXY}/load_hints.py",
         "    return state.own_load.requests > 0 or byte_age < RECENT_BYTE_SECONDS\n",
         "    return state.own_load.requests > 0\n",
         "libraries/proxy",
