Count the load of other gateways when their hints arrive

A hint replaces the load of its sender when it arrives, and a request tries once more when its wait ends. The sums are still made anew at each interval.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -263,6 +263,12 @@
             own.memory -= sent.state.unpin(sent.prompt)
         own.pending_prefill -= sent.load.pending_prefill
 
+    def set_other_load(self, name: str, load: Load) -> None:
+        """Set the load of the other gateways at one target."""
+        state = self._states.get(name)
+        if state is not None:
+            state.other_load = load
+
     def set_other_loads(self, loads: Mapping[str, Load]) -> None:
         """Set the loads of the other gateways at each target."""
         for name, state in self._states.items():
--- a/libraries/proxy/src/bamboopier_proxy/load_hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/load_hints.py
@@ -33,15 +33,23 @@
         self._fleet = fleet
         # The last hint of each gateway, and when it arrived.
         self._received: dict[str, tuple[float, LoadHint]] = {}
+        # The sums of these by target; the states of targets hold the same objects.
+        self._totals: dict[str, Load] = {}
 
     def record(self, now: float, hint: LoadHint) -> bool:
-        """Record a hint; return False if a later one has arrived before."""
+        """Apply the loads of a hint; return False if a later one has arrived before.
+
+        They replace those of the sender at once: a request that waits less than the
+        interval between hints would not see that a target has room.
+        """
         last_received = self._received.get(hint.sender)
         if last_received is not None:
             last_number = (last_received[1].started_ms, last_received[1].number)
             if (hint.started_ms, hint.number) <= last_number:
                 return False
+            self._add(last_received[1], -1)
         self._received[hint.sender] = (now, hint)
+        self._add(hint, 1)
         return True
 
     def apply(self, now: float) -> None:
@@ -55,10 +63,20 @@
             for demand in hint.demands:
                 demands.setdefault(demand.service, []).append(demand.per_second)
             for load_hint in hint.loads:
-                loads.setdefault(load_hint.target, Load()).add(_make_load(load_hint))
+                loads.setdefault(load_hint.target, Load()).add(_make_load(load_hint, 1))
+        self._totals = loads
         self._fleet.set_other_loads(loads)
         self._fleet.demand_shares.set_others(demands)
 
+    def _add(self, hint: LoadHint, sign: int) -> None:
+        """Add the loads of a hint to the sums, or subtract them."""
+        for load_hint in hint.loads:
+            total = self._totals.get(load_hint.target)
+            if total is None:
+                total = self._totals[load_hint.target] = Load()
+            self._fleet.set_other_load(load_hint.target, total)
+            total.add(_make_load(load_hint, sign))
+
     def list_loads(self, now: float) -> list[TargetLoadHint]:
         """Return this gateway's load at stalled and busy targets first."""
         return list_load_hints(now, self._fleet)
@@ -102,5 +120,5 @@
     )
 
 
-def _make_load(hint: TargetLoadHint) -> Load:
-    return Load(hint.requests, hint.memory, hint.pending_prefill)
+def _make_load(hint: TargetLoadHint, sign: int) -> Load:
+    return Load(sign * hint.requests, sign * hint.memory, sign * hint.pending_prefill)
--- a/libraries/proxy/src/bamboopier_proxy/request_queues.py
+++ b/libraries/proxy/src/bamboopier_proxy/request_queues.py
@@ -78,7 +78,8 @@
             async with asyncio.timeout(seconds):
                 return await acquired
         except TimeoutError:
-            return _get_acquired(acquired)
+            # What has become free since the last search is not lost.
+            return _get_acquired(acquired) or try_acquire()
         except asyncio.CancelledError:
             in_flight = _get_acquired(acquired)
             if in_flight is not None:
--- a/libraries/proxy/tests/test_request_queues.py
+++ b/libraries/proxy/tests/test_request_queues.py
@@ -49,6 +49,12 @@
             await waiting
         self.assertEqual((self.acquired, self.released), ([SLOT], [SLOT]))
 
+    async def test_a_request_tries_once_more_when_its_wait_ends(self) -> None:
+        # Guards against a request that is refused though a target has had room since
+        # the last search.
+        self.assertIs(await self.wait(0.01), SLOT)
+        self.assertEqual(self.queues.count("desk"), 0)
+
     async def test_no_slot_is_acquired_for_a_disconnected_caller(self) -> None:
         waiting = self.wait(5.0)
         await asyncio.sleep(0)
