Check that a target lives on before a response without framing ends

Cause: an end of a connection was taken for a statement of the target.

A gateway now connects to the target before it ends such a response: one that refuses, or cannot be reached, has not completed it, which is then broken off, or goes on at another target. The events themselves are forwarded at once as before; the end comes 20 ms and one connection later, which replaces the one that ended. This takes the place of the check after the response, which kept the evidence right and not what callers saw. What remains: a target that stops listening, in order, right after such a response, breaks it off.

Ruled out: a shorter wait (a target that ends closes its sockets one by one).

--- a/libraries/proxy/src/bamboopier_proxy/attempt_result.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_result.py
@@ -49,8 +49,6 @@
     failure: BufferedResponse | None = None
     weight_version: int = 0
     first_byte: float = 0.0
-    # The response ended with its connection: complete, unless its target ended.
-    ends_with_connection: bool = False
     # A target other than the expected one responded.
     wrong_target: bool = False
     # Metadata sent to the target, and its time; None if nothing was sent.
--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -2,8 +2,7 @@
 
 A broken response alone shows no crash: a target may reset one connection and live on.
 One that ended refuses new connections. That others are still open shows nothing: their
-ends may arrive later, or be lost. A response without a length or chunks that ends with
-its connection is complete only if its target lives on.
+ends may arrive later, or be lost.
 
 Load pattern: a target ends with dozens of requests at once, which costs one connection
 attempt. At one that only breaks off responses, it replaces the broken connection. Where
@@ -89,33 +88,20 @@
 
 
 class _UnfinishedAttempt:
-    """An attempt without a response that is certain to be complete."""
+    """An attempt without a complete response."""
 
     __slots__ = (
         "ended_at",
-        "ended_with_connection",
         "fingerprint",
         "part_names",
         "parts",
         "request_id",
         "sent_at",
-        "succeeded",
     )
 
-    def __init__(
-        self,
-        call: Call,
-        sent_at: float,
-        ended_at: float,
-        *,
-        ended_with_connection: bool,
-        succeeded: bool,
-    ) -> None:
-        self.ended_with_connection = ended_with_connection
+    def __init__(self, call: Call, sent_at: float, ended_at: float) -> None:
         self.fingerprint = call.fingerprint
         self.parts = call.parts
-        # The target had begun a successful response, as far as is known.
-        self.succeeded = succeeded
         parts = call.prompt.shared_parts if call.prompt is not None else ()
         self.part_names = frozenset(part.name for part in parts)
         self.request_id = call.request_id
@@ -188,44 +174,12 @@
         """
         if in_flight.sent_at is None:
             return
-        self._add_unfinished(
-            call, in_flight, ended_with_connection=False, succeeded=False
-        )
-        self._schedule_check(in_flight.state, is_late=not broken)
-
-    def record_connection_end(
-        self, call: Call, in_flight: InFlightRequest, *, succeeded: bool
-    ) -> None:
-        """Record a response without a length or chunks that ended with its connection.
-
-        It counts as completed if its target still accepts connections.
-        """
-        self._add_unfinished(
-            call, in_flight, ended_with_connection=True, succeeded=succeeded
-        )
-        self._schedule_check(in_flight.state, is_late=False)
-
-    def _add_unfinished(
-        self,
-        call: Call,
-        in_flight: InFlightRequest,
-        *,
-        ended_with_connection: bool,
-        succeeded: bool,
-    ) -> None:
         now = read_clock()
         self._remove_outdated(now)
-        sent_at = in_flight.sent_at
-        assert sent_at is not None
-        attempt = _UnfinishedAttempt(
-            call,
-            sent_at,
-            now,
-            ended_with_connection=ended_with_connection,
-            succeeded=succeeded,
-        )
+        attempt = _UnfinishedAttempt(call, in_flight.sent_at, now)
         key = _make_key(in_flight.state.entry)
         self._unfinished.setdefault(key, deque()).append(attempt)
+        self._schedule_check(in_flight.state, is_late=not broken)
 
     def _schedule_check(self, state: TargetState, *, is_late: bool) -> None:
         key = _make_key(state.entry)
@@ -254,12 +208,8 @@
         """Record the unfinished attempts at a target as crashes if it ended."""
         await asyncio.sleep(SETTLE_SECONDS)
         entry = state.entry
-        match await self._has_ended(entry):
-            case False:
-                self._record_completed_at(key)
-                return
-            case None:
-                return
+        if not await self._has_ended(entry):
+            return
         now = read_clock()
         self._remove_outdated(now)
         recent = list(self._unfinished.pop(key, ()))
@@ -279,28 +229,14 @@
             for part in a.parts
         )
 
-    def _record_completed_at(self, key: TargetKey) -> None:
-        """Record that the responses which ended with their connections are complete."""
-        unfinished = self._unfinished.pop(key, deque())
-        for attempt in unfinished:
-            if not attempt.ended_with_connection:
-                continue
-            self._records.record_completed(attempt.fingerprint)
-            if attempt.succeeded:
-                self._part_records.record_completed(attempt.parts, attempt.ended_at)
-        remaining = deque(a for a in unfinished if not a.ended_with_connection)
-        if remaining:
-            self._unfinished[key] = remaining
-
-    async def _has_ended(self, entry: TargetEntry) -> bool | None:
-        """Return whether nothing listens at the target's address; None if unknown."""
+    async def _has_ended(self, entry: TargetEntry) -> bool:
+        """Return whether nothing listens at the target's address."""
         try:
             await self._pool.check(entry)
         except TargetRefusedError:
             return True
         except ConnectError as error:
             log.info("target not checked", target=entry.name, reason=str(error))
-            return None
         return False
 
     def _remove_outdated(self, now: float) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -14,7 +14,7 @@
 from .delivery import CallerDisconnectedError
 from .event_splitter import EventSplitter
 from .stall_monitor import MonitoredAttempt
-from .target_pool import ConnectError
+from .target_pool import ConnectError, TargetRefusedError
 from .target_reports import record_reports
 from .target_response import BrokenResponseError
 
@@ -34,6 +34,8 @@
     from .target_response import TargetResponse
     from .weight_expiry_monitor import PendingRequest, WeightExpiryMonitor
 
+# Time in which a target that ended stops listening, after its connections have closed.
+SETTLE_SECONDS = 0.02
 # Responses that are not streams are buffered up to this size until they are complete,
 # so that a broken one becomes an error response and not an aborted connection.
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -172,21 +174,22 @@
         else:
             self._expiry_monitor.record_started(pending)
             result = await self._relay_complete(
-                call, response, response_metadata, delivery, started_at
+                call, in_flight, response, response_metadata, delivery, started_at
             )
         result.weight_version = response_metadata.weight_version
-        result.ends_with_connection = response.ends_with_connection
         return result
 
     async def _relay_complete(
         self,
         call: Call,
+        in_flight: InFlightRequest,
         response: TargetResponse,
         response_metadata: ResponseMetadata,
         delivery: Delivery,
         started_at: float,
     ) -> AttemptResult:
         body = await response.read_all(MAX_BUFFERED_BYTES)
+        await self._check_end(in_flight, response)
         result = AttemptResult(ExecutionStatus.EXECUTED, status=response.status)
         result.first_byte = read_clock() - started_at
         buffered = BufferedResponse(response.status, response.headers, body)
@@ -225,6 +228,7 @@
                 await delivery.write(complete_events)
                 call.last_event = splitter.last_event
                 call.last_event_at = read_clock()
+            await self._check_end(in_flight, response)
         except BrokenResponseError as error:
             result.ran = ExecutionStatus.UNKNOWN
             result.cause = Cause.BROKEN
@@ -241,6 +245,24 @@
         result.delivered = True
         return result
 
+    async def _check_end(
+        self, in_flight: InFlightRequest, response: TargetResponse
+    ) -> None:
+        """Check that a response without a length or chunks is complete.
+
+        A target that ends closes its connections, and would complete all of these. One
+        that accepts a new connection has not ended. Raises ``BrokenResponseError`` if
+        it refuses one, or if that cannot be told.
+        """
+        if not response.ends_with_connection:
+            return
+        await asyncio.sleep(SETTLE_SECONDS)
+        try:
+            await self._pool.check(in_flight.state.entry)
+        except (TargetRefusedError, ConnectError) as error:
+            message = f"the response ended with its connection, and then: {error}"
+            raise BrokenResponseError(message) from error
+
     def _write_head(self, call: Call, metadata: AttemptMetadata) -> bytes:
         lines = [f"{call.method} {call.raw_path} HTTP/1.1", f"Host: {call.host}"]
         lines += [f"{name}: {value}" for name, value in call.headers]
--- a/libraries/proxy/src/bamboopier_proxy/target_outcomes.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_outcomes.py
@@ -36,18 +36,14 @@
         """Update the state of the target by the result of an attempt."""
         state = in_flight.state
         now = read_clock()
-        succeeded = result.status < 400
         match result.cause:
             case Cause.NONE if result.failure is not None:
                 state.circuit_breaker.record_failure(now)
-            case Cause.NONE if result.ends_with_connection:
-                state.circuit_breaker.record_success()
-                self._crash_monitor.record_connection_end(
-                    call, in_flight, succeeded=succeeded
-                )
             case Cause.NONE:
                 state.circuit_breaker.record_success()
-                self._crash_monitor.record_completed(call, succeeded=succeeded)
+                self._crash_monitor.record_completed(
+                    call, succeeded=result.status < 400
+                )
             case Cause.CONNECT:
                 state.circuit_breaker.record_unreachable(now)
             case Cause.NOT_RUN:
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -63,6 +63,10 @@
         self._on_connect = on_connect
         self.heads: list[str] = []
         self.unused = 0
+        # Responses have neither a length nor chunks.
+        self.unframed = False
+        # Why a new connection fails after a response; None if it does not.
+        self.check_error: Exception | None = None
 
     async def acquire(self, *_: object, **__: object) -> StubPool:
         self._on_connect()
@@ -70,7 +74,9 @@
 
     async def send_request(self, head: bytes, *_: object) -> TargetResponse:
         self.heads.append(head.decode())
-        response = TargetResponse(200, (), lambda _: None)
+        response = TargetResponse(
+            200, (), lambda _: None, ends_with_connection=self.unframed
+        )
         response.finish()
         return response
 
@@ -80,6 +86,13 @@
     def release(self, *_: object) -> None:
         """Accept a used connection."""
 
+    def discard(self, *_: object) -> None:
+        """Accept a connection that cannot be used again."""
+
+    async def check(self, *_: object) -> None:
+        if self.check_error is not None:
+            raise self.check_error
+
 
 class StubCodec:
     """Formats attempt metadata as plain headers; all responses are sealed."""
--- a/libraries/proxy/tests/test_attempts.py
+++ b/libraries/proxy/tests/test_attempts.py
@@ -9,6 +9,7 @@
 import unittest
 
 from bamboopier_proxy.refusals import CallerError, ErrorCode, ExecutionStatus
+from bamboopier_proxy.target_pool import ConnectError, TargetRefusedError
 
 from .forwarder_builders import (
     KEY_SECONDS,
@@ -100,6 +101,26 @@
         self.assertIs(error.ran, ExecutionStatus.NOT_EXECUTED)
         self.assertEqual(error.retry_after, 30.0)
 
+    async def test_a_response_is_complete_only_if_its_target_did_not_end_with_it(
+        self,
+    ) -> None:
+        # Guards against a truncated response that looks complete: it has neither a
+        # length nor chunks, and its target closed the connection by ending.
+        self.harness.pool.unframed = True
+        delivery = await self.harness.forward()
+        delivery.send.assert_awaited_once()
+        monitor = self.harness.crash_monitor
+        self.assertTrue(monitor.record_completed.called)
+        for error in (TargetRefusedError("refused"), ConnectError("silent")):
+            with self.subTest(error=error):
+                self.harness.pool.check_error = error
+                monitor.reset_mock()
+                with self.assertRaises(CallerError) as caught:
+                    await self.harness.forward()
+                self.assertIs(caught.exception.ran, ExecutionStatus.UNKNOWN)
+                self.assertFalse(monitor.record_completed.called)
+                self.assertTrue(monitor.record_unfinished.call_args.kwargs["broken"])
+
     async def test_a_key_is_refused_when_the_configuration_gets_stale(self) -> None:
         # Guards against running the request of a revoked key: the configuration was
         # confirmed 4.5 s ago and may be used for keys for 5 s, and connecting takes
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -105,30 +105,6 @@
                 self.assertEqual(await self.finish_checks(), [])
                 self.pool.check.assert_awaited_once()
 
-    async def test_the_end_of_a_connection_completes_a_response_of_a_live_target(
-        self,
-    ) -> None:
-        # Guards against a request that is held to be completed each time, since its
-        # response has no framing and its target ends with it.
-        for outcome, completed, crashed in (
-            (None, [b"unframed"], []),
-            (TargetRefusedError, [], [b"unframed"]),
-            (ConnectError, [], []),
-        ):
-            with self.subTest(outcome=outcome):
-                self.crashes.clear()
-                self.records.record_completed.reset_mock()
-                self.pool.check = mock.AsyncMock(side_effect=outcome)
-                call = make_call(self.clock.now, keyed=False, prompt=False)
-                call.fingerprint = b"unframed"
-                self.monitor.record_connection_end(
-                    call, self.make_in_flight(), succeeded=True
-                )
-                self.assertEqual(await self.finish_checks(), crashed)
-                calls = self.records.record_completed.call_args_list
-                self.assertEqual([c.args[0] for c in calls], completed)
-                self.clock.now += UNFINISHED_SECONDS
-
     async def test_attempts_that_ended_long_before_do_not_count(self) -> None:
         # Guards against a request that counts for a target that ended seconds later.
         self.end_attempt(b"long before", broken=False)
