--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -22,6 +22,7 @@
     bounds,
     claims,
     configuration,
+    crashing_parts,
     crashing_requests,
     drains_and_shutdown,
     outdated_configurations,
@@ -52,6 +53,7 @@
     *stalled_targets.MUTATIONS,
     *target_reports.MUTATIONS,
     *crashing_requests.MUTATIONS,
+    *crashing_parts.MUTATIONS,
     *software_versions.MUTATIONS,
 )
 
--- a/tools/safeguards/bounds.py
+++ b/tools/safeguards/bounds.py
@@ -63,7 +63,7 @@
     Mutation(
         "a rate limit is divided among the gateways",
         _RATE,
-        "return self._rate / self._gateway_count",
+        "return self._rate * self._share",
         "return self._rate",
         "libraries/decisions",
         f"{_RATE_TEST}.SharedLimitTests",
--- a/tools/safeguards/crashing_requests.py
+++ b/tools/safeguards/crashing_requests.py
@@ -59,9 +59,9 @@
     Mutation(
         "a target is checked also where its caller left first",
         _PROXY + "crash_monitor.py",
-        "        self._schedule_check(key, entry, is_late=not broken)\n",
+        "        self._schedule_check(in_flight.state, is_late=not broken)\n",
         "        if broken:\n"
-        "            self._schedule_check(key, entry, is_late=False)\n",
+        "            self._schedule_check(in_flight.state, is_late=False)\n",
         "libraries/proxy",
         "tests.test_crash_monitor",
     ),
