Check that an agent's target lives on before a response without framing ends

At the product's own interface a response without a length or chunks counted as finished when its target ended with it, and a truncated one reached the caller as complete. The new test was red before.

An agent asks the target for its state, as after a broken response, and reports the outcome as unknown, by a crash, if it has started anew or nothing listens.

--- a/libraries/agent/src/bamboopier_agent/attempt_runner.py
+++ b/libraries/agent/src/bamboopier_agent/attempt_runner.py
@@ -11,7 +11,12 @@
 from bamboopier_protocol import agent_pb2 as pb
 
 from .errors import BrokenResponseError, TargetUnreachableError
-from .forwarded_request import list_headers, list_response_headers, make_body
+from .forwarded_request import (
+    has_framing,
+    list_headers,
+    list_response_headers,
+    make_body,
+)
 from .usage import UsageReader
 
 if TYPE_CHECKING:
@@ -104,6 +109,11 @@
                     if cached_response is not None:
                         self._response_cache.add(cached_response, chunk)
                     yield builder.make_chunk(chunk)
+                # Without framing a response ends alike whether its target completed it
+                # or ended itself.
+                is_framed = has_framing(response.status, response.headers)
+                if not is_framed and await self._monitor.has_ended(start_id):
+                    raise BrokenResponseError("the target ended with its response")
         except TargetUnreachableError as error:
             entry.failed = True
             self._log_outcome(request, "not-run", 0)
--- a/libraries/agent/src/bamboopier_agent/forwarded_request.py
+++ b/libraries/agent/src/bamboopier_agent/forwarded_request.py
@@ -12,11 +12,14 @@
 from bamboopier_daemon.headers import drop_hop_headers
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     import aiohttp
 
     from bamboopier_protocol import agent_pb2 as pb
 
 LENGTH_HEADER = "Content-Length"
+BODYLESS_STATUSES = (204, 304)
 
 
 def read_max_wait(request: pb.ServeRequest) -> float:
@@ -42,6 +45,15 @@
     return headers
 
 
+def has_framing(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether a response states its length, comes in chunks, or has no body.
+
+    Any other one ends with its connection.
+    """
+    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or LENGTH_HEADER in headers or status in BODYLESS_STATUSES
+
+
 def make_body(request: pb.ServeRequest) -> bytes:
     """Return the body for the target.
 
--- a/libraries/agent/tests/service_builders.py
+++ b/libraries/agent/tests/service_builders.py
@@ -38,6 +38,8 @@
         # It breaks off its responses, and ends with that.
         self.breaks_off = False
         self.ends = False
+        # Its responses have neither a length nor chunks.
+        self.unframed = False
         self.running = asyncio.Event()
         self.may_respond = asyncio.Event()
         self.may_respond.set()
@@ -54,7 +56,8 @@
             self.cancelled += 1
             raise
         content = SimpleNamespace(iter_any=self._list_chunks)
-        yield SimpleNamespace(status=201, headers={}, content=content)
+        headers = {} if self.unframed else {"Transfer-Encoding": "chunked"}
+        yield SimpleNamespace(status=201, headers=headers, content=content)
 
     async def _list_chunks(self) -> AsyncIterator[bytes]:
         for chunk in CHUNKS:
--- a/libraries/agent/tests/test_target_monitor.py
+++ b/libraries/agent/tests/test_target_monitor.py
@@ -64,6 +64,22 @@
                 events = await serve(service, make_request("attempt-1"))
                 self.assertEqual(events[-1].unknown.cause, cause)
 
+    async def test_a_response_without_framing_ends_with_a_target_that_lives_on(
+        self,
+    ) -> None:
+        # Guards against a truncated response that looks complete: its target closed
+        # the connection by ending.
+        for ends in (True, False):
+            with self.subTest(ends=ends):
+                target = FakeTarget()
+                target.unframed, target.ends = True, ends
+                service = make_service(FakeObjects(), target, "agent-1")
+                events = await serve(service, make_request("attempt-1"))
+                if ends:
+                    self.assertEqual(events[-1].unknown.cause, pb.TARGET_CRASHED)
+                else:
+                    self.assertTrue(events[-1].HasField("finished"))
+
 
 if __name__ == "__main__":
     unittest.main()
