Refuse no sound parts where targets end by themselves

Cause: three ends are little among a hundred, and a stream of some seconds that goes on is as good a sign as one that completes, but did not count.

A part needs four ends (five if tied or completed before), which are a quarter of all ends of that time; a response that goes on for a second clears its parts, at once and where its target ends; one request tries a refused part after a second.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -37,6 +37,7 @@
     """One request at one target, from its sending to its end."""
 
     __slots__ = (
+        "first_event_at",
         "last_byte_at",
         "load",
         "prefill_before",
@@ -47,6 +48,7 @@
         "silence",
         "started",
         "state",
+        "survived",
         "waiting",
     )
 
@@ -63,6 +65,10 @@
         self.sent_at: float | None = None
         # When a part of its response was last received; at first when it was sent.
         self.last_byte_at: float | None = None
+        # When the first event of its response was received; None before it.
+        self.first_event_at: float | None = None
+        # Its target wrote events for so long that no part of its prompt is suspected.
+        self.survived = False
         # When it was sent: seconds for which the target had owed a byte, and the number
         # of requests that were waiting for it.
         self.silence = 0.0
--- a/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
@@ -6,10 +6,12 @@
 comes a second time.
 
 A target ends with up to a hundred requests, each with some parts. Its end speaks
-against all of these parts, and a completed response clears those of its prompt. Of what
-remains, each end is explained once: first by parts that were never seen to complete,
-and by those with most ends. So neither the first part that all prompts share is
-refused, nor a session whose requests are retried from one ending target to the next.
+against all of these parts, and a response that is complete, or has gone on for a while,
+clears those of its prompt. Of what remains, each end is explained once: first by parts
+that were never seen to complete, and by those with most ends. So neither the first part
+that all prompts share is refused, nor a session whose requests are retried from one
+ending target to the next. Where targets end for another reason, no part is at most of
+the ends for long.
 """
 
 from __future__ import annotations
@@ -31,18 +33,23 @@
 
 # Different targets that must have ended with a part. More are needed for parts which
 # have the same ends, and for one that was completed before.
-MIN_TARGETS = 3
-MIN_TARGETS_TIED = 4
+MIN_TARGETS = 4
+MIN_TARGETS_TIED = 5
 MIN_TARGETS_COMPLETED = 5
+# Share of all targets that ended meanwhile. Where targets end for another reason, some
+# session was at several of them by chance.
+MIN_SHARE = 0.25
 # Different requests with the part at these targets.
 MIN_REQUESTS = 3
 # Time over which the targets must have ended: what ends together has another cause.
 MIN_SPREAD_SECONDS = 0.1
-# Time from a refusal to the first request that tries the part, the factor by which the
-# intervals grow, and the longest one.
-FIRST_TRIAL_SECONDS = 20.0
-TRIAL_FACTOR = 4.0
-MAX_TRIAL_SECONDS = 320.0
+# Time from the first event of a response from which its target counts as having
+# completed it: a bad part ends its target when the response begins.
+SURVIVAL_SECONDS = 1.0
+# Times from a refusal to the first request that tries the part, and from one such
+# request to the next; the last one repeats. The first is early, since a part that is
+# refused wrongly may be that of many callers.
+TRIAL_SECONDS = (1.0, 20.0, 80.0, 320.0)
 # Suspected parts: several times what 400 parts per end and 100 ends a day need.
 MAX_SUSPECTS = 10_000
 # Parts whose last completion is remembered.
@@ -151,18 +158,18 @@
 class _Trials:
     """When requests may try a refused part."""
 
-    __slots__ = ("interval", "next_at")
+    __slots__ = ("count", "next_at")
 
-    def __init__(self, now: float) -> None:
-        self.interval = FIRST_TRIAL_SECONDS
-        self.next_at = now + self.interval
+    def __init__(self, now: float, *, is_new: bool) -> None:
+        self.count = 0 if is_new else 1
+        self.next_at = now + TRIAL_SECONDS[self.count]
 
     def start(self, now: float) -> bool:
         """Return whether a trial is due; the next one is then due later."""
         if now < self.next_at:
             return False
-        self.interval = min(MAX_TRIAL_SECONDS, self.interval * TRIAL_FACTOR)
-        self.next_at = now + self.interval
+        self.count = min(self.count + 1, len(TRIAL_SECONDS) - 1)
+        self.next_at = now + TRIAL_SECONDS[self.count]
         return True
 
 
@@ -173,6 +180,8 @@
         self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
         # Those with ends of enough targets.
         self._candidates: set[bytes] = set()
+        # When each target ended, by the order in which that became known.
+        self._ended: OrderedDict[str, float] = OrderedDict()
         # When each part was last completed, the oldest first.
         self._completed: OrderedDict[bytes, float] = OrderedDict()
         # What is refused by the evidence here, and by that of other gateways.
@@ -194,6 +203,7 @@
         return news
 
     def _add(self, crash: PartCrash) -> bool:
+        self._ended.setdefault(crash.target, crash.ended_at)
         if crash.ended_at <= self.find_completed(crash.part):
             return False
         suspect = self._suspects.setdefault(crash.part, _Suspect())
@@ -258,10 +268,13 @@
         return [refused for refused in found if refused is not None]
 
     def start_trial(self, now: float, part: bytes) -> bool:
-        """Return whether one request may try a refused part now."""
+        """Return whether one request may try a refused part now.
+
+        What only others refuse was refused before, and is not tried early.
+        """
         trials = self._trials.get(part)
         if trials is None:
-            self._trials[part] = _Trials(now)
+            self._trials[part] = _Trials(now, is_new=part in self._own)
             return False
         return trials.start(now)
 
@@ -333,6 +346,8 @@
             targets = suspect.ends.keys() - explained
             if not suspect.has_evidence(targets, MIN_TARGETS):
                 continue
+            if len(targets) < MIN_SHARE * self._count_ended(suspect, explained):
+                continue
             tied = [
                 other
                 for other in candidates
@@ -347,6 +362,15 @@
         for part in [p for p in self._trials if p not in refused | self._shared]:
             del self._trials[part]
 
+    def _count_ended(self, suspect: _Suspect, explained: set[str]) -> int:
+        """Return how many targets ended while those of a part did."""
+        first, last = suspect.first_ended_at, suspect.last_ended_at
+        return sum(
+            first <= ended_at <= last
+            for target, ended_at in self._ended.items()
+            if target not in explained
+        )
+
     def _is_tied(
         self, part: bytes, other: bytes, targets: set[str], explained: set[str]
     ) -> bool:
@@ -386,6 +410,11 @@
             if now - suspect.last_ended_at < CRASH_RETENTION_SECONDS:
                 break
             self._remove(part)
+        while self._ended:
+            target, ended_at = next(iter(self._ended.items()))
+            if now - ended_at < CRASH_RETENTION_SECONDS:
+                break
+            del self._ended[target]
         for part, refused in list(self._shared.items()):
             if refused.until <= now:
                 del self._shared[part]
--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -97,9 +97,13 @@
         "parts",
         "request_id",
         "sent_at",
+        "survived",
     )
 
-    def __init__(self, call: Call, sent_at: float, ended_at: float) -> None:
+    def __init__(
+        self, call: Call, sent_at: float, ended_at: float, *, survived: bool
+    ) -> None:
+        self.survived = survived
         self.fingerprint = call.fingerprint
         self.parts = call.parts
         parts = call.prompt.shared_parts if call.prompt is not None else ()
@@ -164,6 +168,10 @@
         if succeeded:
             self._part_records.record_completed(call.parts, read_clock())
 
+    def record_survived(self, call: Call, now: float) -> None:
+        """Record that a target has written a response for a long time by now."""
+        self._part_records.record_completed(call.parts, now)
+
     def record_unfinished(
         self, call: Call, in_flight: InFlightRequest, *, broken: bool
     ) -> None:
@@ -176,7 +184,9 @@
             return
         now = read_clock()
         self._remove_outdated(now)
-        attempt = _UnfinishedAttempt(call, in_flight.sent_at, now)
+        attempt = _UnfinishedAttempt(
+            call, in_flight.sent_at, now, survived=in_flight.survived
+        )
         key = _make_key(in_flight.state.entry)
         self._unfinished.setdefault(key, deque()).append(attempt)
         self._schedule_check(in_flight.state, is_late=not broken)
@@ -223,10 +233,13 @@
         self._records.record_crashes(
             Crash(a.fingerprint, entry.name, a.sent_at, a.ended_at) for a in recent
         )
+        survived = {part for a in recent if a.survived for part in a.parts}
+        self._part_records.record_completed(survived, now)
         self._part_records.record_crashes(
             PartCrash(part, a.fingerprint, entry.name, a.sent_at, a.ended_at)
             for a in recent
             for part in a.parts
+            if part not in survived
         )
 
     async def _has_ended(self, entry: TargetEntry) -> bool:
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.quarantine.crashing_parts import SURVIVAL_SECONDS
 from bamboopier_decisions.routing.messages import ExecutionStatus
 
 from .attempt_result import AttemptResult, BufferedResponse, Cause
@@ -25,6 +26,7 @@
 
     from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
 
+    from .crash_monitor import CrashMonitor
     from .delivery import Delivery
     from .header_codec import HeaderCodec
     from .messages import AttemptMetadata, Call, ResponseMetadata
@@ -52,6 +54,7 @@
         expiry_monitor: WeightExpiryMonitor,
         stall_monitor: StallMonitor,
         stream_versions: StreamVersions,
+        crash_monitor: CrashMonitor,
     ) -> None:
         self._pool = pool
         self._fleet = fleet
@@ -59,6 +62,7 @@
         self._expiry_monitor = expiry_monitor
         self._stall_monitor = stall_monitor
         self._stream_versions = stream_versions
+        self._crash_monitor = crash_monitor
 
     async def send(
         self,
@@ -218,6 +222,7 @@
                 complete_events = splitter.feed(data)
                 if not complete_events:
                     continue
+                self._record_event(call, in_flight)
                 if not result.first_byte:
                     result.first_byte = read_clock() - started_at
                     self._expiry_monitor.record_started(pending)
@@ -245,6 +250,16 @@
         result.delivered = True
         return result
 
+    def _record_event(self, call: Call, in_flight: InFlightRequest) -> None:
+        """Record an event; the first one long after the start shows sound parts."""
+        now = read_clock()
+        if in_flight.first_event_at is None:
+            in_flight.first_event_at = now
+        has_survived = now - in_flight.first_event_at >= SURVIVAL_SECONDS
+        if has_survived and not in_flight.survived:
+            in_flight.survived = True
+            self._crash_monitor.record_survived(call, now)
+
     async def _check_end(
         self, in_flight: InFlightRequest, response: TargetResponse
     ) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -94,6 +94,7 @@
             expiry_monitor,
             stall_monitor,
             peers.stream_versions,
+            crash_monitor,
         ),
         state.request_queues,
         metrics,
--- a/libraries/proxy/src/bamboopier_proxy/part_evidence.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_evidence.py
@@ -183,9 +183,11 @@
         if call.is_trial:
             return not call.may_have_run
         part = refused[0].part
-        if len(refused) > 1 or call.may_have_run or not self._is_selected(part):
+        if len(refused) > 1 or call.may_have_run:
             return False
-        call.is_trial = self._parts.start_trial(now, part)
+        # Every gateway follows the times, so that another one can take over.
+        is_due = self._parts.start_trial(now, part)
+        call.is_trial = is_due and self._is_selected(part)
         if call.is_trial:
             log.info("refused part tried", part=part.hex(), request_id=call.request_id)
         return call.is_trial
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -139,6 +139,7 @@
                 WeightExpiryMonitor(self.weights),
                 StallMonitor(),
                 mock.Mock(),
+                self.crash_monitor,
             ),
             RequestQueues(),
             ProxyMetrics(),
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -18,6 +18,7 @@
     from bamboopier_proxy.messages import Call
 
 RUN_SECONDS = 0.1
+PART = b"part"
 
 
 class CrashMonitorTests(unittest.IsolatedAsyncioTestCase):
@@ -34,6 +35,8 @@
         self.records = mock.Mock()
         self.records.record_crashes.side_effect = lambda c: self.crashes.extend(c)
         self.crashes: list[Any] = []
+        # Whether responses had gone on for long.
+        self.survived = False
         # Attempts of other requests at the target.
         self.others = 0
         self.part_records = mock.Mock()
@@ -46,12 +49,14 @@
         """End an attempt at the only target without a complete response."""
         call = make_call(self.clock.now, keyed=False, prompt=prompt)
         call.fingerprint = fingerprint
+        call.parts = (PART,) if prompt else ()
         self.monitor.record_unfinished(call, self.make_in_flight(), broken=broken)
         return call
 
     def make_in_flight(self) -> Any:
         """Return a request that was sent to the only target."""
         in_flight = mock.Mock(sent_at=self.clock.now - RUN_SECONDS)
+        in_flight.survived = self.survived
         in_flight.state.entry = make_entry()
         in_flight.state.stall_detector.in_flight = self.others
         return in_flight
@@ -130,6 +135,22 @@
         (line,) = [entry for entry in logs if entry["event"] == "target ended"]
         self.assertEqual(line["requests_by_part"], {"aa": 2})
 
+    async def test_a_response_that_went_on_for_long_clears_its_parts(self) -> None:
+        # Guards against parts of long streams that are held to end targets, which had
+        # written on them for seconds.
+        for survived in (True, False):
+            with self.subTest(survived=survived):
+                self.part_records.reset_mock()
+                self.survived = survived
+                self.end_attempt(b"long", broken=True, prompt=True)
+                self.survived = False
+                self.end_attempt(b"short", broken=True, prompt=True)
+                await self.finish_checks()
+                (crashes,) = self.part_records.record_crashes.call_args.args
+                self.assertEqual(len(list(crashes)), 0 if survived else 2)
+                (cleared, _) = self.part_records.record_completed.call_args.args
+                self.assertEqual(set(cleared), {PART} if survived else set())
+
     async def test_an_attempt_that_was_not_sent_is_no_evidence(self) -> None:
         # Guards against requests of callers that left while the gateway connected.
         call = make_call(self.clock.now, keyed=False, prompt=False)
--- a/libraries/proxy/tests/test_exchange.py
+++ b/libraries/proxy/tests/test_exchange.py
@@ -113,6 +113,7 @@
                 EXPIRY_MONITOR,
                 StallMonitor(),
                 mock.Mock(),
+                mock.Mock(),
             )
             sent = mock.AsyncMock(return_value=AttemptResult(mock.Mock()))
             delivery = Delivery(request, lambda: False)
