Tell callers of a refused part to come back after the next trial

They were told the end of the refusal, up to ten minutes, though a trial lifts a wrong one after a second, so a caller's own retry was lost. The time is now half a second after the next trial of any gateway, which all follow.

--- a/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
@@ -50,6 +50,8 @@
 # request to the next; the last one repeats. The first is early, since a part that is
 # refused wrongly may be that of many callers.
 TRIAL_SECONDS = (1.0, 20.0, 80.0, 320.0)
+# Time from a trial to the next request of a caller, which it may have let through.
+TRIAL_RESULT_SECONDS = 0.5
 # Suspected parts: several times what 400 parts per end and 100 ends a day need.
 MAX_SUSPECTS = 10_000
 # Parts whose last completion is remembered.
@@ -278,6 +280,14 @@
             return False
         return trials.start(now)
 
+    def find_wait(self, now: float, refused: RefusedPart) -> float:
+        """Return the seconds until a refusal ends, or a trial may have lifted it."""
+        seconds = refused.until - now
+        trials = self._trials.get(refused.part)
+        if trials is None:
+            return seconds
+        return min(seconds, trials.next_at - now + TRIAL_RESULT_SECONDS)
+
     def count_targets(self, part: bytes) -> int:
         """Return the number of targets that ended with a part."""
         suspect = self._suspects.get(part)
--- a/libraries/decisions/tests/test_crashing_parts.py
+++ b/libraries/decisions/tests/test_crashing_parts.py
@@ -9,6 +9,7 @@
     MIN_TARGETS,
     MIN_TARGETS_COMPLETED,
     MIN_TARGETS_TIED,
+    TRIAL_RESULT_SECONDS,
     TRIAL_SECONDS,
     CrashingParts,
     PartCrash,
@@ -254,6 +255,16 @@
         self.now += 0.2
         self.assertTrue(self.parts.start_trial(self.now, BAD))
 
+    def test_callers_may_come_back_after_the_next_trial(self) -> None:
+        # Guards against callers of a part that is refused wrongly, who are told to come
+        # back in ten minutes though it is served again after a second.
+        self.end_targets(make_bad_ends(MIN_TARGETS, BAD))
+        (refused,) = self.parts.find_refused(self.now, [BAD])
+        self.assertGreater(self.parts.find_wait(self.now, refused), TRIAL_SECONDS[-1])
+        self.parts.start_trial(self.now, BAD)
+        wait = self.parts.find_wait(self.now, refused)
+        self.assertEqual(wait, TRIAL_SECONDS[0] + TRIAL_RESULT_SECONDS)
+
     def test_a_refusal_ends(self) -> None:
         # Guards against a part that is refused for good since it crashed targets once.
         self.end_targets(make_bad_ends(MIN_TARGETS, BAD))
--- a/libraries/proxy/src/bamboopier_proxy/part_evidence.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_evidence.py
@@ -72,7 +72,7 @@
 
 
 class PartRefusal(msgspec.Struct, frozen=True):
-    """Why a request is refused, and the seconds until that ends."""
+    """Why a request is refused, and the seconds until that may end."""
 
     message: str
     seconds: float
@@ -148,7 +148,7 @@
             f"part {name} of this prompt crashes the targets that begin a response "
             f"on it (fingerprint {first.part.hex()})"
         )
-        return PartRefusal(message, first.until - now)
+        return PartRefusal(message, self._parts.find_wait(now, first))
 
     async def run(self) -> None:
         """Tell others until cancelled."""
