--- a/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
@@ -21,6 +21,8 @@
 
 import msgspec
 
+from .part_crashes import MIN_TARGETS, NEVER, SuspectedPart
+from .part_trials import PartTrials
 from .quarantine import (
     CRASH_RETENTION_SECONDS,
     MIN_EXTENSION_SECONDS,
@@ -31,52 +33,27 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Different targets that must have ended with a part. More are needed for parts which
-# have the same ends, and for one that was completed before.
-MIN_TARGETS = 4
+    from .part_crashes import PartCrash
+
+# Different targets that must have ended with parts which have the same ends, and with
+# one that was completed before.
 MIN_TARGETS_TIED = 5
 MIN_TARGETS_COMPLETED = 5
 # Share of all targets that ended meanwhile. Where targets end for another reason, some
 # session was at several of them by chance.
 MIN_SHARE = 0.25
-# Different requests with the part at these targets.
-MIN_REQUESTS = 3
-# Time over which the targets must have ended: what ends together has another cause.
-MIN_SPREAD_SECONDS = 0.1
 # Time from the first event of a response from which its target counts as having
 # completed it: a bad part ends its target when the response begins.
 SURVIVAL_SECONDS = 1.0
-# Times from a refusal to the first request that tries the part, and from one such
-# request to the next; the last one repeats. The first is early, since a part that is
-# refused wrongly may be that of many callers.
-TRIAL_SECONDS = (1.0, 20.0, 80.0, 320.0)
 # Time from a trial to the next request of a caller, which it may have let through.
 TRIAL_RESULT_SECONDS = 0.5
 # Suspected parts: several times what 400 parts per end and 100 ends a day need.
 MAX_SUSPECTS = 10_000
 # Parts whose last completion is remembered.
 MAX_COMPLETED = 20_000
-# Requests that are remembered for each end of a target with a part.
-MAX_REQUESTS_PER_TARGET = 8
-
 # Gateways tell each other ages, which are older by the time on the way.
 MAX_AGE_ERROR_SECONDS = 0.05
 
-NEVER = float("-inf")
-
-
-class PartCrash(msgspec.Struct, frozen=True):
-    """A target that ended while it had a request with a part.
-
-    Parts and requests are digests; times are in seconds on the caller's clock.
-    """
-
-    part: bytes
-    request: bytes
-    target: str
-    sent_at: float
-    ended_at: float
-
 
 class RefusedPart(msgspec.Struct, frozen=True):
     """A part whose requests are refused until ``until``."""
@@ -89,97 +66,11 @@
     completed_at: float = NEVER
 
 
-class _TargetEnd:
-    """The end of one target with a part."""
-
-    __slots__ = ("ended_at", "requests", "sent_at")
-
-    def __init__(self) -> None:
-        self.requests: set[bytes] = set()
-        # When the last of them was sent.
-        self.sent_at = NEVER
-        self.ended_at = NEVER
-
-
-class _Suspect:
-    """The ends of targets with one part, by target."""
-
-    __slots__ = ("ends", "first_ended_at", "last_ended_at")
-
-    def __init__(self) -> None:
-        self.ends: dict[str, _TargetEnd] = {}
-        self.first_ended_at = float("inf")
-        self.last_ended_at = NEVER
-
-    def add(self, crash: PartCrash) -> bool:
-        """Add a crash; return whether it is news."""
-        end = self.ends.setdefault(crash.target, _TargetEnd())
-        is_full = len(end.requests) >= MAX_REQUESTS_PER_TARGET
-        if crash.request in end.requests or is_full:
-            return False
-        end.requests.add(crash.request)
-        end.sent_at = max(end.sent_at, crash.sent_at)
-        end.ended_at = max(end.ended_at, crash.ended_at)
-        self.update_times()
-        return True
-
-    def update_times(self) -> None:
-        """Update the times of the first and the last end."""
-        times = [end.ended_at for end in self.ends.values()]
-        self.first_ended_at = min(times, default=float("inf"))
-        self.last_ended_at = max(times, default=NEVER)
-
-    def drop_until(self, completed_at: float) -> None:
-        """Drop the ends before a completion."""
-        self.ends = {
-            target: end
-            for target, end in self.ends.items()
-            if end.ended_at > completed_at
-        }
-        self.update_times()
-
-    def has_evidence(self, targets: set[str], min_targets: int) -> bool:
-        """Return whether the ends of ``targets`` are enough to refuse the part."""
-        if len(targets) < min_targets:
-            return False
-        ends = [self.ends[target] for target in targets]
-        requests = set[bytes]().union(*(end.requests for end in ends))
-        if len(requests) < MIN_REQUESTS or self._is_of_one_request(ends):
-            return False
-        first = min(end.ended_at for end in ends)
-        last = max(end.ended_at for end in ends)
-        last_sent = max(end.sent_at for end in ends)
-        return last_sent > first and last - first >= MIN_SPREAD_SECONDS
-
-    @staticmethod
-    def _is_of_one_request(ends: list[_TargetEnd]) -> bool:
-        """Return whether one request was at all these targets, and may explain them."""
-        return bool(set.intersection(*(end.requests for end in ends)))
-
-
-class _Trials:
-    """When requests may try a refused part."""
-
-    __slots__ = ("count", "next_at")
-
-    def __init__(self, now: float, *, is_new: bool) -> None:
-        self.count = 0 if is_new else 1
-        self.next_at = now + TRIAL_SECONDS[self.count]
-
-    def start(self, now: float) -> bool:
-        """Return whether a trial is due; the next one is then due later."""
-        if now < self.next_at:
-            return False
-        self.count = min(self.count + 1, len(TRIAL_SECONDS) - 1)
-        self.next_at = now + TRIAL_SECONDS[self.count]
-        return True
-
-
 class CrashingParts:
     """One gateway's evidence against parts, its own and that of other gateways."""
 
     def __init__(self) -> None:
-        self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
+        self._suspects: OrderedDict[bytes, SuspectedPart] = OrderedDict()
         # Those with ends of enough targets.
         self._candidates: set[bytes] = set()
         # When each target ended, by the order in which that became known.
@@ -189,7 +80,7 @@
         # What is refused by the evidence here, and by that of other gateways.
         self._own: dict[bytes, RefusedPart] = {}
         self._shared: dict[bytes, RefusedPart] = {}
-        self._trials: dict[bytes, _Trials] = {}
+        self._trials: dict[bytes, PartTrials] = {}
 
     def record_crashes(
         self, now: float, crashes: Iterable[PartCrash]
@@ -208,7 +99,7 @@
         self._ended.setdefault(crash.target, crash.ended_at)
         if crash.ended_at <= self.find_completed(crash.part):
             return False
-        suspect = self._suspects.setdefault(crash.part, _Suspect())
+        suspect = self._suspects.setdefault(crash.part, SuspectedPart())
         if not suspect.add(crash):
             return False
         self._suspects.move_to_end(crash.part)
@@ -276,7 +167,7 @@
         """
         trials = self._trials.get(part)
         if trials is None:
-            self._trials[part] = _Trials(now, is_new=part in self._own)
+            self._trials[part] = PartTrials(now, is_new=part in self._own)
             return False
         return trials.start(now)
 
@@ -313,7 +204,7 @@
         needed = set(targets)
         return any(
             (part in self._own or self.find_completed(part) == NEVER)
-            and _has_others(suspect, request, needed)
+            and suspect.has_others(request, needed)
             for part, suspect in self._suspects.items()
             if len(suspect.ends) >= len(needed)
         )
@@ -354,7 +245,7 @@
                 continue
             suspect = self._suspects[part]
             targets = suspect.ends.keys() - explained
-            if not suspect.has_evidence(targets, MIN_TARGETS):
+            if not suspect.has_evidence(targets):
                 continue
             if len(targets) < MIN_SHARE * self._count_ended(suspect, explained):
                 continue
@@ -372,7 +263,7 @@
         for part in [p for p in self._trials if p not in refused | self._shared]:
             del self._trials[part]
 
-    def _count_ended(self, suspect: _Suspect, explained: set[str]) -> int:
+    def _count_ended(self, suspect: SuspectedPart, explained: set[str]) -> int:
         """Return how many targets ended while those of a part did."""
         first, last = suspect.first_ended_at, suspect.last_ended_at
         return sum(
@@ -388,7 +279,7 @@
         suspect = self._suspects[other]
         return (
             suspect.ends.keys() - explained == targets
-            and suspect.has_evidence(targets, MIN_TARGETS)
+            and suspect.has_evidence(targets)
             and self._was_completed(other) == self._was_completed(part)
         )
 
@@ -432,11 +323,3 @@
     def _remove(self, part: bytes) -> None:
         del self._suspects[part]
         self._candidates.discard(part)
-
-
-def _has_others(suspect: _Suspect, request: bytes, targets: set[str]) -> bool:
-    """Return whether other requests with the part were at all of the targets."""
-    return all(
-        target in suspect.ends and suspect.ends[target].requests - {request}
-        for target in targets
-    )
--- a/libraries/decisions/tests/test_crashing_parts.py
+++ b/libraries/decisions/tests/test_crashing_parts.py
@@ -6,15 +6,14 @@
 
 from bamboopier_decisions.quarantine.crashing_parts import (
     MAX_SUSPECTS,
-    MIN_TARGETS,
     MIN_TARGETS_COMPLETED,
     MIN_TARGETS_TIED,
     TRIAL_RESULT_SECONDS,
-    TRIAL_SECONDS,
     CrashingParts,
-    PartCrash,
     RefusedPart,
 )
+from bamboopier_decisions.quarantine.part_crashes import MIN_TARGETS, PartCrash
+from bamboopier_decisions.quarantine.part_trials import TRIAL_SECONDS
 from bamboopier_decisions.quarantine.quarantine import (
     QUARANTINE_SECONDS,
     Crash,
--- a/libraries/decisions/tests/test_crashing_parts_pattern.py
+++ b/libraries/decisions/tests/test_crashing_parts_pattern.py
@@ -10,8 +10,8 @@
 from bamboopier_decisions.quarantine.crashing_parts import (
     SURVIVAL_SECONDS,
     CrashingParts,
-    PartCrash,
 )
+from bamboopier_decisions.quarantine.part_crashes import PartCrash
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -19,7 +19,7 @@
 import structlog
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.quarantine.crashing_parts import PartCrash
+from bamboopier_decisions.quarantine.part_crashes import PartCrash
 from bamboopier_decisions.quarantine.quarantine import Crash
 
 from .target_pool import ConnectError, TargetRefusedError
--- a/libraries/proxy/src/bamboopier_proxy/part_evidence.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_evidence.py
@@ -17,12 +17,8 @@
 import structlog
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.quarantine.crashing_parts import (
-    NEVER,
-    CrashingParts,
-    PartCrash,
-    RefusedPart,
-)
+from bamboopier_decisions.quarantine.crashing_parts import CrashingParts, RefusedPart
+from bamboopier_decisions.quarantine.part_crashes import NEVER, PartCrash
 
 from .hints import CompletedPartHint, PartCrashHint, PartHint, RefusedPartHint
 
--- a/libraries/proxy/tests/test_part_evidence.py
+++ b/libraries/proxy/tests/test_part_evidence.py
@@ -8,12 +8,9 @@
 from unittest import mock
 
 from bamboopier_decisions.forwarding.prompt import Prompt, PromptPart
-from bamboopier_decisions.quarantine.crashing_parts import (
-    MIN_TARGETS,
-    TRIAL_SECONDS,
-    CrashingParts,
-    PartCrash,
-)
+from bamboopier_decisions.quarantine.crashing_parts import CrashingParts
+from bamboopier_decisions.quarantine.part_crashes import MIN_TARGETS, PartCrash
+from bamboopier_decisions.quarantine.part_trials import TRIAL_SECONDS
 from bamboopier_proxy.hints import MAX_BYTES, decode, encode
 from bamboopier_proxy.messages import make_part_digests
 from bamboopier_proxy.part_evidence import INTERVAL_SECONDS, PartEvidence
--- a/tools/safeguards/crashing_parts.py
+++ b/tools/safeguards/crashing_parts.py
@@ -7,6 +7,8 @@
 _PROXY = "libraries/proxy/src/bamboopier_proxy/"
 _DECISIONS = "libraries/decisions/src/bamboopier_decisions/"
 _PARTS = _DECISIONS + "quarantine/crashing_parts.py"
+_CRASHES = _DECISIONS + "quarantine/part_crashes.py"
+_TRIALS = _DECISIONS + "quarantine/part_trials.py"
 _DECISION_TESTS = "tests.test_crashing_parts"
 _EVIDENCE_TESTS = "tests.test_part_evidence"
 
@@ -29,7 +31,7 @@
     ),
     Mutation(
         "one request at all ended targets says nothing of its parts",
-        _PARTS,
+        _CRASHES,
         "if len(requests) < MIN_REQUESTS or self._is_of_one_request(ends):",
         "if len(requests) < MIN_REQUESTS:",
         "libraries/decisions",
@@ -37,7 +39,7 @@
     ),
     Mutation(
         "targets that end together make no part a culprit",
-        _PARTS,
+        _CRASHES,
         "return last_sent > first and last - first >= MIN_SPREAD_SECONDS",
         "return last_sent > first",
         "libraries/decisions",
@@ -71,7 +73,7 @@
     ),
     Mutation(
         "the intervals between trials grow",
-        _PARTS,
+        _TRIALS,
         "        self.count = min(self.count + 1, len(TRIAL_SECONDS) - 1)\n",
         "",
         "libraries/decisions",
