--- a/libraries/proxy/src/bamboopier_proxy/capacity_loans.py
+++ b/libraries/proxy/src/bamboopier_proxy/capacity_loans.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import structlog
 
@@ -24,7 +24,7 @@
     from bamboopier_decisions.forwarding.fleet import Fleet
     from bamboopier_decisions.forwarding.target_state import TargetState
 
-    from .hints import Hint
+    from .peers import Peers
     from .request_queues import RequestQueues
     from .settings import Endpoint
 
@@ -39,18 +39,6 @@
 log = structlog.get_logger()
 
 
-class Peers(Protocol):
-    """The other gateways, as far as they are reachable by datagrams."""
-
-    def sample_peers(self, max_count: int) -> list[Endpoint]:
-        """Return up to ``max_count`` of the other gateways."""
-        ...
-
-    def send(self, hint: Hint, to: Endpoint) -> None:
-        """Send a datagram."""
-        ...
-
-
 class _SentRequest:
     """When a request was sent, and who has answered it.
 
--- a/libraries/proxy/src/bamboopier_proxy/part_evidence.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_evidence.py
@@ -10,34 +10,35 @@
 from __future__ import annotations
 
 import asyncio
-import math
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.quarantine.crashing_parts import CrashingParts, RefusedPart
-from bamboopier_decisions.quarantine.part_crashes import NEVER, PartCrash
+from bamboopier_decisions.quarantine.part_crashes import NEVER
 
-from .hints import CompletedPartHint, PartCrashHint, PartHint, RefusedPartHint
+from .hints import PartHint
+from .part_outbox import PartOutbox, make_crash, make_refused, make_refused_hint
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Iterable
 
-    from .hints import Hint
+    from bamboopier_decisions.quarantine.crashing_parts import (
+        CrashingParts,
+        RefusedPart,
+    )
+    from bamboopier_decisions.quarantine.part_crashes import PartCrash
+
+    from .hints import Hint, RefusedPartHint
     from .messages import Call
+    from .peers import Peers
     from .settings import Endpoint
 
 # Interval between messages while there is something to tell.
 INTERVAL_SECONDS = 0.25
-# How often each record is sent, and its age from which it is not sent any more.
-MAX_SENDS = 4
-MAX_AGE_SECONDS = 3.0
-# Maximum number of each kind of record in one message, so that it fits a datagram.
-MAX_CRASHES = 16
-MAX_COMPLETED = 16
+# Maximum number of refused parts in one message, so that it fits a datagram.
 MAX_REFUSED = 8
 # Number of gateways that all select for a part, and of those that are told at each
 # interval what is refused.
@@ -45,28 +46,10 @@
 REFUSED_PEERS = 2
 # Maximum number of peers that are told of an end, besides the selected ones.
 MAX_PEERS = 8
-# Interval after which the completion of a suspected part is told again.
-COMPLETED_INTERVAL_SECONDS = 0.5
 
 log = structlog.get_logger()
 
 
-class Peers(Protocol):
-    """The other gateways, as far as they are reachable by datagrams."""
-
-    def select_peers(self, key: bytes, count: int) -> list[Endpoint]:
-        """Return the ``count`` gateways that all others select for ``key``."""
-        ...
-
-    def sample_peers(self, max_count: int) -> list[Endpoint]:
-        """Return up to ``max_count`` of the other gateways."""
-        ...
-
-    def send(self, hint: Hint, to: Endpoint) -> None:
-        """Send a datagram."""
-        ...
-
-
 class PartRefusal(msgspec.Struct, frozen=True):
     """Why a request is refused, and the seconds until that may end."""
 
@@ -74,16 +57,6 @@
     seconds: float
 
 
-class _Outgoing:
-    """A crash that was seen here, and how often it was told."""
-
-    __slots__ = ("crash", "sent_count")
-
-    def __init__(self, crash: PartCrash) -> None:
-        self.crash = crash
-        self.sent_count = 0
-
-
 class PartEvidence:
     """Evidence against parts, and what gateways tell each other of it."""
 
@@ -101,10 +74,7 @@
         # Returns whether this gateway is the one that tries a refused part.
         self._is_selected = is_selected
         self._random = random
-        self._outgoing: list[_Outgoing] = []
-        # Completed parts to tell, and when each was last told.
-        self._completed: set[bytes] = set()
-        self._completed_told_at: dict[bytes, float] = {}
+        self._outbox = PartOutbox(parts)
         # Parts whose refusal was logged.
         self._logged: set[bytes] = set()
 
@@ -114,7 +84,7 @@
         news = self._parts.record_crashes(now, crashes)
         if not news:
             return
-        self._outgoing += [_Outgoing(crash) for crash in news]
+        self._outbox.add_crashes(news)
         self._handle_news(now, news, self._name)
         self._send(now)
 
@@ -125,8 +95,8 @@
         if not cleared:
             return
         self._log_refused(now)
-        self._queue_completed(now, cleared)
-        if self._completed:
+        self._outbox.add_completed(now, cleared)
+        if self._outbox.has_completed:
             self._send(now)
 
     def find_refusal(self, call: Call) -> PartRefusal | None:
@@ -164,15 +134,15 @@
             self._parts.record_completed(
                 now, [completed.part], now - completed.age / 1000
             )
-        crashes = [_make_crash(now, crash) for crash in hint.crashes]
+        crashes = [make_crash(now, crash) for crash in hint.crashes]
         news = self._parts.record_crashes(now, crashes)
         for entry in hint.refused:
             self._apply_refused(now, entry, hint.sender)
         self._handle_news(now, news, hint.sender)
         # The sender may lack completions that are known here.
         told = [c.part for c in hint.crashes] + [r.part for r in hint.refused]
-        self._queue_completed(now, told)
-        if self._completed:
+        self._outbox.add_completed(now, told)
+        if self._outbox.has_completed:
             self._send(now)
 
     def _is_trial(self, now: float, call: Call, refused: list[RefusedPart]) -> bool:
@@ -189,14 +159,7 @@
         return call.is_trial
 
     def _apply_refused(self, now: float, entry: RefusedPartHint, sender: str) -> None:
-        age = entry.completed_age
-        refused = RefusedPart(
-            entry.part,
-            now - entry.first_ended_age / 1000,
-            now + entry.remaining / 1000,
-            NEVER if age is None else now - age / 1000,
-        )
-        if self._parts.add_shared(refused):
+        if self._parts.add_shared(make_refused(now, entry)):
             log.warning(
                 "part quarantined by another gateway",
                 part=entry.part.hex(),
@@ -206,7 +169,7 @@
 
     def _handle_news(self, now: float, news: list[PartCrash], seen_by: str) -> None:
         """Log new evidence, and tell completions that contradict it."""
-        self._queue_completed(now, [crash.part for crash in news])
+        self._outbox.add_completed(now, [crash.part for crash in news])
         if news:
             log.info(
                 "crashes of parts recorded",
@@ -239,19 +202,10 @@
             )
         self._logged = set(refused)
 
-    def _queue_completed(self, now: float, parts: Iterable[bytes]) -> None:
-        """Tell the completions of these parts, if any are known, but not too often."""
-        for part in parts:
-            if self._parts.find_completed(part) == NEVER:
-                continue
-            last_told = self._completed_told_at.get(part, NEVER)
-            if now - last_told >= COMPLETED_INTERVAL_SECONDS:
-                self._completed.add(part)
-                self._completed_told_at[part] = now
-
     def _send(self, now: float) -> None:
         """Send what is due, each record to the gateways that should know it."""
-        crashes, completed = self._take_crashes(now), self._take_completed(now)
+        crashes = self._outbox.take_crashes(now)
+        completed = self._outbox.take_completed(now)
         if not crashes and not completed:
             return
         messages: dict[Endpoint, PartHint] = {}
@@ -273,38 +227,6 @@
         for peer, message in messages.items():
             self._peers.send(message, peer)
 
-    def _take_crashes(self, now: float) -> list[PartCrashHint]:
-        """Return the crashes to tell, the strongest evidence first."""
-        self._outgoing = [
-            outgoing
-            for outgoing in self._outgoing
-            if outgoing.sent_count < MAX_SENDS
-            and now - outgoing.crash.ended_at < MAX_AGE_SECONDS
-        ]
-        self._outgoing.sort(key=self._rank)
-        taken = self._outgoing[:MAX_CRASHES]
-        for outgoing in taken:
-            outgoing.sent_count += 1
-        return [_make_hint(now, outgoing.crash) for outgoing in taken]
-
-    def _rank(self, outgoing: _Outgoing) -> tuple[bool, int, int]:
-        part = outgoing.crash.part
-        was_completed = self._parts.find_completed(part) > NEVER
-        return was_completed, -self._parts.count_targets(part), outgoing.sent_count
-
-    def _take_completed(self, now: float) -> list[CompletedPartHint]:
-        taken = [self._completed.pop() for _ in range(len(self._completed))]
-        self._completed.update(taken[MAX_COMPLETED:])
-        self._completed_told_at = {
-            part: told_at
-            for part, told_at in self._completed_told_at.items()
-            if now - told_at < COMPLETED_INTERVAL_SECONDS
-        }
-        return [
-            CompletedPartHint(part, _to_age(now, self._parts.find_completed(part)))
-            for part in taken[:MAX_COMPLETED]
-        ]
-
     def _send_refused(self, now: float) -> None:
         """Tell some others what is refused; a random sample each time if it is much."""
         refused = self._parts.list_refused_parts(now)
@@ -312,7 +234,7 @@
             return
         if len(refused) > MAX_REFUSED:
             refused = self._random.sample(refused, MAX_REFUSED)
-        hints = [_make_refused_hint(now, entry) for entry in refused]
+        hints = [make_refused_hint(now, entry) for entry in refused]
         message = PartHint(self._name, [], [], hints)
         for peer in self._peers.sample_peers(REFUSED_PEERS):
             self._peers.send(message, peer)
@@ -322,38 +244,3 @@
     if call.prompt is None:
         return ""
     return call.prompt.parts[call.parts.index(part)].name
-
-
-def _to_age(now: float, at: float) -> int:
-    """Return milliseconds, rounded up: nothing may look later than it was."""
-    return math.ceil((now - at) * 1000)
-
-
-def _make_hint(now: float, crash: PartCrash) -> PartCrashHint:
-    return PartCrashHint(
-        crash.part,
-        crash.request,
-        crash.target,
-        _to_age(now, crash.sent_at),
-        _to_age(now, crash.ended_at),
-    )
-
-
-def _make_crash(now: float, hint: PartCrashHint) -> PartCrash:
-    return PartCrash(
-        hint.part,
-        hint.request,
-        hint.target,
-        now - hint.sent_age / 1000,
-        now - hint.ended_age / 1000,
-    )
-
-
-def _make_refused_hint(now: float, refused: RefusedPart) -> RefusedPartHint:
-    completed_at = refused.completed_at
-    return RefusedPartHint(
-        refused.part,
-        _to_age(now, refused.first_ended_at),
-        int((refused.until - now) * 1000),
-        _to_age(now, completed_at) if completed_at > NEVER else None,
-    )
--- a/libraries/proxy/src/bamboopier_proxy/stream_versions.py
+++ b/libraries/proxy/src/bamboopier_proxy/stream_versions.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import structlog
 
@@ -34,6 +34,7 @@
 
     from .hints import Hint
     from .messages import Call
+    from .peers import Peers
     from .settings import Endpoint
 
 # Number of other gateways that are told of each stream.
@@ -48,22 +49,6 @@
 log = structlog.get_logger()
 
 
-class Peers(Protocol):
-    """The other gateways, as far as they are reachable by datagrams."""
-
-    def select_peers(self, key: bytes, count: int) -> list[Endpoint]:
-        """Return the ``count`` gateways that all others select for ``key``."""
-        ...
-
-    def sample_peers(self, max_count: int) -> list[Endpoint]:
-        """Return up to ``max_count`` of the other gateways."""
-        ...
-
-    def send(self, hint: Hint, to: Endpoint) -> None:
-        """Send a datagram."""
-        ...
-
-
 class StreamVersions:
     """The origins of streams, told and asked between gateways."""
 
--- a/tools/safeguards/crashing_parts.py
+++ b/tools/safeguards/crashing_parts.py
@@ -105,7 +105,7 @@
     ),
     Mutation(
         "ends are told again, since datagrams may be lost",
-        _PROXY + "part_evidence.py",
+        _PROXY + "part_outbox.py",
         "            if outgoing.sent_count < MAX_SENDS\n",
         "            if outgoing.sent_count < 1\n",
         "libraries/proxy",
@@ -113,7 +113,7 @@
     ),
     Mutation(
         "completions of suspected parts are told",
-        _PROXY + "part_evidence.py",
+        _PROXY + "part_outbox.py",
         "                self._completed.add(part)\n",
         "                pass\n",
         "libraries/proxy",
