Let one of many gateways use a limit by its requests, too

A gateway whose share is one request a second or more has a token bucket: the time slots of those without callers are idle. Ruled out: weighted time slots, for which all gateways would have to know the same demands.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/rate_limit.py
@@ -9,7 +9,8 @@
 callers who arrive together are served. With more gateways than the target accepts
 requests, full buckets would add up to a burst. In that case gateways use time slots, in
 the order of their names, and send one request in a time slot; each time slot is as long
-as the target needs between two requests.
+as the target needs between two requests. A gateway that gets most of the callers has a
+token bucket all the same: the time slots of those without callers are idle.
 
 A response that reports no limit ends the limit, if its request was sent after the limit
 had last been reported: responses overtake each other. Nothing else ends it; a gateway
@@ -29,6 +30,9 @@
 # Number of gateways, in addition to the requests a target accepts in a second, up to
 # which each has a token bucket.
 BUCKET_GATEWAYS = 3.0
+# Share of a gateway, in requests a second, from which it has a token bucket whatever
+# the number of gateways.
+MIN_BUCKET_RATE = 1.0
 # Minimum capacity of the bucket in requests, and the seconds of this gateway's share
 # that make up a larger capacity.
 MIN_BUCKET_SIZE = 1.0
@@ -138,7 +142,7 @@
 
         ``gateway_index`` is this gateway's index, from 0, in the order of the gateways'
         names; while it is None the gateway has no time slot. ``share`` is from 0 to 1;
-        equal shares if it is None. Time slots are equal.
+        equal shares if it is None.
         """
         return self.find_next(now, gateway_count, gateway_index, share) <= now
 
@@ -154,7 +158,9 @@
             return now
         self._gateway_count = max(1, gateway_count)
         equal = 1.0 / self._gateway_count
-        self._share = equal if share is None or self._uses_time_slots else share
+        self._share = equal if share is None else share
+        if self._uses_time_slots:
+            self._share = equal
         if self._uses_time_slots:
             return self._find_time_slot(now, gateway_index)
         self._refill(now)
@@ -182,7 +188,8 @@
 
     @property
     def _uses_time_slots(self) -> bool:
-        return self._gateway_count > self._rate + BUCKET_GATEWAYS
+        is_many = self._gateway_count > self._rate + BUCKET_GATEWAYS
+        return is_many and self.gateway_rate < MIN_BUCKET_RATE
 
     def _apply_reported(
         self, now: float, reported_at: float, per_second: float, reported_since: float
