--- a/libraries/proxy/src/bamboopier_proxy/load_hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/load_hints.py
@@ -24,6 +24,8 @@
 RECENT_BYTE_SECONDS = 0.5
 # Maximum number of targets in one hint, the busiest first, so that it fits a datagram.
 MAX_TARGETS = 24
+# Maximum number of services whose demand is in one hint, the largest first.
+MAX_DEMANDS = 6
 
 
 class LoadHints:
@@ -86,9 +88,9 @@
         states = (self._fleet.find(name) for name in self._fleet.names)
         services = {s.entry.service for s in states if s and s.rate_limit.in_force}
         count = self._fleet.demand_shares.count_per_second
-        return [
-            DemandHint(name, round(count(now, name), 2)) for name in sorted(services)
-        ]
+        demands = [DemandHint(name, round(count(now, name), 2)) for name in services]
+        demands.sort(key=lambda demand: (-demand.per_second, demand.service))
+        return demands[:MAX_DEMANDS]
 
 
 def list_load_hints(now: float, fleet: Fleet) -> list[TargetLoadHint]:
--- a/libraries/proxy/tests/test_hints.py
+++ b/libraries/proxy/tests/test_hints.py
@@ -4,14 +4,22 @@
 
 import unittest
 
+import msgspec
+
 from bamboopier_proxy.hints import (
     MAX_BYTES,
+    CompletedPartHint,
     CrashHint,
+    DemandHint,
     FreshnessRequest,
     FreshnessResponse,
     Hint,
     LoadHint,
+    PartCrashHint,
+    PartHint,
     QuarantineHint,
+    RefusedPartHint,
+    StreamQuery,
     TargetLimitHint,
     TargetLoadHint,
     WeightLoadHint,
@@ -19,6 +27,9 @@
     encode,
     shorten,
 )
+from bamboopier_proxy.load_hints import MAX_DEMANDS
+from bamboopier_proxy.part_evidence import MAX_REFUSED
+from bamboopier_proxy.part_outbox import MAX_COMPLETED, MAX_CRASHES
 
 
 class HintTests(unittest.TestCase):
@@ -32,6 +43,13 @@
                 loads,
                 [CrashHint(b"\x00\xff", "i-2", 120, 20)],
                 refused=[QuarantineHint(b"\x00\xff", 599_000)],
+                demands=[DemandHint("desk", 12.5)],
+            ),
+            PartHint(
+                "gateway-1",
+                [PartCrashHint(b"\x00\xff", b"\xff", "i-2", 120, 20)],
+                [CompletedPartHint(b"\xff", 20)],
+                [RefusedPartHint(b"\x00", 900, 599_000, None)],
             ),
             WeightLoadHint("i-1", "m", 3, 1500),
             FreshnessRequest("gateway-1", 2**32),
@@ -57,14 +75,42 @@
             TargetLimitHint(f"i-{n:010d}", 10**13, 12.5, 9999, 9999, 9999)
             for n in range(8)
         ]
+        demands = [DemandHint(f"service-name-{n}", 1234.56) for n in range(MAX_DEMANDS)]
         hint = LoadHint(
-            "front-west-midlands-12", 10**9, 10**13, loads, crashes, limits, refused
+            "front-west-midlands-12",
+            10**9,
+            10**13,
+            loads,
+            crashes,
+            limits,
+            refused,
+            demands,
         )
         shortened = shorten(hint)
         self.assertLessEqual(len(encode(shortened)), MAX_BYTES)
         self.assertEqual(shortened.loads, loads[: len(shortened.loads)])
         self.assertGreater(len(shortened.loads), 12)
         self.assertEqual(shortened.refused, refused)
+        self.assertEqual(shortened.demands, demands)
+
+    def test_the_largest_message_of_parts_fits_a_datagram(self) -> None:
+        crashes = [
+            PartCrashHint(bytes(8), bytes(12), f"i-{n:010d}", 12_000, 9999)
+            for n in range(MAX_CRASHES)
+        ]
+        completed = [CompletedPartHint(bytes(8), 600_000) for _ in range(MAX_COMPLETED)]
+        refused = [
+            RefusedPartHint(bytes(8), 600_000, 600_000, 600_000)
+            for _ in range(MAX_REFUSED)
+        ]
+        hint = PartHint("front-west-midlands-12", crashes, completed, refused)
+        self.assertLessEqual(len(encode(hint)), MAX_BYTES)
+
+    def test_a_field_that_a_later_version_adds_is_ignored(self) -> None:
+        # Guards against gateways that know nothing of each other during an update.
+        hint = StreamQuery(1, b"key", ["desk"], 30.0)
+        data = msgspec.msgpack.encode([*msgspec.msgpack.decode(encode(hint)), "later"])
+        self.assertEqual(decode(data), hint)
 
 
 if __name__ == "__main__":
