Take no response without framing for complete that ends in a pause

Cause: that a target listens says nothing of its instance if this process did not run meanwhile.

If the process was paused so recently that the end may have waited, the response is broken, as with a target that can't be asked. Ruled out: to ask which instance listens, since each question costs a slot and is priced.

--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -25,6 +25,7 @@
     from result import Result
 
     from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
+    from bamboopier_decisions.forwarding.pause_tracker import PauseTracker
 
     from .crash_monitor import CrashMonitor
     from .delivery import Delivery
@@ -55,6 +56,7 @@
         stall_monitor: StallMonitor,
         stream_versions: StreamVersions,
         crash_monitor: CrashMonitor,
+        pauses: PauseTracker,
     ) -> None:
         self._pool = pool
         self._fleet = fleet
@@ -63,6 +65,7 @@
         self._stall_monitor = stall_monitor
         self._stream_versions = stream_versions
         self._crash_monitor = crash_monitor
+        self._pauses = pauses
 
     async def send(
         self,
@@ -266,11 +269,15 @@
         """Check that a response without a length or chunks is complete.
 
         A target that ends closes its connections, and would complete all of these. One
-        that accepts a new connection has not ended. Raises ``BrokenResponseError`` if
-        it refuses one, or if that cannot be told.
+        that accepts a new connection has not ended, unless it was replaced while this
+        process was paused. Raises ``BrokenResponseError`` if it refuses one, or if that
+        cannot be told.
         """
         if not response.ends_with_connection:
             return
+        now = read_clock()
+        if self._pauses.find_earliest_arrival(now) < now:
+            raise BrokenResponseError("the response ended during a pause")
         await asyncio.sleep(SETTLE_SECONDS)
         try:
             await self._pool.check(in_flight.state.entry)
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -95,6 +95,7 @@
             stall_monitor,
             peers.stream_versions,
             crash_monitor,
+            state.pauses,
         ),
         state.request_queues,
         metrics,
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -8,6 +8,7 @@
 
 from bamboopier_decisions.forwarding.fleet import Fleet
 from bamboopier_decisions.forwarding.part_store_index import PartStoreIndex
+from bamboopier_decisions.forwarding.pause_tracker import PauseTracker
 from bamboopier_decisions.forwarding.prompt import Prompt, PromptPart
 from bamboopier_decisions.forwarding.shared_retry_budget import (
     RetryBudgetLimits,
@@ -125,6 +126,7 @@
         self.fleet.set_services(make_declared().services)
         self.fleet.put(self.clock.now, make_entry())
         codec = cast("Any", StubCodec())
+        self.pauses = PauseTracker(self.clock.now)
         self.crash_monitor = mock.Mock()
         self.crash_monitor.find_wait.return_value = 0.0
         self.crash_monitor.find_part_refusal.return_value = None
@@ -140,6 +142,7 @@
                 StallMonitor(),
                 mock.Mock(),
                 self.crash_monitor,
+                self.pauses,
             ),
             RequestQueues(),
             ProxyMetrics(),
--- a/libraries/proxy/tests/test_attempts.py
+++ b/libraries/proxy/tests/test_attempts.py
@@ -121,6 +121,16 @@
                 self.assertFalse(monitor.record_completed.called)
                 self.assertTrue(monitor.record_unfinished.call_args.kwargs["broken"])
 
+    async def test_a_response_that_ends_in_a_pause_is_not_complete(self) -> None:
+        # Guards against a truncated response that looks complete: its target ended and
+        # was replaced at its address, both while this process was suspended.
+        self.harness.pool.unframed = True
+        self.harness.clock.now += 1.0
+        self.assertGreater(self.harness.pauses.record_tick(self.harness.clock.now), 0)
+        with self.assertRaises(CallerError) as caught:
+            await self.harness.forward()
+        self.assertIs(caught.exception.ran, ExecutionStatus.UNKNOWN)
+
     async def test_a_key_is_refused_when_the_configuration_gets_stale(self) -> None:
         # Guards against running the request of a revoked key: the configuration was
         # confirmed 4.5 s ago and may be used for keys for 5 s, and connecting takes
--- a/libraries/proxy/tests/test_exchange.py
+++ b/libraries/proxy/tests/test_exchange.py
@@ -114,6 +114,7 @@
                 StallMonitor(),
                 mock.Mock(),
                 mock.Mock(),
+                mock.Mock(),
             )
             sent = mock.AsyncMock(return_value=AttemptResult(mock.Mock()))
             delivery = Delivery(request, lambda: False)
