Try a refused part again soon if the trial ran nowhere

Cause: the interval grew with each trial, whatever came of it.

The interval grows only after a trial after which a target ended with the part, and after three without a result, since an end may be missed. Ruled out: shorter intervals, of which each ends a target.

--- a/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
+++ b/libraries/decisions/src/bamboopier_decisions/quarantine/crashing_parts.py
@@ -170,7 +170,9 @@
         if trials is None:
             self._trials[part] = PartTrials(now, is_new=part in self._own)
             return False
-        return trials.start(now)
+        suspect = self._suspects.get(part)
+        last_ended_at = suspect.last_ended_at if suspect is not None else NEVER
+        return trials.start(now, last_ended_at)
 
     def find_wait(self, now: float, refused: RefusedPart) -> float:
         """Return the seconds until a refusal ends, or a trial may have lifted it."""
--- a/tools/safeguards/crashing_parts.py
+++ b/tools/safeguards/crashing_parts.py
@@ -74,11 +74,20 @@
     Mutation(
         "the intervals between trials grow",
         _TRIALS,
-        "        self.count = min(self.count + 1, len(TRIAL_SECONDS) - 1)\n",
+        "            self._count = min(self._count + 1, len(TRIAL_SECONDS) - 1)\n",
         "",
         "libraries/decisions",
         _DECISION_TESTS,
     ),
+    Mutation(
+        "a trial that ran nowhere is made again soon",
+        _TRIALS,
+        "        has_failed = self._without_result > 0 and last_ended_at"
+        " > self._last_ended_at\n",
+        "        has_failed = self._without_result > 0\n",
+        "libraries/decisions",
+        _DECISION_TESTS,
+    ),
     Mutation(
         "a part at few of the ends is no culprit",
         _PARTS,
