Check targets soon after their callers left

Cause: an attempt closed here was checked after 0.4 s, in which two or three more requests were sent on; all ends but the last were seen.

Targets without other attempts are checked after 0.1 s and after 0.4 s.

--- a/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
+++ b/libraries/proxy/src/bamboopier_proxy/crash_monitor.py
@@ -40,9 +40,10 @@
 # Time in which the other attempts at a target that ended break, too, and in which it
 # stops listening.
 SETTLE_SECONDS = 0.02
-# Time after an attempt whose connection was closed here, until its target is checked: a
-# request may still end it.
-LATE_CHECK_SECONDS = 0.4
+# Times after an attempt whose connection was closed here, at which its target is
+# checked: soon, since others wait for the evidence, and again, as a request may still
+# end it.
+LATE_CHECK_SECONDS = (0.1, 0.4)
 # Time for which an attempt that ended without a complete response counts for a target
 # that ends next: a caller may leave shortly before its request crashes the target.
 UNFINISHED_SECONDS = 1.0
@@ -118,7 +119,7 @@
 
     __slots__ = ("is_late", "task")
 
-    def __init__(self, task: asyncio.Task[None], *, is_late: bool) -> None:
+    def __init__(self, task: asyncio.Task[bool], *, is_late: bool) -> None:
         self.task = task
         self.is_late = is_late
 
@@ -208,18 +209,24 @@
         if self._checks.get(key) is check:
             del self._checks[key]
 
-    async def _check_late(self, key: TargetKey, state: TargetState) -> None:
-        """Check a target at which no other attempt would break if it ended."""
-        await asyncio.sleep(LATE_CHECK_SECONDS)
-        if state.stall_detector.in_flight == 0:
-            await self._check(key, state)
+    async def _check_late(self, key: TargetKey, state: TargetState) -> bool:
+        """Check a target at which no other attempt would break if it ended.
 
-    async def _check(self, key: TargetKey, state: TargetState) -> None:
-        """Record the unfinished attempts at a target as crashes if it ended."""
+        Return whether it ended.
+        """
+        started_at = read_clock()
+        for seconds in LATE_CHECK_SECONDS:
+            await asyncio.sleep(max(0.0, started_at + seconds - read_clock()))
+            if state.stall_detector.in_flight == 0 and await self._check(key, state):
+                return True
+        return False
+
+    async def _check(self, key: TargetKey, state: TargetState) -> bool:
+        """Return whether a target ended; its unfinished attempts are then crashes."""
         await asyncio.sleep(SETTLE_SECONDS)
         entry = state.entry
         if not await self._has_ended(entry):
-            return
+            return False
         now = read_clock()
         self._remove_outdated(now)
         recent = list(self._unfinished.pop(key, ()))
@@ -241,6 +248,7 @@
             for part in a.parts
             if part not in survived
         )
+        return True
 
     async def _has_ended(self, entry: TargetEntry) -> bool:
         """Return whether nothing listens at the target's address."""
--- a/libraries/proxy/tests/test_crash_monitor.py
+++ b/libraries/proxy/tests/test_crash_monitor.py
@@ -27,9 +27,9 @@
         patch = mock.patch("bamboopier_proxy.crash_monitor.read_clock", self.clock.read)
         patch.start()
         self.addCleanup(patch.stop)
-        for name in ("SETTLE_SECONDS", "LATE_CHECK_SECONDS"):
+        for name, value in (("SETTLE_SECONDS", 0.0), ("LATE_CHECK_SECONDS", (0, 0))):
             path = f"bamboopier_proxy.crash_monitor.{name}"
-            self.enterContext(mock.patch(path, 0.0))
+            self.enterContext(mock.patch(path, value))
         self.pool = mock.Mock()
         self.pool.check = mock.AsyncMock(side_effect=TargetRefusedError)
         self.records = mock.Mock()
@@ -81,6 +81,14 @@
         self.assertAlmostEqual(crash.ended_at - crash.sent_at, RUN_SECONDS)
         self.pool.check.assert_awaited_once()
 
+    async def test_a_target_that_ends_after_the_first_late_check_is_found(self) -> None:
+        # Guards against a request that ends targets some tenths of a second after its
+        # callers have left.
+        self.pool.check = mock.AsyncMock(side_effect=[None, TargetRefusedError])
+        self.end_attempt(b"left", broken=False)
+        self.assertEqual(await self.finish_checks(), [b"left"])
+        self.assertEqual(self.pool.check.await_count, 2)
+
     async def test_a_request_counts_whose_caller_left_before_its_target_ended(
         self,
     ) -> None:
