--- a/libraries/proxy/src/bamboopier_proxy/target_selector.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -121,6 +121,8 @@
             usable=placement.usable,
             open=placement.open,
             limited=placement.limited.count,
+            # What the limited targets accept from this gateway a second.
+            gateway_rate=round(placement.limited.gateway_rate, 2),
             free_in=round(placement.limited.free_at - now, 3),
             waiting=self._request_queues.count(call.service),
             tried=call.tried,
--- a/libraries/proxy/tests/test_store_followers.py
+++ b/libraries/proxy/tests/test_store_followers.py
@@ -1,4 +1,4 @@
-"""Tests of a gateway that starts just after a weight version was published."""
+"""What a gateway follows in the store, and how old it may be."""
 
 from __future__ import annotations
 
@@ -13,10 +13,11 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.pause_tracker import PauseTracker
+from bamboopier_decisions.forwarding.version_history import MAX_WATCHED_AGE_SECONDS
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
 from bamboopier_objects.objects import Listing, StoredObject
 from bamboopier_proxy.publish_times import PublishedAt, follow_weights
-from bamboopier_proxy.store_followers import StoreFollowers
+from bamboopier_proxy.store_followers import TARGETS_WATCH_SECONDS, StoreFollowers
 from bamboopier_proxy.store_schema import PublishedWeights
 
 NAMED = StoredObject("v/m", 7, b"2")
@@ -63,5 +64,13 @@
         self.assertEqual(state.weights.find_oldest_allowed(read_clock(), "m"), 0)
 
 
+class ListAgeTests(unittest.TestCase):
+    def test_a_list_counts_while_its_watch_works(self) -> None:
+        # Guards against streams that are refused since the list is older, with a watch
+        # that works, than a stream of unknown origin allows.
+        self.assertGreater(MAX_WATCHED_AGE_SECONDS, 2 * TARGETS_WATCH_SECONDS)
+        self.assertLess(MAX_WATCHED_AGE_SECONDS, 3 * TARGETS_WATCH_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
