--- a/tools/safeguards/crashing_parts.py
+++ b/tools/safeguards/crashing_parts.py
@@ -144,6 +144,22 @@
         "libraries/proxy",
         "tests.test_attempts",
     ),
+    Mutation(
+        "a response without framing that ends in a pause is not complete",
+        _PROXY + "exchange.py",
+        "if self._pauses.find_earliest_arrival(now) < now:",
+        "if False:",
+        "libraries/proxy",
+        "tests.test_attempts",
+    ),
+    Mutation(
+        "a target whose caller left is checked again",
+        _PROXY + "crash_monitor.py",
+        "for seconds in LATE_CHECK_SECONDS:",
+        "for seconds in LATE_CHECK_SECONDS[:1]:",
+        "libraries/proxy",
+        "tests.test_crash_monitor",
+    ),
     Mutation(
         "a gateway's share of a limit follows its requests",
         _DECISIONS + "forwarding/demand_share.py",
--- a/tools/safeguards/crashing_requests.py
+++ b/tools/safeguards/crashing_requests.py
@@ -51,7 +51,7 @@
     Mutation(
         "only a target that refuses connections has ended",
         _PROXY + "crash_monitor.py",
-        "        if not await self._has_ended(entry):\n            return\n",
+        "        if not await self._has_ended(entry):\n            return False\n",
         "",
         "libraries/proxy",
         "tests.test_crash_monitor",
