--- a/libraries/objects/src/bamboopier_objects/connection_pools.py
+++ b/libraries/objects/src/bamboopier_objects/connection_pools.py
@@ -61,6 +61,7 @@
     async def use(self, host: str) -> AsyncIterator[aiohttp.ClientSession]:
         """Yield a session for one call; a timeout within it replaces the pool.
 
+        So does a call that is cancelled: its caller knows that the connection stalled.
         Calls in flight go on: some of the other connections may be sound.
         """
         await self._close_unused()
@@ -70,7 +71,7 @@
         pool.calls += 1
         try:
             yield pool.session
-        except TimeoutError:
+        except (TimeoutError, asyncio.CancelledError):
             if self._pools.get(host) is pool:
                 del self._pools[host]
                 self._retired.add(pool)
--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -4,6 +4,9 @@
 connection is lost (list again after a delay, since changes may be missing), a
 connection without any response (each call has its own time limit) and a store that
 responds with an older revision than one already received (that response is dropped).
+
+A watch may last long. Whether it hides changes meanwhile is found out by checks, short
+calls beside it, or by what other processes have confirmed.
 """
 
 from __future__ import annotations
@@ -20,7 +23,10 @@
     import random
     from collections.abc import Callable
 
-    from .objects import ChangedObject, FollowedStore, Listing
+    from result import Result
+
+    from .errors import PlatformError
+    from .objects import ChangeBatch, ChangedObject, FollowedStore, Listing
 
 # Delays after a failed call, doubled up to the maximum and drawn between half and all
 # of it. A store that has recovered should be read within a second.
@@ -29,6 +35,15 @@
 _MAX_DOUBLINGS = 8
 # Seconds after the end of a watch within which an undelayed response arrives.
 RESPONSE_GRACE_SECONDS = 0.1
+# Pause after a response with changes: many changes at once, such as the start of all
+# targets, arrive in few responses.
+CHANGE_PAUSE_SECONDS = 0.4
+# Duration of the watch that checks for changes: long enough for those that are being
+# made.
+CHECK_SECONDS = 0.05
+# Seconds from a check that found changes until the long watch, which did not report
+# them, is sent again: its connection has stalled.
+STALLED_WATCH_SECONDS = 0.3
 
 log = structlog.get_logger()
 
@@ -68,16 +83,27 @@
         wait_seconds: float,
         random: random.Random,
         read_clock: Callable[[], float],
+        max_age: float | None = None,
     ) -> None:
         self._store = store
-        self._prefix = prefix
+        self.prefix = prefix
         self._observer = observer
         self._wait_seconds = wait_seconds
+        # Seconds without a confirmation after which a change may have been delayed.
+        self.max_age = wait_seconds if max_age is None else max_age
         self._random = random
         self._read_clock = read_clock
-        self._revision = 0
         self._failures = 0
         self._failing_since: float | None = None
+        # The watch in flight, and the number of watches sent.
+        self._watch_task: asyncio.Task[Result[ChangeBatch, PlatformError]] | None = None
+        self._watch_count = 0
+        # Whether the list has to be read again.
+        self._must_list = False
+        # All changes up to this revision of the store are known.
+        self.revision = 0
+        # Revision at which the last change was received.
+        self.changed_revision = 0
         # Time until which all changes have been reported.
         self.known_until = float("-inf")
         # Whether the list was read at least once.
@@ -91,14 +117,37 @@
                 continue
             await self._follow()
 
+    def confirm(self, known_until: float) -> None:
+        """Record that no change after ``revision`` was made until ``known_until``."""
+        if self.loaded.is_set():
+            self.known_until = max(self.known_until, known_until)
+
+    async def check(self) -> None:
+        """Ask the store for changes now, beside the watch in flight."""
+        if not self.loaded.is_set() or self._failing_since is not None:
+            return
+        watch_number, revision = self._watch_count, self.revision
+        sent_at = self._read_clock()
+        response = await self._store.watch_values(self.prefix, revision, CHECK_SECONDS)
+        if isinstance(response, Err):
+            self._handle_error(sent_at, response.err_value)
+            self._abandon_watch(watch_number)
+            return
+        self._apply_batch(sent_at, CHECK_SECONDS, response.ok_value)
+        if response.ok_value.changes:
+            asyncio.get_running_loop().call_later(
+                STALLED_WATCH_SECONDS, self._abandon_watch, watch_number
+            )
+
     async def _load(self) -> bool:
+        self._must_list = False
         sent_at = self._read_clock()
-        response = await self._store.list(self._prefix)
+        response = await self._store.list(self.prefix)
         if isinstance(response, Err):
             self._record_failure(sent_at, str(response.err_value))
             return False
         listing = response.ok_value
-        if listing.revision < self._revision:
+        if listing.revision < self.revision:
             self._record_failure(
                 sent_at, f"revision {listing.revision} is older than the last one"
             )
@@ -106,42 +155,81 @@
         outage_seconds = self._record_success()
         self._observer.apply_listing(listing, outage_seconds, self.known_until)
         self.known_until = sent_at
-        self._revision = listing.revision
+        self.revision = listing.revision
+        newest = max((found.version for found in listing.objects), default=0)
+        self.changed_revision = max(self.changed_revision, newest)
         self.loaded.set()
         return True
 
     async def _follow(self) -> None:
         """Watch until something fails."""
-        while True:
+        while not self._must_list:
             sent_at = self._read_clock()
-            response = await self._store.watch_values(
-                self._prefix, self._revision, self._wait_seconds
-            )
+            response = await self._watch()
+            if response is None:
+                continue
             if isinstance(response, Err):
-                error = response.err_value
-                if isinstance(error, WatchGapError):
-                    log.info("watch gap", prefix=self._prefix, revision=self._revision)
-                    return
-                self._record_failure(sent_at, str(error))
-                await asyncio.sleep(self._draw_retry_delay())
+                self._handle_error(sent_at, response.err_value)
+                if self._failing_since is not None:
+                    await asyncio.sleep(self._draw_retry_delay())
                 return
             self._record_success()
-            batch = response.ok_value
-            now = self._read_clock()
-            late = now - sent_at > self._wait_seconds + RESPONSE_GRACE_SECONDS
-            for change in batch.changes:
+            self._apply_batch(sent_at, self._wait_seconds, response.ok_value)
+            if response.ok_value.changes:
+                await asyncio.sleep(CHANGE_PAUSE_SECONDS)
+
+    async def _watch(self) -> Result[ChangeBatch, PlatformError] | None:
+        """Watch once; return None if the watch was abandoned."""
+        self._watch_count += 1
+        task = self._watch_task = asyncio.ensure_future(
+            self._store.watch_values(self.prefix, self.revision, self._wait_seconds)
+        )
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if self._watch_task is task:
+                raise
+            return None
+        finally:
+            self._watch_task = None
+
+    def _abandon_watch(self, number: int) -> None:
+        """Cancel the watch of this number if it is still in flight."""
+        task = self._watch_task
+        if task is not None and number == self._watch_count:
+            self._watch_task = None
+            task.cancel()
+
+    def _apply_batch(self, sent_at: float, seconds: float, batch: ChangeBatch) -> None:
+        """Apply the response to a watch of ``seconds`` that was sent at ``sent_at``."""
+        now = self._read_clock()
+        waited = now - sent_at > seconds + RESPONSE_GRACE_SECONDS
+        late = waited or now - self.known_until > self.max_age + RESPONSE_GRACE_SECONDS
+        for change in batch.changes:
+            # A check and the watch report the same change.
+            if change.value is None or change.version > self.revision:
                 self._observer.apply_change(change, self.known_until, late=late)
-            # A response that is read late says nothing about changes after the store
-            # created it: at once when there are changes, else at the end of the wait.
-            created_at = sent_at if batch.changes else sent_at + self._wait_seconds
-            self.known_until = min(created_at, now)
-            self._revision = max(self._revision, batch.revision)
+        # A response that is read late says nothing about changes after the store
+        # created it: at once when there are changes, else at the end of the wait.
+        created_at = sent_at if batch.changes else sent_at + seconds
+        if batch.revision >= self.revision:
+            self.known_until = max(self.known_until, min(created_at, now))
+        if batch.changes:
+            self.changed_revision = max(self.changed_revision, batch.revision)
+        self.revision = max(self.revision, batch.revision)
+
+    def _handle_error(self, sent_at: float, error: PlatformError) -> None:
+        self._must_list = True
+        if isinstance(error, WatchGapError):
+            log.info("watch gap", prefix=self.prefix, revision=self.revision)
+        else:
+            self._record_failure(sent_at, str(error))
 
     def _record_failure(self, sent_at: float, reason: str) -> None:
         self._failures += 1
         if self._failing_since is None:
             self._failing_since = sent_at
-            log.warning("store lost", prefix=self._prefix, reason=reason)
+            log.warning("store lost", prefix=self.prefix, reason=reason)
 
     def _record_success(self) -> float:
         """Return for how many seconds the store had not responded."""
@@ -151,7 +239,7 @@
         outage_seconds = self._read_clock() - self._failing_since
         self._failing_since = None
         log.info(
-            "store regained", prefix=self._prefix, away_seconds=round(outage_seconds, 3)
+            "store regained", prefix=self.prefix, away_seconds=round(outage_seconds, 3)
         )
         return outage_seconds
 
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -11,8 +11,12 @@
 from result import Err, Ok
 
 from bamboopier_objects.errors import PlatformUnavailableError, WatchGapError
-from bamboopier_objects.object_follower import ObjectFollower
-from bamboopier_objects.objects import ChangeBatch, Listing
+from bamboopier_objects.object_follower import (
+    CHECK_SECONDS,
+    STALLED_WATCH_SECONDS,
+    ObjectFollower,
+)
+from bamboopier_objects.objects import ChangeBatch, ChangedObject, Listing
 
 if TYPE_CHECKING:
     from result import Result
@@ -86,5 +90,92 @@
         self.assertLessEqual(reported[1], 102.0)
 
 
+class CheckTests(unittest.IsolatedAsyncioTestCase):
+    """Checks beside a long watch whose connection is silent."""
+
+    async def asyncSetUp(self) -> None:
+        self.now = 100.0
+        self.observer = mock.Mock()
+        self.store = mock.AsyncMock()
+        self.store.list.return_value = LISTING
+        self.store.watch_values.side_effect = self.watch
+        # Responses to checks; long watches get none.
+        self.checked: list[Result[ChangeBatch, PlatformError]] = []
+        self.watched_from: list[int] = []
+        self.follower = ObjectFollower(
+            self.store,
+            "k/",
+            self.observer,
+            25.0,
+            random.Random(1),
+            lambda: self.now,
+            1.15,
+        )
+        patch = mock.patch("bamboopier_objects.object_follower.log")
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.task = asyncio.create_task(self.follower.run())
+        self.addCleanup(self.task.cancel)
+        await asyncio.sleep(0.01)
+
+    async def watch(
+        self, prefix: str, after: int, seconds: float
+    ) -> Result[ChangeBatch, PlatformError]:
+        if seconds == CHECK_SECONDS:
+            return self.checked.pop(0)
+        self.watched_from.append(after)
+        await asyncio.sleep(3600)
+        raise AssertionError
+
+    async def test_a_check_finds_a_change_that_the_watch_hides(self) -> None:
+        # Guards against requests to a target that drains, for as long as the watch of
+        # 25 s lasts; the watch is sent again from there.
+        change = ChangedObject("k/a", 9, b"v")
+        self.checked = [Ok(ChangeBatch(9, (change,)))]
+        await self.follower.check()
+        self.observer.apply_change.assert_called_once()
+        await asyncio.sleep(STALLED_WATCH_SECONDS + 0.1)
+        self.assertEqual(self.watched_from, [7, 9])
+
+    async def test_a_check_without_changes_confirms_the_list(self) -> None:
+        self.now = 103.0
+        self.checked = [NOTHING]
+        await self.follower.check()
+        self.assertEqual(self.follower.known_until, 103.0)
+        self.assertEqual(self.watched_from, [7])
+
+    async def test_a_check_without_history_lists_again(self) -> None:
+        self.checked = [Err(WatchGapError("gone"))]
+        await self.follower.check()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.store.list.await_count, 2)
+
+    async def test_a_check_that_fails_lists_again(self) -> None:
+        # Guards against a long watch that outlives an outage of the store.
+        self.checked = [Err(PlatformUnavailableError("away"))]
+        await self.follower.check()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.store.list.await_count, 2)
+        self.assertEqual(len(self.watched_from), 2)
+
+    async def test_a_change_is_applied_once(self) -> None:
+        # The check and the watch report it both; in between its object has changed.
+        old, new = ChangedObject("k/a", 8, b"1"), ChangedObject("k/a", 9, b"2")
+        self.checked = [Ok(ChangeBatch(9, (old, new))), Ok(ChangeBatch(9, (old, new)))]
+        await self.follower.check()
+        await self.follower.check()
+        applied = [c.args[0].value for c in self.observer.apply_change.call_args_list]
+        self.assertEqual(applied, [b"1", b"2"])
+
+    async def test_another_process_confirms_only_a_list_that_was_read(self) -> None:
+        self.follower.confirm(104.0)
+        self.assertEqual(self.follower.known_until, 104.0)
+        self.follower.confirm(102.0)
+        self.assertEqual(self.follower.known_until, 104.0)
+        self.follower.loaded.clear()
+        self.follower.confirm(105.0)
+        self.assertEqual(self.follower.known_until, 104.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -21,6 +21,7 @@
 from bamboopier_decisions.membership.lease import Lease
 from bamboopier_objects.object_follower import ObjectFollower
 
+from .counted_store import CountedStore
 from .hint_socket import HintSocket
 from .observers import WeightsObserver
 from .pause_monitor import PauseMonitor
@@ -37,8 +38,9 @@
     from .store_schema import PublishedWeights, Store, StoreSchema
     from .target_orders import TargetOrders
 
-# Seconds until a watch for published weight versions is renewed.
-WATCH_TIMEOUT_SECONDS = 4.0
+# Seconds until a watch for published weight versions is renewed: less than the time for
+# which older ones may serve, by more than a load takes.
+WATCH_TIMEOUT_SECONDS = 8.0
 # Seconds after which the load slot of a killed agent expires: longer than a load.
 SLOT_LEASE_SECONDS = 8.0
 
@@ -56,23 +58,24 @@
     if settings.target is None:
         raise ValueError("an agent needs the address of its target")
     generator = random.Random(f"{settings.vm}:{os.getpid()}:{read_clock()}")
+    registry = CollectorRegistry()
+    counted = CountedStore(store, registry)
     weights = WeightVersions(settings.version_seconds)
     target_address = str(settings.target)
     lease = LeaseManager(
-        store,
+        counted,
         f"{schema.leases_prefix}{target_address}",
         Lease(settings.vm, settings.host, settings.lease_seconds),
     )
     slots = LoadSlots(
-        store,
+        counted,
         settings.target_service,
         settings.vm,
         generator,
         prefix=schema.load_slots_prefix,
         lease_seconds=SLOT_LEASE_SECONDS,
     )
-    directory = TargetDirectory(store, schema, settings.target_service)
-    registry = CollectorRegistry()
+    directory = TargetDirectory(counted, schema, settings.target_service)
     pause_monitor = PauseMonitor(registry)
     async with AsyncExitStack() as stack:
         with StopSignals() as signals:
@@ -86,12 +89,12 @@
                 weights,
                 lease,
                 slots,
-                WeightLoadAnnouncer(store, schema.gateways_prefix, socket),
+                WeightLoadAnnouncer(counted, schema.gateways_prefix, socket),
                 directory,
                 generator,
             )
             publish_times = PublishTimes(
-                store, schema.publish_times_prefix, weights, generator
+                counted, schema.publish_times_prefix, weights, generator
             )
 
             def on_published(published: PublishedWeights, since: float) -> None:
@@ -99,7 +102,7 @@
                 updater.changed.set()
 
             follower = ObjectFollower(
-                store,
+                counted,
                 schema.weights_prefix,
                 WeightsObserver(schema, weights, pause_monitor.pauses, on_published),
                 WATCH_TIMEOUT_SECONDS,
@@ -111,6 +114,7 @@
                 keep_running(follow_weights(publish_times, follower))
             )
             await stack.enter_async_context(keep_running(updater.run()))
+            await stack.enter_async_context(keep_running(counted.run()))
             settings_reloader = SettingsReloader(
                 settings,
                 read_settings,
--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -1,10 +1,10 @@
-"""Keeps the configuration up to date and continually confirms its freshness.
+"""Keeps the configuration up to date and confirms its freshness when that is due.
 
-A watch delivers a new version as soon as it is stored. A small configuration is also
-read after each watch, which confirms it beyond doubt. A large one is not: a gateway on
-a weak link would use all its bandwidth to read unchanged content, and the next version
-would queue behind these reads. For a large configuration the response of the watch is
-the confirmation.
+A long watch delivers a new version as soon as it is stored. Beside it, the freshness is
+confirmed whenever no other gateway has done so recently: a small configuration is read,
+which confirms it beyond doubt. A large one is not: a gateway on a weak link would use
+all its bandwidth to read unchanged content, and the next version would queue behind
+these reads. There the response to a short watch is the confirmation.
 """
 
 from __future__ import annotations
@@ -33,14 +33,17 @@
 # Maximum size, in bytes, of a configuration that is read after each watch: half of the
 # 22 KB a second that a node may use for control traffic.
 SMALL_CONFIGURATION_BYTES = 10_000
-# Duration of a watch of a small configuration, after which it is read. The read is also
-# the first call that reveals a store outage, before entries of targets expire.
-SMALL_WATCH_SECONDS = 0.9
-# Duration of a watch that has to confirm a large configuration.
-LARGE_WATCH_SECONDS = 0.8
-# The same after a new version: the confirmation of a version that was transferred
-# slowly is already old when it arrives.
-SHORT_WATCH_SECONDS = 0.05
+# Duration of the watch that delivers new versions.
+WATCH_SECONDS = 25.0
+# Duration of a watch that confirms a large configuration.
+CHECK_SECONDS = 0.05
+# Seconds from a check that found a new version until the long watch, which did not
+# report it, is sent again: its connection has stalled.
+STALLED_WATCH_SECONDS = 0.3
+# Seconds for which a new version that another gateway has may be in transfer, for a
+# small and for a large configuration: a megabyte on the slowest link.
+SMALL_TRANSFER_SECONDS = 0.3
+LARGE_TRANSFER_SECONDS = 2.0
 # Delay before a failed request is retried.
 RETRY_SECONDS = 0.25
 
@@ -66,37 +69,66 @@
         self._failing_since: float | None = None
         # None before the first read, and when the configuration has to be read again.
         self._position: WatchPosition | None = None
-        self._wait_seconds = SMALL_WATCH_SECONDS
+        # Whether the store has to confirm the configuration before the next watch.
+        self._must_confirm = False
+        # The watch in flight, and the number of watches sent.
+        self._watch_task: asyncio.Task[bool] | None = None
+        self._watch_count = 0
         # Consecutive watches that failed because the store no longer had the history.
         self._gap_count = 0
         # Size of the stored configuration in bytes.
         self._size = 0
 
+    @property
+    def is_small(self) -> bool:
+        """Return whether the configuration is confirmed by reading it."""
+        return self._size <= SMALL_CONFIGURATION_BYTES
+
+    @property
+    def transfer_seconds(self) -> float:
+        """Return for how long a new version may be in transfer to this process."""
+        return SMALL_TRANSFER_SECONDS if self.is_small else LARGE_TRANSFER_SECONDS
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if self._position is None or self._is_small:
-                done = await self.read()
+            if self._position is None or self._must_confirm:
+                done = await self._confirm()
             else:
-                done = True
-            if done and self._position is not None:
-                done = await self._watch(self._position)
+                done = await self._follow(self._position)
             if not done or self._has_repeated_gap():
                 pause = RETRY_SECONDS * self._random.uniform(0.9, 1.0)
                 await asyncio.sleep(pause)
 
+    async def check(self) -> None:
+        """Have the store confirm the configuration now, beside the watch in flight."""
+        if self._position is None or self._must_confirm:
+            return
+        watch_number, revision = self._watch_count, self._loader.revision
+        if not await self._confirm():
+            self._abandon_watch(watch_number)
+        elif self._loader.revision > revision:
+            asyncio.get_running_loop().call_later(
+                STALLED_WATCH_SECONDS, self._abandon_watch, watch_number
+            )
+
     def _has_repeated_gap(self) -> bool:
         """Return whether a watch hit a gap right after the read that repaired one."""
         return self._position is None and self._gap_count > 1
 
-    @property
-    def _is_small(self) -> bool:
-        return self._size <= SMALL_CONFIGURATION_BYTES
+    async def _confirm(self) -> bool:
+        """Have the store confirm it; return False if that has to be retried soon."""
+        if self._position is None or self.is_small:
+            done = await self.read()
+        else:
+            done = await self._watch(self._position, CHECK_SECONDS)
+        self._must_confirm = not done
+        return done
 
     async def read(self) -> bool:
         """Read once; return False if the read has to be retried soon."""
         sent_at = read_clock()
-        if self._is_small:
+        if self.is_small:
             # The transfer of a large one is slow even from a store that is available.
             self._availability.record_sent(sent_at)
         # A list reports the revision of the store at which it is valid; the revision of
@@ -114,12 +146,34 @@
         if found is None or not self._load(found, sent_at):
             return False
         self._position = WatchPosition(listing.revision)
-        self._choose_wait(short=False)
         return True
 
-    async def _watch(self, position: WatchPosition) -> bool:
+    async def _follow(self, position: WatchPosition) -> bool:
+        """Watch for a new version until it is stored, or the watch is abandoned."""
+        self._watch_count += 1
+        task = self._watch_task = asyncio.ensure_future(
+            self._watch(position, WATCH_SECONDS)
+        )
+        try:
+            done = await task
+        except asyncio.CancelledError:
+            if self._watch_task is task:
+                raise
+            return True
+        finally:
+            self._watch_task = None
+        self._must_confirm = self._must_confirm or not done
+        return done
+
+    def _abandon_watch(self, number: int) -> None:
+        """Cancel the watch of this number if it is still in flight."""
+        task = self._watch_task
+        if task is not None and number == self._watch_count:
+            self._watch_task = None
+            task.cancel()
+
+    async def _watch(self, position: WatchPosition, seconds: float) -> bool:
         """Watch once; return False if the watch has to be retried soon."""
-        seconds = self._wait_seconds
         sent_at = read_clock()
         response = await self._store.watch_values(self._key, position.revision, seconds)
         now = read_clock()
@@ -136,7 +190,6 @@
         self._loader.confirm(
             position.record_unchanged(response_created_at, now, batch.revision)
         )
-        self._choose_wait(short=False)
         return True
 
     def _apply_changes(self, sent_at: float, batch: ChangeBatch) -> bool:
@@ -149,7 +202,6 @@
         if not self._load(last, sent_at):
             return False
         self._position = WatchPosition(last.version)
-        self._choose_wait(short=True)
         return True
 
     def _load(self, found: StoredObject, sent_at: float) -> bool:
@@ -158,12 +210,6 @@
         self._size = len(found.value)
         return True
 
-    def _choose_wait(self, *, short: bool) -> None:
-        if self._is_small:
-            self._wait_seconds = SMALL_WATCH_SECONDS
-        else:
-            self._wait_seconds = SHORT_WATCH_SECONDS if short else LARGE_WATCH_SECONDS
-
     def _handle_watch_error(self, sent_at: float, error: PlatformError) -> bool:
         if isinstance(error, WatchGapError):
             self._availability.record_response(sent_at, sent_at)
@@ -174,7 +220,6 @@
             return True
         self._record_failure(sent_at, str(error))
         # The revision stays valid: the store sends later changes once it has recovered.
-        self._choose_wait(short=True)
         return False
 
     def _record_failure(self, sent_at: float, reason: str) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/configuration_loader.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_loader.py
@@ -34,7 +34,8 @@
         self._undecodable_revision = 0
 
     @property
-    def _revision(self) -> int:
+    def revision(self) -> int:
+        """Return the store's revision of the newest decoded value; 0 before one."""
         return self.stored.version if self.stored is not None else 0
 
     def load(self, found: StoredObject, sent_at: float) -> bool:
@@ -43,14 +44,14 @@
         A value that cannot be decoded is ignored: the active configuration stays, but
         its freshness is no longer confirmed.
         """
-        if found.version < self._revision:
+        if found.version < self.revision:
             log.warning(
                 "older configuration dropped",
                 revision=found.version,
-                known=self._revision,
+                known=self.revision,
             )
             return False
-        if found.version == self._revision:
+        if found.version == self.revision:
             self._active_configuration.confirm(
                 self._active_configuration.version, sent_at
             )
@@ -70,7 +71,7 @@
 
     def confirm(self, confirmed_at: float) -> None:
         """Record that nothing newer had been stored at ``confirmed_at``."""
-        if self._undecodable_revision <= self._revision:
+        if self._undecodable_revision <= self.revision:
             self._active_configuration.confirm(
                 self._active_configuration.version, confirmed_at
             )
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -23,6 +23,7 @@
 from .attempt_planner import AttemptPlanner
 from .call_retries import RetryAccounts
 from .caller_listener import CallerListener, serve_readiness
+from .counted_store import CountedStore
 from .crash_monitor import CrashMonitor
 from .exchange import Exchange
 from .forwarder import Forwarder
@@ -33,6 +34,7 @@
 from .pause_monitor import PauseMonitor
 from .settings_reloader import SettingsReloader
 from .stall_monitor import StallMonitor
+from .store_confirmation import StoreConfirmation
 from .store_followers import StoreFollowers
 from .target_pool import TargetPool
 from .weight_expiry_monitor import WeightExpiryMonitor
@@ -67,19 +69,29 @@
         raise ValueError("a gateway needs addresses for callers and for readiness")
     generator = random.Random(f"{settings.vm}:{os.getpid()}:{read_clock()}")
     metrics = ProxyMetrics()
+    counted = CountedStore(store, metrics.registry)
     pause_monitor = PauseMonitor(metrics.registry)
     state = GatewayState(settings, schema, pause_monitor.pauses)
     pause_monitor.listeners.append(state.availability.record_pause)
-    followers = StoreFollowers(state, store, schema, generator)
+    followers = StoreFollowers(state, counted, schema, generator)
     peers = GatewayPeers(
         settings,
         state,
-        store,
+        counted,
         schema,
         part_store_client,
         followers.find_targets_age,
         generator,
     )
+    confirmation = StoreConfirmation(
+        settings.vm,
+        state,
+        followers,
+        peers.hint_exchange,
+        peers.request_configuration,
+        generator,
+    )
+    peers.hint_exchange.listeners.append(confirmation.receive)
     pool = TargetPool(codec.get_request_id_header())
     expiry_monitor = WeightExpiryMonitor(state.weights)
     stall_monitor = StallMonitor()
@@ -142,6 +154,8 @@
                 pause_monitor.run(),
                 *followers.list_coroutines(),
                 *peers.list_coroutines(),
+                confirmation.run(),
+                counted.run(),
                 state.request_queues.run(),
                 settings_reloader.run(),
                 pool.run(),
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -108,10 +108,8 @@
             settings.first_port,
             self._registry,
             state.fleet,
-            state.active_configuration,
             quarantine,
             state.request_queues,
-            self._configuration_relay.request,
             random,
         )
         self.stream_versions = StreamVersions(
@@ -162,6 +160,10 @@
             and self._part_records.loaded
         )
 
+    def request_configuration(self, gateway: Endpoint) -> None:
+        """Request a newer configuration from a gateway, if the store serves none."""
+        self._configuration_relay.request(gateway)
+
     def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that have to run until the gateway stops."""
         settings = self._settings
--- a/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
@@ -69,10 +69,13 @@
 
 
 async def list_gateways(
-    store: Store, prefix: str
+    store: Store, prefix: str, *, stale: bool = False
 ) -> Result[dict[str, GatewayEntry], PlatformError]:
-    """Read all gateways that ever registered, by name."""
-    listing = await store.list(prefix)
+    """Read all gateways that ever registered, by name.
+
+    With ``stale``, those that registered within the last seconds may be missing.
+    """
+    listing = await (store.list_stale(prefix) if stale else store.list(prefix))
     if isinstance(listing, Err):
         return listing
     entries: dict[str, GatewayEntry] = {}
@@ -184,8 +187,12 @@
             await asyncio.sleep(RETRY_SECONDS * self._random.uniform(0.5, 1.0))
 
     async def read(self) -> bool:
-        """Read the list once; return False if that failed."""
-        entries = await list_gateways(self._store, self._prefix)
+        """Read the list once; return False if that failed.
+
+        After a start it must be complete: with too small a number of gateways each
+        would take too large a share of what all may send. Later ones send hints.
+        """
+        entries = await list_gateways(self._store, self._prefix, stale=self._has_list)
         if isinstance(entries, Err):
             return False
         now = self._read_run_time()
--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges hints between gateways: in-flight load, crashes, limits and freshness.
+"""Exchanges hints between gateways: in-flight load, crashes and limits.
 
 Load pattern: several gateways send to the same few engines. Each gateway counts its own
 requests immediately; without the counts of the others it would consider an engine idle
@@ -23,8 +23,6 @@
 from .hints import (
     CapacityGrant,
     CapacityRequest,
-    FreshnessRequest,
-    FreshnessResponse,
     Hint,
     LoadHint,
     WeightLoadHint,
@@ -45,7 +43,6 @@
     from bamboopier_decisions.forwarding.fleet import Fleet
     from bamboopier_decisions.quarantine.quarantine import Crash, Quarantine
 
-    from .active_configuration import ActiveConfiguration
     from .gateway_registry import GatewayRegistry
     from .request_queues import RequestQueues
 
@@ -56,11 +53,6 @@
 # Maximum rate of load hints: two thirds of what a node may use for control traffic. If
 # many targets have requests in flight, each hint goes to fewer, randomly chosen peers.
 BYTES_PER_SECOND = 15_000
-# Age of the own confirmation from which peers are asked for theirs: the confirmation of
-# a large configuration by a watch is one to two seconds old.
-MAX_FRESH_SECONDS = 2.0
-# Time for which a response to a freshness request is accepted.
-FRESHNESS_TIMEOUT_SECONDS = 2.0
 
 log = structlog.get_logger()
 
@@ -75,26 +67,18 @@
         port: int,
         registry: GatewayRegistry,
         fleet: Fleet,
-        active_configuration: ActiveConfiguration,
         quarantine: Quarantine,
         request_queues: RequestQueues,
-        on_newer: Callable[[Endpoint], None],
         random: random.Random,
     ) -> None:
         self._name = name
         self._registry = registry
         self._fleet = fleet
-        self._active_configuration = active_configuration
-        # Called with the address of a gateway that has a newer configuration.
-        self._on_newer = on_newer
         self._random = random
         self._socket = HintSocket(host, port, self._receive)
         self._port = port
         self._started_ms = int(time.time() * 1000)
         self._numbers = itertools.count(1)
-        self._nonces = itertools.count(random.getrandbits(32))
-        # Time at which each freshness request was sent, by nonce.
-        self._freshness_requests: dict[int, float] = {}
         self._loads = LoadHints(fleet)
         self._crashes = CrashHints(quarantine, random)
         self._limits = LimitHints(fleet, random)
@@ -142,7 +126,6 @@
             await asyncio.sleep(HINT_SECONDS)
             self._stalls.log_changes(read_clock())
             self._send_loads()
-            self._request_freshness()
             self._loads.apply(read_clock())
 
     async def run_loans(self) -> None:
@@ -187,24 +170,6 @@
             peers if len(peers) <= max_count else self._random.sample(peers, max_count)
         )
 
-    def _request_freshness(self) -> None:
-        now = read_clock()
-        old = [
-            n
-            for n, at in self._freshness_requests.items()
-            if now - at > FRESHNESS_TIMEOUT_SECONDS
-        ]
-        for nonce in old:
-            del self._freshness_requests[nonce]
-        if self._active_configuration.version == 0:
-            return
-        if self._active_configuration.freshness.find_age(now) < MAX_FRESH_SECONDS:
-            return
-        nonce = next(self._nonces)
-        self._freshness_requests[nonce] = now
-        for peer in self.sample_peers():
-            self._socket.send(FreshnessRequest(self._name, nonce), peer)
-
     def _receive(self, hint: Hint, sender: tuple[str, int]) -> None:
         match hint:
             case LoadHint():
@@ -215,10 +180,6 @@
                 self._loans.answer(read_clock(), hint, Endpoint(*sender))
             case CapacityGrant():
                 self._loans.apply(read_clock(), hint)
-            case FreshnessRequest():
-                self._handle_freshness_request(hint, sender)
-            case FreshnessResponse():
-                self._handle_freshness_response(hint, sender)
             case _:
                 for listener in self.listeners:
                     listener(hint, Endpoint(*sender))
@@ -252,28 +213,3 @@
             busy_ms=hint.busy_ms,
             short_ms=hint.short_ms,
         )
-
-    def _handle_freshness_request(
-        self, request: FreshnessRequest, sender: tuple[str, int]
-    ) -> None:
-        age = self._active_configuration.freshness.find_age(read_clock())
-        if age > MAX_FRESH_SECONDS * 3 or self._active_configuration.version == 0:
-            return
-        # Rounded up: the confirmation must not look younger than it is.
-        response = FreshnessResponse(
-            request.nonce, self._active_configuration.version, int(age * 1000) + 1
-        )
-        self._socket.send(response, Endpoint(*sender))
-
-    def _handle_freshness_response(
-        self, response: FreshnessResponse, sender: tuple[str, int]
-    ) -> None:
-        sent_at = self._freshness_requests.get(response.nonce)
-        if sent_at is None:
-            return
-        if response.version > self._active_configuration.version:
-            self._on_newer(Endpoint(*sender))
-            return
-        self._active_configuration.confirm(
-            response.version, sent_at - response.age_ms / 1000
-        )
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -128,18 +128,32 @@
 
 
 class FreshnessRequest(msgspec.Struct, array_like=True, tag="ask"):
-    """Asks how long ago the configuration was confirmed as current."""
+    """Asks how long ago the configuration and lists were confirmed as current."""
 
     sender: str
     nonce: int
 
 
+class ListConfirmation(msgspec.Struct, array_like=True):
+    """What a gateway knows of the objects below a key prefix in the store."""
+
+    prefix: str
+    # Revision of the store at which it received the last change.
+    changed_revision: int
+    # Milliseconds for which changes may be missing.
+    age_ms: int
+
+
 class FreshnessResponse(msgspec.Struct, array_like=True, tag="proof"):
     """Active version at the answering gateway, and the age of its confirmation."""
 
     nonce: int
     version: int
     age_ms: int
+    lists: list[ListConfirmation] = []
+    # Milliseconds since the store last accepted a call of any gateway, as far as known
+    # at the answering one.
+    store_age_ms: int | None = None
 
 
 class StreamHint(msgspec.Struct, array_like=True, tag="stream"):
--- a/libraries/proxy/src/bamboopier_proxy/monitored_store.py
+++ b/libraries/proxy/src/bamboopier_proxy/monitored_store.py
@@ -16,6 +16,9 @@
 
     from .store_availability import StoreAvailability
 
+# Longest watch whose response is due at once.
+MAX_CHECK_SECONDS = 0.1
+
 
 class MonitoredStore:
     """Lists and watches ``store``, and records the outcome in ``availability``."""
@@ -40,12 +43,18 @@
     ) -> Result[ChangeBatch, PlatformError]:
         """Wait up to ``timeout`` seconds for changes later than revision ``after``.
 
-        A failed watch is not recorded: it was sent long ago, and perhaps only its own
-        connection stalled. The list that follows immediately shows whether the store is
-        available.
+        A short watch is a check, and recorded like a list. The failure of a longer one
+        is not recorded: it was sent long ago, and perhaps only its own connection
+        stalled. The list that follows immediately shows whether the store is available.
         """
         sent_at = read_clock()
+        is_check = timeout <= MAX_CHECK_SECONDS
+        if is_check:
+            self._availability.record_sent(sent_at)
         response = await self._store.watch_values(prefix, after, timeout)
         if not isinstance(response, Err):
-            self._availability.record_response(sent_at, sent_at)
+            accepted_at = read_clock() if is_check else sent_at
+            self._availability.record_response(sent_at, accepted_at)
+        elif is_check:
+            self._availability.record_failure(sent_at)
         return response
--- a/libraries/proxy/src/bamboopier_proxy/store_availability.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_availability.py
@@ -1,6 +1,7 @@
 """Detects recent outages of the store from the outcome of all calls of this process.
 
-Load pattern: about three calls a second. Guards against entries of targets that expire
+Load pattern: a call in some seconds from each of many gateways, which tell each other
+when the store last accepted one. Guards against entries of targets that expire
 during a store outage although the targets are alive. If they were removed when the
 store recovers, there would be no target for two seconds.
 
@@ -25,15 +26,16 @@
 
     __slots__ = (
         "_first_failed_at",
-        "_last_accepted_at",
         "_pending",
         "_recovered_at",
         "_resumed_at",
+        "last_accepted_at",
     )
 
     def __init__(self) -> None:
-        # The last time at which the store is known to have accepted a call.
-        self._last_accepted_at = NEVER
+        # The last time at which the store is known to have accepted a call, of this
+        # process or of another.
+        self.last_accepted_at = NEVER
         # When the first failed call was sent that no successful call has followed.
         self._first_failed_at: float | None = None
         self._recovered_at = NEVER
@@ -52,7 +54,7 @@
         also refuses the next calls, which follow at once.
         """
         self._resumed_at = now
-        self._last_accepted_at = min(self._last_accepted_at + seconds, now)
+        self.last_accepted_at = min(self.last_accepted_at + seconds, now)
 
     def record_sent(self, sent_at: float) -> None:
         """Record that a read or a list is sent."""
@@ -63,8 +65,8 @@
         self._remove_pending(sent_at)
         if sent_at < self._resumed_at:
             return
-        if self._last_accepted_at == NEVER:
-            self._last_accepted_at = sent_at
+        if self.last_accepted_at == NEVER:
+            self.last_accepted_at = sent_at
         if self._first_failed_at is None:
             self._first_failed_at = sent_at
 
@@ -81,10 +83,10 @@
             # Counted from the call before the failure: the outage may have started
             # right after it, and entries that expired in it would be removed if it was
             # assumed to be shorter.
-            if accepted_at - self._last_accepted_at >= MIN_OUTAGE_SECONDS:
+            if accepted_at - self.last_accepted_at >= MIN_OUTAGE_SECONDS:
                 self._recovered_at = accepted_at
             self._first_failed_at = None
-        self._last_accepted_at = max(self._last_accepted_at, sent_at)
+        self.last_accepted_at = max(self.last_accepted_at, sent_at)
 
     def find_recovery(self, now: float) -> float:
         """Return when the store last recovered; ``now`` if it is still unavailable."""
@@ -100,7 +102,7 @@
         first_failed_at = self._find_first_failure(now)
         return (
             first_failed_at is not None
-            and now - self._last_accepted_at >= MIN_OUTAGE_SECONDS
+            and now - self.last_accepted_at >= MIN_OUTAGE_SECONDS
         )
 
     def _find_first_failure(self, now: float) -> float | None:
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
@@ -0,0 +1,227 @@
+"""Confirms that this gateway knows all changes in the store, with the help of peers.
+
+Guards against a connection to the store that goes silent: its watch would hide changes
+for as long as it lasts. A gateway asks a few peers several times a second how old their
+confirmations are, and has the store confirm a list only if none of them has a recent
+one. Ages count from when the peers were asked, so that an answer that was delayed, here
+or on its way, confirms nothing that it should not.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+from typing import TYPE_CHECKING
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.forwarding.confirmation_schedule import ConfirmationSchedule
+from bamboopier_decisions.forwarding.watch_position import OMISSION_SECONDS
+
+from .hints import FreshnessRequest, FreshnessResponse, ListConfirmation
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Coroutine
+    from typing import Any
+
+    from bamboopier_objects.object_follower import ObjectFollower
+
+    from .gateway_state import GatewayState
+    from .hints import Hint
+    from .peers import Peers
+    from .settings import Endpoint
+    from .store_followers import StoreFollowers
+
+# Interval between two decisions to ask, drawn up to this.
+TICK_SECONDS = 0.25
+# Number of peers that are asked at once: what one gateway confirmed reaches 340 others
+# in four rounds.
+ASKED_PEERS = 4
+# Maximum seconds for which the configuration is not confirmed by any gateway: a store
+# that fails is noticed by each gateway before entries of targets expire.
+CONFIGURATION_AGE_SECONDS = 1.15
+# Time for which an answer is accepted.
+ANSWER_TIMEOUT_SECONDS = 2.0
+
+# Key of the schedule of the configuration.
+CONFIGURATION = "configuration"
+
+
+class StoreConfirmation:
+    """Asks peers and the store, and answers peers."""
+
+    def __init__(
+        self,
+        name: str,
+        state: GatewayState,
+        followers: StoreFollowers,
+        peers: Peers,
+        on_newer: Callable[[Endpoint], None],
+        random: random.Random,
+    ) -> None:
+        self._name = name
+        self._active_configuration = state.active_configuration
+        self._availability = state.availability
+        self._configuration = followers.configuration
+        self._lists = {follower.prefix: follower for follower in followers.lists}
+        self._peers = peers
+        # Called with the address of a gateway that has a newer configuration.
+        self._on_newer = on_newer
+        self._random = random
+        self._schedules = {
+            prefix: ConfirmationSchedule(follower.max_age, random)
+            for prefix, follower in self._lists.items()
+        }
+        self._schedules[CONFIGURATION] = ConfirmationSchedule(
+            CONFIGURATION_AGE_SECONDS, random
+        )
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._nonces = itertools.count(random.getrandbits(32))
+        # Time at which each question was sent, by nonce.
+        self._sent_at: dict[int, float] = {}
+
+    async def run(self) -> None:
+        """Ask whenever that is due, until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(TICK_SECONDS * self._random.uniform(0.8, 1.0))
+                self.tick(read_clock())
+        finally:
+            for task in self._checks.values():
+                task.cancel()
+
+    def tick(self, now: float) -> None:
+        """Ask the store and the peers for what is due now."""
+        self._check_configuration(now)
+        for prefix, follower in self._lists.items():
+            is_due = self._schedules[prefix].is_check_due(
+                now, follower.known_until, follower.revision
+            )
+            if is_due:
+                self._start_check(prefix, follower.check())
+        if self._is_query_due(now):
+            self._ask_peers(now)
+
+    def receive(self, hint: Hint, sender: Endpoint) -> None:
+        """Handle a message of another gateway, if it concerns confirmations."""
+        match hint:
+            case FreshnessRequest():
+                self._answer(hint, sender)
+            case FreshnessResponse():
+                self._apply(hint, sender)
+            case _:
+                pass
+
+    def _check_configuration(self, now: float) -> None:
+        configuration = self._configuration
+        is_due = self._schedules[CONFIGURATION].is_check_due(
+            now,
+            self._find_configuration_known_until(),
+            self._active_configuration.version,
+            configuration.transfer_seconds,
+        )
+        if is_due:
+            self._start_check(CONFIGURATION, configuration.check())
+
+    def _find_configuration_known_until(self) -> float:
+        """Return until when the configuration is confirmed, for the schedule.
+
+        A watch that confirms a large one leaves its last moment open: another check
+        would not confirm more. A store that ends watches but accepts no calls confirms
+        nothing either: it is about to lose entries of targets.
+        """
+        confirmed_at = self._active_configuration.freshness.confirmed_at
+        if not self._configuration.is_small:
+            confirmed_at += OMISSION_SECONDS
+        return min(confirmed_at, self._availability.last_accepted_at)
+
+    def _start_check(self, name: str, check: Coroutine[Any, Any, None]) -> None:
+        task = self._checks.get(name)
+        if task is not None and not task.done():
+            check.close()
+            return
+        self._schedules[name].record_check()
+        self._checks[name] = asyncio.create_task(check)
+
+    def _is_query_due(self, now: float) -> bool:
+        if self._active_configuration.version == 0:
+            return False
+        known_until = {p: f.known_until for p, f in self._lists.items()}
+        known_until[CONFIGURATION] = self._find_configuration_known_until()
+        return any(
+            schedule.is_query_due(now, known_until[name])
+            for name, schedule in self._schedules.items()
+        )
+
+    def _ask_peers(self, now: float) -> None:
+        expired = [
+            n for n, at in self._sent_at.items() if now - at > ANSWER_TIMEOUT_SECONDS
+        ]
+        for nonce in expired:
+            del self._sent_at[nonce]
+        nonce = next(self._nonces)
+        self._sent_at[nonce] = now
+        for peer in self._peers.sample_peers(ASKED_PEERS):
+            self._peers.send(FreshnessRequest(self._name, nonce), peer)
+
+    def _answer(self, request: FreshnessRequest, sender: Endpoint) -> None:
+        version = self._active_configuration.version
+        if version == 0:
+            return
+        now = read_clock()
+        confirmations = [
+            ListConfirmation(f.prefix, f.changed_revision, _round_age(now, f))
+            for f in self._lists.values()
+            if f.loaded.is_set()
+        ]
+        # Rounded up: no confirmation must look younger than it is.
+        age = self._active_configuration.freshness.find_age(now)
+        store_age = now - self._availability.last_accepted_at
+        response = FreshnessResponse(
+            request.nonce,
+            version,
+            int(age * 1000) + 1,
+            confirmations,
+            int(store_age * 1000) + 1 if math.isfinite(store_age) else None,
+        )
+        self._peers.send(response, sender)
+
+    def _apply(self, response: FreshnessResponse, sender: Endpoint) -> None:
+        sent_at = self._sent_at.get(response.nonce)
+        if sent_at is None:
+            return
+        if response.store_age_ms is not None:
+            accepted_at = sent_at - response.store_age_ms / 1000
+            self._availability.record_response(accepted_at, accepted_at)
+        for confirmation in response.lists:
+            follower = self._lists.get(confirmation.prefix)
+            if follower is not None:
+                self._apply_list(sent_at, follower, confirmation)
+        self._apply_configuration(sent_at, response, sender)
+
+    def _apply_list(
+        self, sent_at: float, follower: ObjectFollower, found: ListConfirmation
+    ) -> None:
+        if found.changed_revision > follower.revision:
+            schedule = self._schedules[found.prefix]
+            schedule.record_newer(read_clock(), found.changed_revision)
+            return
+        follower.confirm(sent_at - found.age_ms / 1000)
+
+    def _apply_configuration(
+        self, sent_at: float, response: FreshnessResponse, sender: Endpoint
+    ) -> None:
+        if response.version > self._active_configuration.version:
+            schedule = self._schedules[CONFIGURATION]
+            schedule.record_newer(read_clock(), response.version)
+            self._on_newer(sender)
+            return
+        self._active_configuration.confirm(
+            response.version, sent_at - response.age_ms / 1000
+        )
+
+
+def _round_age(now: float, follower: ObjectFollower) -> int:
+    """Return the age of what is known in milliseconds, rounded up."""
+    return int((now - follower.known_until) * 1000) + 1
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -22,15 +22,16 @@
     from .gateway_state import GatewayState
     from .store_schema import PublishedWeights, Store, StoreSchema
 
-# Duration of one watch of weights or drained data centres.
-WATCH_SECONDS = 2.0
-# Duration of one watch of targets. Guards against a connection that stalls while a
-# target drains: until the watch is abandoned, requests are still sent to the target. A
-# draining target must get no more requests within two seconds. The store's client
-# abandons a watch 0.8 s after its end; with 0.05 s until the list is requested, and
-# 0.3 s for the response of a slow store, that is 1.85 s after the watch was sent. This
-# costs 1.4 calls a second per gateway; see docs/design/platform.md.
-TARGETS_WATCH_SECONDS = 0.7
+# Duration of one watch: the store ends longer ones. What it may hide is found out by
+# the checks of ``StoreConfirmation``.
+WATCH_SECONDS = 25.0
+# Maximum seconds for which the list of targets is not confirmed by any gateway. Guards
+# against a watch whose connection stalls while a target drains: until that is noticed,
+# requests are still sent to the target, which must get no more within two seconds.
+TARGETS_AGE_SECONDS = 1.15
+# The same for weights and for drained data centres, of which changes have to be known
+# within five seconds.
+MAX_AGE_SECONDS = 2.5
 
 
 class StoreFollowers:
@@ -48,7 +49,7 @@
         self._publish_times = PublishTimes(
             store, schema.publish_times_prefix, state.weights, random
         )
-        self._configuration = ConfigurationFollower(
+        self.configuration = ConfigurationFollower(
             store, schema, state.loader, state.availability, random
         )
         self._targets = self._follow(
@@ -60,7 +61,7 @@
                 state.version_history,
                 state.handle_changed_targets,
             ),
-            TARGETS_WATCH_SECONDS,
+            TARGETS_AGE_SECONDS,
         )
         self._weights = self._follow(
             schema.weights_prefix,
@@ -70,6 +71,11 @@
             schema.drained_data_centres_prefix, DrainObserver(schema, state.fleet)
         )
 
+    @property
+    def lists(self) -> list[ObjectFollower]:
+        """Return the followers of targets, weights and drained data centres."""
+        return [self._targets, self._weights, self._drained_data_centres]
+
     @property
     def loaded(self) -> bool:
         """Return whether targets and weights were read at least once."""
@@ -82,17 +88,23 @@
     def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that have to run until the gateway stops."""
         return [
-            self._configuration.run(),
+            self.configuration.run(),
             self._targets.run(),
             follow_weights(self._publish_times, self._weights),
             self._drained_data_centres.run(),
         ]
 
     def _follow(
-        self, prefix: str, observer: ObjectObserver, seconds: float = WATCH_SECONDS
+        self, prefix: str, observer: ObjectObserver, max_age: float = MAX_AGE_SECONDS
     ) -> ObjectFollower:
         return ObjectFollower(
-            self._store, prefix, observer, seconds, self._random, read_clock
+            self._store,
+            prefix,
+            observer,
+            WATCH_SECONDS,
+            self._random,
+            read_clock,
+            max_age,
         )
 
     def _on_published(self, published: PublishedWeights, since: float) -> None:
--- a/libraries/proxy/src/bamboopier_proxy/store_schema.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_schema.py
@@ -12,6 +12,8 @@
     from result import Result
 
     from bamboopier_decisions.forwarding.specs import DeclaredConfiguration, TargetEntry
+    from bamboopier_objects.errors import PlatformError
+    from bamboopier_objects.objects import Listing
 
 
 class PublishedWeights(msgspec.Struct, frozen=True):
@@ -24,6 +26,13 @@
 class Store(ObjectStore, FollowedStore, Protocol):
     """The platform's object store, with conditional writes, lists and watches."""
 
+    async def list_stale(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Return all objects below ``prefix`` as they were some seconds ago at most.
+
+        Costs the store less than ``list``, and does not count towards its rate.
+        """
+        ...
+
 
 class StoreSchema(Protocol):
     """Keys of the objects in the store, and how they are decoded."""
--- a/libraries/proxy/src/bamboopier_proxy/weight_updater.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_updater.py
@@ -41,8 +41,10 @@
 # Interval between reports while no update is due: the target may have restarted with
 # older weights. Reading its report on its own machine costs nothing.
 IDLE_POLL_SECONDS = 1.0
-# Time for which the list of targets is cached.
+# Time for which the list of targets is cached, and the same until this target's wave
+# starts: only the order of the waves follows from it.
 DIRECTORY_SECONDS = 0.5
+WAITING_DIRECTORY_SECONDS = 2.0
 # Delay before the next attempt to acquire a load slot, and interval between reports
 # during a drain or a load.
 SLOT_RETRY_SECONDS = 0.25
@@ -185,7 +187,9 @@
     async def _refresh_directory(self) -> bool:
         """Read the list of targets unless the cached one is recent."""
         now = read_clock()
-        if now - self._directory_read_at < DIRECTORY_SECONDS:
+        is_waiting = self._drain is None
+        max_age = WAITING_DIRECTORY_SECONDS if is_waiting else DIRECTORY_SECONDS
+        if now - self._directory_read_at < max_age:
             return True
         if not await self._directory.read():
             return False
--- a/libraries/proxy/tests/test_gateway_peers.py
+++ b/libraries/proxy/tests/test_gateway_peers.py
@@ -86,6 +86,7 @@
         self.store = store
         self.gateways = [Gateway(n, self.now, store) for n in range(GATEWAYS)]
         entries = {g.name: GatewayEntry(g.host, PORT, 1) for g in self.gateways}
+        store.list_stale = store.list
         store.list.return_value = Ok(
             Listing(
                 1,
--- a/libraries/proxy/tests/test_gateway_registry.py
+++ b/libraries/proxy/tests/test_gateway_registry.py
@@ -29,6 +29,7 @@
         objects = tuple(StoredObject(f"g/{n}", n, value) for n in range(GATEWAYS))
         store = mock.AsyncMock()
         store.list.return_value = Ok(Listing(1, objects))
+        store.list_stale = store.list
         pauses: list[float] = []
 
         async def sleep(seconds: float) -> None:
@@ -58,6 +59,7 @@
         )
         store = mock.AsyncMock()
         store.list.return_value = Ok(Listing(1, objects))
+        store.list_stale = store.list
         store.write.return_value = Ok(1)
         registries = []
         for name in ("g-0", "g-1"):
--- /dev/null
+++ b/libraries/proxy/tests/test_store_confirmation.py
@@ -0,0 +1,136 @@
+"""Tests of the confirmations that gateways and the store give each other."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from bamboopier_proxy.hints import (
+    FreshnessRequest,
+    FreshnessResponse,
+    ListConfirmation,
+)
+from bamboopier_proxy.settings import Endpoint
+from bamboopier_proxy.store_availability import StoreAvailability
+from bamboopier_proxy.store_confirmation import StoreConfirmation
+
+NOW = 100.0
+PEER = Endpoint("10.0.0.2", 7000)
+PREFIX = "targets/"
+
+
+class StoreConfirmationTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.targets = mock.Mock(
+            prefix=PREFIX,
+            max_age=1.15,
+            revision=5,
+            changed_revision=5,
+            known_until=NOW - 0.5,
+            check=mock.AsyncMock(),
+        )
+        self.configuration = mock.Mock(
+            is_small=True, transfer_seconds=0.3, check=mock.AsyncMock()
+        )
+        self.availability = StoreAvailability()
+        self.availability.record_response(NOW - 0.2, NOW - 0.2)
+        self.active = mock.Mock(version=3)
+        self.active.freshness.confirmed_at = NOW - 0.2
+        self.active.freshness.find_age = lambda now: now - NOW + 0.2
+        self.peers = mock.Mock()
+        self.peers.sample_peers.return_value = [PEER]
+        self.on_newer = mock.Mock()
+        self.confirmation = StoreConfirmation(
+            "g-1",
+            mock.Mock(active_configuration=self.active, availability=self.availability),
+            mock.Mock(configuration=self.configuration, lists=[self.targets]),
+            self.peers,
+            self.on_newer,
+            random.Random(1),
+        )
+        patch = mock.patch(
+            "bamboopier_proxy.store_confirmation.read_clock", return_value=NOW
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def ask(self) -> int:
+        """Let the gateway ask its peer; return the nonce."""
+        self.confirmation.tick(NOW)
+        await asyncio.sleep(0)
+        request = self.peers.send.call_args.args[0]
+        self.assertIsInstance(request, FreshnessRequest)
+        return request.nonce
+
+    async def answer(
+        self,
+        *lists: ListConfirmation,
+        version: int = 3,
+        store_age_ms: int | None = None,
+    ) -> None:
+        """Let the peer answer that it confirmed its version 50 ms ago."""
+        nonce = await self.ask()
+        response = FreshnessResponse(nonce, version, 50, list(lists), store_age_ms)
+        self.confirmation.receive(response, PEER)
+
+    async def test_the_age_of_a_peers_list_counts_from_the_question(self) -> None:
+        await self.answer(ListConfirmation(PREFIX, 5, 40))
+        self.targets.confirm.assert_called_once_with(NOW - 0.04)
+        self.active.confirm.assert_called_once_with(3, NOW - 0.05)
+
+    async def test_a_list_with_an_unknown_change_confirms_nothing(self) -> None:
+        await self.answer(ListConfirmation(PREFIX, 6, 40))
+        self.targets.confirm.assert_not_called()
+
+    async def test_an_answer_to_no_question_confirms_nothing(self) -> None:
+        # Guards against an answer that lay in the socket of a suspended gateway.
+        response = FreshnessResponse(7, 3, 50, [ListConfirmation(PREFIX, 5, 40)])
+        self.confirmation.receive(response, PEER)
+        self.targets.confirm.assert_not_called()
+        self.active.confirm.assert_not_called()
+
+    async def test_a_newer_configuration_confirms_nothing_and_is_requested(
+        self,
+    ) -> None:
+        await self.answer(version=4)
+        self.active.confirm.assert_not_called()
+        self.on_newer.assert_called_once_with(PEER)
+
+    async def test_the_store_is_asked_if_no_peer_has_a_recent_confirmation(
+        self,
+    ) -> None:
+        self.targets.known_until = NOW - 1.2
+        self.confirmation.tick(NOW)
+        await asyncio.sleep(0)
+        self.targets.check.assert_awaited_once()
+
+    async def test_a_store_that_ends_watches_but_accepts_no_call_is_asked(self) -> None:
+        # Guards against entries of targets that expire unnoticed in an outage: watches
+        # that the store still ends would confirm the lists all the time.
+        self.availability.last_accepted_at = NOW - 1.2
+        self.active.freshness.confirmed_at = NOW
+        self.confirmation.tick(NOW)
+        await asyncio.sleep(0)
+        self.configuration.check.assert_awaited_once()
+
+    async def test_a_call_that_the_store_accepted_from_a_peer_is_no_outage(
+        self,
+    ) -> None:
+        # Guards against targets that get requests for two more seconds since a single
+        # call of this gateway failed.
+        self.availability.record_failure(NOW - 0.15)
+        await self.answer(store_age_ms=100)
+        self.assertFalse(self.availability.is_recovering(NOW + 0.8))
+
+    async def test_ages_are_rounded_up_in_an_answer(self) -> None:
+        self.confirmation.receive(FreshnessRequest("g-2", 9), PEER)
+        response = self.peers.send.call_args.args[0]
+        self.assertGreater(response.age_ms, 200)
+        self.assertGreater(response.lists[0].age_ms, 500)
+        self.assertGreater(response.store_age_ms, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
