Do not take a long prefill for a stalled target

Cause: a target without a byte for 0.4 s counted as stalled where all requests wait for their first. Of 68 gateways each has one request there, mostly, and a prompt of 20,000 tokens takes 0.25 s, and more behind another.

Change: the silence of requests without a first byte counts only after twice the time in which the prompt, and what was pending before it, should be prefilled. Requests that follow do not extend that.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -81,7 +81,9 @@
         detector = self.state.stall_detector
         self.sent_at = self.last_byte_at = now
         self.silence, self.waiting = detector.find_silence(now), detector.in_flight
-        detector.record_sent(now)
+        rate = self.state.prefill_rate.per_second
+        expected = self.prefill_before / rate if self.prompt is not None else 0.0
+        detector.record_sent(now, expected)
 
     def record_byte(self, now: float) -> None:
         """Record that a part of the response was received."""
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/stall_detector.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/stall_detector.py
@@ -8,6 +8,11 @@
 fast as it did before. A target that is silent for a multiple of that gets no requests
 until it responds. Gateways report to each other what they observe: each alone would
 send a few requests until it detects the stall.
+
+A long prompt keeps an engine silent as well, until it has been prefilled. Of hundreds
+of gateways each has a single request at an engine now and then, so that nothing else
+shows that the engine works: the silence counts only from a multiple of the time in
+which that prompt, and what is pending before it, should have been prefilled.
 """
 
 from __future__ import annotations
@@ -20,6 +25,8 @@
 # prompts that are prefilled between tokens, and queues, vary both several times over.
 GAP_FACTOR = 10.0
 FIRST_BYTE_FACTOR = 3.0
+# Multiple of the expected time to prefill a prompt until which it explains a silence.
+PREFILL_FACTOR = 2.0
 # Minimum and maximum seconds of silence from which a target counts as stalled, while
 # responses are running, and while all requests wait for their first byte. A lost packet
 # delays a byte by 0.2 s.
@@ -68,6 +75,7 @@
     __slots__ = (
         "_ended_at",
         "_first_byte",
+        "_first_byte_due_at",
         "_gap",
         "_in_flight",
         "_last_sent_at",
@@ -87,6 +95,8 @@
         self._last_sent_at = NEVER
         # Time of the last byte, or since when a request has been waiting for the first.
         self._owed_since = NEVER
+        # Until when long prompts explain that there is no first byte.
+        self._first_byte_due_at = NEVER
         # When the last request ended, and the silence that had been observed by then.
         self._ended_at = NEVER
         self._silence = 0.0
@@ -106,10 +116,16 @@
         """Return the number of requests that were sent and have not ended."""
         return self._in_flight
 
-    def record_sent(self, now: float) -> None:
-        """Record that a request was sent."""
+    def record_sent(self, now: float, expected_prefill: float = 0.0) -> None:
+        """Record that a request was sent.
+
+        ``expected_prefill`` is the number of seconds in which its prompt, and what is
+        pending before it, should be prefilled.
+        """
         if self._in_flight == 0:
             self._owed_since = now - self._silence
+            # Later requests do not delay the first byte of this one.
+            self._first_byte_due_at = now + expected_prefill * PREFILL_FACTOR
         self._in_flight += 1
         self._last_sent_at = now
 
@@ -167,8 +183,10 @@
         """Return whether this gateway itself observed the silence."""
         if self._was_stalled:
             return True
-        typical = self._gap if self._running else self._first_byte
-        return self.find_silence(now) >= typical.limit
+        if self._running:
+            return self.find_silence(now) >= self._gap.limit
+        is_overdue = not self._in_flight or now >= self._first_byte_due_at
+        return is_overdue and self.find_silence(now) >= self._first_byte.limit
 
     def find_reported_silence(self, now: float) -> float:
         """Return the seconds since the last byte that other gateways have to know.
--- a/libraries/decisions/tests/forwarding/test_stall_detector.py
+++ b/libraries/decisions/tests/forwarding/test_stall_detector.py
@@ -55,6 +55,19 @@
         self.detector.record_end(now, running=True)
         return now
 
+    def test_a_long_prompt_does_not_look_like_a_stall(self) -> None:
+        # Guards against an engine that all of 68 gateways avoid since one of them has
+        # only a long prompt there, which takes 0.3 s to prefill.
+        self.detector.record_sent(10.0, 0.3)
+        self.assertFalse(self.detector.has_detected_stall(10.55))
+        self.assertTrue(self.detector.has_detected_stall(10.65))
+
+    def test_requests_sent_during_a_stall_do_not_delay_its_detection(self) -> None:
+        # Guards against a suspended engine that looks busy for longer with each prompt.
+        for number in range(5):
+            self.detector.record_sent(10.0 + number * 0.1, 0.1 + number * 0.3)
+        self.assertTrue(self.detector.has_detected_stall(10.45))
+
     def test_a_target_that_stops_within_its_streams_gets_no_more_requests(self) -> None:
         # Guards against requests that a suspended engine reads when it resumes, after
         # their callers have disconnected.
