Ask the agents beside engines for their load before sending

Cause: a prompt occupies an engine for 0.1 to 0.3 s. Hints of other gateways are 0.25 to 1.2 s old, and come from 8 of 67.

Change: each gateway reports all that it has at an engine to the agent beside it, at each send, first byte and end; the agent adds the reports up. Before a request is sent its four best engines are asked, and the best by the answers gets it; if all are full the next four are asked, three times at most. Waiting requests ask without waiting for the answer, which wakes them. A gateway's share of the headroom is not applied where the load is exact. An agent that has not answered before is never waited for, so that engines without one, plain services, and gateways that are cut off go on by hints. Load hints get 11 and not 15 KB/s, so that all control traffic stays below 22.

Cost: some nine datagrams of 60 to 80 bytes a request, at the gateway and at the agent; independent of the number of gateways and engines.

Ruled out: hints to all gateways (in the issue: no gain, and 340 do not fit 22 KB/s); subsets of engines by gateway (callers come to gateways unevenly); announcing each prompt to all gateways (186 KB/s at 3,100 requests a second).

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -20,7 +20,7 @@
 from .target_state import Load, TargetState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from .prompt import Prompt
 
@@ -128,6 +128,8 @@
         self.gateway_count = 1
         self.gateway_index: int | None = 0
         self.demand_shares = DemandShares()
+        # Called with a target whose load from this gateway has changed.
+        self.load_listeners: list[Callable[[TargetState], None]] = []
 
     @property
     def names(self) -> list[str]:
@@ -251,6 +253,7 @@
         state.cold_start.record_sent(now)
         state.rate_limit.record_sent(now)
         state.circuit_breaker.record_sent()
+        self._report_load(state)
         return in_flight
 
     def record_prefilled(self, now: float, sent: InFlightRequest) -> None:
@@ -260,6 +263,7 @@
             sent.state.prefill_rate.record_first_byte(sent.prefill_before, seconds)
         sent.state.own_load.pending_prefill -= sent.load.pending_prefill
         sent.load.pending_prefill = 0
+        self._report_load(sent.state)
 
     def end(self, sent: InFlightRequest) -> None:
         """Record the end of a request."""
@@ -270,17 +274,22 @@
         if sent.prompt is not None:
             own.memory -= sent.state.unpin(sent.prompt)
         own.pending_prefill -= sent.load.pending_prefill
+        self._report_load(sent.state)
 
     def set_other_load(self, name: str, load: Load) -> None:
         """Set the load of the other gateways at one target."""
         state = self._states.get(name)
         if state is not None:
-            state.other_load = load
+            state.set_reported_load(load)
 
     def set_other_loads(self, loads: Mapping[str, Load]) -> None:
         """Set the loads of the other gateways at each target."""
         for name, state in self._states.items():
-            state.other_load = loads.get(name) or Load()
+            state.set_reported_load(loads.get(name) or Load())
+
+    def _report_load(self, state: TargetState) -> None:
+        for listener in self.load_listeners:
+            listener(state)
 
     def _remember_reports(self, now: float, state: TargetState) -> None:
         """Keep what a target that is no longer listed had reported.
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from typing import TYPE_CHECKING
 
@@ -60,6 +61,9 @@
 # it may take, by priority. Engines prefill urgent prompts before the others that are
 # pending; less urgent ones have to wait for all of it, and leave headroom.
 PREFILL_BACKLOG_SHARES = (1.5, 1.1, 0.7)
+# Number of the best targets whose exact load is asked for: with the load of two chosen
+# at random, the longest queue already grows very slowly with the number of targets.
+MAX_BEST = 4
 # Requests in flight at a target without an engine, as a multiple of its slots, above
 # which it is full. Its own queue covers the delay until a gateway detects a free slot.
 PLAIN_LOAD_FACTOR = 2.0
@@ -142,18 +146,19 @@
 class Placement:
     """The result of choosing a target."""
 
-    __slots__ = ("known", "limited", "open", "state", "usable")
+    __slots__ = ("best", "known", "limited", "open", "usable")
 
     def __init__(
         self,
-        state: TargetState | None,
+        best: list[TargetState],
         known: int,
         open_: int,
         usable: int,
         limited: LimitedTargets,
     ) -> None:
-        # The chosen target; None when all usable ones are full, or none is usable.
-        self.state = state
+        # Those with the least expected time to the first byte, the best one first: of
+        # those with capacity, or of all usable ones if none has capacity.
+        self.best = best
         # Numbers of targets: registered and open ones that could hold the request when
         # idle, those that may be tried, and those with capacity.
         self.known = known
@@ -162,6 +167,11 @@
         # The targets that get no request now because of what they reported.
         self.limited = limited
 
+    @property
+    def state(self) -> TargetState | None:
+        """Return the chosen target; None if all are full, or none is usable."""
+        return self.best[0] if self.open else None
+
 
 def choose_target(
     now: float,
@@ -171,12 +181,18 @@
     weights: WeightVersionRange,
     data_centre: str,
     random: random.Random,
+    *,
+    prefer_exact: bool = False,
 ) -> Placement:
     """Return the target with the least expected time to the first byte.
 
-    Targets with weights older than the oldest that is allowed are excluded.
+    Targets with weights older than the oldest that is allowed are excluded. With
+    ``prefer_exact`` only targets whose exact load is known are compared, if any of them
+    has capacity: others look idle because little is known of them.
     """
     listed = fleet.list_targets(demand.service, now)
+    for state in listed:
+        state.select_load(now)
     known = [state for state in listed if _fits(state, demand)]
     candidates = [
         state
@@ -195,10 +211,14 @@
     ]
     loading_soon = _find_loading_soon(known, demand, weights.newest)
     owner = _find_owner(usable, demand)
+    candidates = with_capacity or usable
+    if prefer_exact:
+        exact = [state for state in with_capacity if state.is_load_exact(now)]
+        candidates = exact or candidates
     best = (
-        _choose(now, with_capacity, demand, owner, loading_soon, data_centre, random)
-        if with_capacity
-        else None
+        _rank(now, candidates, demand, owner, loading_soon, data_centre, random)
+        if candidates
+        else []
     )
     described = _describe_limited(now, limited, known, tried)
     return Placement(best, len(known), len(with_capacity), len(usable), described)
@@ -223,6 +243,8 @@
     prefill_headroom = max_prefill - state.pending_prefill - prefill
     if prefill_headroom < 0:
         return False
+    if state.is_load_exact(now):
+        return True
     gateway_count = fleet.gateway_count
     return state.headroom.allows_prefill(
         now, prefill, prefill_headroom, gateway_count
@@ -343,7 +365,7 @@
     return next(iter(rank(demand.prompt.affinity.encode(), names, 1)), "")
 
 
-def _choose(
+def _rank(
     now: float,
     states: list[TargetState],
     demand: Demand,
@@ -351,7 +373,7 @@
     loading_soon: Set[str],
     data_centre: str,
     random: random.Random,
-) -> TargetState:
+) -> list[TargetState]:
     prompt = demand.prompt
     newest = 0
     is_long = _is_long(demand)
@@ -392,4 +414,4 @@
             outdated += LOADING_SOON_PENALTY_SECONDS
         return backlog + running + remote + failing + silent + outdated + jitter
 
-    return min(states, key=estimate_seconds)
+    return heapq.nsmallest(MAX_BEST, states, key=estimate_seconds)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -19,6 +19,10 @@
     from .prompt import Prompt
     from .specs import ServiceSpec, TargetEntry
 
+# Seconds for which a measured load replaces what other gateways reported, and for which
+# it is so recent that it contains all that they have sent.
+MEASURED_SECONDS = 0.25
+EXACT_SECONDS = 0.03
 # Share of an engine's memory that is assumed to hold shared parts; the rest holds
 # running requests.
 CACHE_SHARE = 0.6
@@ -53,7 +57,10 @@
         "entry",
         "rate_limit",
         "own_load",
+        "_reported_load",
         "other_load",
+        "_measured_at",
+        "_measured_load",
         "cached_parts",
         "pinned",
         "prefill_rate",
@@ -74,7 +81,13 @@
         # Shared by the targets of the service.
         self.prefill_rate = prefill_rate
         self.own_load = Load()
-        self.other_load = Load()
+        # That of the other gateways, as far as they reported it to this one, and as the
+        # process beside the target added it up.
+        self._reported_load = Load()
+        self._measured_load = Load()
+        self._measured_at = float("-inf")
+        # The one of both that decisions use.
+        self.other_load = self._reported_load
         self.headroom = GatewayHeadroom()
         self.circuit_breaker = CircuitBreaker()
         self.stall_detector = StallDetector()
@@ -119,6 +132,25 @@
         """Return the prompt tokens not yet prefilled."""
         return self.own_load.pending_prefill + self.other_load.pending_prefill
 
+    def set_reported_load(self, load: Load) -> None:
+        """Set the load that the other gateways reported to this one."""
+        if self.other_load is self._reported_load:
+            self.other_load = load
+        self._reported_load = load
+
+    def record_measured_load(self, now: float, load: Load) -> None:
+        """Record the load of all other gateways as it was a moment ago."""
+        self._measured_at, self._measured_load = now, load
+
+    def select_load(self, now: float) -> None:
+        """Use the measured load of the others if it is recent, else what they said."""
+        is_recent = now - self._measured_at < MEASURED_SECONDS
+        self.other_load = self._measured_load if is_recent else self._reported_load
+
+    def is_load_exact(self, now: float) -> bool:
+        """Return whether the known load contains all that other gateways have sent."""
+        return now - self._measured_at < EXACT_SECONDS
+
     def update_entry(self, entry: TargetEntry) -> None:
         """Apply a newer entry of the same instance."""
         self.entry = entry
--- a/libraries/decisions/tests/forwarding/test_load_pattern.py
+++ b/libraries/decisions/tests/forwarding/test_load_pattern.py
@@ -12,6 +12,7 @@
 import unittest
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 from bamboopier_decisions.forwarding.placement import (
@@ -28,6 +29,7 @@
 
     from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
     from bamboopier_decisions.forwarding.prompt import Prompt
+    from bamboopier_decisions.forwarding.target_state import TargetState
 
 PREFILL_RATE = 112_000.0
 CACHE_TOKENS = 100_000
@@ -86,10 +88,14 @@
     per_second: float = PREFILL_RATE,
     objective: float = 0.4,
     stream_seconds: float = STREAM_SECONDS,
+    heard: int | None = None,
+    asked: bool = False,
 ) -> Outcome:
     """Send each request through the gateways in turn.
 
     ``limits`` are the requests a second that some engines report as their total limit.
+    Hints of ``heard`` others arrive at each gateway, None for all. With ``asked`` the
+    best targets are asked for their load before each request.
     """
     generator = random.Random(7)
     names = [f"i-{n}" for n in range(engines)]
@@ -113,11 +119,19 @@
                 fleet.end(sent)
         if now - reported_at >= HINT_SECONDS:
             reported_at = now
-            share_loads(fleets, names)
+            share_loads(fleets, names, heard, generator)
         fleet = fleets[number % gateway_count]
         demand = Demand(DESK, 1, prompt, objective)
         wanted = WeightVersionRange()
-        found = choose_target(now, fleet, demand, set(), wanted, "z1", generator).state
+        place = partial(
+            choose_target, now, fleet, demand, set(), wanted, "z1", generator
+        )
+        placement = place()
+        if asked:
+            for state in placement.best:
+                measure_load(now, fleet, fleets, state)
+            placement = place(prefer_exact=True)
+        found = placement.state
         if found is None:
             outcome.rejected += 1
             continue
@@ -133,13 +147,29 @@
     return outcome
 
 
-def share_loads(fleets: list[Fleet], names: list[str]) -> None:
-    """Set at each gateway the load of the others."""
+def measure_load(
+    now: float, asking: Fleet, fleets: list[Fleet], target: TargetState
+) -> None:
+    """Answer a gateway that asks for the load of all others at a target."""
+    total = Load()
+    for fleet in fleets:
+        state = fleet.find(target.entry.name)
+        if fleet is not asking and state is not None:
+            total.add(state.own_load)
+    target.record_measured_load(now, total)
+
+
+def share_loads(
+    fleets: list[Fleet],
+    names: list[str],
+    heard: int | None,
+    generator: random.Random,
+) -> None:
+    """Set at each gateway the load of ``heard`` others; of all if that is None."""
     for fleet in fleets:
         loads: dict[str, Load] = {}
-        for other in fleets:
-            if other is fleet:
-                continue
+        others = [other for other in fleets if other is not fleet]
+        for other in others if heard is None else generator.sample(others, heard):
             for name in names:
                 state = other.find(name)
                 assert state is not None
@@ -267,6 +297,41 @@
             self.assertGreater(taken, 0.7 * per_second)
 
 
+class ManyGatewaysTests(unittest.TestCase):
+    """Long prompts at half of what sixty engines prefill, through many gateways."""
+
+    def replay_many(self, gateways: int, *, asked: bool) -> Outcome:
+        generator = random.Random(11)
+        per_second = 0.5 * 60 * PREFILL_RATE / 12_400
+        arrivals = [
+            (when, make_prompt(f"new-{number}", int(generator.uniform(2000, 20_000))))
+            for number, (when, _) in enumerate(draw_arrivals(per_second, 6.0, 10))
+        ]
+        return replay(
+            arrivals,
+            60,
+            gateways,
+            objective=0.5,
+            stream_seconds=0.3,
+            heard=8,
+            asked=asked,
+        )
+
+    def test_requests_do_not_queue_while_other_engines_are_idle(self) -> None:
+        # Guards against gateways that know too little of each other: an eighth of the
+        # prompts waits behind others, with half of the engines idle.
+        for gateways in (28, 68):
+            with self.subTest(gateways=gateways):
+                outcome = self.replay_many(gateways, asked=True)
+                self.assertGreater(outcome.share_within(0.3), 0.97)
+                self.assertEqual(outcome.rejected, 0)
+
+    def test_asking_holds_at_any_number_of_gateways(self) -> None:
+        few = self.replay_many(10, asked=True).share_within(0.3)
+        many = self.replay_many(340, asked=True).share_within(0.3)
+        self.assertGreater(many, few - 0.02)
+
+
 class OverloadTests(unittest.TestCase):
     def test_twice_the_prefill_rate_is_served_up_to_capacity(self) -> None:
         # Prompts that share nothing arrive at twice the prefill rate of six engines.
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -23,6 +23,7 @@
 
 from .counted_store import CountedStore
 from .hint_socket import HintSocket
+from .load_answers import LoadAnswers
 from .observers import WeightsObserver
 from .pause_monitor import PauseMonitor
 from .publish_times import PublishTimes, follow_weights
@@ -79,8 +80,9 @@
     pause_monitor = PauseMonitor(registry)
     async with AsyncExitStack() as stack:
         with StopSignals() as signals:
+            answers = LoadAnswers(lambda answer, to: socket.send(answer, to))
             socket = await stack.enter_async_context(
-                HintSocket(settings.host, settings.first_port, lambda *_: None)
+                HintSocket(settings.host, settings.first_port, answers.receive)
             )
             updater = WeightUpdater(
                 settings.vm,
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -33,6 +33,7 @@
     from .metrics import ProxyMetrics
     from .request_queues import RequestQueues
     from .stream_versions import StreamVersions
+    from .target_loads import TargetLoads
 
 # Attempts of one request, including those that a target rejected without running.
 MAX_ATTEMPTS = 4
@@ -50,6 +51,7 @@
         planner: AttemptPlanner,
         exchange: Exchange,
         request_queues: RequestQueues,
+        target_loads: TargetLoads,
         metrics: ProxyMetrics,
         crash_monitor: CrashMonitor,
         stream_versions: StreamVersions,
@@ -64,7 +66,13 @@
         self._request_queues = request_queues
         self._attempt_log = AttemptLog(planner, active_configuration, metrics)
         self._selector = TargetSelector(
-            fleet, planner, request_queues, metrics, data_centre, random
+            fleet,
+            planner,
+            request_queues,
+            target_loads,
+            metrics,
+            data_centre,
+            random,
         )
         self._outcomes = TargetOutcomes(crash_monitor)
         self._crash_monitor = crash_monitor
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -36,6 +36,7 @@
 from .stall_monitor import StallMonitor
 from .store_confirmation import StoreConfirmation
 from .store_followers import StoreFollowers
+from .target_loads import TargetLoads
 from .target_pool import TargetPool
 from .weight_expiry_monitor import WeightExpiryMonitor
 
@@ -92,6 +93,16 @@
         generator,
     )
     peers.hint_exchange.listeners.append(confirmation.receive)
+    target_loads = TargetLoads(
+        settings.vm,
+        peers.hint_exchange.started_ms,
+        settings.first_port,
+        state.fleet,
+        peers.hint_exchange,
+        state.request_queues.wake,
+        generator,
+    )
+    peers.hint_exchange.listeners.append(target_loads.receive)
     pool = TargetPool(codec.get_request_id_header())
     expiry_monitor = WeightExpiryMonitor(state.weights)
     stall_monitor = StallMonitor()
@@ -111,6 +122,7 @@
             state.pauses,
         ),
         state.request_queues,
+        target_loads,
         metrics,
         crash_monitor,
         peers.stream_versions,
@@ -155,6 +167,7 @@
                 *followers.list_coroutines(),
                 *peers.list_coroutines(),
                 confirmation.run(),
+                target_loads.run(),
                 counted.run(),
                 state.request_queues.run(),
                 settings_reloader.run(),
--- a/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_exchange.py
@@ -50,9 +50,9 @@
 HINT_SECONDS = 0.25
 # Maximum number of peers that get each hint.
 MAX_PEERS = 8
-# Maximum rate of load hints: two thirds of what a node may use for control traffic. If
-# many targets have requests in flight, each hint goes to fewer, randomly chosen peers.
-BYTES_PER_SECOND = 15_000
+# Maximum rate of load hints: half of what a node may use for control traffic. If many
+# targets have requests in flight, each hint goes to fewer, randomly chosen peers.
+BYTES_PER_SECOND = 11_000
 
 log = structlog.get_logger()
 
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -89,6 +89,41 @@
     demands: list[DemandHint] = []
 
 
+class OwnLoadHint(msgspec.Struct, array_like=True, tag="own"):
+    """All that one gateway has in flight at a target; sent to the agent beside it.
+
+    ``memory`` and ``pending_prefill`` are in tokens.
+    """
+
+    sender: str
+    # Start time of the sender in milliseconds since 1970.
+    started_ms: int
+    # Sequence number within one run of the sender; a late hint is dropped.
+    number: int
+    target: str
+    requests: int
+    memory: int
+    pending_prefill: int
+
+
+class LoadQuery(msgspec.Struct, array_like=True, tag="load?"):
+    """Asks an agent what other gateways than the sender have at its target."""
+
+    sender: str
+    nonce: int
+    target: str
+
+
+class TargetLoadAnswer(msgspec.Struct, array_like=True, tag="load!"):
+    """What they have in flight; ``memory`` and ``pending_prefill`` are in tokens."""
+
+    nonce: int
+    target: str
+    requests: int
+    memory: int
+    pending_prefill: int
+
+
 class WeightLoadHint(msgspec.Struct, array_like=True, tag="order"):
     """A target is about to load weights, loads them, or has loaded them."""
 
@@ -225,6 +260,9 @@
 
 Hint = (
     LoadHint
+    | OwnLoadHint
+    | LoadQuery
+    | TargetLoadAnswer
     | WeightLoadHint
     | CapacityRequest
     | CapacityGrant
--- a/libraries/proxy/src/bamboopier_proxy/target_selector.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -22,10 +22,13 @@
     from .messages import Call
     from .metrics import ProxyMetrics
     from .request_queues import RequestQueues
+    from .target_loads import TargetLoads
 
 # Requests per second below which a gateway's share of the targets' limits counts as
 # none.
 MIN_LIMIT_SHARE_PER_SECOND = 1e-6
+# Number of times the loads of targets are asked for before a request waits.
+MAX_ROUNDS = 3
 
 log = structlog.get_logger()
 
@@ -38,6 +41,7 @@
         fleet: Fleet,
         planner: AttemptPlanner,
         request_queues: RequestQueues,
+        target_loads: TargetLoads,
         metrics: ProxyMetrics,
         data_centre: str,
         random: random.Random,
@@ -45,6 +49,7 @@
         self._fleet = fleet
         self._planner = planner
         self._request_queues = request_queues
+        self._target_loads = target_loads
         self._metrics = metrics
         self._data_centre = data_centre
         self._random = random
@@ -53,7 +58,7 @@
         """Acquire a slot at a target; raises ``CallerError`` if there is none."""
         demand = self._planner.make_demand(read_clock(), call)
         tried = set(call.tried)
-        placement = self.select(call, demand, tried)
+        placement = await self._select_by_exact_loads(call, demand, tried)
         if placement.state is not None:
             return self._fleet.begin(read_clock(), placement.state, call.prompt)
         if placement.known == 0:
@@ -65,10 +70,7 @@
         self._check_limits(call, placement, started_at + seconds)
 
         def try_acquire() -> InFlightRequest | None:
-            found = self.select(call, demand, tried)
-            if found.state is None:
-                return None
-            return self._fleet.begin(read_clock(), found.state, call.prompt)
+            return self._try_acquire(call, demand, tried)
 
         in_flight = await self._request_queues.wait(
             call.service, call.priority, seconds, try_acquire, self._fleet.end
@@ -80,6 +82,38 @@
             raise self._refuse(call, ErrorCode.OVERLOADED, placement)
         return in_flight
 
+    async def _select_by_exact_loads(
+        self, call: Call, demand: Demand, tried: set[str]
+    ) -> Placement:
+        """Select a target after asking for the load of the best ones.
+
+        If these turn out to be full, the next best are asked.
+        """
+        placement = self.select(call, demand, tried)
+        for _ in range(MAX_ROUNDS):
+            if not await self._target_loads.refresh(placement.best):
+                return placement
+            placement = self.select(call, demand, tried, prefer_exact=True)
+            if placement.state is None or placement.state.is_load_exact(read_clock()):
+                return placement
+        return placement
+
+    def _try_acquire(
+        self, call: Call, demand: Demand, tried: set[str]
+    ) -> InFlightRequest | None:
+        """Acquire a slot for a waiting call; None as long as there is none.
+
+        Without the exact load of the target found it is asked for: the answer wakes the
+        calls that wait.
+        """
+        found = self.select(call, demand, tried, prefer_exact=True)
+        if found.state is None:
+            return None
+        now = read_clock()
+        if not found.state.is_load_exact(now) and self._target_loads.ask(found.best):
+            return None
+        return self._fleet.begin(now, found.state, call.prompt)
+
     def _check_limits(self, call: Call, placement: Placement, latest: float) -> None:
         """Refuse a request whose turn at all its targets comes after ``latest``.
 
@@ -97,7 +131,14 @@
         if turn > latest:
             raise self._refuse(call, ErrorCode.OVERLOADED, placement)
 
-    def select(self, call: Call, demand: Demand, tried: set[str]) -> Placement:
+    def select(
+        self,
+        call: Call,
+        demand: Demand,
+        tried: set[str],
+        *,
+        prefer_exact: bool = False,
+    ) -> Placement:
         """Return the best target that the request was not sent to, if there is one."""
         now = read_clock()
         allowed_weights = self._planner.find_allowed_weights(now, call)
@@ -109,6 +150,7 @@
             allowed_weights,
             self._data_centre,
             self._random,
+            prefer_exact=prefer_exact,
         )
 
     def _refuse(self, call: Call, code: ErrorCode, placement: Placement) -> CallerError:
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -151,6 +151,8 @@
                 self.pauses,
             ),
             RequestQueues(),
+            # No process beside the target answers.
+            mock.Mock(refresh=mock.AsyncMock(return_value=False), ask=lambda _: False),
             metrics,
             self.crash_monitor,
             mock.Mock(bind=mock.AsyncMock()),
