Drop a response of the store that is older than what is known

Seen in reading: a check reports that an object was deleted and written again, and the response to the long watch arrives later with the deletion alone. It would have removed a target that is registered. The test failed before.

--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -206,8 +206,9 @@
         now = self._read_clock()
         waited = now - sent_at > seconds + RESPONSE_GRACE_SECONDS
         late = waited or now - self.known_until > self.max_age + RESPONSE_GRACE_SECONDS
-        for change in batch.changes:
-            # A check and the watch report the same change.
+        # A check and the watch report the same changes; the older response must not
+        # undo what has been applied since.
+        for change in batch.changes if batch.revision > self.revision else ():
             if change.value is None or change.version > self.revision:
                 self._observer.apply_change(change, self.known_until, late=late)
         # A response that is read late says nothing about changes after the store
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -167,6 +167,16 @@
         applied = [c.args[0].value for c in self.observer.apply_change.call_args_list]
         self.assertEqual(applied, [b"1", b"2"])
 
+    async def test_an_older_response_does_not_undo_a_newer_one(self) -> None:
+        # A target is deleted and registered again under its name. The check reports
+        # both, and the response to the watch arrives later with the deletion alone.
+        gone, back = ChangedObject("k/a", 8, None), ChangedObject("k/a", 9, b"2")
+        self.checked = [Ok(ChangeBatch(9, (gone, back))), Ok(ChangeBatch(8, (gone,)))]
+        await self.follower.check()
+        await self.follower.check()
+        applied = [c.args[0].value for c in self.observer.apply_change.call_args_list]
+        self.assertEqual(applied, [None, b"2"])
+
     async def test_another_process_confirms_only_a_list_that_was_read(self) -> None:
         self.follower.confirm(104.0)
         self.assertEqual(self.follower.known_until, 104.0)
