End a check when the watch begins to deliver a large configuration

Cause: a check that was sent within 50 ms before the change was stored got the new version as well as the watch, and both shared the link. With a single gateway and a large configuration a tenth of the time is within such a check.

Change: the check ends when the response to the watch begins to arrive, and waits 5 ms at the store, not 50.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -36,8 +36,9 @@
 SMALL_CONFIGURATION_BYTES = 10_000
 # Duration of the watch that delivers new versions.
 WATCH_SECONDS = 25.0
-# Duration of a watch that confirms a large configuration.
-CHECK_SECONDS = 0.05
+# Duration of a watch that confirms a large configuration. With a longer one, a new
+# version would more often come twice.
+CHECK_SECONDS = 0.005
 # Seconds from a check that found a new version until the long watch, which did not
 # report it, is sent again: its connection has stalled.
 STALLED_WATCH_SECONDS = 0.3
@@ -77,6 +78,7 @@
         self._watch_count = 0
         # Whether the response to the long watch has begun to arrive.
         self._arriving = False
+        self._check_task: asyncio.Task[bool] | None = None
         # Consecutive watches that failed because the store no longer had the history.
         self._gap_count = 0
         # Size of the stored configuration in bytes.
@@ -112,7 +114,14 @@
         if self._position is None or self._must_confirm or self._arriving:
             return
         watch_number, revision = self._watch_count, self._loader.revision
-        if not await self._confirm():
+        task = self._check_task = asyncio.create_task(self._confirm())
+        try:
+            await asyncio.wait({task})
+        finally:
+            task.cancel()
+        if task.cancelled():
+            return
+        if not task.result():
             self._abandon_watch(watch_number)
         elif self._loader.revision > revision:
             asyncio.get_running_loop().call_later(
@@ -174,7 +183,10 @@
         return done
 
     def _record_arriving(self) -> None:
+        """End a check that may receive the same large version."""
         self._arriving = True
+        if self._check_task is not None and not self.is_small:
+            self._check_task.cancel()
 
     def _abandon_watch(self, number: int) -> None:
         """Cancel the watch of this number if it is still in flight."""
