--- a/libraries/decisions/tests/forwarding/test_load_pattern.py
+++ b/libraries/decisions/tests/forwarding/test_load_pattern.py
@@ -319,8 +319,8 @@
         )
 
     def test_requests_do_not_queue_while_other_engines_are_idle(self) -> None:
-        # Guards against gateways that know too little of each other: an eighth of the
-        # prompts waits behind others, with half of the engines idle.
+        # Guards against gateways that know too little of each other: prompts wait at
+        # some engines while other engines are idle.
         for gateways in (28, 68):
             with self.subTest(gateways=gateways):
                 outcome = self.replay_many(gateways, asked=True)
