Do not take a second change for a late one where only watches confirm a list

An agent's list is confirmed by its own watches only: a watch that brought a change confirms until it was sent, so that the next change is up to two watches and a pause younger.

Change: the maximum age holds only where it is given, which gateways do, whose lists are confirmed by peers and checks. Elsewhere a response is late if it took longer than its watch, as before. The test failed before.

--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import structlog
@@ -83,14 +84,15 @@
         wait_seconds: float,
         random: random.Random,
         read_clock: Callable[[], float],
-        max_age: float | None = None,
+        max_age: float = math.inf,
     ) -> None:
         self._store = store
         self.prefix = prefix
         self._observer = observer
         self._wait_seconds = wait_seconds
-        # Seconds without a confirmation after which a change may have been delayed.
-        self.max_age = wait_seconds if max_age is None else max_age
+        # Seconds without a confirmation after which a change may have been delayed;
+        # infinity where nothing confirms the list between two responses.
+        self.max_age = max_age
         self._random = random
         self._read_clock = read_clock
         self._failures = 0
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -89,6 +89,25 @@
         reported = await self.follow((4.0, NOTHING), (6.0, failed))
         self.assertLessEqual(reported[1], 102.0)
 
+    async def test_a_second_change_soon_after_the_first_is_not_late(self) -> None:
+        """Guards against targets that all load a second version at the same time."""
+        # Only watches confirm anything here. The first brings a change just before it
+        # would end, and the second, sent then, another one just before it would end.
+        changes = [Ok(ChangeBatch(n, (ChangedObject("k/a", n, b""),))) for n in (8, 9)]
+        failed = Err(PlatformUnavailableError("no response"))
+        self.store.list.side_effect = [LISTING, Ok(Listing(9, ()))]
+        with mock.patch("bamboopier_objects.object_follower.CHANGE_PAUSE_SECONDS", 0):
+            await self.follow((1.9, changes[0]), (1.9, changes[1]), (2.0, failed))
+        late = [call.kwargs["late"] for call in self.observer.apply_change.mock_calls]
+        self.assertEqual(late, [False, False])
+
+    async def test_a_change_in_a_delayed_response_is_late(self) -> None:
+        changed = Ok(ChangeBatch(8, (ChangedObject("k/a", 8, b""),)))
+        failed = Err(PlatformUnavailableError("no response"))
+        self.store.list.side_effect = [LISTING, Ok(Listing(8, ()))]
+        await self.follow((2.5, changed), (2.0, failed))
+        self.assertTrue(self.observer.apply_change.call_args.kwargs["late"])
+
 
 class CheckTests(unittest.IsolatedAsyncioTestCase):
     """Checks beside a long watch whose connection is silent."""
