Carry out roll-outs of a software version that an operator orders

What was missing: nothing read an entry at rollouts/SERVICE. A version that an operator brought up beside the old one got its part of all requests at once, good or bad, and no status was ever written.

Change: where the settings have an exposure share, gateways follow the orders, draw a share of their new requests for the version on trial, count answers by route, version and half of its targets, and report them to three gateways that all select alike. These compare the version with the others at the same time by a cumulative sum of log-likelihood ratios, raise the share by the order's time, and write the status beside the order under the condition that it is unchanged. What was decided and why is in the log, the metrics and the status.

Nine safeguards, taken out one at a time, turn a test red; mutations of platform/ were not applied before, since its sources were not on the path.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -148,6 +148,14 @@
             found.add(state.entry.software_version)
         return versions
 
+    def list_registered(self, service: str) -> list[TargetState]:
+        """Return all registered targets of a service, those that leave included."""
+        return list(self._by_service.get(service, ()))
+
+    def find_service(self, name: str) -> ServiceSpec | None:
+        """Return a service of the configuration, or None if it is unknown."""
+        return self._services.get(name)
+
     def find(self, name: str) -> TargetState | None:
         """Return a target's state, or None if it is not registered."""
         return self._states.get(name)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -73,6 +73,7 @@
     """What one request needs of a target."""
 
     __slots__ = (
+        "excluded_versions",
         "fetched",
         "is_new",
         "latency_objective",
@@ -92,6 +93,7 @@
         software_version: str | None = None,
         *,
         is_new: bool = False,
+        excluded_versions: frozenset[str] = frozenset(),
     ) -> None:
         self.service = service
         self.priority = priority
@@ -104,6 +106,8 @@
         self.is_new = is_new
         # That of the target that began the stream; None if the stream has not begun.
         self.software_version = software_version
+        # Software versions whose targets the request is not sent to.
+        self.excluded_versions = excluded_versions
 
     @property
     def max_backlog_seconds(self) -> float:
@@ -265,6 +269,8 @@
     """
     if demand.software_version not in (None, state.entry.software_version):
         return False
+    if state.entry.software_version in demand.excluded_versions:
+        return False
     engine = state.service.engine
     if engine is None or demand.prompt is None:
         return True
--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -85,6 +85,7 @@
         random: random.Random,
         read_clock: Callable[[], float],
         max_age: float = math.inf,
+        change_pause: float = CHANGE_PAUSE_SECONDS,
     ) -> None:
         self._store = store
         self.prefix = prefix
@@ -93,6 +94,7 @@
         # Seconds without a confirmation after which a change may have been delayed;
         # infinity where nothing confirms the list between two responses.
         self.max_age = max_age
+        self._change_pause = change_pause
         self._random = random
         self._read_clock = read_clock
         self._failures = 0
@@ -178,7 +180,7 @@
             self._record_success()
             self._apply_batch(sent_at, self._wait_seconds, response.ok_value)
             if response.ok_value.changes:
-                await asyncio.sleep(CHANGE_PAUSE_SECONDS)
+                await asyncio.sleep(self._change_pause)
 
     async def _watch(self) -> Result[ChangeBatch, PlatformError] | None:
         """Watch once; return None if the watch was abandoned."""
--- a/libraries/objects/src/bamboopier_objects/objects.py
+++ b/libraries/objects/src/bamboopier_objects/objects.py
@@ -19,12 +19,18 @@
 MAX_VALUE_BYTES = 1024 * 1024
 
 
+# Status of an object for which none was written.
+NO_STATUS = b"null"
+
+
 class StoredObject(msgspec.Struct, frozen=True):
     """An object's key, version (positive, grows with each write) and value."""
 
     key: str
     version: int
     value: bytes
+    # What was written beside the value, where the store separates the two.
+    status: bytes = NO_STATUS
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -88,6 +94,7 @@
     key: str
     version: int
     value: bytes | None
+    status: bytes = NO_STATUS
 
 
 class ChangeBatch(msgspec.Struct, frozen=True):
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -49,7 +49,13 @@
 
         self.store.watch_values.side_effect = watch
         follower = ObjectFollower(
-            self.store, "k/", self.observer, 2.0, random.Random(1), lambda: self.now
+            self.store,
+            "k/",
+            self.observer,
+            2.0,
+            random.Random(1),
+            lambda: self.now,
+            change_pause=0.0,
         )
         expected = 1 + sum(isinstance(response, Err) for _, response in responses)
         with mock.patch("bamboopier_objects.object_follower.log"):
@@ -96,8 +102,7 @@
         changes = [Ok(ChangeBatch(n, (ChangedObject("k/a", n, b""),))) for n in (8, 9)]
         failed = Err(PlatformUnavailableError("no response"))
         self.store.list.side_effect = [LISTING, Ok(Listing(9, ()))]
-        with mock.patch("bamboopier_objects.object_follower.CHANGE_PAUSE_SECONDS", 0):
-            await self.follow((1.9, changes[0]), (1.9, changes[1]), (2.0, failed))
+        await self.follow((1.9, changes[0]), (1.9, changes[1]), (2.0, failed))
         late = [call.kwargs["late"] for call in self.observer.apply_change.mock_calls]
         self.assertEqual(late, [False, False])
 
--- a/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
@@ -5,17 +5,22 @@
 from typing import TYPE_CHECKING
 
 from bamboopier_decisions.forwarding.placement import Demand, WeightVersionRange
+from bamboopier_decisions.rollouts.traffic import VersionChoice
 
 from .messages import AttemptMetadata
 
 if TYPE_CHECKING:
-    from bamboopier_decisions.forwarding.fleet import InFlightRequest
+    import random
+
+    from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
     from bamboopier_decisions.forwarding.part_store_index import (
         PartPlan,
         PartStoreIndex,
     )
     from bamboopier_decisions.forwarding.prompt import Prompt
+    from bamboopier_decisions.forwarding.target_state import TargetState
     from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+    from bamboopier_decisions.rollouts.traffic import RolloutTraffic
 
     from .messages import Call
 
@@ -26,12 +31,48 @@
 class AttemptPlanner:
     """Plans attempts by the allowed weight versions and the index of part stores."""
 
-    def __init__(self, weights: WeightVersions, part_index: PartStoreIndex) -> None:
+    def __init__(
+        self,
+        weights: WeightVersions,
+        part_index: PartStoreIndex,
+        fleet: Fleet,
+        rollout_traffic: RolloutTraffic,
+        random: random.Random,
+    ) -> None:
         self._weights = weights
         self._part_index = part_index
+        self._fleet = fleet
+        self._rollout_traffic = rollout_traffic
+        self._random = random
+
+    def choose_versions(self, now: float, call: Call) -> VersionChoice:
+        """Draw which software versions the next attempt of a call does without."""
+        if call.software_version is not None:
+            closed = self._rollout_traffic.list_closed(call.service)
+            return VersionChoice(closed)
+        targets = self._fleet.list_targets(call.service, now)
+        return self._rollout_traffic.choose(
+            now,
+            call.service,
+            {state.entry.software_version for state in targets},
+            self._random,
+            is_retry=bool(call.tried),
+        )
 
-    def make_demand(self, now: float, call: Call) -> Demand:
-        """Return what the call requires of a target."""
+    def is_closed(self, state: TargetState) -> bool:
+        """Return whether a roll-out closes a target's software version."""
+        closed = self._rollout_traffic.list_closed(state.entry.service)
+        return state.entry.software_version in closed
+
+    def make_demand(
+        self, now: float, call: Call, excluded: frozenset[str] | None = None
+    ) -> Demand:
+        """Return what the call requires of a target.
+
+        ``excluded`` are the software versions it does without; drawn if None.
+        """
+        if excluded is None:
+            excluded = self.choose_versions(now, call).excluded
         fetched = self._count_fetched(now, call)
         objective = call.route.latency_objective
         return Demand(
@@ -42,6 +83,7 @@
             fetched,
             call.software_version,
             is_new=self._is_new(now, call),
+            excluded_versions=excluded,
         )
 
     def find_allowed_weights(self, now: float, call: Call) -> WeightVersionRange:
--- a/libraries/proxy/src/bamboopier_proxy/counted_store.py
+++ b/libraries/proxy/src/bamboopier_proxy/counted_store.py
@@ -70,6 +70,13 @@
         self._count(key, "write")
         return await self._store.write(key, value, expected_version)
 
+    async def write_status(
+        self, key: str, status: bytes, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Replace an object's status if it still has ``expected_version``."""
+        self._count(key, "write-status")
+        return await self._store.write_status(key, status, expected_version)
+
     async def delete(
         self, key: str, expected_version: int
     ) -> Result[None, PlatformError]:
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -32,6 +32,7 @@
     from .messages import AttemptMetadata, Call
     from .metrics import ProxyMetrics
     from .request_queues import RequestQueues
+    from .rollouts.answer_log import AnswerLog
     from .stream_versions import StreamVersions
     from .target_loads import TargetLoads
 
@@ -56,6 +57,7 @@
         crash_monitor: CrashMonitor,
         stream_versions: StreamVersions,
         retry_accounts: RetryAccounts,
+        rollout_answers: AnswerLog,
         data_centre: str,
         random: random.Random,
     ) -> None:
@@ -75,6 +77,7 @@
             random,
         )
         self._outcomes = TargetOutcomes(crash_monitor)
+        self._rollout_answers = rollout_answers
         self._crash_monitor = crash_monitor
         self._stream_versions = stream_versions
         self._retry_accounts = retry_accounts
@@ -105,6 +108,7 @@
                 self._fleet.end(in_flight)
                 self._request_queues.wake(call.service)
             self._attempt_log.record(call, in_flight, result)
+            self._rollout_answers.record(call, in_flight, result)
             if result.delivered:
                 return
             if result.ran is not ExecutionStatus.NOT_EXECUTED:
@@ -160,6 +164,7 @@
         if in_flight.state.rest.is_resting(now):
             return Err(Cause.RESTING)
         is_open = self._fleet.is_open(in_flight.state, now)
+        is_open = is_open and not self._planner.is_closed(in_flight.state)
         if not is_open or not self._planner.may_start(now, call, in_flight):
             return Err(Cause.CLOSED)
         detector = in_flight.state.stall_detector
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -32,6 +32,7 @@
 from .ingress import Ingress
 from .metrics import ProxyMetrics
 from .pause_monitor import PauseMonitor
+from .rollouts.answer_log import AnswerLog
 from .settings_reloader import SettingsReloader
 from .stall_monitor import StallMonitor
 from .store_confirmation import StoreConfirmation
@@ -74,7 +75,13 @@
     pause_monitor = PauseMonitor(metrics.registry)
     state = GatewayState(settings, schema, pause_monitor.pauses)
     pause_monitor.listeners.append(state.availability.record_pause)
-    followers = StoreFollowers(state, counted, schema, generator)
+    followers = StoreFollowers(
+        state,
+        counted,
+        schema,
+        generator,
+        follows_rollouts=settings.max_exposure is not None,
+    )
     peers = GatewayPeers(
         settings,
         state,
@@ -106,11 +113,18 @@
     pool = TargetPool(codec.get_request_id_header())
     expiry_monitor = WeightExpiryMonitor(state.weights)
     stall_monitor = StallMonitor()
+    rollout_answers = AnswerLog(state.rollout_traffic, metrics)
     crash_monitor = CrashMonitor(pool, peers.hint_exchange, peers.part_evidence)
     forwarder = Forwarder(
         state.fleet,
         state.active_configuration,
-        AttemptPlanner(state.weights, state.part_store_index),
+        AttemptPlanner(
+            state.weights,
+            state.part_store_index,
+            state.fleet,
+            state.rollout_traffic,
+            generator,
+        ),
         Exchange(
             pool,
             state.fleet,
@@ -127,6 +141,7 @@
         crash_monitor,
         peers.stream_versions,
         RetryAccounts(state.retry_budgets, metrics),
+        rollout_answers,
         settings.data_centre,
         generator,
     )
@@ -139,6 +154,12 @@
         settings.memory_bytes,
         generator,
     )
+    rollouts = []
+    if settings.max_exposure is not None:
+        controller = peers.make_rollout_controller(
+            state, rollout_answers, metrics, settings.max_exposure
+        )
+        rollouts.append(controller.run())
     settings_reloader = SettingsReloader(settings, read_settings, state.apply_settings)
 
     def is_ready() -> bool:
@@ -174,6 +195,7 @@
                 pool.run(),
                 expiry_monitor.run(),
                 stall_monitor.run(),
+                *rollouts,
             ):
                 await stack.enter_async_context(keep_running(work))
             await stack.enter_async_context(
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -19,6 +19,7 @@
 from .part_relay import PartRelay
 from .peer_server import PeerServer
 from .quarantine_records import QuarantineRecords
+from .rollouts.controller import RolloutController
 from .settings import Endpoint
 from .stored_records import keep_records
 from .stream_versions import StreamVersions
@@ -31,7 +32,9 @@
     from typing import Any, Self
 
     from .gateway_state import GatewayState
+    from .metrics import ProxyMetrics
     from .part_follower import PartStoreClient
+    from .rollouts.answer_log import AnswerLog
     from .settings import ProxySettings
     from .store_schema import Store, StoreSchema
 
@@ -58,6 +61,8 @@
         random: random.Random,
     ) -> None:
         self._settings = settings
+        self._store = store
+        self._schema = schema
         self._registry = GatewayRegistry(
             store,
             schema.gateways_prefix,
@@ -164,6 +169,30 @@
         """Request a newer configuration from a gateway, if the store serves none."""
         self._configuration_relay.request(gateway)
 
+    def make_rollout_controller(
+        self,
+        state: GatewayState,
+        answers: AnswerLog,
+        metrics: ProxyMetrics,
+        max_exposure: float,
+    ) -> RolloutController:
+        """Return what carries out roll-outs; it receives the reports of others."""
+        controller = RolloutController(
+            self._settings.vm,
+            self.hint_exchange.started_ms,
+            state.rollout_traffic,
+            answers,
+            state.fleet,
+            self._store,
+            self._schema,
+            self._registry,
+            self.hint_exchange,
+            metrics,
+            max_exposure,
+        )
+        self.hint_exchange.listeners.append(controller.receive)
+        return controller
+
     def list_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that have to run until the gateway stops."""
         settings = self._settings
--- a/libraries/proxy/src/bamboopier_proxy/gateway_state.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_state.py
@@ -14,6 +14,7 @@
 from bamboopier_decisions.forwarding.specs import CallerLimits
 from bamboopier_decisions.forwarding.version_history import VersionHistory
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+from bamboopier_decisions.rollouts.traffic import RolloutTraffic
 
 from .active_configuration import ActiveConfiguration
 from .configuration_loader import ConfigurationLoader
@@ -48,6 +49,7 @@
         self.fleet.gateway_count, self.fleet.gateway_index = ASSUMED_GATEWAYS, None
         self.part_store_index = PartStoreIndex()
         self.version_history = VersionHistory(first_start=settings.first_start)
+        self.rollout_traffic = RolloutTraffic()
         self.weights = WeightVersions(settings.version_seconds)
         self._gateway_share = GatewayShare()
         self.retry_budgets = SharedRetryBudgets(
@@ -81,7 +83,9 @@
 
     def handle_changed_targets(self) -> None:
         """Retry target selection for all pending requests."""
-        self.version_history.update(read_clock(), self.fleet.list_software_versions())
+        now, versions = read_clock(), self.fleet.list_software_versions()
+        self.version_history.update(now, versions)
+        self.rollout_traffic.update_versions(now, versions)
         for listener in self.target_listeners:
             listener()
         for service in self._services:
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from bamboopier_decisions.rollouts.evidence import AnswerCounts, AnswerKey
+
 # Larger datagrams are split into fragments, and lost if one fragment is lost.
 MAX_BYTES = 1400
 
@@ -258,6 +260,22 @@
     refused: list[RefusedPartHint]
 
 
+class RolloutReport(msgspec.Struct, array_like=True, tag="rollout"):
+    """What a gateway has counted since it knows an order, and has in flight."""
+
+    sender: str
+    # Start time of the sender in milliseconds since 1970.
+    started_ms: int
+    service: str
+    # The version on trial.
+    software_version: str
+    # Version of the stored roll-out that the sender knows.
+    revision: int
+    # Its requests at targets of other versions.
+    former_in_flight: int
+    evidence: list[tuple[AnswerKey, AnswerCounts]]
+
+
 Hint = (
     LoadHint
     | OwnLoadHint
@@ -272,6 +290,7 @@
     | StreamQuery
     | StreamAnswer
     | PartHint
+    | RolloutReport
 )
 
 _decoder = msgspec.msgpack.Decoder(Hint)
--- a/libraries/proxy/src/bamboopier_proxy/metrics.py
+++ b/libraries/proxy/src/bamboopier_proxy/metrics.py
@@ -43,6 +43,18 @@
             ["reason"],
             registry=self.registry,
         )
+        self.version_answers = Counter(
+            "bamboopier_version_answers",
+            "Answers while a roll-out runs, by service, software version and outcome",
+            ["service", "software_version", "outcome"],
+            registry=self.registry,
+        )
+        self.rollout_share = Gauge(
+            "bamboopier_rollout_share",
+            "Share of new requests that the version of a running roll-out gets",
+            ["service", "software_version"],
+            registry=self.registry,
+        )
         self.first_byte = Histogram(
             "bamboopier_first_byte_seconds",
             "Seconds from a request's arrival to the first byte of its response",
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Carries out the roll-outs that operators order."""
--- /dev/null
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/answer_log.py
@@ -0,0 +1,75 @@
+"""Counts this gateway's answers by software version while a roll-out runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.rollouts.evidence import AnswerCounts, AnswerKey
+from bamboopier_decisions.routing.rendezvous import compute_weight
+
+from ..attempt_result import Cause
+
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.fleet import InFlightRequest
+    from bamboopier_decisions.rollouts.evidence import Evidence
+    from bamboopier_decisions.rollouts.traffic import RolloutTraffic
+
+    from ..attempt_result import AttemptResult
+    from ..messages import Call
+    from ..metrics import ProxyMetrics
+
+# Ends of an attempt that the software of its target may have caused, though it sent no
+# complete answer.
+FAILURES = frozenset(
+    {Cause.BROKEN, Cause.UNSEALED, Cause.TIMEOUT, Cause.MOVED, Cause.UNANSWERED}
+)
+# Key of the division of targets into halves: the same at every gateway.
+HALVES_KEY = b"rollout halves"
+
+
+class AnswerLog:
+    """The answers since this process knows the order, by service."""
+
+    def __init__(self, traffic: RolloutTraffic, metrics: ProxyMetrics) -> None:
+        self._traffic = traffic
+        self._metrics = metrics
+        # The version on trial and the counts, by service.
+        self._counts: dict[str, tuple[str, Evidence]] = {}
+
+    def record(
+        self, call: Call, in_flight: InFlightRequest, result: AttemptResult
+    ) -> None:
+        """Count how an attempt ended, if a roll-out of its service runs."""
+        rollout = self._traffic.rollouts.get(call.service)
+        if rollout is None or not rollout.is_running:
+            return
+        failed = result.cause in FAILURES or result.failure is not None
+        if result.cause is not Cause.NONE and not failed:
+            return
+        version = rollout.order.version
+        entry = in_flight.state.entry
+        on_trial = entry.software_version == version
+        key = AnswerKey(call.route.name, find_half(entry.name) if on_trial else None)
+        counts = self.find(call.service, version).setdefault(key, AnswerCounts())
+        if failed:
+            counts.failed += 1
+        else:
+            sent_at = in_flight.sent_at or read_clock()
+            is_cold = in_flight.state.cold_start.is_cold(sent_at)
+            counts.count_success(None if is_cold else result.first_byte)
+        self._metrics.version_answers.labels(
+            call.service, entry.software_version, "failed" if failed else "served"
+        ).inc()
+
+    def find(self, service: str, version: str) -> Evidence:
+        """Return the counts of a service while ``version`` is on trial."""
+        known = self._counts.get(service)
+        if known is None or known[0] != version:
+            known = self._counts[service] = version, {}
+        return known[1]
+
+
+def find_half(target: str) -> int:
+    """Return the half of a version's targets that a target belongs to."""
+    return compute_weight(HALVES_KEY, target) & 1
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -48,5 +48,8 @@
     lease_seconds: float
     retries: RetryBudgetLimits
     memory_bytes: int
+    # Share of a service's requests that a bad software version may get while it is
+    # rolled out; None where operators order no roll-outs.
+    max_exposure: float | None = None
     # The whole system starts for the first time: no request was sent before.
     first_start: bool = False
--- a/libraries/proxy/src/bamboopier_proxy/store_schema.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_schema.py
@@ -12,6 +12,7 @@
     from result import Result
 
     from bamboopier_decisions.forwarding.specs import DeclaredConfiguration, TargetEntry
+    from bamboopier_decisions.rollouts.order import Rollout, RolloutStatus
     from bamboopier_objects.errors import PlatformError
     from bamboopier_objects.objects import Listing
 
@@ -33,6 +34,15 @@
         """
         ...
 
+    async def write_status(
+        self, key: str, status: bytes, expected_version: int
+    ) -> Result[int, PlatformError]:
+        """Replace the status of an object if it still has ``expected_version``.
+
+        Return its new version.
+        """
+        ...
+
 
 class StoreSchema(Protocol):
     """Keys of the objects in the store, and how they are decoded."""
@@ -42,6 +52,8 @@
     weights_prefix: str
     # Each key below it names a data centre that gets no requests.
     drained_data_centres_prefix: str
+    # Orders to roll out a software version, by service; the status is ours.
+    rollouts_prefix: str
     # Registrations of gateways.
     gateways_prefix: str
     # Leases of the agents that may update a target.
@@ -70,3 +82,16 @@
     def decode_weights(self, value: bytes) -> Result[PublishedWeights, str]:
         """Return a published weight version, or why it is invalid."""
         ...
+
+    def decode_rollout(
+        self, name: str, value: bytes, status: bytes, version: int
+    ) -> Result[Rollout, str]:
+        """Return an order with its status, or why it is invalid.
+
+        ``version`` is that of the stored object.
+        """
+        ...
+
+    def encode_rollout_status(self, status: RolloutStatus) -> bytes:
+        """Return the status as it is stored beside the order."""
+        ...
--- a/libraries/proxy/src/bamboopier_proxy/target_selector.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -56,9 +56,13 @@
 
     async def acquire(self, call: Call) -> InFlightRequest:
         """Acquire a slot at a target; raises ``CallerError`` if there is none."""
-        demand = self._planner.make_demand(read_clock(), call)
+        versions = self._planner.choose_versions(read_clock(), call)
+        demand = self._planner.make_demand(read_clock(), call, versions.excluded)
         tried = set(call.tried)
         placement = await self._select_by_exact_loads(call, demand, tried)
+        if placement.state is None and versions.may_fall_back:
+            demand = self._planner.make_demand(read_clock(), call, versions.closed)
+            placement = await self._select_by_exact_loads(call, demand, tried)
         if placement.state is not None:
             return self._fleet.begin(read_clock(), placement.state, call.prompt)
         if placement.known == 0:
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -27,6 +27,7 @@
     Workspace,
 )
 from bamboopier_decisions.forwarding.weight_versions import WeightVersions
+from bamboopier_decisions.rollouts.traffic import RolloutTraffic
 from bamboopier_proxy.active_configuration import ActiveConfiguration
 from bamboopier_proxy.attempt_planner import AttemptPlanner
 from bamboopier_proxy.call_retries import RetryAccounts
@@ -35,6 +36,7 @@
 from bamboopier_proxy.messages import AttemptMetadata, Call, ResponseMetadata
 from bamboopier_proxy.metrics import ProxyMetrics
 from bamboopier_proxy.request_queues import RequestQueues
+from bamboopier_proxy.rollouts.answer_log import AnswerLog
 from bamboopier_proxy.stall_monitor import StallMonitor
 from bamboopier_proxy.target_response import TargetResponse
 from bamboopier_proxy.weight_expiry_monitor import WeightExpiryMonitor
@@ -133,13 +135,20 @@
         self.crash_monitor.find_wait.return_value = 0.0
         self.crash_monitor.find_part_refusal.return_value = None
         metrics = ProxyMetrics()
+        self.rollout_traffic = RolloutTraffic()
         budgets = SharedRetryBudgets(
             RetryBudgetLimits(0.2, 54.0, 10.0), GatewayShare(), 0.0
         )
         self.forwarder = Forwarder(
             self.fleet,
             self.active_configuration,
-            AttemptPlanner(self.weights, PartStoreIndex()),
+            AttemptPlanner(
+                self.weights,
+                PartStoreIndex(),
+                self.fleet,
+                self.rollout_traffic,
+                random.Random(2),
+            ),
             Exchange(
                 cast("Any", self.pool),
                 self.fleet,
@@ -157,6 +166,7 @@
             self.crash_monitor,
             mock.Mock(bind=mock.AsyncMock()),
             RetryAccounts(budgets, metrics),
+            AnswerLog(self.rollout_traffic, metrics),
             "z1",
             random.Random(1),
         )
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -28,6 +28,7 @@
     outdated_configurations,
     publish_times_and_peers,
     retry_budgets,
+    rollouts,
     software_versions,
     stalled_targets,
     target_reports,
@@ -56,6 +57,7 @@
     *crashing_requests.MUTATIONS,
     *crashing_parts.MUTATIONS,
     *retry_budgets.MUTATIONS,
+    *rollouts.MUTATIONS,
     *software_versions.MUTATIONS,
 )
 
@@ -79,7 +81,8 @@
 
 def _passes(copy: Path, mutation: Mutation) -> bool:
     """Return whether the mutation's test passes in the copied tree."""
-    sources = [str(p) for p in sorted(copy.glob("libraries/*/src"))]
+    folders = (*sorted(copy.glob("libraries/*/src")), copy / "platform/src")
+    sources = [str(folder) for folder in folders]
     paths = os.pathsep.join([*sources, str(copy / "tools")])
     completed = subprocess.run(
         [sys.executable, "-m", "unittest", mutation.test],
@@ -91,9 +94,9 @@
     return completed.returncode == 0
 
 
-def main(only: str = "") -> None:
-    """Run every mutation whose safeguard contains ``only``."""
-    selected = [m for m in ALL_MUTATIONS if only in m.safeguard]
+def main(only: str = "", module: str = "") -> None:
+    """Run every mutation whose safeguard contains ``only``, and its test ``module``."""
+    selected = [m for m in ALL_MUTATIONS if only in m.safeguard and module in m.test]
     with ThreadPoolExecutor(WORKERS) as pool:
         outcomes = list(pool.map(run_mutation, selected))
     for mutation, outcome in zip(selected, outcomes, strict=True):
