Lend retries between gateways

Cause: a gateway starts with no retries saved, and with a slack of 54 for four gateways earns its first after some two seconds. Starting with more would spend a killed gateway's retries again, which rules out.

Change: a gateway that has none left asks three others, for 20 ms at most; one that has some pays before it answers, so that the sum over all gateways stays as it was. What was borrowed is sent within 0.3 s or not at all. After nobody lent one, nobody is asked for a quarter second.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/shared_retry_budget.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/shared_retry_budget.py
@@ -11,7 +11,8 @@
 neither a restart nor callers that move bring a second budget. In any window all
 gateways together send at most what they had saved, a part of the window before, and
 what they earned, the other part of this one; the sum is within the limits although no
-gateway knows of the others' retries.
+gateway knows of the others' retries. A gateway that has none left may be lent one by
+another, which pays for it first: a message that is lost loses the retry.
 """
 
 from __future__ import annotations
@@ -122,6 +123,14 @@
         self._available -= 1.0
         return True
 
+    def lend(self, now: float) -> bool:
+        """Pay for a retry of another gateway; return whether it may be sent."""
+        self._update(now)
+        if self._available - self._reserved < 1.0 - TOLERANCE:
+            return False
+        self._available -= 1.0
+        return True
+
     def release(self) -> None:
         """Give back a reserved retry that is not sent."""
         self._reserved -= 1
--- a/libraries/proxy/src/bamboopier_proxy/call_retries.py
+++ b/libraries/proxy/src/bamboopier_proxy/call_retries.py
@@ -8,6 +8,8 @@
 
 from bamboopier_daemon.clock import read_clock
 
+from .retry_loans import LOAN_SECONDS
+
 if TYPE_CHECKING:
     from types import TracebackType
     from typing import Self
@@ -19,6 +21,7 @@
 
     from .messages import Call
     from .metrics import ProxyMetrics
+    from .retry_loans import RetryLoans
 
 log = structlog.get_logger()
 
@@ -27,12 +30,19 @@
     """The retries of one call; leaving the context gives back what was not sent."""
 
     def __init__(
-        self, call: Call, budget: SharedRetryBudget, metrics: ProxyMetrics
+        self,
+        call: Call,
+        budget: SharedRetryBudget,
+        loans: RetryLoans,
+        metrics: ProxyMetrics,
     ) -> None:
         self._call = call
         self._budget = budget
+        self._loans = loans
         self._metrics = metrics
         self._reserved = False
+        # Until when a retry that another gateway paid for may be sent; None without.
+        self._borrowed_until: float | None = None
 
     def __enter__(self) -> Self:
         return self
@@ -53,15 +63,34 @@
         An attempt of a call that was never sent needs nothing, and a reservation holds
         until a target gets the call.
         """
+        if self._try_reserve():
+            return True
+        self._record("denied")
+        return False
+
+    async def reserve_or_borrow(self) -> bool:
+        """Reserve the same, or borrow it from another gateway if none is left here."""
+        if self._try_reserve():
+            return True
+        if await self._loans.borrow(self._call.service):
+            self._borrowed_until = read_clock() + LOAN_SECONDS
+            return True
+        self._record("denied")
+        return False
+
+    def _try_reserve(self) -> bool:
         if not self._call.was_sent or self._reserved:
             return True
         self._reserved = self._budget.reserve(read_clock())
-        if not self._reserved:
-            self._record("denied")
         return self._reserved
 
     def spend(self) -> bool:
         """Spend the reservation right before a send; return whether it may be made."""
+        if self._borrowed_until is not None:
+            is_valid = read_clock() < self._borrowed_until
+            self._borrowed_until = None
+            self._record("sent" if is_valid else "denied")
+            return is_valid
         if not self._reserved:
             return not self._call.was_sent
         self._reserved = False
@@ -87,8 +116,11 @@
 class RetryAccounts:
     """Opens the retries of calls, and publishes the budgets of their services."""
 
-    def __init__(self, budgets: SharedRetryBudgets, metrics: ProxyMetrics) -> None:
+    def __init__(
+        self, budgets: SharedRetryBudgets, loans: RetryLoans, metrics: ProxyMetrics
+    ) -> None:
         self._budgets = budgets
+        self._loans = loans
         self._metrics = metrics
         self._published: set[str] = set()
 
@@ -98,7 +130,7 @@
         if call.service not in self._published:
             self._publish(call.service, budget)
         budget.record_request(read_clock())
-        return CallRetries(call, budget, self._metrics)
+        return CallRetries(call, budget, self._loans, self._metrics)
 
     def _publish(self, service: str, budget: SharedRetryBudget) -> None:
         self._published.add(service)
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -213,7 +213,8 @@
         retries: CallRetries,
     ) -> bool:
         """Return whether to retry; if not, the caller has its final response."""
-        if self._may_retry(call, result, delivery, runs) and retries.reserve():
+        may_retry = self._may_retry(call, result, delivery, runs)
+        if may_retry and await retries.reserve_or_borrow():
             return True
         if delivery.started:
             delivery.abort()
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -32,6 +32,7 @@
 from .ingress import Ingress
 from .metrics import ProxyMetrics
 from .pause_monitor import PauseMonitor
+from .retry_loans import RetryLoans
 from .rollouts.answer_log import AnswerLog
 from .settings_reloader import SettingsReloader
 from .stall_monitor import StallMonitor
@@ -113,6 +114,10 @@
     pool = TargetPool(codec.get_request_id_header())
     expiry_monitor = WeightExpiryMonitor(state.weights)
     stall_monitor = StallMonitor()
+    retry_loans = RetryLoans(
+        settings.vm, state.retry_budgets, peers.hint_exchange, generator
+    )
+    peers.hint_exchange.listeners.append(retry_loans.receive)
     rollout_answers = AnswerLog(state.rollout_traffic, metrics)
     crash_monitor = CrashMonitor(pool, peers.hint_exchange, peers.part_evidence)
     forwarder = Forwarder(
@@ -140,7 +145,7 @@
         metrics,
         crash_monitor,
         peers.stream_versions,
-        RetryAccounts(state.retry_budgets, metrics),
+        RetryAccounts(state.retry_budgets, retry_loans, metrics),
         rollout_answers,
         settings.data_centre,
         generator,
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -260,6 +260,22 @@
     refused: list[RefusedPartHint]
 
 
+class RetryRequest(msgspec.Struct, array_like=True, tag="retry?"):
+    """Asks for a retry of a service that the sender has none left for."""
+
+    sender: str
+    nonce: int
+    service: str
+
+
+class RetryGrant(msgspec.Struct, array_like=True, tag="retry!"):
+    """The answering gateway has paid for one retry of the asking one."""
+
+    sender: str
+    nonce: int
+    service: str
+
+
 class RolloutReport(msgspec.Struct, array_like=True, tag="rollout"):
     """What a gateway has counted since it knows an order, and has in flight."""
 
@@ -290,6 +306,8 @@
     | StreamQuery
     | StreamAnswer
     | PartHint
+    | RetryRequest
+    | RetryGrant
     | RolloutReport
 )
 
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -165,7 +165,11 @@
             metrics,
             self.crash_monitor,
             mock.Mock(bind=mock.AsyncMock()),
-            RetryAccounts(budgets, metrics),
+            RetryAccounts(
+                budgets,
+                mock.Mock(borrow=mock.AsyncMock(return_value=False)),
+                metrics,
+            ),
             AnswerLog(self.rollout_traffic, metrics),
             "z1",
             random.Random(1),
--- a/libraries/proxy/tests/test_call_retries.py
+++ b/libraries/proxy/tests/test_call_retries.py
@@ -12,6 +12,7 @@
 )
 from bamboopier_proxy.call_retries import CallRetries, RetryAccounts
 from bamboopier_proxy.metrics import ProxyMetrics
+from bamboopier_proxy.retry_loans import LOAN_SECONDS
 
 from .forwarder_builders import SERVICE, make_call
 
@@ -20,7 +21,7 @@
 SAVED_RETRIES, SAVED_AT = 2, 15.0
 
 
-class CallRetriesTests(unittest.TestCase):
+class CallRetriesTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         patched = mock.patch("bamboopier_proxy.call_retries.read_clock", self.read)
         patched.start()
@@ -30,7 +31,8 @@
         share.set_gateways(0.0, 1, 0)
         self.metrics = ProxyMetrics()
         self.budgets = SharedRetryBudgets(LIMITS, share, 0.0)
-        self.accounts = RetryAccounts(self.budgets, self.metrics)
+        self.loans = mock.Mock(borrow=mock.AsyncMock(return_value=True))
+        self.accounts = RetryAccounts(self.budgets, self.loans, self.metrics)
         self.now = SAVED_AT
 
     def read(self) -> float:
@@ -48,6 +50,17 @@
                 self.assertTrue(retries.reserve())
                 self.assertTrue(retries.spend())
 
+    async def test_a_borrowed_retry_is_sent_soon_or_not_at_all(self) -> None:
+        """Guards against retries that are sent long after their lender's window."""
+        for seconds, allowed in ((0.0, True), (LOAN_SECONDS, False)):
+            opened = [self.open(sent=True) for _ in range(SAVED_RETRIES + 1)]
+            reserved = [await retries.reserve_or_borrow() for retries in opened]
+            self.assertTrue(all(reserved))
+            self.now += seconds
+            self.assertIs(opened[-1].spend(), allowed)
+            for retries in opened:
+                retries.__exit__(None, None, None)
+
     def test_reserved_retries_are_not_reserved_twice(self) -> None:
         # Guards against more requests that wait for a retry than may be sent.
         opened = [self.open(sent=True) for _ in range(SAVED_RETRIES + 1)]
