Answer in time what a plain service carries, and give each workspace its part

What callers saw: two targets with three slots carry 40 requests a second. One workspace asks for 120, another for 4: the targets work at full speed, and not one caller has its answer within its objective, with one gateway or four.

Cause: a target counted as free up to twice its slots, whatever a request takes; the wait in the gateway and at the target were not added up; the queue knew no workspace. All requests were answered late by the same amount.

Change: gateways learn how long a request occupies a slot, and place by what is left of its objective; waiting requests go in turn by workspace; parts are max-min fair over all gateways, by counts that load hints carry while targets are busy; beyond its part a workspace takes free slots only, by the gateway's share of the callers, and is refused at once if its turn comes too late.

Models are not divided by workspace but in the order of their queue.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from ..contention.service_time import ServiceTime
+from ..contention.workspace_demands import WorkspaceDemands
 from .demand_share import DemandShares
 from .prefill_rate import PrefillRate
 from .rate_limit import RateLimit
@@ -44,6 +46,7 @@
         "prefill_before",
         "prompt",
         "ramped",
+        "requests_before",
         "sent_at",
         "service",
         "silence",
@@ -60,6 +63,8 @@
         self.service = state.service.name
         # Tokens pending at the target when it was chosen, its own included.
         self.prefill_before = state.pending_prefill + load.pending_prefill
+        # Requests in flight there when it was chosen, without its own.
+        self.requests_before = state.requests
         # Seconds since the load of all other gateways there was measured; None if it is
         # known from their hints only.
         self.load_age: float | None = None
@@ -122,6 +127,8 @@
         self._by_service: dict[str, list[TargetState]] = {}
         # By service; kept while its targets are replaced.
         self._prefill_rates: dict[str, PrefillRate] = {}
+        self._service_times: dict[str, ServiceTime] = {}
+        self.workspace_demands = WorkspaceDemands()
         # Targets whose entry is missing since the store recovered, and until when they
         # are still used.
         self._missing: dict[str, float] = {}
@@ -170,6 +177,31 @@
             if not state.leaving and state.entry.data_centre not in closed
         ]
 
+    def record_request(self, now: float, service: str, workspace: str) -> None:
+        """Record a caller's request."""
+        self.demand_shares.record_request(now, service)
+        self.workspace_demands.record_request(now, service, workspace)
+
+    def find_capacity(self, now: float, service: str) -> float:
+        """Return the requests a second that a service carries.
+
+        0 as long as it is unknown, and for engines.
+        """
+        targets = [
+            s for s in self.list_targets(service, now) if s.service.engine is None
+        ]
+        return sum(s.service_time.count_turnover(s.slots, 1.0) for s in targets)
+
+    def find_own_capacity(self, now: float, service: str) -> float:
+        """Return this gateway's share of it, by the requests that it gets."""
+        share = self.demand_shares.find_share(now, service, self.gateway_count)
+        return self.find_capacity(now, service) * share
+
+    def exceeds_part(self, now: float, service: str, workspace: str) -> bool:
+        """Return whether a workspace asks for more than its part of a service."""
+        capacity = self.find_capacity(now, service)
+        return self.workspace_demands.exceeds_part(now, service, workspace, capacity)
+
     def is_open(self, state: TargetState, now: float) -> bool:
         """Return whether ``state`` may still be used, checked right before a send."""
         self._remove_expired(now)
@@ -220,7 +252,8 @@
         if spec is None:
             spec = _make_unknown_service(entry.service)
         rate = self._prefill_rates.setdefault(entry.service, PrefillRate())
-        state = TargetState(entry, spec, rate)
+        seconds = self._service_times.setdefault(entry.service, ServiceTime())
+        state = TargetState(entry, spec, rate, seconds)
         former = self._former.pop(entry.name, None)
         if former is not None and _is_same_instance(former.entry, entry):
             state.rate_limit, state.rest = former.limit, former.rest
@@ -259,7 +292,7 @@
             load.pending_prefill = state.count_prefill(prompt)
             load.memory = state.pin(prompt)
             state.cached_parts.add(prompt)
-            state.headroom.record_sent(now, load.pending_prefill, load.memory)
+        state.headroom.record_sent(now, load.pending_prefill, load.memory)
         in_flight = InFlightRequest(state, load, prompt)
         in_flight.load_age = state.find_load_age(now)
         state.own_load.add(load)
@@ -278,6 +311,12 @@
         sent.load.pending_prefill = 0
         self._report_load(sent.state)
 
+    def record_answered(self, sent: InFlightRequest, seconds: float) -> None:
+        """Record that a target without an engine has answered after ``seconds``."""
+        if sent.prompt is None:
+            state = sent.state
+            state.service_time.record(seconds, sent.requests_before + 1, state.slots)
+
     def end(self, sent: InFlightRequest) -> None:
         """Record the end of a request."""
         if sent.ramped:
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/gateway_headroom.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/gateway_headroom.py
@@ -11,6 +11,10 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
 
 # Seconds until the hints of other gateways include what they sent: between the mean and
 # the maximum age of a hint. With a longer time, prompts of returning sessions are
@@ -23,13 +27,16 @@
 class GatewayHeadroom:
     """What this gateway has sent to one target within ``HINT_DELAY_SECONDS``."""
 
-    __slots__ = ("_memory", "_sent", "_prefill")
+    __slots__ = ("_drawn_at", "_is_drawn", "_memory", "_sent", "_prefill")
 
     def __init__(self) -> None:
         # Time, prefill tokens and memory tokens of each request.
         self._sent: deque[tuple[float, int, int]] = deque()
         self._prefill = 0
         self._memory = 0
+        # When it was last drawn whether this gateway may send one, and the result.
+        self._drawn_at = float("-inf")
+        self._is_drawn = False
 
     def record_sent(self, now: float, prefill: int, memory: int) -> None:
         """Record a request with its prefill and memory, both in tokens."""
@@ -54,6 +61,23 @@
         self._expire(now)
         return _allows(self._memory, tokens, headroom, gateway_count)
 
+    def allows_request(
+        self, now: float, slots: float, share: float, random: random.Random
+    ) -> bool:
+        """Return whether one more request may be sent to a target with free slots.
+
+        Of ``slots``, those that are free or become so until hints arrive, this gateway
+        may use a ``share``. If that is less than one, it is drawn for each delay of
+        hints whether it may use one.
+        """
+        self._expire(now)
+        allowed = (slots + len(self._sent)) * share
+        if allowed >= 1 or self._sent:
+            return len(self._sent) + 1 <= allowed
+        if now - self._drawn_at >= HINT_DELAY_SECONDS:
+            self._drawn_at, self._is_drawn = now, random.random() < allowed
+        return self._is_drawn
+
     def _expire(self, now: float) -> None:
         while self._sent and now - self._sent[0][0] >= HINT_DELAY_SECONDS:
             _, prefill, memory = self._sent.popleft()
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from ..routing.rendezvous import rank
+from .gateway_headroom import HINT_DELAY_SECONDS
 from .rollout_order import list_loading_soon
 
 if TYPE_CHECKING:
@@ -64,15 +65,22 @@
 # Number of the best targets whose exact load is asked for: with the load of two chosen
 # at random, the longest queue already grows very slowly with the number of targets.
 MAX_BEST = 4
-# Requests in flight at a target without an engine, as a multiple of its slots, above
-# which it is full. Its own queue covers the delay until a gateway detects a free slot.
-PLAIN_LOAD_FACTOR = 2.0
+# Requests that other gateways may have sent to a target without an engine since they
+# last told their load, as a multiple of its slots.
+MAX_UNKNOWN_LOAD = 0.5
+# Multiple of its share of the callers up to which a gateway uses the free slots of a
+# contended service: the others do not use all of theirs.
+DEMAND_SHARE_FACTOR = 1.25
+# Share of what is left of its objective within which a request sent to a busy target
+# without an engine has to be answered by the estimate: other gateways send there too.
+PLAIN_OBJECTIVE_SHARE = 0.85
 
 
 class Demand:
     """What one request needs of a target."""
 
     __slots__ = (
+        "exceeds_part",
         "excluded_versions",
         "fetched",
         "is_new",
@@ -80,6 +88,7 @@
         "priority",
         "prompt",
         "service",
+        "seconds_left",
         "software_version",
     )
 
@@ -94,6 +103,8 @@
         *,
         is_new: bool = False,
         excluded_versions: frozenset[str] = frozenset(),
+        seconds_left: float | None = None,
+        exceeds_part: bool = False,
     ) -> None:
         self.service = service
         self.priority = priority
@@ -108,6 +119,10 @@
         self.software_version = software_version
         # Software versions whose targets the request is not sent to.
         self.excluded_versions = excluded_versions
+        # What is left of its latency objective, below 0 once it is late.
+        self.seconds_left = latency_objective if seconds_left is None else seconds_left
+        # Its workspace asks for more than its part: it waits for a free slot.
+        self.exceeds_part = exceeds_part
 
     @property
     def max_backlog_seconds(self) -> float:
@@ -216,7 +231,7 @@
     if _is_long(demand):
         usable = _exclude_draining(now, usable)
     with_capacity = [
-        state for state in usable if has_capacity(now, fleet, state, demand)
+        state for state in usable if has_capacity(now, fleet, state, demand, random)
     ]
     loading_soon = _find_loading_soon(known, demand, weights.newest)
     owner = _find_owner(usable, demand)
@@ -225,7 +240,16 @@
         exact = [state for state in with_capacity if state.is_load_exact(now)]
         candidates = exact or candidates
     best = (
-        _rank(now, candidates, demand, owner, loading_soon, data_centre, random)
+        _rank(
+            now,
+            candidates,
+            demand,
+            owner,
+            loading_soon,
+            data_centre,
+            random,
+            fleet.gateway_count,
+        )
         if candidates
         else []
     )
@@ -233,12 +257,18 @@
     return Placement(best, len(known), len(with_capacity), len(usable), described)
 
 
-def has_capacity(now: float, fleet: Fleet, state: TargetState, demand: Demand) -> bool:
+def has_capacity(
+    now: float,
+    fleet: Fleet,
+    state: TargetState,
+    demand: Demand,
+    random: random.Random,
+) -> bool:
     """Return whether a target can accept one more such request without a long wait."""
     engine = state.service.engine
     prompt = demand.prompt
     if engine is None or prompt is None:
-        return state.requests < state.slots * PLAIN_LOAD_FACTOR
+        return _has_plain_capacity(now, fleet, state, demand, random)
     if state.requests == 0:
         return True
     if state.requests >= state.slots:
@@ -260,6 +290,36 @@
     ) and state.headroom.allows_memory(now, memory, memory_headroom, gateway_count)
 
 
+def _has_plain_capacity(
+    now: float,
+    fleet: Fleet,
+    state: TargetState,
+    demand: Demand,
+    random: random.Random,
+) -> bool:
+    """Return whether a target without an engine answers in time.
+
+    A busy one queues requests in the order in which they come. What waits there delays
+    all others, so only what can still be in time may wait there, and while targets are
+    contended each gateway uses its part of the slots that look free.
+    """
+    free = state.slots - state.requests
+    if demand.exceeds_part and state.service_time.is_contended:
+        share = fleet.demand_shares.find_share(now, demand.service, fleet.gateway_count)
+        share = min(1.0, share * DEMAND_SHARE_FACTOR)
+        turnover = state.service_time.count_turnover(state.slots, HINT_DELAY_SECONDS)
+        slots = free + turnover
+        return free > 0 and state.headroom.allows_request(now, slots, share, random)
+    if free > 0:
+        return True
+    if demand.exceeds_part:
+        return False
+    seconds = state.service_time.estimate(
+        state.requests, state.slots, demand.latency_objective
+    )
+    return seconds <= demand.seconds_left * PLAIN_OBJECTIVE_SHARE
+
+
 def _fits(state: TargetState, demand: Demand) -> bool:
     """Return whether an idle target could serve the request.
 
@@ -388,6 +448,7 @@
     loading_soon: Set[str],
     data_centre: str,
     random: random.Random,
+    gateway_count: int,
 ) -> list[TargetState]:
     prompt = demand.prompt
     newest = 0
@@ -395,6 +456,9 @@
     if prompt is not None:
         newest = max(state.versions.get(prompt.model, 0) for state in states)
 
+    # Gateways that all know the same old loads would all choose the same target.
+    unknown_load = MAX_UNKNOWN_LOAD * (1 - 1 / max(1, gateway_count))
+
     def estimate_seconds(state: TargetState) -> float:
         remote = (
             0.0 if state.entry.data_centre == data_centre else REMOTE_PENALTY_SECONDS
@@ -404,7 +468,8 @@
         silent = state.stall_detector.find_delay(now)
         jitter = random.random() * 1e-4
         if prompt is None:
-            return state.requests / state.slots + remote + failing + silent + jitter
+            unknown = random.random() * unknown_load
+            return state.requests / state.slots + remote + failing + silent + unknown
         cached = state.cached_parts.count_cached(prompt)
         shared = sum(part.tokens for part in prompt.shared_parts)
         repeated = shared - max(cached, demand.fetched)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_state.py
@@ -15,6 +15,7 @@
 from .stall_detector import StallDetector
 
 if TYPE_CHECKING:
+    from ..contention.service_time import ServiceTime
     from .prefill_rate import PrefillRate
     from .prompt import Prompt
     from .specs import ServiceSpec, TargetEntry
@@ -67,6 +68,7 @@
         "reports_leaving",
         "rest",
         "service",
+        "service_time",
         "short_answers_until",
         "circuit_breaker",
         "stall_detector",
@@ -74,12 +76,17 @@
     )
 
     def __init__(
-        self, entry: TargetEntry, service: ServiceSpec, prefill_rate: PrefillRate
+        self,
+        entry: TargetEntry,
+        service: ServiceSpec,
+        prefill_rate: PrefillRate,
+        service_time: ServiceTime,
     ) -> None:
         self.entry = entry
         self.service = service
-        # Shared by the targets of the service.
+        # Both are shared by the targets of the service.
         self.prefill_rate = prefill_rate
+        self.service_time = service_time
         self.own_load = Load()
         # That of the other gateways, as far as they reported it to this one, and as the
         # process beside the target added it up.
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/wait_queue.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/wait_queue.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from typing import TYPE_CHECKING
 
@@ -53,39 +52,3 @@
     if capacity_in < max_seconds:
         spread = min(spread, max_seconds - first)
     return random.uniform(first, first + spread)
-
-
-class WaitQueue:
-    """Requests that wait for capacity, the most urgent first, then the oldest."""
-
-    __slots__ = ("_count", "_entries", "_removed")
-
-    def __init__(self) -> None:
-        self._entries: list[tuple[int, int]] = []
-        self._removed: set[int] = set()
-        self._count = 0
-
-    def __len__(self) -> int:
-        return len(self._entries) - len(self._removed)
-
-    def add(self, priority: int) -> int:
-        """Add a request; return its ticket."""
-        self._count += 1
-        heapq.heappush(self._entries, (priority, self._count))
-        return self._count
-
-    def remove(self, ticket: int) -> None:
-        """Remove a request, wherever it is in the queue."""
-        self._removed.add(ticket)
-        while self._entries and self._entries[0][1] in self._removed:
-            _, first = heapq.heappop(self._entries)
-            self._removed.discard(first)
-
-    def count_before(self, priority: int) -> int:
-        """Return the number of requests ahead of a new one of ``priority``."""
-        return sum(p <= priority and t not in self._removed for p, t in self._entries)
-
-    def list_tickets(self, count: int) -> list[int]:
-        """Return the tickets of the next ``count`` requests in order."""
-        found = heapq.nsmallest(count + len(self._removed), self._entries)
-        return [t for _, t in found if t not in self._removed][:count]
--- /dev/null
+++ b/libraries/decisions/tests/contention/test_fair_queue.py
@@ -0,0 +1,62 @@
+"""The order in which waiting requests go, by priority, workspace and time."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboopier_decisions.contention.fair_queue import FairQueue
+
+
+class FairQueueTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.queue = FairQueue()
+
+    def serve(self, count: int) -> list[int]:
+        """Let ``count`` requests go, one after the other."""
+        served = []
+        for _ in range(count):
+            (ticket,) = self.queue.list_tickets(1)
+            self.queue.remove(ticket, served=True)
+            served.append(ticket)
+        return served
+
+    def test_a_quiet_workspace_passes_a_loud_one(self) -> None:
+        """Guards against a workspace that waits behind all requests of another."""
+        loud = [self.queue.add(0, "loud") for _ in range(20)]
+        self.serve(5)
+        quiet = self.queue.add(0, "quiet")
+        self.assertLessEqual(self.queue.list_tickets(20).index(quiet), 1)
+        self.assertIn(loud[-1], self.queue.list_tickets(20))
+
+    def test_workspaces_go_in_turn(self) -> None:
+        first = [self.queue.add(0, "a") for _ in range(3)]
+        second = [self.queue.add(0, "b") for _ in range(3)]
+        expected = [t for pair in zip(first, second, strict=True) for t in pair]
+        self.assertEqual(self.serve(6), expected)
+
+    def test_an_idle_workspace_saves_no_turns(self) -> None:
+        """Guards against one that returns and holds up all others."""
+        busy = [self.queue.add(0, "busy") for _ in range(10)]
+        self.serve(8)
+        back = [self.queue.add(0, "back") for _ in range(5)]
+        self.assertLess(self.serve(3).index(busy[8]), 2)
+        self.assertTrue(set(back) & set(self.queue.list_tickets(10)))
+
+    def test_the_most_urgent_go_first(self) -> None:
+        later = self.queue.add(2, "a")
+        urgent = self.queue.add(0, "b")
+        self.assertEqual(self.queue.list_tickets(2), [urgent, later])
+
+    def test_what_is_late_goes_after_what_can_be_in_time(self) -> None:
+        late = self.queue.add(0, "a", in_time_until=1.0)
+        early = self.queue.add(0, "a", in_time_until=9.0)
+        self.assertEqual(self.queue.list_tickets(2, now=0.5), [late, early])
+        self.assertEqual(self.queue.list_tickets(2, now=2.0), [early, late])
+
+    def test_a_removed_request_does_not_count(self) -> None:
+        first = self.queue.add(0, "a")
+        self.queue.add(0, "b")
+        self.queue.remove(first)
+        self.assertEqual(len(self.queue), 1)
+        self.assertEqual(self.queue.workspaces, {"b": 1})
+        self.assertEqual(self.queue.count_before(0, "c"), 1)
--- a/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from bamboopier_decisions.forwarding.placement import Demand, WeightVersionRange
+from bamboopier_decisions.forwarding.placement import (
+    PLAIN_OBJECTIVE_SHARE,
+    Demand,
+    WeightVersionRange,
+)
 from bamboopier_decisions.rollouts.traffic import VersionChoice
 
 from .messages import AttemptMetadata
@@ -17,6 +22,7 @@
         PartPlan,
         PartStoreIndex,
     )
+    from bamboopier_decisions.forwarding.placement import Placement
     from bamboopier_decisions.forwarding.prompt import Prompt
     from bamboopier_decisions.forwarding.target_state import TargetState
     from bamboopier_decisions.forwarding.weight_versions import WeightVersions
@@ -84,8 +90,24 @@
             call.software_version,
             is_new=self._is_new(now, call),
             excluded_versions=excluded,
+            seconds_left=call.arrived + objective - now,
+            exceeds_part=self._fleet.exceeds_part(
+                now, call.service, call.workspace_name
+            ),
         )
 
+    def find_spare_seconds(self, now: float, call: Call, placement: Placement) -> float:
+        """Return for how long a call may wait and still be answered in time.
+
+        Infinity for prompts, whose wait has a limit of its own, and without targets.
+        """
+        if call.prompt is not None or not placement.best:
+            return math.inf
+        objective = call.route.latency_objective
+        seconds = placement.best[0].service_time.estimate_alone(objective)
+        left = call.arrived + objective - now
+        return max(0.0, left * PLAIN_OBJECTIVE_SHARE - seconds)
+
     def find_allowed_weights(self, now: float, call: Call) -> WeightVersionRange:
         """Return the weight versions with which the call may start."""
         if call.prompt is None:
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -86,7 +86,7 @@
         """Respond to the caller; raises ``CallerError`` for an error of this system."""
         self._check_quarantine(call)
         await self._stream_versions.bind(call)
-        self._fleet.demand_shares.record_request(read_clock(), call.service)
+        self._fleet.record_request(read_clock(), call.service, call.workspace_name)
         with self._retry_accounts.open(call) as retries:
             await self._run_attempts(call, delivery, retries)
 
@@ -109,6 +109,8 @@
                 self._request_queues.wake(call.service)
             self._attempt_log.record(call, in_flight, result)
             self._rollout_answers.record(call, in_flight, result)
+            if result.first_byte:
+                self._fleet.record_answered(in_flight, result.first_byte)
             if result.delivered:
                 return
             if result.ran is not ExecutionStatus.NOT_EXECUTED:
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -70,10 +70,12 @@
 
 
 class DemandHint(msgspec.Struct, array_like=True):
-    """The requests that one gateway gets for a service whose targets limit them."""
+    """The requests that one gateway gets for a limited or contended service."""
 
     service: str
     per_second: float
+    # Requests of the workspaces that ask for most, in the window of their counts.
+    workspaces: list[tuple[str, int]] = []
 
 
 class LoadHint(msgspec.Struct, array_like=True, tag="load"):
--- a/libraries/proxy/src/bamboopier_proxy/load_hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/load_hints.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from bamboopier_decisions.forwarding.target_state import Load
@@ -26,6 +27,9 @@
 MAX_TARGETS = 24
 # Maximum number of services whose demand is in one hint, the largest first.
 MAX_DEMANDS = 6
+# Maximum number of workspaces in each of them. Those that are left out ask for less, so
+# that they pass for within their part.
+MAX_WORKSPACES = 6
 
 
 class LoadHints:
@@ -58,17 +62,21 @@
         """Set the loads and demands of the other gateways by their last hints."""
         loads: dict[str, Load] = {}
         demands: dict[str, list[float]] = {}
+        workspaces: dict[str, Counter[str]] = {}
         for name, (received_at, hint) in list(self._received.items()):
             if now - received_at > STALE_SECONDS:
                 del self._received[name]
                 continue
             for demand in hint.demands:
                 demands.setdefault(demand.service, []).append(demand.per_second)
+                counts = workspaces.setdefault(demand.service, Counter())
+                counts.update(dict(demand.workspaces))
             for load_hint in hint.loads:
                 loads.setdefault(load_hint.target, Load()).add(_make_load(load_hint, 1))
         self._totals = loads
         self._fleet.set_other_loads(loads)
         self._fleet.demand_shares.set_others(demands)
+        self._fleet.workspace_demands.set_others(workspaces)
 
     def _add(self, hint: LoadHint, sign: int) -> None:
         """Add the loads of a hint to the sums, or subtract them."""
@@ -87,11 +95,19 @@
         return [_make_load_hint(now, s) for s in used[:MAX_TARGETS]]
 
     def list_demands(self, now: float) -> list[DemandHint]:
-        """Return this gateway's requests for services whose targets limit them."""
+        """Return this gateway's requests for services that are divided by them."""
         states = (self._fleet.find(name) for name in self._fleet.names)
-        services = {s.entry.service for s in states if s and s.rate_limit.in_force}
+        services = {s.entry.service for s in states if s is not None and _is_divided(s)}
         count = self._fleet.demand_shares.count_per_second
-        demands = [DemandHint(name, round(count(now, name), 2)) for name in services]
+        by_workspace = self._fleet.workspace_demands.count_own
+        demands = [
+            DemandHint(
+                name,
+                round(count(now, name), 2),
+                by_workspace(now, name).most_common(MAX_WORKSPACES),
+            )
+            for name in services
+        ]
         demands.sort(key=lambda demand: (-demand.per_second, demand.service))
         return demands[:MAX_DEMANDS]
 
@@ -103,6 +119,12 @@
     return state.own_load.requests > 0 or is_known
 
 
+def _is_divided(state: TargetState) -> bool:
+    """Return whether gateways use a target by the share of requests that each gets."""
+    is_busy = state.service.engine is None and state.requests >= state.slots
+    return state.rate_limit.in_force or state.service_time.is_contended or is_busy
+
+
 def _is_stalled(now: float, state: TargetState) -> bool:
     return state.stall_detector.find_reported_silence(now) > 0
 
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -100,6 +100,11 @@
     # It was moved from a target that had stalled, and may still have it.
     moved: bool = False
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of its workspace; empty without one."""
+        return self.workspace.name if self.workspace is not None else ""
+
     @property
     def leaves_at(self) -> float:
         """Return the earliest time at which the caller leaves if it gets nothing more.
--- a/libraries/proxy/src/bamboopier_proxy/request_queues.py
+++ b/libraries/proxy/src/bamboopier_proxy/request_queues.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
-from bamboopier_decisions.forwarding.wait_queue import WaitQueue
+from bamboopier_daemon.clock import read_clock
+from bamboopier_decisions.contention.departure_rate import DepartureRate
+from bamboopier_decisions.contention.fair_queue import FairQueue
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,26 +36,54 @@
         self.acquired = acquired
 
 
+class _ServiceQueue:
+    """The waiting requests of one service, and how fast they are let go."""
+
+    __slots__ = ("departures", "requests")
+
+    def __init__(self) -> None:
+        self.requests = FairQueue()
+        self.departures = DepartureRate()
+
+
 class RequestQueues:
     """Holds the waiting requests of each service."""
 
     def __init__(self) -> None:
-        self._queues: dict[str, WaitQueue] = {}
+        self._queues: dict[str, _ServiceQueue] = {}
         self._pending: dict[tuple[str, int], _PendingRequest] = {}
 
     def count(self, service: str) -> int:
         """Return the number of requests that wait for a service."""
         queue = self._queues.get(service)
-        return len(queue) if queue is not None else 0
+        return len(queue.requests) if queue is not None else 0
 
     def list_waiting(self) -> list[str]:
         """Return the services that requests wait for."""
-        return [service for service, queue in self._queues.items() if len(queue)]
+        return [s for s, queue in self._queues.items() if len(queue.requests)]
+
+    def count_before(self, service: str, priority: int, workspace: str) -> int:
+        """Return the number of waiting requests ahead of a new one."""
+        queue = self._queues.get(service)
+        return queue.requests.count_before(priority, workspace) if queue else 0
+
+    def estimate_wait(
+        self, service: str, priority: int, workspace: str, capacity: float
+    ) -> float:
+        """Return the seconds for which a new request would wait; 0 if unknown.
 
-    def count_before(self, service: str, priority: int) -> int:
-        """Return the number of waiting requests ahead of a new one of ``priority``."""
+        ``capacity`` is what the service is known to take a second from this gateway.
+        """
         queue = self._queues.get(service)
-        return queue.count_before(priority) if queue is not None else 0
+        if queue is None:
+            return 0.0
+        before = queue.requests.count_before(priority, workspace)
+        return queue.departures.estimate_wait(read_clock(), before, capacity)
+
+    def record_sent(self, service: str) -> None:
+        """Record a request that found a target without waiting."""
+        queue = self._queues.setdefault(service, _ServiceQueue())
+        queue.departures.record_departure(read_clock())
 
     async def wait(
         self,
@@ -61,25 +92,33 @@
         seconds: float,
         try_acquire: Callable[[], InFlightRequest | None],
         release: Callable[[InFlightRequest], None],
+        *,
+        workspace: str = "",
+        spare_seconds: float = math.inf,
     ) -> InFlightRequest | None:
         """Wait until ``try_acquire`` returns a slot; None after ``seconds``.
 
+        After ``spare_seconds`` the request can't be answered in time any more.
+
         A caller may disconnect after a slot was acquired for it and before its task
         runs again. No request would use the slot, and its target would look busier for
         ever; the slot is therefore passed to ``release``.
         """
-        queue = self._queues.setdefault(service, WaitQueue())
-        ticket = queue.add(priority)
+        queue = self._queues.setdefault(service, _ServiceQueue())
+        now = read_clock()
+        ticket = queue.requests.add(priority, workspace, now + spare_seconds)
+        queue.departures.record_waiting(now, is_waiting=True)
         acquired: asyncio.Future[InFlightRequest] = (
             asyncio.get_running_loop().create_future()
         )
         self._pending[service, ticket] = _PendingRequest(try_acquire, acquired)
+        found: InFlightRequest | None = None
         try:
             async with asyncio.timeout(seconds):
-                return await acquired
+                found = await acquired
         except TimeoutError:
             # What has become free since the last search is not lost.
-            return _get_acquired(acquired) or try_acquire()
+            found = _get_acquired(acquired) or try_acquire()
         except asyncio.CancelledError:
             in_flight = _get_acquired(acquired)
             if in_flight is not None:
@@ -87,15 +126,25 @@
             raise
         finally:
             del self._pending[service, ticket]
-            queue.remove(ticket)
+            self._remove(queue, ticket, served=found is not None)
+        return found
+
+    def _remove(self, queue: _ServiceQueue, ticket: int, *, served: bool) -> None:
+        queue.requests.remove(ticket, served=served)
+        now = read_clock()
+        if served:
+            queue.departures.record_departure(now)
+        if not len(queue.requests):
+            queue.departures.record_waiting(now, is_waiting=False)
 
     def wake(self, service: str) -> None:
         """Try to acquire slots for the first waiting requests of a service."""
         queue = self._queues.get(service)
-        if queue is None or not len(queue):
+        if queue is None or not len(queue.requests):
             return
         failed = 0
-        for ticket in queue.list_tickets(MAX_TRIED_PER_WAKE):
+        now = read_clock()
+        for ticket in queue.requests.list_tickets(MAX_TRIED_PER_WAKE, now):
             waiting = self._pending.get((service, ticket))
             if waiting is None or waiting.acquired.done():
                 continue
--- a/libraries/proxy/src/bamboopier_proxy/target_selector.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -17,6 +17,7 @@
 
     from bamboopier_decisions.forwarding.fleet import Fleet, InFlightRequest
     from bamboopier_decisions.forwarding.placement import Demand, Placement
+    from bamboopier_decisions.forwarding.target_state import TargetState
 
     from .attempt_planner import AttemptPlanner
     from .messages import Call
@@ -64,20 +65,30 @@
             demand = self._planner.make_demand(read_clock(), call, versions.closed)
             placement = await self._select_by_exact_loads(call, demand, tried)
         if placement.state is not None:
-            return self._fleet.begin(read_clock(), placement.state, call.prompt)
+            self._request_queues.record_sent(call.service)
+            return self._begin(read_clock(), call, placement.state)
         if placement.known == 0:
             raise self._refuse(call, ErrorCode.NO_TARGET, placement)
         started_at = read_clock()
         seconds = find_max_wait(
             call.route.latency_objective, call.timeout_at - started_at
         )
+        spare = self._planner.find_spare_seconds(started_at, call, placement)
         self._check_limits(call, placement, started_at + seconds)
+        if demand.exceeds_part:
+            self._check_queue(call, placement, min(seconds, spare))
 
         def try_acquire() -> InFlightRequest | None:
             return self._try_acquire(call, demand, tried)
 
         in_flight = await self._request_queues.wait(
-            call.service, call.priority, seconds, try_acquire, self._fleet.end
+            call.service,
+            call.priority,
+            seconds,
+            try_acquire,
+            self._fleet.end,
+            workspace=call.workspace_name,
+            spare_seconds=spare,
         )
         waited = read_clock() - started_at
         self._metrics.waited.labels(call.service).observe(waited)
@@ -116,7 +127,10 @@
         now = read_clock()
         if not found.state.is_load_exact(now) and self._target_loads.ask(found.best):
             return None
-        return self._fleet.begin(now, found.state, call.prompt)
+        return self._begin(now, call, found.state)
+
+    def _begin(self, now: float, call: Call, state: TargetState) -> InFlightRequest:
+        return self._fleet.begin(now, state, call.prompt)
 
     def _check_limits(self, call: Call, placement: Placement, latest: float) -> None:
         """Refuse a request whose turn at all its targets comes after ``latest``.
@@ -128,13 +142,27 @@
         limited = placement.limited
         if not limited.covers_all:
             return
-        before = self._request_queues.count_before(call.service, call.priority)
+        before = self._request_queues.count_before(
+            call.service, call.priority, call.workspace_name
+        )
         turn = limited.next_at + before / max(
             limited.gateway_rate, MIN_LIMIT_SHARE_PER_SECOND
         )
         if turn > latest:
             raise self._refuse(call, ErrorCode.OVERLOADED, placement)
 
+    def _check_queue(self, call: Call, placement: Placement, seconds: float) -> None:
+        """Refuse a request at once whose turn comes after ``seconds``.
+
+        It would be refused then, and its caller could have gone elsewhere.
+        """
+        capacity = self._fleet.find_own_capacity(read_clock(), call.service)
+        expected = self._request_queues.estimate_wait(
+            call.service, call.priority, call.workspace_name, capacity
+        )
+        if expected > seconds:
+            raise self._refuse(call, ErrorCode.OVERLOADED, placement, expected)
+
     def select(
         self,
         call: Call,
@@ -157,7 +185,13 @@
             prefer_exact=prefer_exact,
         )
 
-    def _refuse(self, call: Call, code: ErrorCode, placement: Placement) -> CallerError:
+    def _refuse(
+        self,
+        call: Call,
+        code: ErrorCode,
+        placement: Placement,
+        expected_wait: float = 0.0,
+    ) -> CallerError:
         now = read_clock()
         log.info(
             "no target available",
@@ -171,6 +205,10 @@
             gateway_rate=round(placement.limited.gateway_rate, 2),
             free_in=round(placement.limited.free_at - now, 3),
             waiting=self._request_queues.count(call.service),
+            workspace=call.workspace_name,
+            # Above 0 if it was refused without waiting, since its turn comes later.
+            expected_wait=round(expected_wait, 3),
+            waited=round(now - call.arrived, 3),
             tried=call.tried,
         )
         if call.may_have_run:
--- a/libraries/proxy/tests/forwarder_builders.py
+++ b/libraries/proxy/tests/forwarder_builders.py
@@ -136,6 +136,7 @@
         self.crash_monitor.find_part_refusal.return_value = None
         metrics = ProxyMetrics()
         self.rollout_traffic = RolloutTraffic()
+        self.request_queues = RequestQueues()
         budgets = SharedRetryBudgets(
             RetryBudgetLimits(0.2, 54.0, 10.0), GatewayShare(), 0.0
         )
@@ -159,7 +160,7 @@
                 self.crash_monitor,
                 self.pauses,
             ),
-            RequestQueues(),
+            self.request_queues,
             # No process beside the target answers.
             mock.Mock(refresh=mock.AsyncMock(return_value=False), ask=lambda _: False),
             metrics,
