Close a target's connection in the moment a part of its response has no end

Cause: the parser keeps header lines and trailers of any number and length, and an event is kept until its end.

Change: limits for the head with its interim responses, trailers (which are dropped), framing, discarded responses and one event; what exceeds one closes the connection at once, and counts as a broken answer.

--- a/libraries/proxy/src/bamboopier_proxy/event_splitter.py
+++ b/libraries/proxy/src/bamboopier_proxy/event_splitter.py
@@ -4,6 +4,13 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+# Maximum bytes of one event. Guards against a target that sends one without end, which
+# would fill this process's memory.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class EventTooLongError(Exception):
+    """An event exceeds ``MAX_EVENT_BYTES``."""
 
 
 class EventSplitter:
@@ -26,10 +33,15 @@
         return self._incomplete
 
     def feed(self, data: bytes) -> bytes:
-        """Add a chunk of the stream; return the events that are now complete."""
+        """Add a chunk of the stream; return the events that are now complete.
+
+        Raises ``EventTooLongError`` if the next event is too long.
+        """
         data = self._incomplete + data
         end = data.rfind(EVENT_END)
         if end < 0:
+            if len(data) > MAX_EVENT_BYTES:
+                raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             self._incomplete = data
             return b""
         complete_events, self._incomplete = (
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -13,7 +13,7 @@
 
 from .attempt_result import AttemptResult, BufferedResponse, Cause
 from .delivery import CallerDisconnectedError
-from .event_splitter import EventSplitter
+from .event_splitter import EventSplitter, EventTooLongError
 from .stall_monitor import MonitoredAttempt
 from .target_pool import ConnectError, TargetRefusedError
 from .target_reports import record_reports
@@ -239,7 +239,7 @@
                 call.last_event = splitter.last_event
                 call.last_event_at = read_clock()
             await self._check_end(in_flight, response)
-        except BrokenResponseError as error:
+        except (BrokenResponseError, EventTooLongError) as error:
             result.ran = ExecutionStatus.UNKNOWN
             result.cause = Cause.BROKEN
             result.detail = str(error)
--- a/libraries/proxy/src/bamboopier_proxy/target_connection.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_connection.py
@@ -2,8 +2,9 @@
 
 Guards against a late response to an earlier request (its request id differs), bytes
 after a complete response (the connection is not reused), a truncated response (it never
-counts as complete), and a peer that stopped responding (the kernel's user timeout
-closes the connection).
+counts as complete), a peer that stopped responding (the kernel's user timeout
+closes the connection), and one that sends without end what is no body, which would fill
+this process's memory (each part of a response has a limit).
 """
 
 from __future__ import annotations
@@ -29,6 +30,16 @@
 MAX_PROBES = 2
 # Responses with another request's id that are discarded before the attempt fails.
 MAX_FOREIGN_RESPONSES = 2
+# Maximum bytes of a response's status line and headers, those of interim responses
+# before it included, and of what follows the body.
+MAX_HEAD_BYTES = 32 * 1024
+MAX_TRAILER_BYTES = 8 * 1024
+# Maximum bytes of chunk sizes and extensions, beyond a multiple of the body for very
+# small chunks.
+MAX_FRAMING_BYTES = 32 * 1024
+FRAMING_FACTOR = 8
+# Maximum bytes of discarded responses to other requests.
+MAX_FOREIGN_BYTES = 1024 * 1024
 # Seconds for which an idle connection is kept if the target sends no Keep-Alive.
 DEFAULT_IDLE_LIMIT_SECONDS = 3.0
 # The target measures idleness from its last byte and closes at a full second.
@@ -49,6 +60,15 @@
         self._request_id = ""
         self._method = ""
         self._foreign_responses = 0
+        self._foreign_bytes = 0
+        # Bytes of the part of the response that is being received: head, body as far as
+        # it was passed on, trailers, and framing between them.
+        self._in_body = False
+        self._head_bytes = 0
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._trailer_bytes = 0
+        self._framing_bytes = 0
         self._skipping = False
         self._length_known = False
         self._protocol_violated = False
@@ -84,7 +104,10 @@
             raise BrokenResponseError("not connected")
         self._request_id = request_id
         self._method = method
-        self._foreign_responses = 0
+        self._foreign_responses = self._foreign_bytes = 0
+        self._in_body = False
+        self._head_bytes = self._header_bytes = self._body_bytes = 0
+        self._trailer_bytes = self._framing_bytes = 0
         self.served += 1
         self._pending_response = asyncio.get_running_loop().create_future()
         self._transport.write(head + body)
@@ -134,10 +157,20 @@
         ):
             self._reject_unexpected_data()
             return
+        was_in_body, body_bytes = self._in_body, self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"invalid HTTP response: {error}")
+            return
+        if not was_in_body:
+            self._head_bytes += len(data)
+        else:
+            self._framing_bytes += len(data) - (self._body_bytes - body_bytes)
+        excess = self._find_excess()
+        if excess:
+            self._fail(f"the response's {excess} exceeds its limit")
+            self.abort()
 
     def eof_received(self) -> bool:
         """Handle the end of the stream from the target.
@@ -172,7 +205,13 @@
             self._protocol_violated = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; those that follow the body are dropped."""
+        if self._in_body:
+            self._trailer_bytes += len(name) + len(value)
+            return
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEAD_BYTES:
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -180,6 +219,7 @@
         status = self._parser.get_status_code()
         if self._protocol_violated or status < 200:
             return
+        self._in_body = True
         response_request_id = self._find_header(self._id_header)
         # A success without an id could be the response to another request.
         is_foreign = (
@@ -208,6 +248,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk of the body."""
+        self._body_bytes += len(body)
+        if self._skipping:
+            self._foreign_bytes += len(body)
         if (
             self._response is not None
             and not self._skipping
@@ -217,6 +260,8 @@
 
     def on_message_complete(self) -> None:
         """Handle the end of a response."""
+        if self._skipping:
+            self._in_body = False
         if self._parser.get_status_code() < 200 or self._protocol_violated:
             return
         if self._skipping:
@@ -226,6 +271,23 @@
 
     # Internals
 
+    def _find_excess(self) -> str:
+        """Return the part of the response that exceeds its limit; empty if none does.
+
+        What arrives with the end of a head counts as head once it goes on.
+        """
+        head_bytes = self._header_bytes if self._in_body else self._head_bytes
+        if head_bytes > MAX_HEAD_BYTES:
+            return "head"
+        if self._trailer_bytes > MAX_TRAILER_BYTES:
+            return "trailer"
+        allowed = MAX_FRAMING_BYTES + FRAMING_FACTOR * self._body_bytes
+        if self._in_body and self._framing_bytes > allowed:
+            return "framing"
+        if self._foreign_bytes > MAX_FOREIGN_BYTES:
+            return "discarded part"
+        return ""
+
     def _skip_response(self) -> None:
         self._foreign_responses += 1
         self._skipping = True
