Look at versions and workspaces only where a roll-out or a plain service needs it

Each request built the set of its service's software versions, and asked for its workspace's part also for engines, which are not divided so: work for nothing at 60 engines.

--- a/libraries/decisions/src/bamboopier_decisions/rollouts/traffic.py
+++ b/libraries/decisions/src/bamboopier_decisions/rollouts/traffic.py
@@ -115,6 +115,13 @@
             case _:
                 return closed
 
+    def concerns(self, service: str) -> bool:
+        """Return whether any version of a service may have to be avoided."""
+        if service in self._rollouts or self._withdrawn.get(service):
+            return True
+        known_until = self.find_known_until()
+        return any(at > known_until for at in self._appeared.get(service, {}).values())
+
     def choose(
         self,
         now: float,
--- a/libraries/decisions/tests/rollouts/test_traffic.py
+++ b/libraries/decisions/tests/rollouts/test_traffic.py
@@ -35,6 +35,17 @@
         self.traffic.update_versions(90.0, {SERVICE: BOTH})
         self.assertEqual(self.choose(), frozenset())
 
+    def test_a_service_without_roll_out_or_new_version_is_not_concerned(self) -> None:
+        self.assertFalse(self.traffic.concerns(SERVICE))
+        self.traffic.update_versions(90.0, {SERVICE: {OLD}})
+        self.assertFalse(self.traffic.concerns(SERVICE))
+        self.traffic.update_versions(101.0, {SERVICE: BOTH})
+        self.assertTrue(self.traffic.concerns(SERVICE))
+        self.known_until = 102.0
+        self.assertFalse(self.traffic.concerns(SERVICE))
+        self.traffic.set_rollout(SERVICE, make_rollout())
+        self.assertTrue(self.traffic.concerns(SERVICE))
+
     def test_a_version_whose_order_may_be_on_its_way_waits(self) -> None:
         """Guards against a bad version that serves before its order is known."""
         self.traffic.update_versions(90.0, {SERVICE: {OLD}})
--- a/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
@@ -50,6 +50,8 @@
 
     def choose_versions(self, now: float, call: Call) -> VersionChoice:
         """Draw which software versions the next attempt of a call does without."""
+        if not self._rollout_traffic.concerns(call.service):
+            return VersionChoice()
         if call.software_version is not None:
             closed = self._rollout_traffic.list_closed(call.service)
             return VersionChoice(closed)
@@ -88,11 +90,18 @@
             is_new=self._is_new(now, call),
             excluded_versions=excluded,
             seconds_left=call.arrived + objective - now,
-            exceeds_part=self._fleet.exceeds_part(
-                now, call.service, call.workspace_name
-            ),
+            exceeds_part=self._exceeds_part(now, call),
         )
 
+    def _exceeds_part(self, now: float, call: Call) -> bool:
+        """Return whether a call's workspace asks for more than its part.
+
+        Engines are not divided by workspace.
+        """
+        if call.prompt is not None:
+            return False
+        return self._fleet.exceeds_part(now, call.service, call.workspace_name)
+
     def find_spare_seconds(self, now: float, call: Call, placement: Placement) -> float:
         """Return for how long a call may wait and still be answered in time.
 
