Decide on a roll-out only once configuration and targets are known

Cause, read from the code: a gateway that starts may read the roll-outs before the configuration, takes the service for one that is not configured, and writes that it is rolled back.

Change: it decides once both are known. The unit test fails without the change (one write more) and passes with it.

--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -162,7 +162,11 @@
     rollouts = []
     if settings.max_exposure is not None:
         controller = peers.make_rollout_controller(
-            state, rollout_answers, metrics, settings.max_exposure
+            state,
+            rollout_answers,
+            metrics,
+            settings.max_exposure,
+            lambda: followers.loaded and state.active_configuration.version > 0,
         )
         rollouts.append(controller.run())
     settings_reloader = SettingsReloader(settings, read_settings, state.apply_settings)
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -175,6 +175,7 @@
         answers: AnswerLog,
         metrics: ProxyMetrics,
         max_exposure: float,
+        is_informed: Callable[[], bool],
     ) -> RolloutController:
         """Return what carries out roll-outs; it receives the reports of others."""
         controller = RolloutController(
@@ -189,6 +190,7 @@
             self.hint_exchange,
             metrics,
             max_exposure,
+            is_informed,
         )
         self.hint_exchange.listeners.append(controller.receive)
         return controller
--- a/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
@@ -23,6 +23,8 @@
 from .trial import Trial
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bamboopier_decisions.forwarding.fleet import Fleet
     from bamboopier_decisions.rollouts.order import RolloutStatus
     from bamboopier_decisions.rollouts.schedule import Progress
@@ -61,6 +63,7 @@
         peers: Peers,
         metrics: ProxyMetrics,
         max_exposure: float,
+        is_informed: Callable[[], bool],
     ) -> None:
         self._name = name
         self._started_ms = started_ms
@@ -73,6 +76,9 @@
         self._peers = peers
         self._metrics = metrics
         self._max_exposure = max_exposure
+        # Returns whether configuration and targets are known: a gateway that starts
+        # would take every service for unknown, and every version for one nobody has.
+        self._is_informed = is_informed
         # By service.
         self._trials: dict[str, Trial] = {}
 
@@ -107,7 +113,7 @@
             status.share if status is not None else 0.0
         )
         ranks = [r for r, g in enumerate(selected) if self._registry.is_own(g)]
-        if ranks:
+        if ranks and self._is_informed():
             trial = self._find_trial(rollout)
             trial.record(report)
             await self._evaluate(rollout, trial, ranks[0])
--- a/libraries/proxy/tests/rollouts/test_controller.py
+++ b/libraries/proxy/tests/rollouts/test_controller.py
@@ -67,6 +67,7 @@
     def __init__(self, name: str, names: list[str], store: StubStore) -> None:
         self.name = name
         self.store = store
+        self.is_informed = True
         self.traffic = RolloutTraffic()
         fleet = Fleet()
         fleet.set_services(make_declared().services)
@@ -86,7 +87,7 @@
         peers = mock.Mock(send=lambda hint, _: self.sent.append(hint))
         self.controller = RolloutController(
             name, 1, self.traffic, self.answers, fleet, store, schema, registry,
-            peers, metrics, 0.1,
+            peers, metrics, 0.1, lambda: self.is_informed,
         )  # fmt: skip
 
     def learn(self, seconds: float = SECONDS, service: str = SERVICE) -> None:
@@ -180,6 +181,14 @@
             await self.first.evaluate(late + 0.1)
         self.assertIs(self.store.writes[-1].state, RolloutState.COMPLETED)
 
+    async def test_a_gateway_that_knows_no_services_yet_decides_nothing(self) -> None:
+        """Guards against a good version that a starting gateway takes back."""
+        await self.begin()
+        self.first.is_informed = False
+        self.first.controller._fleet.set_services({})
+        await self.first.evaluate(1.0)
+        self.assertEqual(len(self.store.writes), 1)
+
     async def test_an_order_without_duration_is_rejected_with_the_reason(self) -> None:
         self.first.learn(seconds=0.0)
         await self.first.evaluate(0.0)
