--- a/libraries/decisions/tests/contention/test_fair_queue.py
+++ b/libraries/decisions/tests/contention/test_fair_queue.py
@@ -2,10 +2,41 @@
 
 from __future__ import annotations
 
+import itertools
+import time
 import unittest
 
 from bamboopier_decisions.contention.fair_queue import FairQueue
 
+# Requests that wait in a calm and in a burst, and how much longer one more may take in
+# the burst: the time may grow with the logarithm, and half as much again.
+CALM, BURST = 100, 10_000
+MAX_GROWTH = 3.0
+REPEATS = 5
+
+
+def measure_seconds(waiting: int) -> float:
+    """Return the least seconds that one more request takes, from its coming to its end.
+
+    ``waiting`` requests of 24 workspaces stay in the queue.
+    """
+    queue = FairQueue()
+    for number in range(waiting):
+        queue.add(number % 3, str(number % 24), in_time_until=float(number))
+    clock = itertools.count()
+
+    def pass_requests(count: int) -> float:
+        started_at = time.perf_counter()
+        for number in range(count):
+            workspace = str(number % 24)
+            queue.count_before(1, workspace)
+            ticket = queue.add(1, workspace, in_time_until=float(number))
+            queue.list_tickets(32, float(next(clock)) / 10)
+            queue.remove(ticket, served=number % 2 == 0)
+        return (time.perf_counter() - started_at) / count
+
+    return min(pass_requests(200) for _ in range(REPEATS))
+
 
 class FairQueueTests(unittest.TestCase):
     def setUp(self) -> None:
@@ -60,3 +91,22 @@
         self.assertEqual(len(self.queue), 1)
         self.assertEqual(self.queue.workspaces, {"b": 1})
         self.assertEqual(self.queue.count_before(0, "c"), 1)
+
+    def test_a_burst_costs_little_more_a_request_than_a_calm(self) -> None:
+        """Guards against a gateway that stands still as thousands wait."""
+        growth = measure_seconds(BURST) / measure_seconds(CALM)
+        self.assertLess(growth, MAX_GROWTH)
+
+    def test_a_late_request_can_be_removed(self) -> None:
+        late = self.queue.add(0, "a", in_time_until=1.0)
+        kept = self.queue.add(0, "a")
+        self.assertEqual(self.queue.list_tickets(2, now=2.0), [kept, late])
+        self.queue.remove(late)
+        self.assertEqual(self.queue.list_tickets(2, now=2.0), [kept])
+
+    def test_late_requests_are_not_ahead_of_one_that_can_be_in_time(self) -> None:
+        """Guards against a refusal of what would pass all that wait before it."""
+        for _ in range(5):
+            self.queue.add(0, "a", in_time_until=1.0)
+        self.queue.list_tickets(1, now=2.0)
+        self.assertEqual(self.queue.count_before(0, "a"), 0)
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -32,6 +32,7 @@
         "math",
         "msgspec",
         "random",
+        "sortedcontainers",
         "struct",
         "typing",
         "functools",
