Spread requests over plain targets that are as good as each other

What callers saw: with one gateway and low load, one of three idle targets of a plain service gets no request at all, and the others queue.

Cause: the random unknown load that keeps gateways from choosing alike is 0 with one gateway, and the small random seconds that break ties were not added for plain targets; equal targets were then taken in the order of their list. They are added now.

Ruled out: more unknown load with one gateway, which would also send requests to busier targets.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/placement.py
@@ -51,6 +51,8 @@
 # Penalty in seconds for a long response at a target that loads new weights soon: the
 # delay of the load.
 LOADING_SOON_PENALTY_SECONDS = 0.5
+# Random seconds that spread requests over targets that are as good as each other.
+TIE_BREAK_SECONDS = 1e-4
 # Number of the best targets whose exact load is asked for: with the load of two chosen
 # at random, the longest queue already grows very slowly with the number of targets.
 MAX_BEST = 4
@@ -265,10 +267,11 @@
         failing = state.circuit_breaker.failure_rate * FAILURE_PENALTY_SECONDS
         # Whatever delays the requests that wait there delays this one, too.
         silent = state.stall_detector.find_delay(now)
-        jitter = random.random() * 1e-4
+        jitter = random.random() * TIE_BREAK_SECONDS
         if prompt is None:
             unknown = random.random() * unknown_load
-            return state.requests / state.slots + remote + failing + silent + unknown
+            load = state.requests / state.slots + unknown
+            return load + remote + failing + silent + jitter
         cached = state.cached_parts.count_cached(prompt)
         shared = sum(part.tokens for part in prompt.shared_parts)
         repeated = shared - max(cached, demand.fetched)
--- a/libraries/decisions/tests/forwarding/test_placement.py
+++ b/libraries/decisions/tests/forwarding/test_placement.py
@@ -4,12 +4,13 @@
 
 import random
 import unittest
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from bamboopier_decisions.forwarding.demand import Demand, Placement, WeightVersionRange
 from bamboopier_decisions.forwarding.placement import choose_target
 
-from .builders import DESK, make_entry, make_fleet, make_prompt
+from .builders import DESK, VANS, make_entry, make_fleet, make_prompt
 
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.fleet import Fleet
@@ -103,6 +104,22 @@
         stalled.stall_detector.record_sent(2.0)
         self.assertIsNone(self.choose(fleet, 2.1).state)
 
+    def test_one_gateway_spreads_requests_over_idle_plain_targets(self) -> None:
+        """Guards against one target that gets all requests while others are idle."""
+        names = ("p-1", "p-2", "p-3")
+        fleet = make_fleet([make_entry(name, VANS) for name in names])
+        chosen: Counter[str] = Counter()
+        demand, weights = Demand(VANS, 1, None, 0.4), WeightVersionRange()
+        generator = random.Random(1)
+        for step in range(300):
+            found = choose_target(
+                step * 0.05, fleet, demand, set(), weights, "z1", generator
+            )
+            assert found.state is not None
+            chosen[found.state.entry.name] += 1
+        for name in names:
+            self.assertGreater(chosen[name], 60)
+
 
 if __name__ == "__main__":
     unittest.main()
