Refuse prompts at once that can't go in time, and spread their callers' return

Cause: only plain services estimated the wait, and by all departures, which urgent requests dominate; Retry-After did not depend on how many had been sent away.

(1) A request for a model is refused at once if those before it take longer to leave than it may wait, counted by what leaves of its own urgency or less; the next one in line always waits, since otherwise nothing would show that requests leave again. (2) Each refused caller gets a place behind those sent away before it, at that rate; who finds none before the longest time that callers accept returns in the second half of it.

--- a/libraries/decisions/src/bamboopier_decisions/contention/departure_rate.py
+++ b/libraries/decisions/src/bamboopier_decisions/contention/departure_rate.py
@@ -3,6 +3,9 @@
 Load pattern: more requests come than are carried, for seconds. A queue of fixed length
 is too long for a slow service and too short for a fast one; a request that can't go
 before its wait ends is better told so at once.
+
+Urgent requests pass the others: what they take says nothing about how fast less urgent
+ones leave, while they could have any place that a less urgent one got.
 """
 
 from __future__ import annotations
@@ -22,7 +25,8 @@
     __slots__ = ("_departed", "_empty_since", "_waiting_since")
 
     def __init__(self) -> None:
-        self._departed: deque[float] = deque()
+        # Time and priority of each.
+        self._departed: deque[tuple[float, int]] = deque()
         # Since when requests have waited, but for short moments; None if none does.
         self._waiting_since: float | None = None
         # Since when none waits; None while one does.
@@ -38,26 +42,40 @@
         if self._waiting_since is None or was_empty:
             self._waiting_since = now
 
-    def record_departure(self, now: float) -> None:
+    def record_departure(self, now: float, priority: int = 0) -> None:
         """Record a request that is served."""
-        self._departed.append(now)
+        self._departed.append((now, priority))
         self._expire(now)
 
-    def estimate_wait(self, now: float, before: int, capacity: float) -> float:
+    def estimate_wait(
+        self, now: float, before: int, capacity: float, priority: int = 0
+    ) -> float:
         """Return the seconds until a request leaves with ``before`` ahead of it.
 
         ``capacity`` is what the targets are known to take a second, 0 if unknown: after
         a lull few were sent, and more are possible. The result is 0 as long as no rate
-        is known.
+        is known. Without a known capacity it is 0 for the next one, too: if all were
+        refused, none would show that requests leave again.
+        """
+        per_second = self.find_rate(now, priority)
+        if per_second <= 0 or (before == 0 and capacity <= 0):
+            return 0.0
+        return (before + 1) / max(capacity, per_second)
+
+    def find_rate(self, now: float, priority: int = 0) -> float:
+        """Return how many requests of a priority, or less urgent, leave a second.
+
+        0 as long as that is unknown: no request has waited for long enough.
         """
         since = self._waiting_since
         if since is None or now - since < SETTLE_SECONDS:
             return 0.0
         self._expire(now)
         seconds = min(WINDOW_SECONDS, now - since)
-        departed = sum(at >= now - seconds for at in self._departed)
-        return (before + 1) / max(capacity, max(1, departed) / seconds)
+        start = now - seconds
+        departed = sum(at >= start and p >= priority for at, p in self._departed)
+        return max(1, departed) / seconds
 
     def _expire(self, now: float) -> None:
-        while self._departed and self._departed[0] < now - WINDOW_SECONDS:
+        while self._departed and self._departed[0][0] < now - WINDOW_SECONDS:
             self._departed.popleft()
--- a/libraries/decisions/tests/contention/test_estimates.py
+++ b/libraries/decisions/tests/contention/test_estimates.py
@@ -72,6 +72,24 @@
         rate.record_waiting(0.0, is_waiting=True)
         self.assertAlmostEqual(rate.estimate_wait(1.0, 9, 40.0), 0.25)
 
+    def test_what_is_more_urgent_says_nothing_about_the_others(self) -> None:
+        """Guards against long prompts that wait in vain while short ones pass them."""
+        rate = DepartureRate()
+        rate.record_waiting(0.0, is_waiting=True)
+        for number in range(20):
+            rate.record_departure(number * 0.05, priority=0)
+        for number in range(2):
+            rate.record_departure(0.5 + number * 0.05, priority=2)
+        self.assertAlmostEqual(rate.estimate_wait(0.99, 9, 0.0, 0), 0.45, delta=0.05)
+        self.assertAlmostEqual(rate.estimate_wait(0.99, 9, 0.0, 2), 5.0, delta=0.1)
+
+    def test_the_next_one_shows_whether_requests_leave_again(self) -> None:
+        """Guards against a service that refuses all since it has refused all."""
+        rate = DepartureRate()
+        rate.record_waiting(0.0, is_waiting=True)
+        self.assertEqual(rate.estimate_wait(5.0, 0, 0.0), 0.0)
+        self.assertGreater(rate.estimate_wait(5.0, 1, 0.0), 1.0)
+
     def test_a_long_pause_starts_anew(self) -> None:
         rate = DepartureRate()
         rate.record_waiting(0.0, is_waiting=True)
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -235,7 +235,7 @@
         end = call.timeout_at if now < call.timeout_at else call.deadline
         demand = self._planner.make_demand(now, call)
         placement = self._selector.select(call, demand, set(call.tried))
-        wait = self._selector.draw_retry_after(now, end, placement)
+        wait = self._selector.draw_retry_after(now, call, end, placement)
         raise CallerError(
             ErrorCode.OVERLOADED, result.cause.value, ExecutionStatus.NOT_EXECUTED, wait
         )
--- a/libraries/proxy/src/bamboopier_proxy/request_queues.py
+++ b/libraries/proxy/src/bamboopier_proxy/request_queues.py
@@ -9,8 +9,10 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.contention.departure_rate import DepartureRate
 from bamboopier_decisions.contention.fair_queue import FairQueue
+from bamboopier_decisions.contention.return_times import ReturnTimes
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from bamboopier_decisions.forwarding.fleet import InFlightRequest
@@ -39,11 +41,13 @@
 class _ServiceQueue:
     """The waiting requests of one service, and how fast they are let go."""
 
-    __slots__ = ("departures", "requests")
+    __slots__ = ("departures", "requests", "returns")
 
     def __init__(self) -> None:
         self.requests = FairQueue()
         self.departures = DepartureRate()
+        # Of those that were refused, by priority.
+        self.returns: dict[int, ReturnTimes] = {}
 
 
 class RequestQueues:
@@ -78,12 +82,24 @@
         if queue is None:
             return 0.0
         before = queue.requests.count_before(priority, workspace)
-        return queue.departures.estimate_wait(read_clock(), before, capacity)
+        return queue.departures.estimate_wait(read_clock(), before, capacity, priority)
 
-    def record_sent(self, service: str) -> None:
+    def plan_return(
+        self, service: str, priority: int, max_seconds: float, random: random.Random
+    ) -> float:
+        """Return the seconds after which a caller that is refused can be served."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return 0.0
+        now = read_clock()
+        times = queue.returns.setdefault(priority, ReturnTimes())
+        rate = queue.departures.find_rate(now, priority)
+        return times.plan_return(now, rate, max_seconds, random)
+
+    def record_sent(self, service: str, priority: int) -> None:
         """Record a request that found a target without waiting."""
         queue = self._queues.setdefault(service, _ServiceQueue())
-        queue.departures.record_departure(read_clock())
+        queue.departures.record_departure(read_clock(), priority)
 
     async def wait(
         self,
@@ -126,14 +142,16 @@
             raise
         finally:
             del self._pending[service, ticket]
-            self._remove(queue, ticket, served=found is not None)
+            self._remove(queue, ticket, priority, served=found is not None)
         return found
 
-    def _remove(self, queue: _ServiceQueue, ticket: int, *, served: bool) -> None:
+    def _remove(
+        self, queue: _ServiceQueue, ticket: int, priority: int, *, served: bool
+    ) -> None:
         queue.requests.remove(ticket, served=served)
         now = read_clock()
         if served:
-            queue.departures.record_departure(now)
+            queue.departures.record_departure(now, priority)
         if not len(queue.requests):
             queue.departures.record_waiting(now, is_waiting=False)
 
--- a/libraries/proxy/src/bamboopier_proxy/target_selector.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -8,7 +8,11 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.placement import choose_target
-from bamboopier_decisions.forwarding.wait_queue import draw_retry_after, find_max_wait
+from bamboopier_decisions.forwarding.wait_queue import (
+    RETRY_AFTER_SHARE,
+    draw_retry_after,
+    find_max_wait,
+)
 
 from .refusals import CallerError, ErrorCode, ExecutionStatus
 
@@ -65,7 +69,7 @@
             demand = self._planner.make_demand(read_clock(), call, versions.closed)
             placement = await self._select_by_exact_loads(call, demand, tried)
         if placement.state is not None:
-            self._request_queues.record_sent(call.service)
+            self._request_queues.record_sent(call.service, call.priority)
             return self._begin(read_clock(), call, placement.state)
         if placement.known == 0:
             raise self._refuse(call, ErrorCode.NO_TARGET, placement)
@@ -75,7 +79,7 @@
         )
         spare = self._planner.find_spare_seconds(started_at, call, placement)
         self._check_limits(call, placement, started_at + seconds)
-        if demand.exceeds_part:
+        if demand.exceeds_part or call.prompt is not None:
             self._check_queue(call, placement, min(seconds, spare))
 
         def try_acquire() -> InFlightRequest | None:
@@ -215,13 +219,19 @@
             return CallerError(
                 ErrorCode.OUTCOME_UNKNOWN, code.value, ExecutionStatus.UNKNOWN
             )
-        wait = self.draw_retry_after(now, call.timeout_at, placement)
+        wait = self.draw_retry_after(now, call, call.timeout_at, placement)
         return CallerError(
             code, "no target has room", ExecutionStatus.NOT_EXECUTED, wait
         )
 
-    def draw_retry_after(self, now: float, end: float, placement: Placement) -> float:
+    def draw_retry_after(
+        self, now: float, call: Call, end: float, placement: Placement
+    ) -> float:
         """Return the seconds after which a caller that leaves at ``end`` returns."""
+        remaining = max(0.0, end - now)
         limited = placement.limited
         seconds = max(0.0, limited.free_at - now) if limited.covers_all else 0.0
-        return draw_retry_after(max(0.0, end - now), self._random, seconds)
+        planned = self._request_queues.plan_return(
+            call.service, call.priority, remaining * RETRY_AFTER_SHARE, self._random
+        )
+        return draw_retry_after(remaining, self._random, max(seconds, planned))
