Judge roll-outs by groups of targets, and plan them from their allowance

Causes: (1) the other versions' counts lost their weight once these got no more requests, so that their errors were forgotten and a version that makes the same ones was blamed; (2) what was observed was taken for exact; (3) halves of targets mix a bad target with good ones; (4) the full share came at half of the time, and nothing of the allowance was left for a version that turns bad later; (5) with the same share on each route the rare one's answers came too late.

Change: failures and slow answers are judged apart, by sums for four groups of targets of which those that show most are left out (one for failures, half for slow answers); the others' rates count with their error, are kept once few requests come, and rise at once in a fault that hits all; slow is measured within buckets. Requests on trial are drawn by the root of a route's requests. What fails at every target counts against no version. Reports are split where they exceed a datagram.

--- a/libraries/decisions/src/bamboopier_decisions/rollouts/evidence.py
+++ b/libraries/decisions/src/bamboopier_decisions/rollouts/evidence.py
@@ -7,22 +7,29 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left
+from typing import TYPE_CHECKING
 
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 # Upper bounds of the time buckets in seconds, each 1.6 times the one before: from
 # 4 ms to 4.6 s. Longer times fall into a last bucket.
 BUCKET_FACTOR = 1.6
 BUCKET_SECONDS = tuple(0.004 * BUCKET_FACTOR**number for number in range(16))
+# Groups that the targets of the version on trial are divided into.
+GROUPS = 4
 
 
 class AnswerKey(msgspec.Struct, frozen=True, array_like=True):
     """Which answers are counted together."""
 
     route: str
-    # Half of the targets of the version on trial, 0 or 1; None for other versions.
-    half: int | None
+    # Group of the targets of the version on trial, from 0; None for other versions.
+    group: int | None
 
 
 class AnswerCounts(msgspec.Struct, array_like=True):
@@ -56,14 +63,43 @@
             a + factor * b for a, b in zip(self.by_time, other.by_time, strict=True)
         ]
 
-    def count_slower(self, bucket: int) -> int:
-        """Return the timed answers in buckets after ``bucket``."""
-        return sum(self.by_time[bucket + 1 :])
-
 
 Evidence = dict[AnswerKey, AnswerCounts]
 
 
+def count_slower(by_time: Sequence[float], seconds: float) -> float:
+    """Return how many of the answers by bucket took longer than ``seconds``.
+
+    Within a bucket they are taken to be spread evenly over the logarithm of the time.
+    """
+    if math.isinf(seconds):
+        return 0.0
+    position = _find_position(seconds)
+    bucket = int(position)
+    slower = sum(by_time[bucket + 1 :])
+    return slower + by_time[bucket] * (1.0 - (position - bucket))
+
+
+def find_quantile(by_time: Sequence[float], part: float) -> float:
+    """Return the seconds within which a part of the answers came; infinity for none."""
+    total = sum(by_time)
+    if total <= 0:
+        return math.inf
+    wanted, covered = total * part, 0.0
+    for bucket, count in enumerate(by_time):
+        if count and covered + count >= wanted:
+            inside = (wanted - covered) / count
+            return float(BUCKET_SECONDS[0] * BUCKET_FACTOR ** (bucket - 1 + inside))
+        covered += count
+    return math.inf
+
+
+def _find_position(seconds: float) -> float:
+    """Return the bucket of a time, and how far into it as the part behind the point."""
+    position = math.log(seconds / BUCKET_SECONDS[0], BUCKET_FACTOR) + 1.0
+    return min(max(0.0, position), len(BUCKET_SECONDS) + 0.999)
+
+
 class EvidencePool:
     """Adds up the cumulative counts of all gateways, and returns what came since."""
 
@@ -89,7 +125,8 @@
             total.add(counts)
             if key in known:
                 total.add(known[key], -1)
-        self._reports[gateway] = started_ms, evidence
+        # A report may hold a part of the keys only.
+        self._reports[gateway] = started_ms, {**known, **evidence}
 
     def take(self) -> Evidence:
         """Return the answers counted since the last call."""
--- a/libraries/decisions/src/bamboopier_decisions/rollouts/judge.py
+++ b/libraries/decisions/src/bamboopier_decisions/rollouts/judge.py
@@ -4,12 +4,18 @@
 bursts, cold starts, crashed targets and faults that hit all versions change failures
 and times of every version. A fixed limit would blame the version for them, or miss a
 version that fails a third of its answers on one route only. Therefore it is compared
-with the other versions on the same route at the same time, by a cumulative sum of
-log-likelihood ratios: it grows with each bad answer, falls a little with each good one
-and never below zero, so that a version which turns bad later is found as fast.
+with the other versions on the same route at the same time, by cumulative sums of
+log-likelihood ratios: each grows with a bad answer, falls a little with a good one and
+never below zero, so that a version which turns bad later is found as fast. One sum for
+a small and others for great excesses find both with few answers.
 
-Guards against blaming a version for one bad target: both halves of its targets have to
-show the same.
+Guards against blaming a version for some of its targets, such as one that fails or a
+few on slower hardware: its targets are divided into groups, and those that show most
+are left out: one of four for failures, half of them for slow answers. A version is bad
+if the others show it, too.
+
+Guards against blaming it for what the other versions' answers do not tell exactly: it
+is compared with a rate above the one observed, by the error of that.
 """
 
 from __future__ import annotations
@@ -17,30 +23,39 @@
 import math
 from enum import StrEnum
 
-from .evidence import AnswerCounts, AnswerKey, Evidence
+from .evidence import AnswerCounts, AnswerKey, Evidence, count_slower, find_quantile
 
-# Excess of bad answers that counts as a bad version.
-EXCESS = 0.15
+# Excesses of bad answers that count as a bad version.
+EXCESSES = (0.15, 0.35, 0.7)
 # Least and greatest assumed share of bad answers of the other versions: none seen does
 # not prove that there are none.
-MIN_RATE, MAX_RATE = 0.02, 0.8
+MIN_RATE, MAX_RATE = 0.01, 0.8
 # Answers, and bad ones among them, that are assumed beside those of other versions.
 PRIOR_ANSWERS, PRIOR_BAD = 10.0, 0.5
-# Share of the other versions' answers that counts as slow among themselves.
-SLOW_SHARE = 0.1
-# Buckets of time beyond these from which an answer of the version on trial is slow: 1.6
-# times as slow, and 2.6 times where prompts that its targets have not cached are read.
-SLOW_BUCKETS, SLOW_PROMPT_BUCKETS = 1, 2
-# Seconds in which the counts of the other versions lose half of their weight.
+# Part of the other versions' answers that an answer on trial is compared with, and by
+# how many times it has to be slower: more where prompts are read that its targets have
+# not cached.
+SLOW_PART = 0.75
+SLOW_FACTOR, SLOW_PROMPT_FACTOR = 1.9, 2.9
+# Seconds in which the counts of the other versions lose half of their weight, and the
+# answers from which they lose none: once they get few requests they are not forgotten.
 HALF_LIFE_SECONDS = 3.0
-# Cumulative sum of one half of the targets from which it shows a bad version. With
-# both it takes three bad answers in a row on either.
-HALF_THRESHOLD = 5.0
-# The same for a version with answers of one half only.
+KEPT_ANSWERS = 80.0
+# The same for counts that show at once a fault that hits all versions, and how many
+# answers these need.
+RECENT_HALF_LIFE_SECONDS = 0.4
+MIN_RECENT_ANSWERS = 10.0
+# Parts of the groups that are left out, rounded up.
+FAILURES_LEFT_OUT, SLOW_LEFT_OUT = 0.25, 0.5
+# Sum over the groups that are not left out from which a version is bad. One of a good
+# version gets there in less than one of 200 roll-outs.
+THRESHOLD = 7.5
+# The same for a version with answers of one group only, of which none is left out.
 SINGLE_THRESHOLD = 10.0
-# Share of a threshold from which a step is better held back.
-SUSPICION_SHARE = 0.5
-# Name of the sum over all routes.
+# Parts of a threshold from which the rise is held back for more answers, and from which
+# a version is not completed at its deadline.
+DOUBT_PART, SUSPICION_PART = 0.35, 0.6
+# Name of the sums over all routes.
 ALL_ROUTES = "*"
 
 
@@ -48,121 +63,232 @@
     """What the answers so far say of a version."""
 
     GOOD = "good"
+    DOUBTFUL = "doubtful"
     SUSPECT = "suspect"
     BAD = "bad"
 
 
-class _Sum:
-    """Sum for one half of the targets on one route."""
+class _Kind(StrEnum):
+    """What makes an answer bad."""
+
+    FAILED = "failures"
+    SLOW = "slow answers"
+
+    @property
+    def left_out(self) -> float:
+        """Return the part of the groups that is left out."""
+        return FAILURES_LEFT_OUT if self is _Kind.FAILED else SLOW_LEFT_OUT
+
 
-    __slots__ = ("answers", "value")
+class _Sums:
+    """Sums of one group for one kind of bad answers on one route, by excess."""
+
+    __slots__ = ("values",)
 
     def __init__(self) -> None:
-        self.value = 0.0
-        self.answers = 0
+        self.values = [0.0] * len(EXCESSES)
+
+    def add(self, bad: float, good: float, rate: float) -> None:
+        """Add answers, where ``rate`` of the other versions' answers are bad."""
+        for index, excess in enumerate(EXCESSES):
+            expected = min(rate + excess, 0.97)
+            for_bad = math.log(expected / rate)
+            for_good = math.log((1 - expected) / (1 - rate))
+            # The good ones first: their order within a fraction of a second is unknown.
+            value = max(0.0, self.values[index] + good * for_good)
+            self.values[index] = value + bad * for_bad
 
 
 class Judge:
     """The evidence for and against one version on trial."""
 
     def __init__(self, *, has_prompts: bool) -> None:
-        self._slow_buckets = SLOW_PROMPT_BUCKETS if has_prompts else SLOW_BUCKETS
-        self._others: dict[str, _Weighted] = {}
-        self._sums: dict[tuple[str, int], _Sum] = {}
+        self._slow_factor = SLOW_PROMPT_FACTOR if has_prompts else SLOW_FACTOR
+        self._others: dict[str, _Reference] = {}
+        # By route and kind, and by group.
+        self._sums: dict[tuple[str, _Kind], dict[int, _Sums]] = {}
         self._updated_at: float | None = None
-        # Answers of the version so far.
+        # Answers of the version so far, and those of all versions.
         self.answers = 0
+        self.all_answers = 0
 
     def update(self, now: float, evidence: Evidence) -> None:
         """Take in the answers counted since the last call."""
         self._decay(now)
         for key, counts in evidence.items():
-            if key.half is None:
-                self._others.setdefault(key.route, _Weighted()).add(counts)
+            self.all_answers += counts.answers
+            if key.group is None:
+                self._others.setdefault(key.route, _Reference()).add(counts)
         for key, counts in evidence.items():
-            if key.half is not None:
-                self._add(key, key.half, counts)
+            if key.group is not None:
+                self._add(key, key.group, counts)
 
     def find_verdict(self) -> Verdict:
         """Return what all answers so far say."""
-        worst = max((self._find_level(r) for r, _ in self._sums), default=0.0)
+        worst = max(map(self._find_level, self._sums), default=0.0)
         if worst >= 1:
             return Verdict.BAD
-        return Verdict.SUSPECT if worst >= SUSPICION_SHARE else Verdict.GOOD
+        if worst >= SUSPICION_PART:
+            return Verdict.SUSPECT
+        return Verdict.DOUBTFUL if worst >= DOUBT_PART else Verdict.GOOD
 
     def explain(self) -> str:
         """Return which route shows most, for an operator."""
-        routes = {route for route, _ in self._sums}
-        worst = max(routes, key=self._find_level, default="")
-        sums = [round(s.value, 1) for (r, _), s in self._sums.items() if r == worst]
-        return f"route {worst or '-'}: evidence {sums} after {self.answers} answers"
+        worst = max(self._sums, key=self._find_level, default=None)
+        if worst is None:
+            return "no answers"
+        route, kind = worst
+        groups = {
+            group: round(max(sums.values), 1)
+            for group, sums in sorted(self._sums[worst].items())
+        }
+        level = self._find_level(worst)
+        return (
+            f"{kind.value} on route {route}: {level:.2f} of the threshold, evidence by"
+            f" group of targets {groups} after {self.answers} answers"
+        )
 
-    def _find_level(self, route: str) -> float:
+    def _find_level(self, key: tuple[str, _Kind]) -> float:
         """Return how much of a threshold the answers on a route have reached."""
-        halves = [self._sums.get((route, half)) for half in (0, 1)]
-        known = [s for s in halves if s is not None and s.answers]
-        if len(known) == 1:
-            return known[0].value / SINGLE_THRESHOLD
-        return min((s.value / HALF_THRESHOLD for s in known), default=0.0)
+        groups = self._sums[key].values()
+        return max(
+            _find_part_of_threshold([sums.values[i] for sums in groups], key[1])
+            for i in range(len(EXCESSES))
+        )
 
     def _decay(self, now: float) -> None:
         if self._updated_at is not None:
-            factor = 0.5 ** ((now - self._updated_at) / HALF_LIFE_SECONDS)
             for others in self._others.values():
-                others.scale(factor)
+                others.decay(now - self._updated_at)
         self._updated_at = now
 
-    def _add(self, key: AnswerKey, half: int, counts: AnswerCounts) -> None:
-        others = self._others.get(key.route, _Weighted())
-        slow_from = others.find_slow_bucket() + self._slow_buckets
-        bad = counts.failed + counts.count_slower(slow_from)
-        answers = counts.answers
-        self.answers += answers
-        rate = others.find_bad_rate(slow_from)
-        excess = min(rate + EXCESS, 0.95)
-        for_bad = math.log(excess / rate)
-        for_good = math.log((1 - excess) / (1 - rate))
-        for route in (key.route, ALL_ROUTES):
-            total = self._sums.setdefault((route, half), _Sum())
-            total.answers += answers
-            # The good ones first: their order within a fraction of a second is unknown.
-            total.value = max(0.0, total.value + (answers - bad) * for_good)
-            total.value += bad * for_bad
+    def _add(self, key: AnswerKey, group: int, counts: AnswerCounts) -> None:
+        others = self._others.get(key.route, _Reference())
+        slow_seconds = others.find_quantile(SLOW_PART) * self._slow_factor
+        slow = count_slower(counts.by_time, slow_seconds)
+        timed = sum(counts.by_time)
+        self.answers += counts.answers
+        self._add_kind(
+            key.route,
+            group,
+            _Kind.FAILED,
+            counts.failed,
+            counts.answers - counts.failed,
+            others.find_failed_rate(),
+        )
+        self._add_kind(
+            key.route,
+            group,
+            _Kind.SLOW,
+            slow,
+            timed - slow,
+            others.find_slow_rate(slow_seconds),
+        )
+
+    def _add_kind(
+        self,
+        route: str,
+        group: int,
+        kind: _Kind,
+        bad: float,
+        good: float,
+        rate: float,
+    ) -> None:
+        for name in (route, ALL_ROUTES):
+            sums = self._sums.setdefault((name, kind), {})
+            sums.setdefault(group, _Sums()).add(bad, good, rate)
+
+
+def _find_part_of_threshold(values: list[float], kind: _Kind) -> float:
+    """Return how much of a threshold the sums of the groups have reached."""
+    if len(values) == 1:
+        return values[0] / SINGLE_THRESHOLD
+    left_out = math.ceil(len(values) * kind.left_out)
+    return sum(sorted(values)[: len(values) - left_out]) / THRESHOLD
+
+
+class _Reference:
+    """Answers of the other versions on one route: the last seconds, and just now."""
+
+    __slots__ = ("_long", "_recent")
+
+    def __init__(self) -> None:
+        self._long = _Weighted()
+        self._recent = _Weighted()
+
+    def add(self, counts: AnswerCounts) -> None:
+        self._long.add(counts)
+        self._recent.add(counts)
+
+    def decay(self, seconds: float) -> None:
+        """Let the answers so far lose weight."""
+        self._long.decay(0.5 ** (seconds / HALF_LIFE_SECONDS), KEPT_ANSWERS)
+        self._recent.decay(0.5 ** (seconds / RECENT_HALF_LIFE_SECONDS), 0.0)
+
+    def find_quantile(self, part: float) -> float:
+        """Return the seconds within which a part of the answers came."""
+        return self._long.find_quantile(part)
+
+    def find_failed_rate(self) -> float:
+        """Return the greater of the shares of failed answers."""
+        rate = self._long.find_failed_rate()
+        if self._recent.answers < MIN_RECENT_ANSWERS:
+            return rate
+        return max(rate, self._recent.find_failed_rate())
+
+    def find_slow_rate(self, slow_seconds: float) -> float:
+        """Return the greater of the shares of timed answers that took longer."""
+        rate = self._long.find_slow_rate(slow_seconds)
+        if self._recent.answers < MIN_RECENT_ANSWERS:
+            return rate
+        return max(rate, self._recent.find_slow_rate(slow_seconds))
 
 
 class _Weighted:
-    """Answers of the other versions on one route, of which recent ones count most."""
+    """Answers whose weight falls with time."""
 
     def __init__(self) -> None:
         self._failed = 0.0
         self._untimed = 0.0
         self._by_time: list[float] = []
 
+    @property
+    def answers(self) -> float:
+        """Return the weight of all answers."""
+        return self._failed + self._untimed + sum(self._by_time)
+
     def add(self, counts: AnswerCounts) -> None:
         self._failed += counts.failed
         self._untimed += counts.untimed
         before = self._by_time or [0.0] * len(counts.by_time)
         self._by_time = [a + b for a, b in zip(before, counts.by_time, strict=True)]
 
-    def scale(self, factor: float) -> None:
+    def decay(self, factor: float, kept: float) -> None:
+        """Multiply the counts by ``factor``, but keep a number of answers."""
+        answers = self.answers
+        if answers <= kept:
+            return
+        factor = max(factor, kept / answers)
         self._failed *= factor
         self._untimed *= factor
         self._by_time = [count * factor for count in self._by_time]
 
-    def find_slow_bucket(self) -> int:
-        """Return the last bucket that is not slow; the last of all without answers."""
-        total = sum(self._by_time)
-        if total <= 0:
-            return len(AnswerCounts().by_time)
-        covered = 0.0
-        for bucket, count in enumerate(self._by_time):
-            covered += count
-            if covered >= total * (1 - SLOW_SHARE):
-                return bucket
-        return len(self._by_time)
-
-    def find_bad_rate(self, slow_from: int) -> float:
-        """Return the share of bad answers, with what is assumed beside them."""
-        bad = self._failed + sum(self._by_time[slow_from + 1 :]) + PRIOR_BAD
-        answers = self._failed + self._untimed + sum(self._by_time) + PRIOR_ANSWERS
-        return min(MAX_RATE, max(MIN_RATE, bad / answers))
+    def find_quantile(self, part: float) -> float:
+        """Return the seconds within which a part of the answers came."""
+        return find_quantile(self._by_time, part)
+
+    def find_failed_rate(self) -> float:
+        """Return the share of failed answers, with what is assumed and its error."""
+        return _estimate_rate(self._failed, self.answers)
+
+    def find_slow_rate(self, slow_seconds: float) -> float:
+        """Return the same for the timed answers that took longer than some seconds."""
+        slow = count_slower(self._by_time, slow_seconds) if self._by_time else 0.0
+        return _estimate_rate(slow, sum(self._by_time))
+
+
+def _estimate_rate(bad: float, answers: float) -> float:
+    answers += PRIOR_ANSWERS
+    rate = (bad + PRIOR_BAD) / answers
+    rate += math.sqrt(rate * (1 - rate) / answers)
+    return min(MAX_RATE, max(MIN_RATE, rate))
--- a/libraries/decisions/src/bamboopier_decisions/rollouts/traffic.py
+++ b/libraries/decisions/src/bamboopier_decisions/rollouts/traffic.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from .order import RolloutState
+from .route_mix import RouteMix
 
 if TYPE_CHECKING:
     import random
@@ -54,6 +55,8 @@
         self._withdrawn: dict[str, set[str]] = {}
         # When versions that appeared later than others were first seen, by service.
         self._appeared: dict[str, dict[str, float]] = {}
+        # Requests of the services with a running roll-out.
+        self._mixes: dict[str, RouteMix] = {}
 
     @property
     def rollouts(self) -> Mapping[str, Rollout]:
@@ -129,6 +132,7 @@
         versions: Iterable[str],
         random: random.Random,
         *,
+        route: str = "",
         is_retry: bool = False,
     ) -> VersionChoice:
         """Draw which versions one new request does without.
@@ -148,10 +152,14 @@
             return VersionChoice(closed)
         status = rollout.own_status
         share = status.share if status is not None else 0.0
+        mix = self._mixes.setdefault(service, RouteMix())
+        if not is_retry:
+            mix.record(route)
         if share >= 1:
             return VersionChoice(closed, others)
         is_known = now - self.find_known_until() <= MAX_AGE_SECONDS
-        if is_known and not is_retry and random.random() < share:
+        share_of_route = mix.find_share(route, share)
+        if is_known and not is_retry and random.random() < share_of_route:
             return VersionChoice(closed, others, may_fall_back=True)
         return VersionChoice(closed, frozenset({version}))
 
--- a/libraries/decisions/tests/rollouts/builders.py
+++ b/libraries/decisions/tests/rollouts/builders.py
@@ -8,6 +8,7 @@
 
 from bamboopier_decisions.rollouts import schedule
 from bamboopier_decisions.rollouts.evidence import (
+    GROUPS,
     AnswerCounts,
     AnswerKey,
     Evidence,
@@ -20,7 +21,7 @@
     RolloutState,
     RolloutStatus,
 )
-from bamboopier_decisions.rollouts.schedule import Progress
+from bamboopier_decisions.rollouts.schedule import Allowance, Progress
 from bamboopier_decisions.rollouts.traffic import RolloutTraffic
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
 # Requests a second, and the share and number of them that a bad version may get.
 PER_SECOND = 115.0
 MAX_EXPOSURE, SLACK = 0.1, 50
+ALLOWANCE = Allowance(MAX_EXPOSURE, SLACK)
 TICK_SECONDS = 0.05
 REPORT_SECONDS = 0.25
 TARGETS = 4
@@ -106,6 +108,11 @@
     # Answers that come later: their time, key and whether they fail, with their time.
     pending: list[tuple[float, AnswerKey, float | None]] = field(default_factory=list)
 
+    @property
+    def former_in_flight(self) -> bool:
+        """Return whether a request is in flight at a former version."""
+        return any(key.group is None for _, key, _ in self.pending)
+
     def count(self, now: float) -> None:
         due = [answer for answer in self.pending if answer[0] <= now]
         self.pending = [answer for answer in self.pending if answer[0] > now]
@@ -128,10 +135,13 @@
         per_second: float = PER_SECOND,
         *,
         restarts_at: float | None = None,
+        weights: tuple[float, float] = (0.5, 0.5),
     ) -> None:
         self.behaviour = behaviour
         self.random = random.Random(seed)
         self.per_second = per_second
+        # Parts of the requests on each route.
+        self.weights = weights
         self.gateways = [Gateway() for _ in range(gateways)]
         self.rollout = make_rollout(make_status(share=0.0))
         # All evidence is lost at this time: all gateways restart.
@@ -181,11 +191,13 @@
                 since_step=now - step_at,
                 verdict=judge.find_verdict(),
                 answers=judge.answers - step_answers,
-                is_drained=not any(g.pending for g in self.gateways),
+                is_drained=not any(g.former_in_flight for g in self.gateways),
+                reason=judge.explain(),
+                per_second=judge.all_answers / now if now else 0.0,
             )
             status = self.rollout.status
             assert status is not None
-            decided = schedule.decide(SECONDS, status, progress, MAX_EXPOSURE)
+            decided = schedule.decide(SECONDS, status, progress, ALLOWANCE)
             if decided is not None:
                 step_at, step_answers = now, judge.answers
                 revision = self.rollout.revision + 1
@@ -213,21 +225,24 @@
             self._send_one(now, self.random.choice(self.gateways))
 
     def _send_one(self, now: float, gateway: Gateway) -> None:
-        choice = gateway.traffic.choose(now, SERVICE, {OLD, NEW}, self.random)
+        route = self.random.choices(ROUTES, self.weights)[0]
+        choice = gateway.traffic.choose(
+            now, SERVICE, {OLD, NEW}, self.random, route=route
+        )
         version = NEW if OLD in choice.excluded else OLD
         status = self.rollout.status
         assert status is not None
         request = Request(
             now,
             version,
-            self.random.choice(ROUTES),
+            route,
             self.random.randrange(TARGETS),
             status.share,
         )
         self.requests += 1
         self.exposed += version == NEW
-        half = request.target % 2 if version == NEW else None
-        key = AnswerKey(request.route, half)
+        group = request.target % GROUPS if version == NEW else None
+        key = AnswerKey(request.route, group)
         seconds = ANSWER_SECONDS * self.random.lognormvariate(0, SPREAD)
         seconds *= self.behaviour.slowness(request)
         failed = self.random.random() < self.behaviour.failing(request)
--- a/libraries/decisions/tests/rollouts/test_replay.py
+++ b/libraries/decisions/tests/rollouts/test_replay.py
@@ -11,20 +11,29 @@
 
 GATEWAYS = (1, 4, 31, 68)
 SEEDS = (0, 1, 4)
+# Parts of the requests on the frequent and the rare route, and the part of their
+# answers that fails at every version.
+WEIGHTS = (0.81, 0.19)
+FAILING_ALWAYS = {"orders": 0.004, "status": 0.14}
 
 
 def is_new(request: Request) -> bool:
     return request.version == NEW
 
 
+def fail_always(request: Request) -> float:
+    """Return the probability with which an answer fails at every version."""
+    return FAILING_ALWAYS[request.route]
+
+
 class BadVersionTests(unittest.TestCase):
     """A bad version is taken back before many callers meet it."""
 
-    def check(self, behaviour: Behaviour) -> None:
+    def check(self, behaviour: Behaviour, **options: Any) -> None:
         for gateways in GATEWAYS:
             for seed in SEEDS:
                 with self.subTest(gateways=gateways, seed=seed):
-                    replay = Replay(behaviour, gateways, seed)
+                    replay = Replay(behaviour, gateways, seed, **options)
                     replay.run()
                     self.assertIs(replay.state, RolloutState.ROLLED_BACK)
                     self.assertLessEqual(replay.exposed, replay.allowed)
@@ -48,6 +57,21 @@
             Behaviour(failing=lambda r: 0.5 * (is_new(r) and r.at > SECONDS / 3))
         )
 
+    def test_answers_fail_after_four_fifths_of_the_time(self) -> None:
+        """Guards against an allowance that was spent before the version turned bad."""
+        self.check(
+            Behaviour(failing=lambda r: 0.5 * (is_new(r) and r.at > 0.8 * SECONDS))
+        )
+
+    def test_answers_fail_a_quarter_more_often(self) -> None:
+        self.check(
+            Behaviour(failing=lambda r: fail_always(r) + 0.25 * is_new(r)),
+            weights=WEIGHTS,
+        )
+
+    def test_answers_are_twice_as_slow(self) -> None:
+        self.check(Behaviour(slowness=lambda r: 2.0 if is_new(r) else 1.0))
+
     def test_answers_fail_under_load_only(self) -> None:
         self.check(Behaviour(failing=lambda r: 0.6 * (is_new(r) and r.share > 0.3)))
 
@@ -82,5 +106,23 @@
     def test_one_of_its_targets_fails(self) -> None:
         self.check(Behaviour(failing=lambda r: 0.6 * (is_new(r) and r.target == 1)))
 
+    def test_some_answers_fail_at_every_version(self) -> None:
+        """Guards against a version that is blamed for errors which all have."""
+        self.check(Behaviour(failing=fail_always), weights=WEIGHTS)
+
+    def test_one_of_its_targets_is_twice_as_slow(self) -> None:
+        self.check(
+            Behaviour(slowness=lambda r: 2.0 if is_new(r) and r.target == 1 else 1.0)
+        )
+
+    def test_two_of_its_targets_are_twice_as_slow(self) -> None:
+        """Guards against a version that is blamed for the hardware it runs on."""
+        self.check(
+            Behaviour(slowness=lambda r: 2.0 if is_new(r) and r.target in (1, 2) else 1)
+        )
+
+    def test_its_targets_are_a_quarter_slower(self) -> None:
+        self.check(Behaviour(slowness=lambda r: 1.25 if is_new(r) else 1.0))
+
     def test_all_gateways_restart_in_the_middle(self) -> None:
         self.check(Behaviour(), restarts_at=SECONDS / 2)
--- a/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_planner.py
@@ -61,6 +61,7 @@
             call.service,
             {state.entry.software_version for state in targets},
             self._random,
+            route=call.route.name,
             is_retry=bool(call.tried),
         )
 
--- a/libraries/proxy/src/bamboopier_proxy/forwarder.py
+++ b/libraries/proxy/src/bamboopier_proxy/forwarder.py
@@ -87,8 +87,11 @@
         self._check_quarantine(call)
         await self._stream_versions.bind(call)
         self._fleet.record_request(read_clock(), call.service, call.workspace_name)
-        with self._retry_accounts.open(call) as retries:
-            await self._run_attempts(call, delivery, retries)
+        try:
+            with self._retry_accounts.open(call) as retries:
+                await self._run_attempts(call, delivery, retries)
+        finally:
+            self._rollout_answers.settle(call)
 
     async def _run_attempts(
         self, call: Call, delivery: Delivery, retries: CallRetries
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -81,7 +81,7 @@
         counted,
         schema,
         generator,
-        follows_rollouts=settings.max_exposure is not None,
+        follows_rollouts=settings.rollout_allowance is not None,
     )
     peers = GatewayPeers(
         settings,
@@ -160,12 +160,12 @@
         generator,
     )
     rollouts = []
-    if settings.max_exposure is not None:
+    if settings.rollout_allowance is not None:
         controller = peers.make_rollout_controller(
             state,
             rollout_answers,
             metrics,
-            settings.max_exposure,
+            settings.rollout_allowance,
             lambda: followers.loaded and state.active_configuration.version > 0,
         )
         rollouts.append(controller.run())
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -31,6 +31,8 @@
     from types import TracebackType
     from typing import Any, Self
 
+    from bamboopier_decisions.rollouts.schedule import Allowance
+
     from .gateway_state import GatewayState
     from .metrics import ProxyMetrics
     from .part_follower import PartStoreClient
@@ -174,7 +176,7 @@
         state: GatewayState,
         answers: AnswerLog,
         metrics: ProxyMetrics,
-        max_exposure: float,
+        allowance: Allowance,
         is_informed: Callable[[], bool],
     ) -> RolloutController:
         """Return what carries out roll-outs; it receives the reports of others."""
@@ -189,7 +191,7 @@
             self._registry,
             self.hint_exchange,
             metrics,
-            max_exposure,
+            allowance,
             is_informed,
         )
         self.hint_exchange.listeners.append(controller.receive)
--- a/libraries/proxy/src/bamboopier_proxy/messages.py
+++ b/libraries/proxy/src/bamboopier_proxy/messages.py
@@ -9,6 +9,7 @@
 from bamboopier_decisions.forwarding.part_store_index import PartPlan
 from bamboopier_decisions.forwarding.prompt import Prompt
 from bamboopier_decisions.forwarding.specs import Route, Workspace
+from bamboopier_decisions.rollouts.evidence import AnswerKey
 
 HeaderList = tuple[tuple[str, str], ...]
 
@@ -93,6 +94,9 @@
     software_version: str | None = None
     # Names of the targets of its attempts.
     tried: list[str] = msgspec.field(default_factory=list)
+    # Failed answers while a roll-out runs, with the version on trial: they are counted
+    # once it is known whether other targets answer.
+    failed_answers: list[tuple[str, AnswerKey]] = msgspec.field(default_factory=list)
     # It was sent to a target, whatever became of it: sending it again is a retry.
     was_sent: bool = False
     # A target started it, or may have.
--- a/libraries/proxy/src/bamboopier_proxy/rollouts/answer_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/answer_log.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_decisions.rollouts.evidence import AnswerCounts, AnswerKey
+from bamboopier_decisions.rollouts.evidence import GROUPS, AnswerCounts, AnswerKey
 from bamboopier_decisions.routing.rendezvous import compute_weight
 
 from ..attempt_result import Cause
@@ -24,8 +24,8 @@
 FAILURES = frozenset(
     {Cause.BROKEN, Cause.UNSEALED, Cause.TIMEOUT, Cause.MOVED, Cause.UNANSWERED}
 )
-# Key of the division of targets into halves: the same at every gateway.
-HALVES_KEY = b"rollout halves"
+# Key of the division of targets into groups: the same at every gateway.
+GROUPS_KEY = b"rollout groups"
 
 
 class AnswerLog:
@@ -50,11 +50,12 @@
         version = rollout.order.version
         entry = in_flight.state.entry
         on_trial = entry.software_version == version
-        key = AnswerKey(call.route.name, find_half(entry.name) if on_trial else None)
-        counts = self.find(call.service, version).setdefault(key, AnswerCounts())
+        key = AnswerKey(call.route.name, find_group(entry.name) if on_trial else None)
         if failed:
-            counts.failed += 1
+            call.failed_answers.append((version, key))
         else:
+            self._count_failures(call)
+            counts = self.find(call.service, version).setdefault(key, AnswerCounts())
             sent_at = in_flight.sent_at or read_clock()
             is_cold = in_flight.state.cold_start.is_cold(sent_at)
             counts.count_success(None if is_cold else result.first_byte)
@@ -62,6 +63,22 @@
             call.service, entry.software_version, "failed" if failed else "served"
         ).inc()
 
+    def settle(self, call: Call) -> None:
+        """Count the failure of a call that has ended after one attempt.
+
+        Guards against a version that is blamed for requests which fail at every target:
+        what failed at several and succeeded at none counts against no version.
+        """
+        if len(call.failed_answers) == 1:
+            self._count_failures(call)
+        call.failed_answers.clear()
+
+    def _count_failures(self, call: Call) -> None:
+        for version, key in call.failed_answers:
+            counts = self.find(call.service, version)
+            counts.setdefault(key, AnswerCounts()).failed += 1
+        call.failed_answers.clear()
+
     def find(self, service: str, version: str) -> Evidence:
         """Return the counts of a service while ``version`` is on trial."""
         known = self._counts.get(service)
@@ -70,6 +87,6 @@
         return known[1]
 
 
-def find_half(target: str) -> int:
-    """Return the half of a version's targets that a target belongs to."""
-    return compute_weight(HALVES_KEY, target) & 1
+def find_group(target: str) -> int:
+    """Return the group of a version's targets that a target belongs to."""
+    return compute_weight(GROUPS_KEY, target) % GROUPS
--- a/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
@@ -27,7 +27,7 @@
 
     from bamboopier_decisions.forwarding.fleet import Fleet
     from bamboopier_decisions.rollouts.order import RolloutStatus
-    from bamboopier_decisions.rollouts.schedule import Progress
+    from bamboopier_decisions.rollouts.schedule import Allowance, Progress
     from bamboopier_decisions.rollouts.traffic import RolloutTraffic
 
     from ..gateway_registry import GatewayRegistry
@@ -43,6 +43,8 @@
 INTERVAL_SECONDS = 0.25
 # Gateways that evaluate the answers of a service.
 EVALUATORS = 3
+# Keys of one report: more do not fit a datagram.
+MAX_KEYS = 18
 
 log = structlog.get_logger()
 
@@ -62,7 +64,7 @@
         registry: GatewayRegistry,
         peers: Peers,
         metrics: ProxyMetrics,
-        max_exposure: float,
+        allowance: Allowance,
         is_informed: Callable[[], bool],
     ) -> None:
         self._name = name
@@ -75,7 +77,7 @@
         self._registry = registry
         self._peers = peers
         self._metrics = metrics
-        self._max_exposure = max_exposure
+        self._allowance = allowance
         # Returns whether configuration and targets are known: a gateway that starts
         # would take every service for unknown, and every version for one nobody has.
         self._is_informed = is_informed
@@ -103,11 +105,12 @@
     async def _handle(self, rollout: Rollout) -> None:
         service = rollout.order.service
         selected = self._registry.select_gateways(f"rollouts/{service}", EVALUATORS)
-        report = self._make_report(rollout)
+        reports = self._make_reports(rollout)
         for gateway in selected:
             endpoint = self._registry.peers.get(gateway)
             if endpoint is not None:
-                self._peers.send(report, endpoint)
+                for report in reports:
+                    self._peers.send(report, endpoint)
         status = rollout.own_status
         self._metrics.rollout_share.labels(service, rollout.order.version).set(
             status.share if status is not None else 0.0
@@ -115,25 +118,32 @@
         ranks = [r for r, g in enumerate(selected) if self._registry.is_own(g)]
         if ranks and self._is_informed():
             trial = self._find_trial(rollout)
-            trial.record(report)
+            for report in reports:
+                trial.record(report)
             await self._evaluate(rollout, trial, ranks[0])
 
-    def _make_report(self, rollout: Rollout) -> RolloutReport:
+    def _make_reports(self, rollout: Rollout) -> list[RolloutReport]:
+        """Return what this gateway has counted, in parts that fit a datagram each."""
         service, version = rollout.order.service, rollout.order.version
         former_in_flight = sum(
             state.own_load.requests
             for state in self._fleet.list_registered(service)
             if state.entry.software_version != version
         )
-        return RolloutReport(
-            self._name,
-            self._started_ms,
-            service,
-            version,
-            rollout.revision,
-            former_in_flight,
-            list(self._answers.find(service, version).items()),
-        )
+        evidence = list(self._answers.find(service, version).items())
+        starts = range(0, max(1, len(evidence)), MAX_KEYS)
+        return [
+            RolloutReport(
+                self._name,
+                self._started_ms,
+                service,
+                version,
+                rollout.revision,
+                former_in_flight,
+                evidence[start : start + MAX_KEYS],
+            )
+            for start in starts
+        ]
 
     def _find_trial(self, rollout: Rollout) -> Trial:
         service = rollout.order.service
@@ -171,7 +181,7 @@
             return schedule.reject(rollout, "the service is not configured")
         if status is None:
             return schedule.start(rollout, time.time(), progress.versions)
-        return schedule.decide(order.seconds, status, progress, self._max_exposure)
+        return schedule.decide(order.seconds, status, progress, self._allowance)
 
     async def _write(
         self, rollout: Rollout, decided: RolloutStatus, progress: Progress
--- a/libraries/proxy/src/bamboopier_proxy/rollouts/trial.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/trial.py
@@ -17,6 +17,8 @@
 
 # Seconds after which the next of the evaluating gateways takes a step that is overdue.
 TAKEOVER_SECONDS = 1.5
+# Seconds over which answers are counted at least for their rate.
+MIN_SECONDS = 0.5
 
 
 class Trial:
@@ -29,6 +31,8 @@
         status = rollout.own_status
         age = max(0.0, wall_clock - status.started_at) if status is not None else 0.0
         self._seen_at = now - age
+        # Since when answers have been counted here.
+        self._began_at = now
         self._judge = Judge(has_prompts=has_prompts)
         self._pool = EvidencePool()
         # The last report of each gateway.
@@ -63,6 +67,7 @@
             versions=versions,
             is_drained=all(map(self._is_drained, gateways)),
             reason=self._judge.explain(),
+            per_second=self._judge.all_answers / max(MIN_SECONDS, now - self._began_at),
         )
 
     def is_turn(self, now: float, rank: int, decided: RolloutStatus | None) -> bool:
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bamboopier_decisions.forwarding.shared_retry_budget import RetryBudgetLimits
+from bamboopier_decisions.rollouts.schedule import Allowance
 
 
 class Endpoint(msgspec.Struct, frozen=True):
@@ -50,6 +51,7 @@
     memory_bytes: int
     # Share of a service's requests that a bad software version may get while it is
     # rolled out; None where operators order no roll-outs.
-    max_exposure: float | None = None
+    # How many requests a bad version of a roll-out may get; None without roll-outs.
+    rollout_allowance: Allowance | None = None
     # The whole system starts for the first time: no request was sent before.
     first_start: bool = False
--- a/libraries/proxy/tests/rollouts/test_controller.py
+++ b/libraries/proxy/tests/rollouts/test_controller.py
@@ -18,7 +18,7 @@
     RolloutState,
     RolloutStatus,
 )
-from bamboopier_decisions.rollouts.schedule import MIN_STEP_SECONDS
+from bamboopier_decisions.rollouts.schedule import MIN_STEP_SECONDS, Allowance
 from bamboopier_decisions.rollouts.traffic import RolloutTraffic
 from bamboopier_objects.errors import (
     PlatformError,
@@ -35,7 +35,7 @@
 
 OLD, NEW = "v1", "v2"
 SECONDS = 15.0
-BAD = [(AnswerKey("orders", half), AnswerCounts(failed=9)) for half in (0, 1)]
+BAD = [(AnswerKey("orders", group), AnswerCounts(failed=9)) for group in (0, 1)]
 
 
 class StubStore:
@@ -87,7 +87,7 @@
         peers = mock.Mock(send=lambda hint, _: self.sent.append(hint))
         self.controller = RolloutController(
             name, 1, self.traffic, self.answers, fleet, store, schema, registry,
-            peers, metrics, 0.1, lambda: self.is_informed,
+            peers, metrics, Allowance(0.1, 50), lambda: self.is_informed,
         )  # fmt: skip
 
     def learn(self, seconds: float = SECONDS, service: str = SERVICE) -> None:
--- a/tools/safeguards/rollouts.py
+++ b/tools/safeguards/rollouts.py
@@ -10,7 +10,7 @@
     Mutation(
         "a version on trial gets its share of the requests only",
         _ROLLOUTS + "traffic.py",
-        "        if is_known and not is_retry and random.random() < share:\n",
+        "        if is_known and not is_retry and random.random() < share_of_route:\n",
         "        if is_known and not is_retry:\n",
         "libraries/decisions",
         "tests.rollouts.test_traffic.TrafficTests"
@@ -19,8 +19,8 @@
     Mutation(
         "a gateway that is cut off sends nothing to a version on trial",
         _ROLLOUTS + "traffic.py",
-        "        if is_known and not is_retry and random.random() < share:\n",
-        "        if not is_retry and random.random() < share:\n",
+        "        if is_known and not is_retry and random.random() < share_of_route:\n",
+        "        if not is_retry and random.random() < share_of_route:\n",
         "libraries/decisions",
         "tests.rollouts.test_traffic.TrafficTests"
         ".test_a_gateway_that_is_cut_off_sends_nothing_to_a_version_on_trial",
@@ -28,8 +28,8 @@
     Mutation(
         "a version whose order may be on its way waits",
         _ROLLOUTS + "traffic.py",
-        "        known_until = self.find_known_until()\n        return",
-        "        known_until = math.inf\n        return",
+        "        known_until = self.find_known_until()\n        return frozenset",
+        "        known_until = math.inf\n        return frozenset",
         "libraries/decisions",
         "tests.rollouts.test_traffic.TrafficTests"
         ".test_a_version_whose_order_may_be_on_its_way_waits",
@@ -37,28 +37,54 @@
     Mutation(
         "failed answers count against a version",
         _ROLLOUTS + "judge.py",
-        "        bad = counts.failed + counts.count_slower(slow_from)\n",
-        "        bad = counts.count_slower(slow_from)\n",
+        "            counts.failed,\n            counts.answers - counts.failed,\n",
+        "            0,\n            counts.answers - counts.failed,\n",
         "libraries/decisions",
         "tests.rollouts.test_replay.BadVersionTests"
         ".test_answers_fail_after_a_third_of_the_time",
     ),
     Mutation(
-        "both halves of a version's targets have to show that it is bad",
+        "the groups of targets that show most are left out",
         _ROLLOUTS + "judge.py",
-        "        return min((s.value / HALF_THRESHOLD for s in known), default=0.0)\n",
-        "        return max((s.value / HALF_THRESHOLD for s in known), default=0.0)\n",
+        "    return sum(sorted(values)[: len(values) - left_out]) / THRESHOLD\n",
+        "    return sum(values) / THRESHOLD\n",
         "libraries/decisions",
         "tests.rollouts.test_replay.GoodVersionTests.test_one_of_its_targets_fails",
     ),
     Mutation(
         "a version is compared with the others at the same time",
         _ROLLOUTS + "judge.py",
-        "        rate = others.find_bad_rate(slow_from)\n",
-        "        rate = MIN_RATE\n",
+        "            others.find_failed_rate(),\n",
+        "            MIN_RATE,\n",
         "libraries/decisions",
         "tests.rollouts.test_replay.GoodVersionTests.test_a_fault_hits_both_versions",
     ),
+    Mutation(
+        "a version is judged by groups of its targets and not by one sum",
+        _ROLLOUTS + "judge.py",
+        "            sums.setdefault(group, _Sums()).add(bad, good, rate)\n",
+        "            sums.setdefault(0, _Sums()).add(bad, good, rate)\n",
+        "libraries/decisions",
+        "tests.rollouts.test_replay.GoodVersionTests.test_one_of_its_targets_fails",
+    ),
+    Mutation(
+        "a trial spends its part of the allowance only",
+        _ROLLOUTS + "schedule.py",
+        "    share = PLANNED_PART * TRIAL_PART * part * seconds",
+        "    share = part * seconds",
+        "libraries/decisions",
+        "tests.rollouts.test_replay.BadVersionTests"
+        ".test_answers_fail_after_four_fifths_of_the_time",
+    ),
+    Mutation(
+        "what fails at every target counts against no version",
+        "libraries/proxy/src/bamboopier_proxy/rollouts/answer_log.py",
+        "        if len(call.failed_answers) == 1:\n",
+        "        if call.failed_answers:\n",
+        "libraries/proxy",
+        "tests.rollouts.test_answer_log.AnswerLogTests"
+        ".test_what_fails_at_every_target_counts_against_no_version",
+    ),
     Mutation(
         "completion awaits the requests at former versions",
         _ROLLOUTS + "schedule.py",
