--- a/libraries/proxy/src/bamboopier_proxy/target_selector.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -197,10 +197,14 @@
         expected_wait: float = 0.0,
     ) -> CallerError:
         now = read_clock()
+        wait = 0.0
+        if not call.may_have_run:
+            wait = self.draw_retry_after(now, call, call.timeout_at, placement)
         log.info(
             "no target available",
             request_id=call.request_id,
             service=call.service,
+            priority=call.priority,
             known=placement.known,
             usable=placement.usable,
             open=placement.open,
@@ -213,13 +217,14 @@
             # Above 0 if it was refused without waiting, since its turn comes later.
             expected_wait=round(expected_wait, 3),
             waited=round(now - call.arrived, 3),
+            # When its caller is told to return; 0 if it must not.
+            retry_after=round(wait, 3),
             tried=call.tried,
         )
         if call.may_have_run:
             return CallerError(
                 ErrorCode.OUTCOME_UNKNOWN, code.value, ExecutionStatus.UNKNOWN
             )
-        wait = self.draw_retry_after(now, call, call.timeout_at, placement)
         return CallerError(
             code, "no target has room", ExecutionStatus.NOT_EXECUTED, wait
         )
