--- a/libraries/decisions/src/bamboopier_decisions/rollouts/judge.py
+++ b/libraries/decisions/src/bamboopier_decisions/rollouts/judge.py
@@ -23,32 +23,20 @@
 import math
 from enum import StrEnum
 
-from .evidence import AnswerCounts, AnswerKey, Evidence, count_slower, find_quantile
+from .evidence import AnswerCounts, AnswerKey, Evidence, count_slower
+from .reference import Reference
 
 # Excesses of bad answers that count as a bad version.
 EXCESSES = (0.15, 0.35, 0.7)
-# Least and greatest assumed share of bad answers of the other versions: none seen does
-# not prove that there are none.
-MIN_RATE, MAX_RATE = 0.01, 0.8
-# Answers, and bad ones among them, that are assumed beside those of other versions.
-PRIOR_ANSWERS, PRIOR_BAD = 10.0, 0.5
 # Part of the other versions' answers that an answer on trial is compared with, and by
 # how many times it has to be slower: more where prompts are read that its targets have
 # not cached.
 SLOW_PART = 0.75
 SLOW_FACTOR, SLOW_PROMPT_FACTOR = 1.9, 2.9
-# Seconds in which the counts of the other versions lose half of their weight, and the
-# answers from which they lose none: once they get few requests they are not forgotten.
-HALF_LIFE_SECONDS = 3.0
-KEPT_ANSWERS = 80.0
-# The same for counts that show at once a fault that hits all versions, and how many
-# answers these need.
-RECENT_HALF_LIFE_SECONDS = 0.4
-MIN_RECENT_ANSWERS = 10.0
 # Parts of the groups that are left out, rounded up.
 FAILURES_LEFT_OUT, SLOW_LEFT_OUT = 0.25, 0.5
-# Sum over the groups that are not left out from which a version is bad. One of a good
-# version gets there in less than one of 200 roll-outs.
+# Sum over the groups that are not left out from which a version is bad: the logarithm of
+# the odds against a good one in some tens of answers.
 THRESHOLD = 7.5
 # The same for a version with answers of one group only, of which none is left out.
 SINGLE_THRESHOLD = 10.0
@@ -104,7 +92,7 @@
 
     def __init__(self, *, has_prompts: bool) -> None:
         self._slow_factor = SLOW_PROMPT_FACTOR if has_prompts else SLOW_FACTOR
-        self._others: dict[str, _Reference] = {}
+        self._others: dict[str, Reference] = {}
         # By route and kind, and by group.
         self._sums: dict[tuple[str, _Kind], dict[int, _Sums]] = {}
         self._updated_at: float | None = None
@@ -118,7 +106,7 @@
         for key, counts in evidence.items():
             self.all_answers += counts.answers
             if key.group is None:
-                self._others.setdefault(key.route, _Reference()).add(counts)
+                self._others.setdefault(key.route, Reference()).add(counts)
         for key, counts in evidence.items():
             if key.group is not None:
                 self._add(key, key.group, counts)
@@ -163,7 +151,7 @@
         self._updated_at = now
 
     def _add(self, key: AnswerKey, group: int, counts: AnswerCounts) -> None:
-        others = self._others.get(key.route, _Reference())
+        others = self._others.get(key.route, Reference())
         slow_seconds = others.find_quantile(SLOW_PART) * self._slow_factor
         slow = count_slower(counts.by_time, slow_seconds)
         timed = sum(counts.by_time)
@@ -205,90 +193,3 @@
         return values[0] / SINGLE_THRESHOLD
     left_out = math.ceil(len(values) * kind.left_out)
     return sum(sorted(values)[: len(values) - left_out]) / THRESHOLD
-
-
-class _Reference:
-    """Answers of the other versions on one route: the last seconds, and just now."""
-
-    __slots__ = ("_long", "_recent")
-
-    def __init__(self) -> None:
-        self._long = _Weighted()
-        self._recent = _Weighted()
-
-    def add(self, counts: AnswerCounts) -> None:
-        self._long.add(counts)
-        self._recent.add(counts)
-
-    def decay(self, seconds: float) -> None:
-        """Let the answers so far lose weight."""
-        self._long.decay(0.5 ** (seconds / HALF_LIFE_SECONDS), KEPT_ANSWERS)
-        self._recent.decay(0.5 ** (seconds / RECENT_HALF_LIFE_SECONDS), 0.0)
-
-    def find_quantile(self, part: float) -> float:
-        """Return the seconds within which a part of the answers came."""
-        return self._long.find_quantile(part)
-
-    def find_failed_rate(self) -> float:
-        """Return the greater of the shares of failed answers."""
-        rate = self._long.find_failed_rate()
-        if self._recent.answers < MIN_RECENT_ANSWERS:
-            return rate
-        return max(rate, self._recent.find_failed_rate())
-
-    def find_slow_rate(self, slow_seconds: float) -> float:
-        """Return the greater of the shares of timed answers that took longer."""
-        rate = self._long.find_slow_rate(slow_seconds)
-        if self._recent.answers < MIN_RECENT_ANSWERS:
-            return rate
-        return max(rate, self._recent.find_slow_rate(slow_seconds))
-
-
-class _Weighted:
-    """Answers whose weight falls with time."""
-
-    def __init__(self) -> None:
-        self._failed = 0.0
-        self._untimed = 0.0
-        self._by_time: list[float] = []
-
-    @property
-    def answers(self) -> float:
-        """Return the weight of all answers."""
-        return self._failed + self._untimed + sum(self._by_time)
-
-    def add(self, counts: AnswerCounts) -> None:
-        self._failed += counts.failed
-        self._untimed += counts.untimed
-        before = self._by_time or [0.0] * len(counts.by_time)
-        self._by_time = [a + b for a, b in zip(before, counts.by_time, strict=True)]
-
-    def decay(self, factor: float, kept: float) -> None:
-        """Multiply the counts by ``factor``, but keep a number of answers."""
-        answers = self.answers
-        if answers <= kept:
-            return
-        factor = max(factor, kept / answers)
-        self._failed *= factor
-        self._untimed *= factor
-        self._by_time = [count * factor for count in self._by_time]
-
-    def find_quantile(self, part: float) -> float:
-        """Return the seconds within which a part of the answers came."""
-        return find_quantile(self._by_time, part)
-
-    def find_failed_rate(self) -> float:
-        """Return the share of failed answers, with what is assumed and its error."""
-        return _estimate_rate(self._failed, self.answers)
-
-    def find_slow_rate(self, slow_seconds: float) -> float:
-        """Return the same for the timed answers that took longer than some seconds."""
-        slow = count_slower(self._by_time, slow_seconds) if self._by_time else 0.0
-        return _estimate_rate(slow, sum(self._by_time))
-
-
-def _estimate_rate(bad: float, answers: float) -> float:
-    answers += PRIOR_ANSWERS
-    rate = (bad + PRIOR_BAD) / answers
-    rate += math.sqrt(rate * (1 - rate) / answers)
-    return min(MAX_RATE, max(MIN_RATE, rate))
--- a/libraries/proxy/tests/test_target_loads.py
+++ b/libraries/proxy/tests/test_target_loads.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from bamboopier_daemon.clock import read_clock
@@ -15,6 +16,9 @@
 from bamboopier_proxy.settings import Endpoint
 from bamboopier_proxy.target_loads import MAX_UNANSWERED, TargetLoads
 
+if TYPE_CHECKING:
+    from bamboopier_decisions.forwarding.target_state import TargetState
+
 PORT = 7000
 
 
@@ -77,6 +81,13 @@
             for n, fleet in enumerate(self.fleets)
         ]
 
+    async def silence_agent(self, host: str, state: TargetState) -> None:
+        """Lose an agent's answers until the first gateway no longer waits for it."""
+        agent = self.network.agents.pop(host)
+        while await self.loads[0].refresh([state]):
+            pass
+        self.network.agents[host] = agent
+
     async def test_a_gateway_sees_what_another_sent_a_moment_ago(self) -> None:
         # Guards against gateways that each find the same engine idle, until a hint of
         # the others arrives a quarter of a second later.
@@ -149,10 +160,7 @@
         assert state is not None
         self.network.make_agent("10.0.1.1")
         await self.loads[0].refresh([state])
-        agent = self.network.agents.pop("10.0.1.1")
-        while await self.loads[0].refresh([state]):
-            pass
-        self.network.agents["10.0.1.1"] = agent
+        await self.silence_agent("10.0.1.1", state)
         self.fleets[0].begin(10.0, state, None)
         reported = [h.requests for h in self.network.sent if isinstance(h, OwnLoadHint)]
         self.assertEqual(reported, [1])
@@ -181,10 +189,7 @@
         assert state is not None
         self.network.make_agent("10.0.1.1")
         await self.loads[0].refresh([state])
-        agent = self.network.agents.pop("10.0.1.1")
-        while await self.loads[0].refresh([state]):
-            pass
-        self.network.agents["10.0.1.1"] = agent
+        await self.silence_agent("10.0.1.1", state)
         await asyncio.sleep(0.11)
         self.loads[0].ask([state])
         self.assertTrue(await self.loads[0].refresh([state]))
--- a/tools/safeguards/rollouts.py
+++ b/tools/safeguards/rollouts.py
@@ -55,7 +55,7 @@
         "a version is compared with the others at the same time",
         _ROLLOUTS + "judge.py",
         "            others.find_failed_rate(),\n",
-        "            MIN_RATE,\n",
+        "            0.01,\n",
         "libraries/decisions",
         "tests.rollouts.test_replay.GoodVersionTests.test_a_fault_hits_both_versions",
     ),
