--- a/libraries/decisions/src/bamboopier_decisions/rollouts/judge.py
+++ b/libraries/decisions/src/bamboopier_decisions/rollouts/judge.py
@@ -35,8 +35,8 @@
 SLOW_FACTOR, SLOW_PROMPT_FACTOR = 1.9, 2.9
 # Parts of the groups that are left out, rounded up.
 FAILURES_LEFT_OUT, SLOW_LEFT_OUT = 0.25, 0.5
-# Sum over the groups that are not left out from which a version is bad: the logarithm of
-# the odds against a good one in some tens of answers.
+# Sum over the groups that are not left out from which a version is bad: the logarithm
+# of the odds against a good one in some tens of answers.
 THRESHOLD = 7.5
 # The same for a version with answers of one group only, of which none is left out.
 SINGLE_THRESHOLD = 10.0
