Lend parts of retries, which make a whole one after a start of all gateways

Cause, traced: four gateways with a slack of 54 earn 2.16 retries a second together and 0.54 each; a gateway lent whole retries only. On a fast machine the fourth is asked about a second after the first has started, when nobody has one.

Ruled out: retries from nothing at a start, which's test forbids; asking the platform, a call for each refusal; parts that are lost when they do not suffice (in a long failure, gateways that ask would drain the others in vain: they are saved by the one that asked, and a gateway with less than its third keeps its part).

The windows of killed, stopped and left gateways stay within the budget (platform.retry_budget).

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/shared_retry_budget.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/shared_retry_budget.py
@@ -12,7 +12,8 @@
 gateways together send at most what they had saved, a part of the window before, and
 what they earned, the other part of this one; the sum is within the limits although no
 gateway knows of the others' retries. A gateway that has none left may be lent one by
-another, which pays for it first: a message that is lost loses the retry.
+another, or parts of one by several, which pay first: a message that is lost loses the
+retry.
 """
 
 from __future__ import annotations
@@ -123,13 +124,27 @@
         self._available -= 1.0
         return True
 
-    def lend(self, now: float) -> bool:
-        """Pay for a retry of another gateway; return whether it may be sent."""
+    def find_missing(self, now: float) -> float:
+        """Return the part of a retry that is missing until one may be sent."""
         self._update(now)
-        if self._available - self._reserved < 1.0 - TOLERANCE:
-            return False
-        self._available -= 1.0
-        return True
+        return max(1.0 - self._available + self._reserved, 0.0)
+
+    def lend(self, now: float, most: float, least: float) -> float:
+        """Pay for a part of another gateway's retry; return how much of it, or 0.
+
+        ``least`` is the smallest part that is of use to the other one.
+        """
+        self._update(now)
+        part = min(self._available - self._reserved, most)
+        if part < least - TOLERANCE:
+            return 0.0
+        self._available -= part
+        return part
+
+    def deposit(self, now: float, part: float) -> None:
+        """Save what others paid for a retry that could not be completed."""
+        self._update(now)
+        self._earn(now, part)
 
     def release(self) -> None:
         """Give back a reserved retry that is not sent."""
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -268,14 +268,19 @@
     sender: str
     nonce: int
     service: str
+    # The part of a retry that is missing, and the smallest part that is of use; a
+    # sender that says neither counts each grant as a whole one.
+    missing: float = 1.0
+    least: float = 1.0
 
 
 class RetryGrant(msgspec.Struct, array_like=True, tag="retry!"):
-    """The answering gateway has paid for one retry of the asking one."""
+    """The answering gateway has paid for a retry of the asking one, or for a part."""
 
     sender: str
     nonce: int
     service: str
+    part: float = 1.0
 
 
 class RolloutReport(msgspec.Struct, array_like=True, tag="rollout"):
--- a/libraries/proxy/tests/test_retry_loans.py
+++ b/libraries/proxy/tests/test_retry_loans.py
@@ -11,7 +11,7 @@
     RetryBudgetLimits,
     SharedRetryBudgets,
 )
-from bamboopier_proxy.hints import Hint, RetryGrant
+from bamboopier_proxy.hints import Hint, RetryGrant, RetryRequest
 from bamboopier_proxy.retry_loans import LOAN_SECONDS, PAUSE_SECONDS, RetryLoans
 from bamboopier_proxy.settings import Endpoint
 
@@ -108,6 +108,36 @@
         self.network.now += LOAN_SECONDS
         self.assertFalse(await self.started.borrow(SERVICE))
 
+    async def test_parts_of_several_gateways_make_a_retry(self) -> None:
+        """Guards against refusals after a start of all, while each has a part."""
+        self.start_all(0.9, 0.9, 0.9)
+        self.assertTrue(await self.started.borrow(SERVICE))
+        self.network.loses_grants = True
+        self.assertFalse(await self.started.borrow(SERVICE))
+
+    async def test_parts_that_do_not_suffice_are_saved(self) -> None:
+        """Guards against parts that are lent in vain again and again, and lost."""
+        self.start_all(0.1, 0.1, 2.0)
+        self.assertFalse(await self.started.borrow(SERVICE))
+        self.network.loses_grants = True
+        self.network.now += 0.5
+        budget = self.network.budgets[Endpoint("10.0.0.1", 0)].find(SERVICE)
+        self.assertTrue(budget.reserve(self.network.now))
+
+    async def test_a_sender_that_knows_no_parts_gets_a_whole_retry_or_none(
+        self,
+    ) -> None:
+        """Guards against a part that a gateway of the former version takes as whole."""
+        self.start_all(0.9, 0.9)
+        self.network.sent.clear()
+        self.started.receive(RetryRequest("old", 7, SERVICE), Endpoint("10.0.0.1", 1))
+        self.assertEqual(self.network.sent, [])
+
+    def start_all(self, *ages: float) -> None:
+        """Replace the gateways by some that have run for these numbers of seconds."""
+        self.network.gateways.clear()
+        self.started, *_ = [self.network.add(self.network.now - a) for a in ages]
+
 
 if __name__ == "__main__":
     unittest.main()
