Let gateways poll part updates from each other in a tree of two steps

At the design size a node may spend 22 KB.

Ruled out: longer pauses (an update is valid for 1.6 s); more gateways at the stores (they hold 12 calls open each).

Change: all gateways agree on an order of theirs; each polls the one that its place gives, so that none answers more than four others up to 168 gateways, six at 340, and an update passes two at most. Those that are polled ask each 0.2 s in place of 0.35. While the preferred one fails, its own source is polled, then another of the eight.

The tests of the tree did not exist; the one of the follower fails without the change (60 callers of one gateway, at most 4 allowed).

--- a/libraries/proxy/src/bamboopier_proxy/part_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_follower.py
@@ -1,7 +1,7 @@
 """Follows which parts are completely stored in the part stores.
 
 A store rejects requests beyond the number that it holds open at once, so only a few
-selected gateways poll the stores. The others poll one of these gateways.
+selected gateways poll the stores. The others poll one of these, or one that does.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from bamboopier_decisions.forwarding.part_store_index import (
     PartUpdate,
 )
+from bamboopier_decisions.forwarding.relay_tree import has_children, list_ancestors
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +28,7 @@
 
     from .gateway_registry import GatewayRegistry
     from .part_relay import PartRelay
+    from .settings import Endpoint
 
 # Time that a request waits for changes; stores charge for requests shorter than 0.2 s.
 POLL_TIMEOUT_SECONDS = 0.4
@@ -39,8 +41,12 @@
 # Number of gateways that poll the stores: two thirds of the requests that a store holds
 # open at once, as two gateways may select different ones for a while.
 DIRECT_GATEWAYS = 8
-# Delay between two requests to another gateway.
+# Delay between two requests to another gateway; one that is polled in turn asks more
+# often, as each step makes updates older.
 RELAY_POLL_SECONDS = 0.35
+INNER_POLL_SECONDS = 0.2
+# Time after a failed request for which another gateway than the preferred is polled.
+FALLBACK_SECONDS = 3.0
 
 # Key of the selection of the gateways that poll the stores.
 RELAY = "part-relay"
@@ -82,6 +88,8 @@
         self._registry = registry
         self._random = random
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        # All gateways, this one included, in the order on which they agree.
+        self._ranked: list[str] = []
 
     async def run(self) -> None:
         """Start and cancel tasks as stores and gateways change, until cancelled."""
@@ -94,7 +102,9 @@
                 task.cancel()
 
     def _update_tasks(self) -> None:
-        selected = self._registry.select_gateways(RELAY, DIRECT_GATEWAYS)
+        count = len(self._registry.peers) + 1
+        self._ranked = self._registry.select_gateways(RELAY, count)
+        selected = self._ranked[:DIRECT_GATEWAYS]
         if any(self._registry.is_own(name) for name in selected):
             wanted = {store.address for store in self._index.stores}
         else:
@@ -109,16 +119,18 @@
             self._tasks[name] = asyncio.create_task(work)
 
     async def _poll_gateways(self) -> None:
-        """Poll one of the selected gateways; switch if it has no updates."""
+        """Poll the preferred gateway; for a while another one if it has no updates."""
         log.info("polling gateways for part updates")
-        next_index = self._random.randrange(DIRECT_GATEWAYS)
+        failures = 0
+        failed_at = 0.0
         while True:
-            selected = self._registry.select_gateways(RELAY, DIRECT_GATEWAYS)
-            gateway = self._registry.peers.get(selected[next_index % len(selected)])
-            if gateway is None:
-                next_index += 1
+            if failures and read_clock() - failed_at > FALLBACK_SECONDS:
+                failures = 0
+            sources = self._list_sources()
+            if not sources:
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            gateway = sources[failures % len(sources)]
             response = await self._relay.request(gateway)
             if isinstance(response, Err) or not response.ok_value:
                 reason = (
@@ -127,8 +139,33 @@
                 log.warning(
                     "no part updates from gateway", gateway=str(gateway), reason=reason
                 )
-                next_index += 1
-            await asyncio.sleep(RELAY_POLL_SECONDS)
+                failures += 1
+                failed_at = read_clock()
+            await asyncio.sleep(self._find_poll_delay())
+
+    def _list_sources(self) -> list[Endpoint]:
+        """Return the gateways that may be polled, the preferred one first."""
+        ranked = self._ranked
+        ancestors = list_ancestors(self._find_rank(), len(ranked), DIRECT_GATEWAYS)
+        others = list(range(DIRECT_GATEWAYS))
+        self._random.shuffle(others)
+        peers = self._registry.peers
+        return [
+            peers[ranked[rank]]
+            for rank in (*ancestors, *others)
+            if ranked[rank] in peers
+        ]
+
+    def _find_poll_delay(self) -> float:
+        rank, count = self._find_rank(), len(self._ranked)
+        is_polled = has_children(rank, count, DIRECT_GATEWAYS)
+        return INNER_POLL_SECONDS if is_polled else RELAY_POLL_SECONDS
+
+    def _find_rank(self) -> int:
+        """Return this gateway's place in the order; the last until it registered."""
+        is_own = self._registry.is_own
+        ranks = (rank for rank, name in enumerate(self._ranked) if is_own(name))
+        return next(ranks, len(self._ranked) - 1)
 
     async def _poll_store(self, address: str) -> None:
         position = 0
--- a/libraries/proxy/tests/test_part_follower.py
+++ b/libraries/proxy/tests/test_part_follower.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import unittest
+from collections import Counter
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -17,6 +18,7 @@
     PartUpdate,
 )
 from bamboopier_decisions.forwarding.pause_tracker import PauseTracker
+from bamboopier_decisions.forwarding.relay_tree import MIN_CHILDREN
 from bamboopier_objects.http_client import HttpClient
 from bamboopier_proxy.gateway_registry import GatewayRegistry
 from bamboopier_proxy.part_follower import (
@@ -66,6 +68,14 @@
         return Err("not there")
 
 
+class SteadyRelay(CountedRelay):
+    """Gets updates from each gateway that it requests them from."""
+
+    async def request(self, gateway: Endpoint) -> Result[int, str]:
+        self.requested.add(str(gateway))
+        return Ok(1)
+
+
 class RestartedStore:
     """Responds as a store that has just restarted, even if the request is late."""
 
@@ -152,6 +162,41 @@
             direct += requests > 0
         self.assertEqual(direct, DIRECT_GATEWAYS)
 
+    async def test_no_gateway_is_polled_by_many_others(self) -> None:
+        """Guards against eight gateways that answer all the others."""
+        polled: Counter[str] = Counter()
+        for number in range(68):
+            index = PartStoreIndex()
+            relay = SteadyRelay(index)
+            follower = self.make_follower(68, f"g-{number}", relay, index)
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.01)
+            task.cancel()
+            polled.update(relay.requested)
+        self.assertEqual(polled.total(), 68 - DIRECT_GATEWAYS)
+        self.assertLessEqual(max(polled.values()), MIN_CHILDREN)
+
+    async def test_another_gateway_is_polled_while_the_preferred_fails(self) -> None:
+        """Guards against a gateway without updates as long as its parent is silent."""
+        index = PartStoreIndex()
+        relay = CountedRelay(index)
+        follower = self.make_follower(68, "g-40", relay, index)
+        with mock.patch("bamboopier_proxy.part_follower.RELAY_POLL_SECONDS", 0.001):
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(0.1)
+            task.cancel()
+        self.assertGreater(len(relay.requested), 2)
+
+    def make_follower(
+        self, gateways: int, own: str, relay: PartRelay, index: PartStoreIndex
+    ) -> PartFollower:
+        generator = random.Random(1)
+        registry = make_roster(generator)
+        registry._own = own
+        for number in range(gateways):
+            registry.record_hint(f"g-{number}", f"10.0.1.{number}", 7000)
+        return PartFollower(CountedStores(), index, relay, registry, generator)
+
 
 if __name__ == "__main__":
     unittest.main()
