Send at a pace where many gateways share few slots, and learn slots by the last answers

(2) A gateway with few callers takes its first answers, which waited, for the time in a slot (0.34 to 0.43 s where it is 0.15), moves from there by a tenth, and refuses what would correct it. It also took 120 requests a second for 95.

Change: a gateway whose share of a target is less than two slots earns turns at a steady pace, by what becomes free and a part of what looks free, whether contention is seen or not, saves one at most, and counts what it sends otherwise. The time in a slot is the third part of the last twenty answers.

--- a/libraries/decisions/src/bamboopier_decisions/contention/service_time.py
+++ b/libraries/decisions/src/bamboopier_decisions/contention/service_time.py
@@ -8,8 +8,12 @@
 
 from __future__ import annotations
 
-# Weight of one observation: about the last ten count.
+from collections import deque
+
+# Weight of one observation of the hidden wait: about the last ten count.
 WEIGHT = 0.1
+# Number of the last answers that the time in a slot is estimated from.
+MAX_ANSWERS = 20
 # Part of the answers that are faster than the estimate for a slot: most of the others
 # waited for requests that this gateway did not know of.
 FAST_PART = 0.3
@@ -20,16 +24,28 @@
 
 
 class ServiceTime:
-    """Moving estimate of how long a slot is occupied, and of the unknown wait."""
+    """Moving estimate of how long a slot is occupied, and of the unknown wait.
+
+    Guards against a gateway that gets few callers and whose first answers waited for
+    others: an estimate that moves by a part of each answer stays too high for seconds,
+    in which nothing seems to be in time, so that no answer corrects it.
+    """
 
-    __slots__ = ("_hidden_wait", "_seconds")
+    __slots__ = ("_answers", "_hidden_wait", "_seconds")
 
     def __init__(self) -> None:
+        # For which the last answers would have occupied a slot.
+        self._answers: deque[float] = deque(maxlen=MAX_ANSWERS)
         # For which a request occupies a slot; None until the first answer.
         self._seconds: float | None = None
         # For which requests waited at targets because of others that were not known.
         self._hidden_wait = 0.0
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether any answer was recorded."""
+        return self._seconds is not None
+
     @property
     def is_contended(self) -> bool:
         """Return whether requests wait at targets for others that were not known."""
@@ -49,13 +65,12 @@
         included.
         """
         rounds = 1.0 + _count_rounds(requests, slots)
-        occupied = seconds / rounds
-        if self._seconds is None:
-            self._seconds = occupied
+        is_first = self._seconds is None
+        self._answers.append(seconds / rounds)
+        fast = int(FAST_PART * len(self._answers))
+        self._seconds = sorted(self._answers)[fast]
+        if is_first:
             return
-        # Moves up and down by the same part of the distance, but more often down.
-        part = FAST_PART if occupied > self._seconds else 1.0 - FAST_PART
-        self._seconds += WEIGHT * part * (occupied - self._seconds)
         hidden = max(0.0, seconds - self._seconds * rounds)
         self._hidden_wait += WEIGHT * (hidden - self._hidden_wait)
 
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/gateway_headroom.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/gateway_headroom.py
@@ -27,7 +27,15 @@
 class GatewayHeadroom:
     """What this gateway has sent to one target within ``HINT_DELAY_SECONDS``."""
 
-    __slots__ = ("_drawn_at", "_is_drawn", "_memory", "_sent", "_prefill")
+    __slots__ = (
+        "_drawn_at",
+        "_earned",
+        "_earned_at",
+        "_is_drawn",
+        "_memory",
+        "_prefill",
+        "_sent",
+    )
 
     def __init__(self) -> None:
         # Time, prefill tokens and memory tokens of each request.
@@ -37,12 +45,17 @@
         # When it was last drawn whether this gateway may send one, and the result.
         self._drawn_at = float("-inf")
         self._is_drawn = False
+        # Part of the next request that was earned at a pace, and until when; what was
+        # sent otherwise counts, too.
+        self._earned = 0.0
+        self._earned_at: float | None = None
 
     def record_sent(self, now: float, prefill: int, memory: int) -> None:
         """Record a request with its prefill and memory, both in tokens."""
         self._sent.append((now, prefill, memory))
         self._prefill += prefill
         self._memory += memory
+        self._earned = max(-1.0, self._earned - 1.0)
 
     def allows_prefill(
         self, now: float, tokens: int, headroom: float, gateway_count: int
@@ -78,6 +91,18 @@
             self._drawn_at, self._is_drawn = now, random.random() < allowed
         return self._is_drawn
 
+    def allows_at_pace(self, now: float, rate: float, random: random.Random) -> bool:
+        """Return whether one more request may be sent, at ``rate`` a second at most.
+
+        Turns are not saved beyond one, and gateways begin at different moments: many
+        that become busy together do not all send at once.
+        """
+        if self._earned_at is None:
+            self._earned, self._earned_at = random.random(), now
+        self._earned = min(1.0, self._earned + rate * (now - self._earned_at))
+        self._earned_at = now
+        return self._earned >= 1.0
+
     def _expire(self, now: float) -> None:
         while self._sent and now - self._sent[0][0] >= HINT_DELAY_SECONDS:
             _, prefill, memory = self._sent.popleft()
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_capacity.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_capacity.py
@@ -24,6 +24,13 @@
 # Multiple of its share of the callers up to which a gateway uses the free slots of a
 # contended service: the others do not use all of theirs.
 DEMAND_SHARE_FACTOR = 1.25
+# Slots below which a gateway's share of a target is used at a pace.
+MAX_PACED_SLOTS = 2.0
+# Parts of the slots that become free until hints arrive, and of those that look free
+# (what is taken beyond all slots is subtracted), by which the pace is set: at nine
+# tenths of what targets carry, requests that come at random moments wait too long.
+PACED_TURNOVER_PART = 0.85
+PACED_FREE_PART = 0.3
 
 
 def has_capacity(
@@ -73,17 +80,36 @@
     contended each gateway uses its part of the slots that look free.
     """
     free = state.slots - state.requests
-    if demand.exceeds_part and state.service_time.is_contended:
-        share = fleet.demand_shares.find_share(now, demand.service, fleet.gateway_count)
-        share = min(1.0, share * DEMAND_SHARE_FACTOR)
-        turnover = state.service_time.count_turnover(state.slots, HINT_DELAY_SECONDS)
-        slots = free + turnover
-        return free > 0 and state.headroom.allows_request(now, slots, share, random)
+    if demand.exceeds_part:
+        return _has_spare_capacity(now, fleet, state, free, random)
     if free > 0:
         return True
-    if demand.exceeds_part:
-        return False
     seconds = state.service_time.estimate(
         state.requests, state.slots, demand.latency_objective
     )
     return seconds <= demand.seconds_left * PLAIN_OBJECTIVE_SHARE
+
+
+def _has_spare_capacity(
+    now: float, fleet: Fleet, state: TargetState, free: int, random: random.Random
+) -> bool:
+    """Return whether a target has room for a workspace beyond its part.
+
+    Many gateways that all see the same free slot would all use it, and none a moment
+    later. A gateway whose share is a slot or less therefore sends at an even pace, that
+    depends little on what it knows of the slots.
+    """
+    service = state.entry.service
+    share = fleet.demand_shares.find_share(now, service, fleet.gateway_count)
+    turnover = state.service_time.count_turnover(state.slots, HINT_DELAY_SECONDS)
+    if (
+        state.service_time.is_known
+        and share * (state.slots + turnover) < MAX_PACED_SLOTS
+    ):
+        due = turnover * PACED_TURNOVER_PART + free * PACED_FREE_PART
+        rate = max(0.0, due) * share / HINT_DELAY_SECONDS
+        return state.headroom.allows_at_pace(now, rate, random)
+    if free <= 0 or not state.service_time.is_contended:
+        return free > 0
+    share = min(1.0, share * DEMAND_SHARE_FACTOR)
+    return state.headroom.allows_request(now, free + turnover, share, random)
--- a/libraries/decisions/tests/contention/test_estimates.py
+++ b/libraries/decisions/tests/contention/test_estimates.py
@@ -53,6 +53,12 @@
         self.record(0.15, 1, 100)
         self.assertFalse(self.time.is_contended)
 
+    def test_slow_first_answers_are_corrected_by_a_few(self) -> None:
+        """Guards against a gateway with few callers that refuses them for seconds."""
+        self.record(0.43, 1, 1)
+        self.record(0.15, 1, 3)
+        self.assertAlmostEqual(self.time.estimate_alone(1.0), 0.15, delta=0.05)
+
 
 class DepartureRateTests(unittest.TestCase):
     def test_nothing_is_known_before_requests_have_waited(self) -> None:
--- a/libraries/decisions/tests/contention/test_overload.py
+++ b/libraries/decisions/tests/contention/test_overload.py
@@ -58,3 +58,11 @@
     def test_many_gateways_share_what_is_carried_under_overload(self) -> None:
         """Guards against gateways that send by loads that are a quarter second old."""
         self.check(3.0, fleets=MANY_GATEWAYS)
+
+    def test_some_gateways_share_few_targets(self) -> None:
+        """Guards against a pace that fits one number of gateways for a target only."""
+        self.check(3.0, fleets=((8, 2), (12, 4), (29, 4)))
+
+    def test_many_gateways_share_what_is_carried_at_less_load(self) -> None:
+        """Guards against turns that nobody uses, as only some callers wait."""
+        self.check(2.0, fleets=((20, 4), (31, 6)))
