Tell callers of a quiet workspace to return soon, not behind a loud one's

What callers saw: a refused caller gets a place behind all that were sent away before with its priority, so that of a quiet workspace is told to return after half of its deadline or more while a loud one's callers are refused by the hundreds.

Cause: places are kept by service and priority, for engines, whose parts are not known; plain services use the same.

Ruled out: places by workspace (a rate of departures by workspace is not known).

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/relay_tree.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/relay_tree.py
@@ -21,7 +21,7 @@
 
 
 def find_children(gateways: int, direct: int) -> int:
-    """Return how many gateways may poll the same one, so that all are within reach."""
+    """Return how many others may poll one gateway, so that all are within reach."""
     return next(
         children
         for children in count_from(MIN_CHILDREN)
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_capacity.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_capacity.py
@@ -96,8 +96,8 @@
     """Return whether a target has room for a workspace beyond its part.
 
     Many gateways that all see the same free slot would all use it, and none a moment
-    later. A gateway whose share is a slot or less therefore sends at an even pace, that
-    depends little on what it knows of the slots.
+    later. A gateway whose share is small therefore sends at an even pace, which depends
+    little on what it knows of the slots.
     """
     service = state.entry.service
     share = fleet.demand_shares.find_share(now, service, fleet.gateway_count)
--- a/libraries/proxy/src/bamboopier_proxy/retry_loans.py
+++ b/libraries/proxy/src/bamboopier_proxy/retry_loans.py
@@ -110,6 +110,7 @@
             async with asyncio.timeout(ANSWER_SECONDS):
                 await question.answered.wait()
         except TimeoutError:
+            # Too little was lent in time; the caller sees what there is.
             pass
         finally:
             del self._questions[nonce]
--- a/libraries/proxy/src/bamboopier_proxy/target_selector.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_selector.py
@@ -236,7 +236,19 @@
         remaining = max(0.0, end - now)
         limited = placement.limited
         seconds = max(0.0, limited.free_at - now) if limited.covers_all else 0.0
-        planned = self._request_queues.plan_return(
-            call.service, call.priority, remaining * RETRY_AFTER_SHARE, self._random
-        )
+        planned = self._plan_return(now, call, remaining * RETRY_AFTER_SHARE)
         return draw_retry_after(remaining, self._random, max(seconds, planned))
+
+    def _plan_return(self, now: float, call: Call, max_seconds: float) -> float:
+        """Return the seconds after which a caller that is sent away can be served.
+
+        A workspace within its part of a plain service has no place behind the others:
+        it was sent away for a moment only.
+        """
+        workspace = call.workspace_name
+        is_known = self._fleet.find_capacity(now, call.service) > 0
+        if is_known and not self._fleet.exceeds_part(now, call.service, workspace):
+            return 0.0
+        return self._request_queues.plan_return(
+            call.service, call.priority, max_seconds, self._random
+        )
