Let a request be the first to wait until ten answers of its service are known

Cause: the gateway's first answer had waited for requests it did not know of (0.43 s for 0.15 s of work). By it nothing is answered in time (0.43 > 0.34), so nothing is sent unless a slot looks free, and no answer corrects the estimate.

Ruled out: the workspace's part (exceeds_part was false in 9 of 10 refusals).

Test: test_first_answers_mislead_a_gateway_with_few_callers failed before.

--- a/libraries/decisions/src/bamboopier_decisions/contention/service_time.py
+++ b/libraries/decisions/src/bamboopier_decisions/contention/service_time.py
@@ -14,6 +14,9 @@
 WEIGHT = 0.1
 # Number of the last answers that the time in a slot is estimated from.
 MAX_ANSWERS = 20
+# Number of answers from which the estimate is relied on: the few first ones may all
+# have waited for requests that this gateway did not know of.
+SETTLED_ANSWERS = 10
 # Part of the answers that are faster than the estimate for a slot: most of the others
 # waited for requests that this gateway did not know of.
 FAST_PART = 0.3
@@ -46,6 +49,11 @@
         """Return whether any answer was recorded."""
         return self._seconds is not None
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether enough answers were recorded to rely on the estimate."""
+        return len(self._answers) >= SETTLED_ANSWERS
+
     @property
     def is_contended(self) -> bool:
         """Return whether requests wait at targets for others that were not known."""
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/target_capacity.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/target_capacity.py
@@ -84,6 +84,9 @@
         return _has_spare_capacity(now, fleet, state, free, random)
     if free > 0:
         return True
+    if free == 0 and not state.service_time.is_settled:
+        # Refusing all that a few misleading answers forbid would bring no other answer.
+        return True
     seconds = state.service_time.estimate(
         state.requests, state.slots, demand.latency_objective
     )
--- a/libraries/decisions/tests/contention/test_estimates.py
+++ b/libraries/decisions/tests/contention/test_estimates.py
@@ -53,6 +53,13 @@
         self.record(0.15, 1, 100)
         self.assertFalse(self.time.is_contended)
 
+    def test_a_few_answers_are_not_relied_on(self) -> None:
+        """Guards against requests refused by what the first answers seem to show."""
+        self.record(0.43, 1, 9)
+        self.assertFalse(self.time.is_settled)
+        self.record(0.43, 1, 1)
+        self.assertTrue(self.time.is_settled)
+
     def test_slow_first_answers_are_corrected_by_a_few(self) -> None:
         """Guards against a gateway with few callers that refuses them for seconds."""
         self.record(0.43, 1, 1)
--- a/libraries/decisions/tests/contention/test_overload.py
+++ b/libraries/decisions/tests/contention/test_overload.py
@@ -53,6 +53,18 @@
         """Guards against a gateway that takes all places from the others' callers."""
         self.check(3.0, LOUD)
 
+    def test_first_answers_mislead_a_gateway_with_few_callers(self) -> None:
+        """Guards against a gateway that refuses all, so that no answer corrects it."""
+        for seed in range(1, 6):
+            for gateways in (4, 8):
+                with self.subTest(seed=seed, gateways=gateways):
+                    replay = Replay(gateways, seed=seed)
+                    rates = {QUIET: QUIET_PER_SECOND, LOUD: 120.0}
+                    replay.run(SECONDS, rates, at_one=LOUD)
+                    counts = replay.counts[QUIET]
+                    self.assertEqual(counts.refused, 0)
+                    self.assertGreaterEqual(counts.share_in_time, MIN_QUIET)
+
 
 class ManyGatewaysTests(ReplayCase):
     def test_many_gateways_share_what_is_carried_under_overload(self) -> None:
