Let one gateway ask the store before the others, in an order that all know

What callers saw: nothing directly.

Cause: each gateway drew its limit between 0.6 and all of the list's maximum age.

Who knows nothing takes itself for the last in order. Test: test_calls_hardly_grow_with_the_gateways and test_one_gateway_asks_before_the_others failed before.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
@@ -7,19 +7,29 @@
 few peers how old their confirmations are, and asks the store only if none of them has a
 recent one. A gateway that hears from no peer therefore confirms everything itself.
 
-The limits are random, so that of many gateways with equally old confirmations one asks
-first, and the others learn of its response.
+The gateways agree on an order for each list. The first asks so early that its response
+reaches the others before they would ask; the next in order ask a little later each, in
+case that the ones before them can't.
 """
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     import random
 
-# Shares of the maximum age between which the limit is drawn after each check.
-MIN_LIMIT_SHARE = 0.6
+# Share of the maximum age from which the last gateways in order ask: they draw a limit
+# between this and all of it after each check.
+LAST_LIMIT_SHARE = 0.95
+# Minimum share of the maximum age after which the first in order asks.
+MIN_LIMIT_SHARE = 0.35
+# Seconds for which the first in order asks earlier, for each doubling of the number of
+# gateways: every round of questions among them brings a response to some times as many.
+SPREAD_SECONDS = 0.12
+# Seconds from one gateway's limit to that of the next in order: nearly a round.
+ORDER_SECONDS = 0.2
 # Share of the maximum age from which peers are asked.
 ASK_SHARE = 0.26
 # Seconds from a peer's report of a change until this process checks: for as long it may
@@ -30,17 +40,31 @@
 class ConfirmationSchedule:
     """The limits for one list. All times are on the caller's clock."""
 
-    __slots__ = ("_limit", "_max_age", "_newer_revision", "_newer_since", "_random")
+    __slots__ = (
+        "_count",
+        "_last_limit",
+        "_max_age",
+        "_newer_revision",
+        "_newer_since",
+        "_random",
+        "_rank",
+    )
 
     def __init__(self, max_age: float, random: random.Random) -> None:
         # Maximum seconds since the last confirmation until the store is asked.
         self._max_age = max_age
         self._random = random
-        self._limit = self._draw_limit()
+        self._last_limit = self._draw_last_limit()
+        # Place of this gateway in the order of all, from 0, and their number.
+        self._rank, self._count = 0, 1
         # The highest revision that a peer reported, and since when it is known here.
         self._newer_revision = 0
         self._newer_since = float("-inf")
 
+    def set_order(self, rank: int, count: int) -> None:
+        """Set the place of this gateway in the order of all ``count``, from 0."""
+        self._rank, self._count = rank, count
+
     def record_newer(self, now: float, revision: int) -> None:
         """Record that a peer received a change at ``revision``."""
         if revision > self._newer_revision:
@@ -48,7 +72,7 @@
 
     def record_check(self) -> None:
         """Record that the store is asked now."""
-        self._limit = self._draw_limit()
+        self._last_limit = self._draw_last_limit()
 
     def is_query_due(self, now: float, known_until: float) -> bool:
         """Return whether peers are to be asked how old their confirmations are."""
@@ -68,7 +92,12 @@
         """
         if self._newer_revision > revision:
             return now - self._newer_since >= grace
-        return now - known_until > self._limit
+        return now - known_until > self._find_limit()
+
+    def _find_limit(self) -> float:
+        early = SPREAD_SECONDS * math.log2(max(2, self._count))
+        first = max(self._max_age * MIN_LIMIT_SHARE, self._max_age - early)
+        return min(first + ORDER_SECONDS * self._rank, self._last_limit)
 
-    def _draw_limit(self) -> float:
-        return self._max_age * self._random.uniform(MIN_LIMIT_SHARE, 1.0)
+    def _draw_last_limit(self) -> float:
+        return self._max_age * self._random.uniform(LAST_LIMIT_SHARE, 1.0)
--- a/libraries/decisions/tests/forwarding/test_confirmation_schedule.py
+++ b/libraries/decisions/tests/forwarding/test_confirmation_schedule.py
@@ -16,16 +16,22 @@
 ASKED_PEERS = 4
 SETTLING_SECONDS = 5.0
 REPLAY_SECONDS = 40.0
+# Calls of all gateways in the time for which one response is enough.
+MAX_CALLS = 4.0
 
 
 class Fleet:
     """Gateways that tick at random phases and answer each other at once."""
 
-    def __init__(self, count: int, *, lost: float = 0.0) -> None:
+    def __init__(self, count: int, *, lost: float = 0.0, stopped: int = 0) -> None:
         self.generator = random.Random(count)
         self.schedules = [
             ConfirmationSchedule(MAX_AGE, self.generator) for _ in range(count)
         ]
+        for rank, schedule in enumerate(self.schedules):
+            schedule.set_order(rank, count)
+        # The first in order that stand still, which the others still count.
+        self.stopped = stopped
         self.known_until = [0.0] * count
         self.lost = lost
         self.checks = 0
@@ -34,7 +40,8 @@
     def replay(self) -> float:
         """Return the checks a second of all gateways together."""
         count = len(self.schedules)
-        ticks = [(self.generator.uniform(0, TICK_SECONDS), n) for n in range(count)]
+        running = range(self.stopped, count)
+        ticks = [(self.generator.uniform(0, TICK_SECONDS), n) for n in running]
         heapq.heapify(ticks)
         while ticks[0][0] < REPLAY_SECONDS:
             now, number = heapq.heappop(ticks)
@@ -60,7 +67,7 @@
         """Take over the latest confirmation of a few others."""
         others = [n for n in range(len(self.schedules)) if n != number]
         for peer in self.generator.sample(others, min(ASKED_PEERS, len(others))):
-            if self.generator.random() >= self.lost:
+            if peer >= self.stopped and self.generator.random() >= self.lost:
                 self.known_until[number] = max(
                     self.known_until[number], self.known_until[peer]
                 )
@@ -73,6 +80,13 @@
             with self.subTest(gateways=count):
                 self.assertLess(Fleet(count).replay(), max(4.0, 0.08 * count))
 
+    def test_calls_hardly_grow_with_the_gateways(self) -> None:
+        """Guards against many that ask before they hear of the first response."""
+        for count, stopped in ((4, 0), (29, 0), (68, 0), (340, 0), (29, 1), (340, 1)):
+            with self.subTest(gateways=count, stopped=stopped):
+                most = (MAX_CALLS if stopped == 0 else 2 * MAX_CALLS) / MAX_AGE
+                self.assertLess(Fleet(count, stopped=stopped).replay(), most)
+
     def test_no_gateway_knows_less_than_its_bound(self) -> None:
         for count, lost in ((1, 0.0), (4, 0.0), (68, 0.0), (68, 0.3), (340, 0.3)):
             with self.subTest(gateways=count, lost=lost):
--- a/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
@@ -12,6 +12,7 @@
 import asyncio
 import itertools
 import math
+import zlib
 from typing import TYPE_CHECKING
 
 from bamboopier_daemon.clock import read_clock
@@ -68,6 +69,7 @@
         self._name = name
         self._active_configuration = state.active_configuration
         self._availability = state.availability
+        self._fleet = state.fleet
         self._configuration = followers.configuration
         self._lists = {follower.prefix: follower for follower in followers.lists}
         self._peers = peers
@@ -101,6 +103,7 @@
 
     def check(self, now: float) -> None:
         """Have the store confirm what is due now."""
+        self._update_order()
         self._check_configuration(now)
         for prefix, follower in self._lists.items():
             is_due = self._schedules[prefix].is_check_due(
@@ -119,6 +122,18 @@
             case _:
                 pass
 
+    def _update_order(self) -> None:
+        """Let another gateway be the first to ask for each list.
+
+        A gateway that does not know its place yet is the last.
+        """
+        count, index = self._fleet.gateway_count, self._fleet.gateway_index
+        for name, schedule in self._schedules.items():
+            rank = count - 1
+            if index is not None:
+                rank = (index + zlib.crc32(name.encode())) % count
+            schedule.set_order(rank, count)
+
     def _check_configuration(self, now: float) -> None:
         configuration = self._configuration
         is_due = self._schedules[CONFIGURATION].is_check_due(
@@ -210,18 +225,10 @@
         for confirmation in response.lists:
             follower = self._lists.get(confirmation.prefix)
             if follower is not None:
-                self._apply_list(sent_at, follower, confirmation)
+                schedule = self._schedules[confirmation.prefix]
+                apply_list(read_clock(), sent_at, follower, schedule, confirmation)
         self._apply_configuration(sent_at, response, sender)
 
-    def _apply_list(
-        self, sent_at: float, follower: ObjectFollower, found: ListConfirmation
-    ) -> None:
-        if found.changed_revision > follower.revision:
-            schedule = self._schedules[found.prefix]
-            schedule.record_newer(read_clock(), found.changed_revision)
-            return
-        follower.confirm(sent_at - found.age_ms / 1000)
-
     def _apply_configuration(
         self, sent_at: float, response: FreshnessResponse, sender: Endpoint
     ) -> None:
@@ -235,6 +242,23 @@
         )
 
 
+def apply_list(
+    now: float,
+    sent_at: float,
+    follower: ObjectFollower,
+    schedule: ConfirmationSchedule,
+    found: ListConfirmation,
+) -> None:
+    """Apply what a gateway that was asked at ``sent_at`` knows of a list.
+
+    A gateway that knows of a later change confirms nothing: the change is expected.
+    """
+    if found.changed_revision > follower.revision:
+        schedule.record_newer(now, found.changed_revision)
+        return
+    follower.confirm(sent_at - found.age_ms / 1000)
+
+
 def _round_age(now: float, follower: ObjectFollower) -> int:
     """Return the age of what is known in milliseconds, rounded up."""
     return int((now - follower.known_until) * 1000) + 1
--- a/libraries/proxy/tests/test_store_confirmation.py
+++ b/libraries/proxy/tests/test_store_confirmation.py
@@ -43,9 +43,14 @@
         self.peers = mock.Mock()
         self.peers.sample_peers.return_value = [PEER]
         self.on_newer = mock.Mock()
+        self.fleet = mock.Mock(gateway_count=1, gateway_index=0)
         self.confirmation = StoreConfirmation(
             "g-1",
-            mock.Mock(active_configuration=self.active, availability=self.availability),
+            mock.Mock(
+                active_configuration=self.active,
+                availability=self.availability,
+                fleet=self.fleet,
+            ),
             mock.Mock(configuration=self.configuration, lists=[self.targets]),
             self.peers,
             self.on_newer,
@@ -106,6 +111,20 @@
         await asyncio.sleep(0)
         self.targets.check.assert_awaited_once()
 
+    async def test_one_gateway_asks_before_the_others(self) -> None:
+        """Guards against many that ask the store since all know equally little."""
+        self.targets.known_until = NOW - 0.7
+        self.fleet.gateway_count = 29
+        asking = []
+        for index in range(29):
+            self.fleet.gateway_index = index
+            self.targets.check.reset_mock()
+            self.confirmation.check(NOW)
+            await asyncio.sleep(0)
+            if self.targets.check.await_count:
+                asking.append(index)
+        self.assertIn(len(asking), (1, 2))
+
     async def test_a_store_that_ends_watches_but_accepts_no_call_is_asked(self) -> None:
         # Guards against entries of targets that expire unnoticed in an outage: watches
         # that the store still ends would confirm the lists all the time.
