Let agents read the list of targets rarely while they drain

What callers saw: nothing directly.

Cause: the list was read again each half second of a drain, where only the number of targets follows from it; the order of the waves, which needs versions, is over by then. A target that answers that an order was misdirected has it read again at once, as before. The gateways that are told of a load are listed as they were some seconds ago, at a tenth of the price: a gateway that starts meanwhile is told within the next five seconds.

--- a/libraries/proxy/src/bamboopier_proxy/weight_load_announcer.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_load_announcer.py
@@ -41,7 +41,7 @@
         now = read_clock()
         if now - self._read_at < GATEWAYS_SECONDS:
             return
-        found = await list_gateways(self._store, self._prefix)
+        found = await list_gateways(self._store, self._prefix, stale=True)
         if not isinstance(found, Err):
             self._gateways = found.ok_value
             self._read_at = now
--- a/libraries/proxy/src/bamboopier_proxy/weight_updater.py
+++ b/libraries/proxy/src/bamboopier_proxy/weight_updater.py
@@ -41,9 +41,9 @@
 # Interval between reports while no update is due: the target may have restarted with
 # older weights. Reading its report on its own machine costs nothing.
 IDLE_POLL_SECONDS = 1.0
-# Time for which the list of targets is cached, and the same until this target's wave
-# starts: only the order of the waves follows from it.
-DIRECTORY_SECONDS = 0.5
+# Time for which the list of targets is cached: only their number follows from it, and
+# the order of the waves until this target's wave starts.
+DIRECTORY_SECONDS = 5.0
 WAITING_DIRECTORY_SECONDS = 2.0
 # Delay before the next attempt to acquire a load slot, and interval between reports
 # during a drain or a load.
--- a/libraries/proxy/tests/test_weight_load_announcer.py
+++ b/libraries/proxy/tests/test_weight_load_announcer.py
@@ -36,7 +36,7 @@
         values = {h: msgspec.json.encode(GatewayEntry(h, 7000, 1)) for h in hosts}
         values["broken"] = b"{"
         objects = [StoredObject(f"gateways/{n}", 1, v) for n, v in values.items()]
-        self.store.list.return_value = Ok(Listing(1, tuple(objects)))
+        self.store.list_stale.return_value = Ok(Listing(1, tuple(objects)))
 
     def list_receivers(self) -> list[str]:
         return [call.args[1].host for call in self.socket.send.call_args_list]
@@ -72,7 +72,7 @@
             self.list_gateways("10.0.0.2")
             self.now += GATEWAYS_SECONDS
             await self.announcer.refresh()
-        self.store.list.return_value = Err(PlatformUnavailableError("away"))
+        self.store.list_stale.return_value = Err(PlatformUnavailableError("away"))
         self.now += GATEWAYS_SECONDS
         await self.announcer.refresh()
         self.announcer.announce_end("i-1", "m", 2)
