End watches before the store drops the history they began in

Cause: a watch waited for 25 s, and the platform keeps 20 s of history, which its settings say (historyS): a watch that sees no change ends with 410 then. Watches now last three quarters of it, 25 s at most.

--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -34,8 +34,6 @@
 # Maximum size, in bytes, of a configuration that is read after each watch: half of the
 # 22 KB a second that a node may use for control traffic.
 SMALL_CONFIGURATION_BYTES = 10_000
-# Duration of the watch that delivers new versions.
-WATCH_SECONDS = 25.0
 # Duration of a watch that confirms a large configuration. With a longer one, a new
 # version would more often come twice.
 CHECK_SECONDS = 0.005
@@ -62,8 +60,10 @@
         loader: ConfigurationLoader,
         availability: StoreAvailability,
         random: random.Random,
+        watch_seconds: float,
     ) -> None:
         self._store = store
+        self._watch_seconds = watch_seconds
         self._key = schema.configuration_key
         self._loader = loader
         self._availability = availability
@@ -168,7 +168,7 @@
         """Watch for a new version until it is stored, or the watch is abandoned."""
         self._watch_count += 1
         task = self._watch_task = asyncio.ensure_future(
-            self._watch(position, WATCH_SECONDS, self._record_arriving)
+            self._watch(position, self._watch_seconds, self._record_arriving)
         )
         try:
             done = await task
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -81,6 +81,7 @@
         counted,
         schema,
         generator,
+        settings.watch_seconds,
         follows_rollouts=settings.rollout_allowance is not None,
     )
     peers = GatewayPeers(
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -7,6 +7,11 @@
 from bamboopier_decisions.forwarding.shared_retry_budget import RetryBudgetLimits
 from bamboopier_decisions.rollouts.schedule import Allowance
 
+# Longest watch that the platform's store accepts, with some room.
+MAX_WATCH_SECONDS = 25.0
+# Longest duration of a watch as a share of the history that the store keeps.
+WATCH_SHARE = 0.75
+
 
 class Endpoint(msgspec.Struct, frozen=True):
     """An IP address and a TCP or UDP port."""
@@ -55,3 +60,14 @@
     rollout_allowance: Allowance | None = None
     # The whole system starts for the first time: no request was sent before.
     first_start: bool = False
+    # For which the platform's store keeps its changes.
+    history_seconds: float = 20.0
+
+    @property
+    def watch_seconds(self) -> float:
+        """Return the longest duration of a watch.
+
+        One that is still open when the history before it is dropped ends without a
+        result, and the list has to be read again.
+        """
+        return min(MAX_WATCH_SECONDS, self.history_seconds * WATCH_SHARE)
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -23,9 +23,6 @@
     from .gateway_state import GatewayState
     from .store_schema import PublishedWeights, Store, StoreSchema
 
-# Duration of one watch: the store ends longer ones. What it may hide is found out by
-# the checks of ``StoreConfirmation``.
-WATCH_SECONDS = 25.0
 # Maximum seconds for which the list of targets is not confirmed by any gateway. Guards
 # against a watch whose connection stalls while a target drains: until that is noticed,
 # requests are still sent to the target, which must get no more within two seconds.
@@ -47,9 +44,11 @@
         store: Store,
         schema: StoreSchema,
         random: random.Random,
+        watch_seconds: float,
         *,
         follows_rollouts: bool = False,
     ) -> None:
+        self._watch_seconds = watch_seconds
         self._store = MonitoredStore(store, state.availability)
         self._schema = schema
         self._random = random
@@ -57,7 +56,7 @@
             store, schema.publish_times_prefix, state.weights, random
         )
         self.configuration = ConfigurationFollower(
-            store, schema, state.loader, state.availability, random
+            store, schema, state.loader, state.availability, random, watch_seconds
         )
         self._targets = self._follow(
             schema.targets_prefix,
@@ -131,7 +130,7 @@
             self._store,
             prefix,
             observer,
-            WATCH_SECONDS,
+            self._watch_seconds,
             self._random,
             read_clock,
             max_age,
--- a/libraries/proxy/tests/test_configuration_follower.py
+++ b/libraries/proxy/tests/test_configuration_follower.py
@@ -18,13 +18,13 @@
 )
 from bamboopier_proxy.configuration_follower import (
     SMALL_CONFIGURATION_BYTES,
-    WATCH_SECONDS,
     ConfigurationFollower,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+WATCH_SECONDS = 15.0
 LARGE = b"x" * (SMALL_CONFIGURATION_BYTES + 1)
 
 
@@ -44,6 +44,7 @@
             self.loader,
             mock.Mock(),
             random.Random(1),
+            WATCH_SECONDS,
         )
         task = asyncio.create_task(self.follower.run())
         self.addCleanup(task.cancel)
--- a/libraries/proxy/tests/test_store_availability.py
+++ b/libraries/proxy/tests/test_store_availability.py
@@ -38,7 +38,7 @@
         found = StoredObject("c", 5, b"")
         store.list.return_value = Ok(Listing(5, (found,)))
         poll = ConfigurationFollower(
-            store, schema, mock.Mock(), availability, random.Random(1)
+            store, schema, mock.Mock(), availability, random.Random(1), 15.0
         )
         observer = TargetObserver(
             schema, fleet, availability, VersionHistory(), mock.Mock()
@@ -74,7 +74,12 @@
 
         schema = mock.Mock(configuration_key="c")
         follower = ConfigurationFollower(
-            mock.Mock(list=read), schema, mock.Mock(), availability, random.Random(1)
+            mock.Mock(list=read),
+            schema,
+            mock.Mock(),
+            availability,
+            random.Random(1),
+            15.0,
         )
         module = "bamboopier_proxy.configuration_follower.read_clock"
         with mock.patch(module, return_value=100.0):
@@ -100,7 +105,7 @@
         schema = mock.Mock(configuration_key="c")
         loader = mock.Mock()
         follower = ConfigurationFollower(
-            store, schema, loader, availability, random.Random(1)
+            store, schema, loader, availability, random.Random(1), 15.0
         )
         module = "bamboopier_proxy.configuration_follower"
         with (
--- a/libraries/proxy/tests/test_store_followers.py
+++ b/libraries/proxy/tests/test_store_followers.py
@@ -50,7 +50,7 @@
             await asyncio.sleep(3600)
 
         store = mock.Mock(read=read, list=list_below, watch_values=watch)
-        followers = StoreFollowers(state, store, schema, random.Random(1))
+        followers = StoreFollowers(state, store, schema, random.Random(1), 15.0)
         with (
             mock.patch("bamboopier_proxy.observers.log"),
             mock.patch("bamboopier_proxy.publish_times.log"),
