Let gateways confirm the published weights for agents

What callers saw: nothing directly.

Cause: an agent ended its watch every four seconds, as nothing else would show that its connection hides a change. It now keeps one as long as a gateway does, and asks one of the last eight gateways that told it of loads how old their confirmation is, each second. Where none answers for four seconds, or one knows a change that the watch has not brought in 0.9 s, the store is asked, as before.

Compared: four-second watches; a longer watch with a check of its own, which is as many calls; gateways asked. What a gateway carries: one question and one answer of some 300 bytes a second for each engine that it sends to, at most. An agent that hears of no gateway knows as much as before.

Test: test_weights_confirmation.py, which had nothing to test before.

--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -31,16 +31,16 @@
 from .target_directory import TargetDirectory
 from .weight_load_announcer import WeightLoadAnnouncer
 from .weight_updater import WeightUpdater
+from .weights_confirmation import MAX_AGE_SECONDS, WeightsConfirmation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .hints import Hint
     from .settings import ProxySettings
     from .store_schema import PublishedWeights, Store, StoreSchema
     from .target_orders import TargetOrders
 
-# Seconds until a watch for published weight versions is renewed.
-WATCH_TIMEOUT_SECONDS = 4.0
 # Seconds after which the load slot of a killed agent expires: longer than a load.
 SLOT_LEASE_SECONDS = 8.0
 
@@ -79,21 +79,6 @@
     pause_monitor = PauseMonitor(registry)
     async with AsyncExitStack() as stack:
         with StopSignals() as signals:
-            answers = LoadAnswers(lambda answer, to: socket.send(answer, to))
-            socket = await stack.enter_async_context(
-                HintSocket(settings.host, settings.first_port, answers.receive)
-            )
-            updater = WeightUpdater(
-                settings.vm,
-                settings.target,
-                orders,
-                weights,
-                lease,
-                slots,
-                WeightLoadAnnouncer(counted, schema.gateways_prefix, socket),
-                directory,
-                generator,
-            )
             publish_times = PublishTimes(
                 counted, schema.publish_times_prefix, weights, generator
             )
@@ -106,14 +91,39 @@
                 counted,
                 schema.weights_prefix,
                 WeightsObserver(schema, weights, pause_monitor.pauses, on_published),
-                WATCH_TIMEOUT_SECONDS,
+                settings.watch_seconds,
                 generator,
                 read_clock,
+                MAX_AGE_SECONDS,
+            )
+            confirmation = WeightsConfirmation(
+                settings.vm, follower, lambda hint, to: socket.send(hint, to), generator
+            )
+
+            def receive(hint: Hint, sender: tuple[str, int]) -> None:
+                answers.receive(hint, sender)
+                confirmation.receive(hint, sender)
+
+            answers = LoadAnswers(lambda answer, to: socket.send(answer, to))
+            socket = await stack.enter_async_context(
+                HintSocket(settings.host, settings.first_port, receive)
+            )
+            updater = WeightUpdater(
+                settings.vm,
+                settings.target,
+                orders,
+                weights,
+                lease,
+                slots,
+                WeightLoadAnnouncer(counted, schema.gateways_prefix, socket),
+                directory,
+                generator,
             )
             await stack.enter_async_context(keep_running(pause_monitor.run()))
             await stack.enter_async_context(
                 keep_running(follow_weights(publish_times, follower))
             )
+            await stack.enter_async_context(keep_running(confirmation.run()))
             await stack.enter_async_context(keep_running(updater.run()))
             await stack.enter_async_context(keep_running(counted.run()))
             settings_reloader = SettingsReloader(
