Let many gateways report on a roll-out rarely, and failures at once

What callers saw: nothing yet, no roll-out runs on that many machines. Worked out, the three gateways that evaluate a version received 0.7 to 1.9 MB/s each with 340 gateways, where a node may spend 22 KB/s on control traffic.

Cause: each gateway sent all it had counted four times a second, though next to nothing of it had changed.

Now counts that changed are sent, 170 reports a second from all gateways at most, all counts in every fifth and to a gateway not told before. A failure of the version on trial is told at the next evaluation, twice.

--- a/libraries/decisions/tests/rollouts/builders.py
+++ b/libraries/decisions/tests/rollouts/builders.py
@@ -21,6 +21,7 @@
     RolloutState,
     RolloutStatus,
 )
+from bamboopier_decisions.rollouts.report_schedule import ReportSchedule
 from bamboopier_decisions.rollouts.schedule import Allowance, Progress
 from bamboopier_decisions.rollouts.traffic import RolloutTraffic
 
@@ -105,6 +106,7 @@
 
     traffic: RolloutTraffic = field(default_factory=RolloutTraffic)
     evidence: Evidence = field(default_factory=dict)
+    schedule: ReportSchedule = field(default_factory=lambda: ReportSchedule(0.0))
     # Answers that come later: their time, key and whether they fail, with their time.
     pending: list[tuple[float, AnswerKey, float | None]] = field(default_factory=list)
 
@@ -142,13 +144,17 @@
         self.per_second = per_second
         # Parts of the requests on each route.
         self.weights = weights
-        self.gateways = [Gateway() for _ in range(gateways)]
+        self.gateways = [
+            Gateway(schedule=ReportSchedule(n / gateways)) for n in range(gateways)
+        ]
         self.rollout = make_rollout(make_status(share=0.0))
         # All evidence is lost at this time: all gateways restart.
         self.restarts_at = restarts_at
         self.requests = 0
         self.exposed = 0
         self.finished_at = SECONDS
+        # Reports, and keys in them, that each evaluating gateway was sent.
+        self.reports = self.reported_keys = 0
         self._news: list[tuple[float, Gateway, Rollout]] = []
 
     @property
@@ -184,7 +190,7 @@
                 or not self.rollout.is_running
             ):
                 continue
-            self._report(pool)
+            self._report(now, pool)
             judge.update(now, pool.take())
             progress = make_progress(
                 elapsed=now,
@@ -248,11 +254,22 @@
         failed = self.random.random() < self.behaviour.failing(request)
         gateway.pending.append((now + seconds, key, None if failed else seconds))
 
-    def _report(self, pool: EvidencePool) -> None:
+    def _report(self, now: float, pool: EvidencePool) -> None:
+        status = self.rollout.status
+        has_all = status is not None and status.share >= 1
         for number, gateway in enumerate(self.gateways):
-            if self.random.random() >= LOST_SHARE:
+            # Drawn for each: a seed stands for the same requests whoever reports.
+            is_lost = self.random.random() < LOST_SHARE
+            drained = has_all and not gateway.former_in_flight
+            count, evidence = len(self.gateways), gateway.evidence
+            if not gateway.schedule.is_due(now, count, evidence, is_drained=drained):
+                continue
+            told = gateway.schedule.select(now, ("e",), evidence)
+            self.reports += 1
+            self.reported_keys += len(told)
+            if not is_lost:
                 copied = {
                     key: AnswerCounts(c.failed, list(c.by_time), c.untimed)
-                    for key, c in gateway.evidence.items()
+                    for key, c in told.items()
                 }
                 pool.record(f"g{number}", 1, copied)
--- a/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
@@ -1,6 +1,7 @@
 """Carries out roll-outs: reports this gateway's answers, and takes the next steps.
 
-Each gateway reports to the few that all select alike for a service. These judge the
+Each gateway reports to the few that all select alike for a service, as often as
+``ReportSchedule`` says. These judge the
 version by the same evidence, and write the status beside the order under the condition
 that it has not changed. The first of them takes the steps; the others follow if it does
 not. A bad version is taken back by whoever finds it first.
@@ -18,6 +19,8 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.rollouts import schedule
 from bamboopier_decisions.rollouts.order import Rollout, RolloutState
+from bamboopier_decisions.rollouts.report_schedule import ReportSchedule
+from bamboopier_decisions.routing.rendezvous import compute_weight
 
 from ..hints import RolloutReport
 from .trial import Trial
@@ -26,6 +29,7 @@
     from collections.abc import Callable
 
     from bamboopier_decisions.forwarding.fleet import Fleet
+    from bamboopier_decisions.rollouts.evidence import Evidence
     from bamboopier_decisions.rollouts.order import RolloutStatus
     from bamboopier_decisions.rollouts.schedule import Allowance, Progress
     from bamboopier_decisions.rollouts.traffic import RolloutTraffic
@@ -38,11 +42,13 @@
     from ..store_schema import Store, StoreSchema
     from .answer_log import AnswerLog
 
-# Interval of the reports and of the evaluation: a bad version gets requests for about
-# two of them after the answers show it.
+# Interval of the evaluation, and shortest one of the reports: a bad version gets
+# requests for about two of them after the answers show it.
 INTERVAL_SECONDS = 0.25
 # Gateways that evaluate the answers of a service.
 EVALUATORS = 3
+# Number of the weights that a name may have.
+WEIGHTS = 2.0**64
 # Keys of one report: more do not fit a datagram.
 MAX_KEYS = 18
 
@@ -83,6 +89,8 @@
         self._is_informed = is_informed
         # By service.
         self._trials: dict[str, Trial] = {}
+        # The version on trial and when to report on it, by service.
+        self._schedules: dict[str, tuple[str, ReportSchedule]] = {}
 
     async def run(self) -> None:
         """Report and evaluate until cancelled."""
@@ -93,6 +101,7 @@
                     await self._handle(rollout)
                 else:
                     self._trials.pop(rollout.order.service, None)
+                    self._schedules.pop(rollout.order.service, None)
 
     def receive(self, hint: Hint, _: Endpoint) -> None:
         """Handle a message of another gateway, if it is a report."""
@@ -105,12 +114,8 @@
     async def _handle(self, rollout: Rollout) -> None:
         service = rollout.order.service
         selected = self._registry.select_gateways(f"rollouts/{service}", EVALUATORS)
-        reports = self._make_reports(rollout)
-        for gateway in selected:
-            endpoint = self._registry.peers.get(gateway)
-            if endpoint is not None:
-                for report in reports:
-                    self._peers.send(report, endpoint)
+        former_in_flight = self._count_former_in_flight(rollout)
+        self._send_reports(rollout, selected, former_in_flight)
         status = rollout.own_status
         self._metrics.rollout_share.labels(service, rollout.order.version).set(
             status.share if status is not None else 0.0
@@ -118,19 +123,50 @@
         ranks = [r for r, g in enumerate(selected) if self._registry.is_own(g)]
         if ranks and self._is_informed():
             trial = self._find_trial(rollout)
-            for report in reports:
+            evidence = self._answers.find(service, rollout.order.version)
+            for report in self._make_reports(rollout, former_in_flight, evidence):
                 trial.record(report)
             await self._evaluate(rollout, trial, ranks[0])
 
-    def _make_reports(self, rollout: Rollout) -> list[RolloutReport]:
-        """Return what this gateway has counted, in parts that fit a datagram each."""
+    def _send_reports(
+        self, rollout: Rollout, selected: list[str], former_in_flight: int
+    ) -> None:
+        """Report to the evaluating gateways, if that is due."""
         service, version = rollout.order.service, rollout.order.version
-        former_in_flight = sum(
+        found = self._schedules.get(service)
+        if found is None or found[0] != version:
+            phase = compute_weight(service.encode(), self._name) / WEIGHTS
+            found = self._schedules[service] = version, ReportSchedule(phase)
+        reporting = found[1]
+        now, evidence = read_clock(), self._answers.find(service, version)
+        gateways = len(self._registry.peers) + 1
+        status = rollout.own_status
+        has_all = status is not None and status.share >= 1
+        is_drained = has_all and former_in_flight == 0
+        if not reporting.is_due(now, gateways, evidence, is_drained=is_drained):
+            return
+        told = reporting.select(now, tuple(selected), evidence)
+        reports = self._make_reports(rollout, former_in_flight, told)
+        for gateway in selected:
+            endpoint = self._registry.peers.get(gateway)
+            if endpoint is not None:
+                for report in reports:
+                    self._peers.send(report, endpoint)
+
+    def _count_former_in_flight(self, rollout: Rollout) -> int:
+        """Return this gateway's requests at targets of other versions."""
+        return sum(
             state.own_load.requests
-            for state in self._fleet.list_registered(service)
-            if state.entry.software_version != version
+            for state in self._fleet.list_registered(rollout.order.service)
+            if state.entry.software_version != rollout.order.version
         )
-        evidence = list(self._answers.find(service, version).items())
+
+    def _make_reports(
+        self, rollout: Rollout, former_in_flight: int, counted: Evidence
+    ) -> list[RolloutReport]:
+        """Return what this gateway has counted, in parts that fit a datagram each."""
+        service, version = rollout.order.service, rollout.order.version
+        evidence = list(counted.items())
         starts = range(0, max(1, len(evidence)), MAX_KEYS)
         return [
             RolloutReport(
