--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -32,6 +32,7 @@
     rollouts,
     software_versions,
     stalled_targets,
+    store_calls,
     target_reports,
     weight_loads,
 )
@@ -60,6 +61,7 @@
     *crashing_parts.MUTATIONS,
     *retry_budgets.MUTATIONS,
     *rollouts.MUTATIONS,
+    *store_calls.MUTATIONS,
     *software_versions.MUTATIONS,
 )
 
