--- a/libraries/decisions/src/bamboopier_decisions/rollouts/report_schedule.py
+++ b/libraries/decisions/src/bamboopier_decisions/rollouts/report_schedule.py
@@ -69,6 +69,7 @@
     ) -> bool:
         """Return whether to report now; ``gateways`` is the number of all.
 
+        Asked at each evaluation: what is due is due once, whether it is sent or not.
         A failure of the version is told at once, and so is that nothing is in flight
         elsewhere any more (``is_drained``) once the version has all requests.
         """
