--- a/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/controller.py
@@ -3,8 +3,8 @@
 Each gateway reports to the few that all select alike for a service, as often as
 ``ReportSchedule`` says. These judge the version by the same evidence, and write the
 status beside the order under the condition that it has not changed. The first of them
-takes the steps; the others follow if it does not. A bad version is taken back by whoever
-finds it first.
+takes the steps; the others follow if it does not. A bad version is taken back by
+whoever finds it first.
 """
 
 from __future__ import annotations
