Run the suite that measures how much is carried alone, after the others

Cause: it measures answers in time a second of real processes, and ran beside four other suites on six cores. Its bounds stay. Test: test_nothing_runs_beside_a_suite_that_measures failed before.

--- a/tests/test_run_tests.py
+++ b/tests/test_run_tests.py
@@ -2,9 +2,20 @@
 
 from __future__ import annotations
 
+import threading
+import time
 import unittest
+from pathlib import Path
 
-from run_tests import KnownRed, list_failed, list_passed
+from run_tests import (
+    ALONE,
+    KnownRed,
+    Suite,
+    SuiteResult,
+    list_failed,
+    list_passed,
+    run_suites,
+)
 
 OUTPUT = """\
 FAIL: test_outcomes (tests.test_path.PathTests.test_outcomes) (cell='x', keyed=True)
@@ -30,5 +41,29 @@
         self.assertEqual(list_passed(red, {"agent:test_start"}, {"agent"}), [])
 
 
+class AloneTests(unittest.TestCase):
+    def test_nothing_runs_beside_a_suite_that_measures(self) -> None:
+        """Guards against a rate that falls with what other suites take."""
+        lock = threading.Lock()
+        running: set[str] = set()
+        beside: dict[str, set[str]] = {}
+
+        def run(suite: Suite) -> SuiteResult:
+            with lock:
+                running.add(suite.name)
+                beside[suite.name] = running - {suite.name}
+            time.sleep(0.02)
+            with lock:
+                running.remove(suite.name)
+            return SuiteResult(suite.name, 1, (), broken=False, output="", seconds=0.0)
+
+        names = [*ALONE, *(f"suite-{number}" for number in range(8))]
+        suites = [Suite(name, Path(), Path()) for name in names]
+        results = run_suites(suites, run)
+        self.assertEqual({result.name for result in results}, set(names))
+        for name in ALONE:
+            self.assertEqual(beside[name], set())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,14 +15,21 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import fire
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SUITE_TIMEOUT_SECONDS = 900
 # Each system test starts about ten processes of its own.
 WORKERS = 5
+# Suites that measure how much real processes carry a second: others beside them take
+# the processor time that they measure.
+ALONE = frozenset({"platform.contention"})
 # Captures the test's name only; its class and module follow in brackets.
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+) \([\w.]+\)", re.MULTILINE)
 _RAN = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
@@ -65,6 +72,17 @@
     return "system" if folder == ROOT else folder.name
 
 
+def run_suites(
+    suites: list[Suite], run: Callable[[Suite], SuiteResult]
+) -> list[SuiteResult]:
+    """Run several suites at once, and then those of ``ALONE`` one after the other."""
+    beside = [suite for suite in suites if suite.name not in ALONE]
+    alone = [suite for suite in suites if suite.name in ALONE]
+    with ThreadPoolExecutor(max_workers=WORKERS) as pool:
+        results = list(pool.map(run, beside))
+    return results + [run(suite) for suite in alone]
+
+
 def run_suite(suite: Suite) -> SuiteResult:
     """Run one suite in its own process."""
     name = suite.name
@@ -122,8 +140,7 @@
 def main(pattern: str = "test_*.py", only: str = "") -> None:
     """Run the suites whose names start with ``only``, by default all."""
     suites = [s for s in find_suites(pattern) if s.name.startswith(only)]
-    with ThreadPoolExecutor(max_workers=WORKERS) as pool:
-        results = list(pool.map(run_suite, suites))
+    results = run_suites(suites, run_suite)
     red = read_known_red()
     known = red.tests
     failed = {test for result in results for test in result.failed}
