--- a/review/lab.py
+++ b/review/lab.py
@@ -37,7 +37,7 @@
 LOST_SECONDS = 0.2
 GRACE_SECONDS = 8.0
 # Delay after which the platform starts a process again that ended by itself.
-RESTART_SECONDS = 0.5
+RESTART_SECONDS = 0.2
 READY_SECONDS = 20.0
 HOST_NAME = "desk.example"
 KEY = "key-of-midlands"
@@ -168,6 +168,9 @@
         self.started_at = 0.0
         # Times at which it ended without having been told to.
         self.own_ends: list[float] = []
+        # Whether it was told to end, and is to be started again after that.
+        self.is_stopping = False
+        self.ended = asyncio.Event()
         self.process: asyncio.subprocess.Process | None = None
         # Called after each start.
         self.on_start: Callable[[Process], Awaitable[None]] | None = None
@@ -196,6 +199,12 @@
             self.lab.record.write(f"{self.name} gets {number.name}")
             self.process.send_signal(number)
 
+    def begin_restart(self) -> None:
+        """Send SIGTERM; the platform starts the process again once it has ended."""
+        self.is_stopping = True
+        self.ended.clear()
+        self.send(signal.SIGTERM)
+
     async def _spawn(self) -> None:
         command = self.lab.commands[self.role].split()
         environment = {
@@ -220,12 +229,79 @@
             code = await self.process.wait()
             if self._expected:
                 return
-            self.own_ends.append(time.monotonic())
-            self.lab.record.write(f"{self.name} ended by itself with {code}")
+            if self.is_stopping:
+                self.lab.record.write(f"{self.name} ended after SIGTERM")
+            else:
+                self.own_ends.append(time.monotonic())
+                self.lab.record.write(f"{self.name} ended by itself with {code}")
+            self.is_stopping = False
+            self.ended.set()
             await asyncio.sleep(RESTART_SECONDS)
             await self._spawn()
 
 
+class Link:
+    """A relay between one machine and the store, whose connections can go silent."""
+
+    def __init__(self, host: str, target: tuple[str, int]) -> None:
+        self._host = host
+        self._target = target
+        self._server: asyncio.Server | None = None
+        # Of the open connections; cleared for those that carry nothing any more.
+        self._carries: set[asyncio.Event] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = ""
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(self._accept, self._host, 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def silence(self) -> int:
+        """Let all open connections carry nothing any more; new ones work."""
+        for event in self._carries:
+            event.clear()
+        silenced, self._carries = self._carries, set()
+        return len(silenced)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(*self._target)
+        carries = asyncio.Event()
+        carries.set()
+        self._carries.add(carries)
+        self._writers |= {writer, far_writer}
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(self._carry(source, sink, carries))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _carry(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        carries: asyncio.Event,
+    ) -> None:
+        with suppress(ConnectionError):
+            while data := await source.read(65536):
+                await carries.wait()
+                sink.write(data)
+                await sink.drain()
+        await carries.wait()
+        sink.close()
+
+
 class Lab:
     """Store, engines and processes; all of them end with the context."""
 
@@ -277,15 +353,29 @@
         self.record.write(f"entry of {engine.name}: {entry['state']}")
         return time.monotonic()
 
-    async def start_gateways(self, count: int) -> list[Process]:
-        """Start gateways, and wait until they are ready and count each other."""
-        started = [self._make_gateway() for _ in range(count)]
+    async def open_link(self) -> Link:
+        """Open a relay to the store."""
+        link = Link(f"{self.network}.1", (self.store.host, self.store.port))
+        return await self._stack.enter_async_context(link)
+
+    async def start_gateways(
+        self, count: int, links: dict[int, Link] | None = None
+    ) -> list[Process]:
+        """Start gateways, and wait until they are ready and count each other.
+
+        ``links`` holds the relays through which some of them reach the store.
+        """
+        addresses = {n: link.address for n, link in (links or {}).items()}
+        started = [
+            self._make_gateway(addresses.get(n, self.store.address))
+            for n in range(count)
+        ]
         for gateway in started:
             await gateway.start()
         await asyncio.gather(*(self.wait_until_ready(g) for g in started))
         return started
 
-    def _make_gateway(self) -> Process:
+    def _make_gateway(self, store: str) -> Process:
         number = next(self._hosts)
         host = f"{self.network}.{number}"
         listen = f'front = "{host}:{self.port}"\nready = "{host}:{self.ready_port}"'
@@ -298,7 +388,7 @@
             last_port=self.first_port + 15,
             app="",
             listen=listen,
-            store=self.store.address,
+            store=store,
         )
         process = Process(self, "gateway", f"front-{number}", host, text)
         self.processes.append(process)
