--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -9,4 +9,4 @@
     exit 2
 fi
 export PYTHONPATH="$PWD/target/deps:$PWD/target/review" PYTHONDONTWRITEBYTECODE=1
-exec timeout --signal=TERM --kill-after=5 115 python3 -S "$folder/case.py"
+exec timeout --preserve-status --signal=TERM --kill-after=5 115 python3 -S "$folder/case.py"
