--- a/review/lab.py
+++ b/review/lab.py
@@ -176,6 +176,8 @@
         self.on_start: Callable[[Process], Awaitable[None]] | None = None
         self._expected = False
         self._watch: asyncio.Task[None] | None = None
+        # Held while it is started, so that no process is left that nobody knows.
+        self._starting = asyncio.Lock()
 
     async def start(self) -> None:
         """Start it, and watch it."""
@@ -185,10 +187,11 @@
     async def stop(self) -> None:
         """End it, and do not start it again."""
         self._expected = True
+        async with self._starting:
+            if self._watch is not None:
+                self._watch.cancel()
         if self._watch is not None:
-            self._watch.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._watch
+            await asyncio.wait({self._watch})
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
@@ -237,7 +240,10 @@
             self.is_stopping = False
             self.ended.set()
             await asyncio.sleep(RESTART_SECONDS)
-            await self._spawn()
+            async with self._starting:
+                if self._expected:
+                    return
+                await self._spawn()
 
 
 class Link:
@@ -328,8 +334,8 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for process in self.processes:
-            await process.stop()
+        stops = (process.stop() for process in self.processes)
+        await asyncio.gather(*stops, return_exceptions=True)
         await self._stack.aclose()
 
     async def start_engine(
@@ -574,8 +580,17 @@
     async def work() -> bool:
         task = asyncio.current_task()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, task.cancel if task else sys.exit)
+        is_stopping = False
+
+        def stop() -> None:
+            # Only once: another cancellation would interrupt the clean-up.
+            nonlocal is_stopping
+            if task is not None and not is_stopping:
+                is_stopping = True
+                task.cancel()
+
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, stop)
         async with Lab(record) as lab:
             return await case(lab, trouble)
 
@@ -583,7 +598,8 @@
         record.write(f"case {folder.name}, trouble {'on' if trouble else 'off'}")
         broken = asyncio.run(work())
         record.write("the rule was broken" if broken else "the rule held")
-    except (CannotRunError, asyncio.CancelledError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Python would exit with 1 for an error of the case itself.
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
