Tell what a send to a target without an entry rests on

The record of the incident could not tell an engine that was kept after an outage that was none from a removal that another gateway hid: no line says how old the list was, who had heard of a change, or when the store had last served anyone.

- attempt ended: list_age, entry_missing; a counter of sends to targets whose entry is missing.
- targets listed, target gone: known_age, store_accepted_age.
- list changed at another gateway, once a revision; answers on lists by outcome and the ages of lists as metrics.

No decision changes.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
@@ -65,10 +65,15 @@
         """Set the place of this gateway in the order of all ``count``, from 0."""
         self._rank, self._count = rank, count
 
-    def record_newer(self, now: float, revision: int) -> None:
-        """Record that a peer received a change at ``revision``."""
-        if revision > self._newer_revision:
-            self._newer_revision, self._newer_since = revision, now
+    def record_newer(self, now: float, revision: int) -> bool:
+        """Record that a peer received a change at ``revision``.
+
+        Return whether that was not known.
+        """
+        if revision <= self._newer_revision:
+            return False
+        self._newer_revision, self._newer_since = revision, now
+        return True
 
     def record_check(self) -> None:
         """Record that the store is asked now."""
--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -39,9 +39,11 @@
     """One request at one target, from its sending to its end."""
 
     __slots__ = (
+        "entry_missing",
         "first_event_at",
         "last_byte_at",
         "load",
+        "list_age",
         "load_age",
         "prefill_before",
         "prompt",
@@ -68,6 +70,10 @@
         # Seconds since the load of all other gateways there was measured; None if it is
         # known from their hints only.
         self.load_age: float | None = None
+        # When it was sent: seconds for which changes of the list of targets may be
+        # missing, and whether the target's entry was.
+        self.list_age = 0.0
+        self.entry_missing = False
         # It counts among the few requests right after a rest of the target.
         self.ramped = state.rest.record_sent()
         # None until it is sent.
@@ -141,6 +147,8 @@
         self.demand_shares = DemandShares()
         # Called with a target whose load from this gateway has changed.
         self.load_listeners: list[Callable[[TargetState], None]] = []
+        # Returns the seconds for which changes of the list may be missing.
+        self.find_list_age: Callable[[], float] = lambda: 0.0
 
     @property
     def names(self) -> list[str]:
@@ -295,6 +303,8 @@
         state.headroom.record_sent(now, load.pending_prefill, load.memory)
         in_flight = InFlightRequest(state, load, prompt)
         in_flight.load_age = state.find_load_age(now)
+        in_flight.list_age = self.find_list_age()
+        in_flight.entry_missing = state.entry.name in self._missing
         state.own_load.add(load)
         state.cold_start.record_sent(now)
         state.rate_limit.record_sent(now)
--- a/libraries/decisions/tests/forwarding/test_fleet.py
+++ b/libraries/decisions/tests/forwarding/test_fleet.py
@@ -29,6 +29,15 @@
         self.assertEqual(self.list_names(10.1), ["i-1", "i-2"])
         self.assertEqual(self.list_names(10.0 + STORE_RECOVERY_SECONDS), ["i-2"])
 
+    def test_a_request_tells_whether_its_target_has_an_entry(self) -> None:
+        self.fleet.find_list_age = lambda: 0.7
+        self.fleet.replace(10.0, [make_entry("i-2")], store_recovered_at=10.0)
+        for name, missing in (("i-1", True), ("i-2", False)):
+            state = self.fleet.find(name)
+            assert state is not None
+            sent = self.fleet.begin(10.5, state, None)
+            self.assertEqual((sent.entry_missing, sent.list_age), (missing, 0.7))
+
     def test_a_late_removal_counts_from_the_recovery(self) -> None:
         self.fleet.remove(11.5, "i-1", store_recovered_at=10.0)
         self.assertEqual(self.list_names(11.6), ["i-1", "i-2"])
--- a/libraries/proxy/src/bamboopier_proxy/attempt_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_log.py
@@ -42,6 +42,8 @@
         """Record that an attempt has ended."""
         now = read_clock()
         self._metrics.sends.labels(call.service, result.cause.value).inc()
+        if in_flight.entry_missing:
+            self._metrics.sends_without_entry.labels(call.service).inc()
         if result.first_byte:
             self._metrics.first_byte.labels(call.service).observe(now - call.arrived)
         state = in_flight.state
@@ -74,6 +76,8 @@
             # included, and how long before that the agent beside it had added them up.
             chosen_unread=in_flight.prefill_before,
             load_age=_round_age(in_flight.load_age),
+            list_age=round(in_flight.list_age, 3),
+            entry_missing=in_flight.entry_missing,
             silence=round(in_flight.silence, 3),
             waiting=in_flight.waiting,
             parts=_list_part_names(call),
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -99,6 +99,7 @@
         followers,
         peers.hint_exchange,
         peers.request_configuration,
+        metrics,
         generator,
     )
     peers.hint_exchange.listeners.append(confirmation.receive)
--- a/libraries/proxy/src/bamboopier_proxy/metrics.py
+++ b/libraries/proxy/src/bamboopier_proxy/metrics.py
@@ -25,6 +25,24 @@
             ["service", "cause"],
             registry=self.registry,
         )
+        self.sends_without_entry = Counter(
+            "bamboopier_sends_without_entry",
+            "Attempts at targets whose entry was missing after an outage, by service",
+            ["service"],
+            registry=self.registry,
+        )
+        self.list_age = Gauge(
+            "bamboopier_list_age_seconds",
+            "Seconds for which changes of a list in the store may be missing",
+            ["list"],
+            registry=self.registry,
+        )
+        self.list_answers = Counter(
+            "bamboopier_list_answers",
+            "Answers of other gateways on a list: confirmed, newer or different",
+            ["list", "outcome"],
+            registry=self.registry,
+        )
         self.retries = Counter(
             "bamboopier_retries",
             "Retries that were sent, or denied by the shared budget, by service",
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -71,6 +71,7 @@
             targets=len(entries),
             missing=sorted(listed_before - {e.name for e in entries}),
             returning=recovering,
+            **self._describe_knowledge(now, known_until),
         )
         self._wake()
 
@@ -84,7 +85,11 @@
             recovering = self._availability.is_recovering(now)
             self._fleet.remove(now, name, self._availability.find_recovery(now))
             log.info(
-                "target gone", target=name, returning=recovering, version=change.version
+                "target gone",
+                target=name,
+                returning=recovering,
+                version=change.version,
+                **self._describe_knowledge(now, known_until),
             )
             self._wake()
             return
@@ -107,6 +112,13 @@
         )
         self._wake()
 
+    def _describe_knowledge(self, now: float, known_until: float) -> dict[str, float]:
+        """Return the ages of what a change rests on, in seconds, for its log line."""
+        return {
+            "known_age": round(now - known_until, 3),
+            "store_accepted_age": round(now - self._availability.last_accepted_at, 3),
+        }
+
     def _decode(self, key: str, value: bytes) -> TargetEntry | None:
         name = key.removeprefix(self._schema.targets_prefix)
         decoded = self._schema.decode_target(name, value)
--- a/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
@@ -13,8 +13,12 @@
 import itertools
 import math
 import zlib
+from enum import StrEnum
+from functools import partial
 from typing import TYPE_CHECKING
 
+import structlog
+
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.confirmation_schedule import ConfirmationSchedule
 from bamboopier_decisions.forwarding.watch_position import OMISSION_SECONDS
@@ -30,6 +34,7 @@
 
     from .gateway_state import GatewayState
     from .hints import Hint
+    from .metrics import ProxyMetrics
     from .peers import Peers
     from .settings import Endpoint
     from .store_followers import StoreFollowers
@@ -53,6 +58,16 @@
 # Key of the schedule of the configuration.
 CONFIGURATION = "configuration"
 
+log = structlog.get_logger()
+
+
+class ListAnswer(StrEnum):
+    """What another gateway's answer says of a list."""
+
+    CONFIRMED = "confirmed"
+    # The other gateway knows of a later change.
+    NEWER = "newer"
+
 
 class StoreConfirmation:
     """Asks peers and the store, and answers peers."""
@@ -64,6 +79,7 @@
         followers: StoreFollowers,
         peers: Peers,
         on_newer: Callable[[Endpoint], None],
+        metrics: ProxyMetrics,
         random: random.Random,
     ) -> None:
         self._name = name
@@ -75,7 +91,11 @@
         self._peers = peers
         # Called with the address of a gateway that has a newer configuration.
         self._on_newer = on_newer
+        self._metrics = metrics
         self._random = random
+        for follower in followers.lists:
+            age = partial(_find_age, follower)
+            metrics.list_age.labels(follower.prefix).set_function(age)
         self._schedules = {
             prefix: ConfirmationSchedule(follower.max_age, random)
             for prefix, follower in self._lists.items()
@@ -226,7 +246,11 @@
             follower = self._lists.get(confirmation.prefix)
             if follower is not None:
                 schedule = self._schedules[confirmation.prefix]
-                apply_list(read_clock(), sent_at, follower, schedule, confirmation)
+                outcome = apply_list(
+                    read_clock(), sent_at, follower, schedule, confirmation
+                )
+                labels = follower.prefix, outcome
+                self._metrics.list_answers.labels(*labels).inc()
         self._apply_configuration(sent_at, response, sender)
 
     def _apply_configuration(
@@ -248,15 +272,27 @@
     follower: ObjectFollower,
     schedule: ConfirmationSchedule,
     found: ListConfirmation,
-) -> None:
+) -> ListAnswer:
     """Apply what a gateway that was asked at ``sent_at`` knows of a list.
 
     A gateway that knows of a later change confirms nothing: the change is expected.
     """
     if found.changed_revision > follower.revision:
-        schedule.record_newer(now, found.changed_revision)
-        return
+        if schedule.record_newer(now, found.changed_revision):
+            log.info(
+                "list changed at another gateway",
+                prefix=follower.prefix,
+                revision=follower.revision,
+                changed_revision=found.changed_revision,
+                known_age=round(now - follower.known_until, 3),
+            )
+        return ListAnswer.NEWER
     follower.confirm(sent_at - found.age_ms / 1000)
+    return ListAnswer.CONFIRMED
+
+
+def _find_age(follower: ObjectFollower) -> float:
+    return read_clock() - follower.known_until
 
 
 def _round_age(now: float, follower: ObjectFollower) -> int:
--- a/libraries/proxy/src/bamboopier_proxy/store_followers.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_followers.py
@@ -69,6 +69,7 @@
             ),
             TARGETS_AGE_SECONDS,
         )
+        state.fleet.find_list_age = self.find_targets_age
         self._weights = self._follow(
             schema.weights_prefix,
             WeightsObserver(schema, state.weights, state.pauses, self._on_published),
--- a/libraries/proxy/tests/test_store_confirmation.py
+++ b/libraries/proxy/tests/test_store_confirmation.py
@@ -12,6 +12,7 @@
     FreshnessResponse,
     ListConfirmation,
 )
+from bamboopier_proxy.metrics import ProxyMetrics
 from bamboopier_proxy.settings import Endpoint
 from bamboopier_proxy.store_availability import StoreAvailability
 from bamboopier_proxy.store_confirmation import StoreConfirmation
@@ -43,6 +44,7 @@
         self.peers = mock.Mock()
         self.peers.sample_peers.return_value = [PEER]
         self.on_newer = mock.Mock()
+        self.metrics = ProxyMetrics()
         self.fleet = mock.Mock(gateway_count=1, gateway_index=0)
         self.confirmation = StoreConfirmation(
             "g-1",
@@ -54,6 +56,7 @@
             mock.Mock(configuration=self.configuration, lists=[self.targets]),
             self.peers,
             self.on_newer,
+            self.metrics,
             random.Random(1),
         )
         patch = mock.patch(
@@ -89,6 +92,19 @@
         self.answer(ListConfirmation(PREFIX, 6, 40))
         self.targets.confirm.assert_not_called()
 
+    def count_answers(self, outcome: str) -> float:
+        """Return the number of answers on the list of targets."""
+        labels = {"list": PREFIX, "outcome": outcome}
+        registry = self.metrics.registry
+        return registry.get_sample_value("bamboopier_list_answers_total", labels) or 0
+
+    async def test_answers_on_a_list_are_counted(self) -> None:
+        self.answer(ListConfirmation(PREFIX, 5, 40))
+        self.answer(ListConfirmation(PREFIX, 6, 40))
+        self.answer(ListConfirmation(PREFIX, 6, 40))
+        counts = [self.count_answers(x) for x in ("confirmed", "newer")]
+        self.assertEqual(counts, [1, 2])
+
     async def test_an_answer_to_no_question_confirms_nothing(self) -> None:
         # Guards against an answer that lay in the socket of a suspended gateway.
         response = FreshnessResponse(7, 3, 50, [ListConfirmation(PREFIX, 5, 40)])
