Confirm a list only for gateways that know the same objects

Cause: a gateway's word was the revision of the newest object it knew. A removed object is in no list, so a gateway that learned of a removal by listing (after a start, or after the store had ended its watch) said that nothing had changed. When the store ends all watches at once, all gateways list, and one whose connection is silent is confirmed by all others.

Change: the word carries a fingerprint of the objects with their versions. Equal fingerprints confirm; others confirm nothing, and the revision beside them rises with each list that differs from what was known. The same code serves targets, weights at gateways and agents, drained data centres and roll-outs.

Ruled out: the revision of the store at the list, which would make all other gateways ask the store after each start and each cut.

A list with other objects confirmed it before (test_store_confirmation failed).

--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -19,6 +19,7 @@
 from result import Err
 
 from .errors import WatchGapError
+from .known_versions import KnownVersions
 
 if TYPE_CHECKING:
     import random
@@ -106,13 +107,20 @@
         self._must_list = False
         # All changes up to this revision of the store are known.
         self.revision = 0
-        # Revision at which the last change was received.
+        # Revision up to which objects may have changed unlike what is known; no change
+        # was made after it, up to ``revision``.
         self.changed_revision = 0
+        self._known = KnownVersions()
         # Time until which all changes have been reported.
         self.known_until = float("-inf")
         # Whether the list was read at least once.
         self.loaded = asyncio.Event()
 
+    @property
+    def fingerprint(self) -> int:
+        """Return the same number as all processes that know the same objects."""
+        return self._known.fingerprint
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -160,8 +168,10 @@
         self._observer.apply_listing(listing, outage_seconds, self.known_until)
         self.known_until = sent_at
         self.revision = listing.revision
-        newest = max((found.version for found in listing.objects), default=0)
-        self.changed_revision = max(self.changed_revision, newest)
+        is_changed = self._known.replace({o.key: o.version for o in listing.objects})
+        if is_changed or not self.loaded.is_set():
+            # Not the revision of the newest object: what was removed is not listed.
+            self.changed_revision = listing.revision
         self.loaded.set()
         return True
 
@@ -215,6 +225,7 @@
         for change in batch.changes if batch.revision > self.revision else ():
             if change.value is None or change.version > self.revision:
                 self._observer.apply_change(change, self.known_until, late=late)
+                self._record_change(change)
         # A response that is read late says nothing about changes after the store
         # created it: at once when there are changes, else at the end of the wait.
         created_at = sent_at if batch.changes else sent_at + seconds
@@ -224,6 +235,12 @@
             self.changed_revision = max(self.changed_revision, batch.revision)
         self.revision = max(self.revision, batch.revision)
 
+    def _record_change(self, change: ChangedObject) -> None:
+        if change.value is None:
+            self._known.remove(change.key)
+        else:
+            self._known.put(change.key, change.version)
+
     def _handle_error(self, sent_at: float, error: PlatformError) -> None:
         self._must_list = True
         if isinstance(error, WatchGapError):
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -16,7 +16,12 @@
     STALLED_WATCH_SECONDS,
     ObjectFollower,
 )
-from bamboopier_objects.objects import ChangeBatch, ChangedObject, Listing
+from bamboopier_objects.objects import (
+    ChangeBatch,
+    ChangedObject,
+    Listing,
+    StoredObject,
+)
 
 if TYPE_CHECKING:
     from result import Result
@@ -201,6 +206,52 @@
         applied = [c.args[0].value for c in self.observer.apply_change.call_args_list]
         self.assertEqual(applied, [None, b"2"])
 
+    async def test_a_listed_removal_is_a_change_up_to_the_lists_revision(self) -> None:
+        """Guards against a removal that the newest listed object does not show."""
+        created = [ChangedObject(f"k/{n}", n, b"v") for n in (8, 9)]
+        self.checked = [Ok(ChangeBatch(9, tuple(created))), Err(WatchGapError("gone"))]
+        await self.follower.check()
+        before = self.follower.fingerprint
+        kept = StoredObject("k/8", 8, b"v")
+        self.store.list.return_value = Ok(Listing(30, (kept,)))
+        await self.follower.check()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.follower.changed_revision, 30)
+        self.assertNotEqual(self.follower.fingerprint, before)
+
+    async def test_a_list_of_what_is_known_is_no_change(self) -> None:
+        """Guards against questions of all others whenever a process lists again."""
+        self.checked = [
+            Ok(ChangeBatch(8, (ChangedObject("k/8", 8, b"v"),))),
+            Err(WatchGapError("gone")),
+        ]
+        await self.follower.check()
+        before = self.follower.fingerprint
+        found = StoredObject("k/8", 8, b"v")
+        self.store.list.return_value = Ok(Listing(30, (found,)))
+        await self.follower.check()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.follower.revision, 30)
+        self.assertEqual(self.follower.changed_revision, 8)
+        self.assertEqual(self.follower.fingerprint, before)
+
+    async def test_lists_and_watches_lead_to_the_same_fingerprint(self) -> None:
+        """Guards against needless calls when one has listed what others watched."""
+        changes = (
+            ChangedObject("k/8", 8, b"v"),
+            ChangedObject("k/9", 9, b"v"),
+            ChangedObject("k/8", 10, None),
+        )
+        self.checked = [Ok(ChangeBatch(10, changes)), Err(WatchGapError("gone"))]
+        await self.follower.check()
+        watched = self.follower.fingerprint
+        found = StoredObject("k/9", 9, b"v")
+        self.store.list.return_value = Ok(Listing(11, (found,)))
+        await self.follower.check()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.follower.revision, 11)
+        self.assertEqual(self.follower.fingerprint, watched)
+
     async def test_another_process_confirms_only_a_list_that_was_read(self) -> None:
         self.follower.confirm(104.0)
         self.assertEqual(self.follower.known_until, 104.0)
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -177,10 +177,13 @@
     """What a gateway knows of the objects below a key prefix in the store."""
 
     prefix: str
-    # Revision of the store at which it received the last change.
+    # Revision of the store up to which objects may have changed; none did after it.
     changed_revision: int
     # Milliseconds for which changes may be missing.
     age_ms: int
+    # The same number as all processes that know the same objects; None from a gateway
+    # of a release that does not send it, which confirms nothing.
+    fingerprint: int | None = None
 
 
 class FreshnessResponse(msgspec.Struct, array_like=True, tag="proof"):
--- a/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
@@ -67,6 +67,8 @@
     CONFIRMED = "confirmed"
     # The other gateway knows of a later change.
     NEWER = "newer"
+    # It knows other objects, and of no later change: it may be behind.
+    DIFFERENT = "different"
 
 
 class StoreConfirmation:
@@ -219,7 +221,9 @@
             return
         now = read_clock()
         confirmations = [
-            ListConfirmation(f.prefix, f.changed_revision, _round_age(now, f))
+            ListConfirmation(
+                f.prefix, f.changed_revision, _round_age(now, f), f.fingerprint
+            )
             for f in self._lists.values()
             if f.loaded.is_set()
         ]
@@ -275,8 +279,13 @@
 ) -> ListAnswer:
     """Apply what a gateway that was asked at ``sent_at`` knows of a list.
 
-    A gateway that knows of a later change confirms nothing: the change is expected.
+    Only a gateway that knows the same objects confirms them. Guards against one that
+    learned of a removal by listing, after which no object shows that it was made. If
+    another one knows of a later change, that is expected here.
     """
+    if found.fingerprint == follower.fingerprint:
+        follower.confirm(sent_at - found.age_ms / 1000)
+        return ListAnswer.CONFIRMED
     if found.changed_revision > follower.revision:
         if schedule.record_newer(now, found.changed_revision):
             log.info(
@@ -287,8 +296,7 @@
                 known_age=round(now - follower.known_until, 3),
             )
         return ListAnswer.NEWER
-    follower.confirm(sent_at - found.age_ms / 1000)
-    return ListAnswer.CONFIRMED
+    return ListAnswer.DIFFERENT
 
 
 def _find_age(follower: ObjectFollower) -> float:
--- a/libraries/proxy/tests/test_store_confirmation.py
+++ b/libraries/proxy/tests/test_store_confirmation.py
@@ -20,6 +20,8 @@
 NOW = 100.0
 PEER = Endpoint("10.0.0.2", 7000)
 PREFIX = "targets/"
+# Of the list of targets at this gateway, and of another one.
+FINGERPRINT, OTHER_FINGERPRINT = 77, 78
 
 
 class StoreConfirmationTests(unittest.IsolatedAsyncioTestCase):
@@ -29,6 +31,7 @@
             max_age=1.15,
             revision=5,
             changed_revision=5,
+            fingerprint=FINGERPRINT,
             known_until=NOW - 0.5,
             check=mock.AsyncMock(),
         )
@@ -84,12 +87,28 @@
         self.confirmation.receive(response, PEER)
 
     async def test_the_age_of_a_peers_list_counts_from_the_question(self) -> None:
-        self.answer(ListConfirmation(PREFIX, 5, 40))
+        self.answer(ListConfirmation(PREFIX, 5, 40, FINGERPRINT))
         self.targets.confirm.assert_called_once_with(NOW - 0.04)
         self.active.confirm.assert_called_once_with(3, NOW - 0.05)
 
     async def test_a_list_with_an_unknown_change_confirms_nothing(self) -> None:
-        self.answer(ListConfirmation(PREFIX, 6, 40))
+        self.answer(ListConfirmation(PREFIX, 6, 40, OTHER_FINGERPRINT))
+        self.targets.confirm.assert_not_called()
+
+    async def test_a_list_with_other_objects_confirms_nothing(self) -> None:
+        """Guards against a removal of which the newest object says nothing."""
+        self.answer(ListConfirmation(PREFIX, 5, 40, OTHER_FINGERPRINT))
+        self.answer(ListConfirmation(PREFIX, 4, 40, OTHER_FINGERPRINT))
+        self.targets.confirm.assert_not_called()
+        self.assertEqual(self.count_answers("different"), 2)
+
+    async def test_the_same_objects_are_confirmed_at_any_revision(self) -> None:
+        """Guards against calls to the store whenever another gateway has listed."""
+        self.answer(ListConfirmation(PREFIX, 900, 40, FINGERPRINT))
+        self.targets.confirm.assert_called_once_with(NOW - 0.04)
+
+    async def test_a_gateway_of_an_older_release_confirms_nothing(self) -> None:
+        self.answer(ListConfirmation(PREFIX, 5, 40))
         self.targets.confirm.assert_not_called()
 
     def count_answers(self, outcome: str) -> float:
@@ -99,15 +118,17 @@
         return registry.get_sample_value("bamboopier_list_answers_total", labels) or 0
 
     async def test_answers_on_a_list_are_counted(self) -> None:
-        self.answer(ListConfirmation(PREFIX, 5, 40))
-        self.answer(ListConfirmation(PREFIX, 6, 40))
-        self.answer(ListConfirmation(PREFIX, 6, 40))
+        self.answer(ListConfirmation(PREFIX, 5, 40, FINGERPRINT))
+        self.answer(ListConfirmation(PREFIX, 6, 40, OTHER_FINGERPRINT))
+        self.answer(ListConfirmation(PREFIX, 6, 40, OTHER_FINGERPRINT))
         counts = [self.count_answers(x) for x in ("confirmed", "newer")]
         self.assertEqual(counts, [1, 2])
 
     async def test_an_answer_to_no_question_confirms_nothing(self) -> None:
         # Guards against an answer that lay in the socket of a suspended gateway.
-        response = FreshnessResponse(7, 3, 50, [ListConfirmation(PREFIX, 5, 40)])
+        response = FreshnessResponse(
+            7, 3, 50, [ListConfirmation(PREFIX, 5, 40, FINGERPRINT)]
+        )
         self.confirmation.receive(response, PEER)
         self.targets.confirm.assert_not_called()
         self.active.confirm.assert_not_called()
--- a/libraries/proxy/tests/test_weights_confirmation.py
+++ b/libraries/proxy/tests/test_weights_confirmation.py
@@ -18,6 +18,8 @@
 NOW = 100.0
 GATEWAY = Endpoint("10.0.0.2", 7000)
 PREFIX = "weights/"
+# Of the list at this agent, and of another one.
+FINGERPRINT, OTHER_FINGERPRINT = 77, 78
 
 
 class WeightsConfirmationTests(unittest.IsolatedAsyncioTestCase):
@@ -25,6 +27,7 @@
         self.follower = mock.Mock(
             prefix=PREFIX,
             revision=5,
+            fingerprint=FINGERPRINT,
             known_until=NOW - 2.0,
             check=mock.AsyncMock(),
         )
@@ -58,7 +61,7 @@
     async def test_a_gateway_that_was_heard_confirms_the_list(self) -> None:
         """Guards against one call to the store every few seconds from each agent."""
         self.hear()
-        self.answer(self.ask(), ListConfirmation(PREFIX, 5, 400))
+        self.answer(self.ask(), ListConfirmation(PREFIX, 5, 400, FINGERPRINT))
         self.follower.confirm.assert_called_once_with(NOW - 0.4)
         await self.confirmation.check(NOW)
         self.follower.check.assert_not_awaited()
@@ -66,7 +69,7 @@
     async def test_a_change_that_the_watch_does_not_bring_is_asked_for(self) -> None:
         """Guards against a silent watch that hides new weights for 25 s."""
         self.hear()
-        self.answer(self.ask(), ListConfirmation(PREFIX, 6, 400))
+        self.answer(self.ask(), ListConfirmation(PREFIX, 6, 400, OTHER_FINGERPRINT))
         self.follower.confirm.assert_not_called()
         await self.confirmation.check(NOW + 1.0)
         self.follower.check.assert_awaited_once()
@@ -82,8 +85,8 @@
         """Guards against an answer that lay in the socket of a suspended agent."""
         self.hear()
         nonce = self.ask()
-        self.answer(nonce + 1, ListConfirmation(PREFIX, 5, 400))
-        self.answer(nonce, ListConfirmation("targets/", 5, 400))
+        self.answer(nonce + 1, ListConfirmation(PREFIX, 5, 400, FINGERPRINT))
+        self.answer(nonce, ListConfirmation("targets/", 5, 400, FINGERPRINT))
         self.follower.confirm.assert_not_called()
 
     async def test_only_the_last_gateways_are_asked(self) -> None:
--- a/tools/safeguards/store_calls.py
+++ b/tools/safeguards/store_calls.py
@@ -49,11 +49,20 @@
     Mutation(
         "an agent asks for weights that a gateway knows and its watch does not bring",
         _PROXY + "store_confirmation.py",
-        "        schedule.record_newer(now, found.changed_revision)\n",
-        "",
+        "        if schedule.record_newer(now, found.changed_revision):\n",
+        "        if False:\n",
         "libraries/proxy",
         f"{_WEIGHTS_TESTS}.test_a_change_that_the_watch_does_not_bring_is_asked_for",
     ),
+    Mutation(
+        "only a gateway that knows the same objects confirms a list",
+        _PROXY + "store_confirmation.py",
+        "    if found.fingerprint == follower.fingerprint:\n",
+        "    if found.changed_revision <= follower.revision:\n",
+        "libraries/proxy",
+        "tests.test_store_confirmation.StoreConfirmationTests"
+        ".test_a_list_with_other_objects_confirms_nothing",
+    ),
     Mutation(
         "an old answer confirms no weights",
         _PROXY + "weights_confirmation.py",
