Repeat a read of the store on a new connection when it gets no response

Cause: a read on a silent connection timed out after 1.5 s. That alone used up what remains until a removed engine may get no more requests (0.4 s after 1.15 + 0.25), and such a failure passed for an outage of the store, so the engine, missing in the next list, was kept for 2.2 s more. An open connection that says nothing, or ends, shows nothing of the store.

Change: lists and checks are made again on a new connection after 0.35 s without a response, or at once if the first one breaks. The first response is taken. A failure is now that of a new connection, so what counts towards an outage is that the store takes no call of this process. A slow store (0.3 s) is not asked twice; where it is, the sound connections stay.

Tests of retained entries pass as they were.

Ruled out: shorter timeouts, which a slow store would exceed; a probe beside each call, which would double the calls.

--- a/libraries/objects/src/bamboopier_objects/connection_pools.py
+++ b/libraries/objects/src/bamboopier_objects/connection_pools.py
@@ -79,9 +79,38 @@
         finally:
             pool.calls -= 1
             pool.used_at = asyncio.get_running_loop().time()
-            if pool in self._retired and not pool.calls:
-                self._retired.discard(pool)
-                await pool.session.close()
+            await self._close_if_idle(pool)
+
+    @asynccontextmanager
+    async def use_new(self, host: str) -> AsyncIterator[aiohttp.ClientSession]:
+        """Yield a session without open connections for one call.
+
+        It replaces the host's pool once the call has succeeded, and is closed if not.
+        """
+        new = _Pool(self._make_session())
+        self._retired.add(new)
+        new.calls += 1
+        try:
+            yield new.session
+            await self._replace(host, new)
+        finally:
+            new.calls -= 1
+            new.used_at = asyncio.get_running_loop().time()
+            await self._close_if_idle(new)
+
+    async def _replace(self, host: str, new: _Pool) -> None:
+        old = self._pools.get(host)
+        self._pools[host] = new
+        self._retired.discard(new)
+        if old is not None:
+            self._retired.add(old)
+            await self._close_if_idle(old)
+
+    async def _close_if_idle(self, pool: _Pool) -> None:
+        """Close a replaced pool unless calls are in flight there."""
+        if pool in self._retired and not pool.calls:
+            self._retired.discard(pool)
+            await pool.session.close()
 
     async def _close_unused(self) -> None:
         oldest = asyncio.get_running_loop().time() - UNUSED_SECONDS
--- a/libraries/objects/src/bamboopier_objects/errors.py
+++ b/libraries/objects/src/bamboopier_objects/errors.py
@@ -13,6 +13,10 @@
     """The call certainly had no effect: it was refused or never sent."""
 
 
+class NotConnectedError(PlatformUnavailableError):
+    """No connection could be made, so the call was never sent."""
+
+
 class PlatformOutcomeUnknownError(PlatformError):
     """The call was sent, but its response was lost; it may have taken effect."""
 
--- a/libraries/objects/src/bamboopier_objects/http_client.py
+++ b/libraries/objects/src/bamboopier_objects/http_client.py
@@ -18,10 +18,12 @@
 from .connection_pools import ConnectionPools
 from .errors import (
     MalformedObjectError,
+    NotConnectedError,
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
+from .repeated_call import RepeatedCall
 
 if TYPE_CHECKING:
     import ssl
@@ -88,11 +90,14 @@
         headers: dict[str, str] | None = None,
         first_byte_timeout: float | None = None,
         on_response: Callable[[], None] | None = None,
+        *,
+        new_connection: bool = False,
     ) -> Result[Reply, PlatformError]:
         """Make one call; a change whose response is lost is reported as unknown.
 
         ``first_byte_timeout`` is in seconds and ends when the response headers arrive;
         None stands for the client's ``call_timeout``. ``on_response`` is called then.
+        ``new_connection`` keeps the call off the connections that are open.
         """
         if self._pools is None:
             return Err(PlatformUnavailableError("the platform client is not open"))
@@ -102,11 +107,12 @@
         timeout = aiohttp.ClientTimeout(total=total_timeout)
         read_time = asyncio.get_running_loop().time
         url = self._base_url + path
+        use = self._pools.use_new if new_connection else self._pools.use
         content = bytearray()
         length: int | None = None
         try:
             async with (
-                self._pools.use(urlsplit(url).netloc) as session,
+                use(urlsplit(url).netloc) as session,
                 asyncio.timeout(first_byte_timeout) as limit,
                 session.request(
                     method, url, data=body, headers=headers, timeout=timeout
@@ -122,7 +128,7 @@
                 received = {n.lower(): v for n, v in response.headers.items()}
                 return Ok(Reply(response.status, bytes(content), received))
         except aiohttp.ClientConnectorError as error:
-            return Err(PlatformUnavailableError(f"{method} {url}: {error}"))
+            return Err(NotConnectedError(f"{method} {url}: {error}"))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             cause = str(error) or type(error).__name__
             arrived = f"{len(content)} of {length} bytes arrived"
@@ -131,6 +137,24 @@
                 return Err(PlatformUnavailableError(text))
             return Err(PlatformOutcomeUnknownError(text))
 
+    async def read_quickly(
+        self,
+        path: str,
+        repeat_after: float,
+        on_response: Callable[[], None] | None = None,
+    ) -> Result[Reply, PlatformError]:
+        """Make a GET call, and once more on a new connection if it gets no response.
+
+        The second call begins after ``repeat_after`` seconds without a response, or as
+        soon as the first one fails, unless it could not even connect. Guards against an
+        open connection that has gone silent, which would hide what the other side has
+        to say until the call times out. A failure is that of a new connection, so it
+        shows that the other side accepts no call. Both calls end within the client's
+        ``call_timeout``.
+        """
+        calls = RepeatedCall(self.call, path, self.call_timeout, on_response)
+        return await calls.run(repeat_after)
+
     def _make_session(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=self.call_timeout)
         source = (self._source, 0) if self._source is not None else None
