Let agents remember where streams began

All were refused, for nobody was left who knew which version had begun them.

Change: the gateway that relays a stream's first event also tells three of the agents beside engines, selected by the stream's key on a ring of the listed engines' machines. A gateway that does not know a stream asks them together with its neighbours, and then up to five more. An agent answers what it was told, never what it could conclude, so nothing is guessed; the first version told stays.

Cost at 340 gateways and 3,100 streams a second, worked out: 9 x 3 datagrams of 78 bytes, 2.1 KB/s a gateway; 13 records a second and agent, 1 KB/s, 760 records for 60 s. Without agents three datagrams a stream are sent in vain.

Ruled out: the store (3,100 writes a second); the agent of the engine that began it alone, which a take-up does not name and which leaves with it.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/fleet.py
@@ -131,6 +131,7 @@
         self._states: dict[str, TargetState] = {}
         self._services: Mapping[str, ServiceSpec] = {}
         self._by_service: dict[str, list[TargetState]] = {}
+        self._changes = 0
         # By service; kept while its targets are replaced.
         self._prefill_rates: dict[str, PrefillRate] = {}
         self._service_times: dict[str, ServiceTime] = {}
@@ -150,6 +151,11 @@
         # Returns the seconds for which changes of the list may be missing.
         self.find_list_age: Callable[[], float] = lambda: 0.0
 
+    @property
+    def changes(self) -> int:
+        """Return a number that rises when targets or services are added or removed."""
+        return self._changes
+
     @property
     def names(self) -> list[str]:
         """Return the names of all registered targets."""
@@ -163,6 +169,11 @@
             found.add(state.entry.software_version)
         return versions
 
+    def list_engine_hosts(self) -> list[str]:
+        """Return the hosts of all registered engines, sorted."""
+        states = self._states.values()
+        return sorted({s.entry.host for s in states if s.service.engine is not None})
+
     def list_registered(self, service: str) -> list[TargetState]:
         """Return all registered targets of a service, those that leave included."""
         return list(self._by_service.get(service, ()))
@@ -385,6 +396,7 @@
             state = self._states[name]
             by_service.setdefault(state.entry.service, []).append(state)
         self._by_service = by_service
+        self._changes += 1
 
 
 def _is_same_instance(known: TargetEntry, entry: TargetEntry) -> bool:
--- a/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/agent_daemon.py
@@ -1,4 +1,7 @@
-"""The agent process: runs next to a target and requests its weight updates."""
+"""The agent process: runs next to a target and requests its weight updates.
+
+It also remembers streams for gateways, and answers them on the target's load.
+"""
 
 from __future__ import annotations
 
@@ -28,6 +31,7 @@
 from .pause_monitor import PauseMonitor
 from .publish_times import PublishTimes, follow_weights
 from .settings_reloader import SettingsReloader
+from .stream_records import StreamRecords
 from .target_directory import TargetDirectory
 from .weight_load_announcer import WeightLoadAnnouncer
 from .weight_updater import WeightUpdater
@@ -103,8 +107,10 @@
             def receive(hint: Hint, sender: tuple[str, int]) -> None:
                 answers.receive(hint, sender)
                 confirmation.receive(hint, sender)
+                streams.receive(hint, sender)
 
             answers = LoadAnswers(lambda answer, to: socket.send(answer, to))
+            streams = StreamRecords(lambda answer, to: socket.send(answer, to))
             socket = await stack.enter_async_context(
                 HintSocket(settings.host, settings.first_port, receive)
             )
--- a/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_peers.py
@@ -10,6 +10,7 @@
 from bamboopier_objects.http_client import HttpClient
 
 from . import configuration_relay, part_relay
+from .agent_ring import AgentRing
 from .configuration_relay import ConfigurationRelay
 from .gateway_registry import GatewayEntry, GatewayRegistry
 from .hint_exchange import HintExchange
@@ -124,6 +125,7 @@
             state.version_history,
             find_list_age,
             self.hint_exchange,
+            AgentRing(state.fleet, settings.first_port),
             random,
         )
         self.part_evidence = PartEvidence(
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -204,6 +204,8 @@
     key: bytes
     service: str
     software_version: str
+    # Timeout of the stream's route in seconds.
+    timeout: float = 0.0
 
 
 class StreamQuery(msgspec.Struct, array_like=True, tag="origin"):
--- a/libraries/proxy/src/bamboopier_proxy/stream_versions.py
+++ b/libraries/proxy/src/bamboopier_proxy/stream_versions.py
@@ -1,8 +1,9 @@
 """Finds the software version at which a stream goes on, whichever gateway began it.
 
 The gateway that relays the first event tells a few others, before its caller gets it:
-by the time that the caller comes to another gateway, the first one may be gone. Which
-ones it tells follows from the stream's key, so that any gateway knows whom to ask.
+by the time that the caller comes to another gateway, the first one may be gone. It also
+tells a few agents, since all gateways may be. Which ones it tells follows from the
+stream's key, so that any gateway knows whom to ask.
 """
 
 from __future__ import annotations
@@ -32,6 +33,7 @@
     from bamboopier_decisions.forwarding.specs import TargetEntry
     from bamboopier_decisions.forwarding.version_history import VersionHistory
 
+    from .agent_ring import AgentRing
     from .hints import Hint
     from .messages import Call
     from .peers import Peers
@@ -39,7 +41,10 @@
 
 # Number of other gateways that are told of each stream.
 NEIGHBOURS = 3
-# Maximum number of others that are asked if those know nothing.
+# Number of agents that are told of each stream: while engines are replaced, some of
+# them go with their engines.
+AGENTS = 3
+# Maximum number of other gateways, and of agents, that are asked if those know nothing.
 MAX_ASKED = 8
 # Seconds for which an answer is awaited: several round trips within a region.
 ANSWER_TIMEOUT_SECONDS = 0.06
@@ -58,6 +63,7 @@
         history: VersionHistory,
         find_list_age: Callable[[], float],
         peers: Peers,
+        agents: AgentRing,
         random: random.Random,
     ) -> None:
         self._fleet = fleet
@@ -65,6 +71,7 @@
         # Returns the seconds for which changes of the list of targets may be missing.
         self._find_list_age = find_list_age
         self._peers = peers
+        self._agents = agents
         self._origins = StreamOrigins()
         self._nonces = itertools.count(random.getrandbits(32))
         self._queries: dict[int, asyncio.Future[StreamOrigin]] = {}
@@ -75,22 +82,25 @@
         self._history.set_longest_stream(seconds)
 
     def record_event(self, call: Call, entry: TargetEntry) -> None:
-        """Bind a call to the target of its first event, and tell other gateways."""
+        """Bind a call to the target of its first event, and tell others."""
         call.software_version = entry.software_version
         if call.route.repeat is not RetrySafety.RESUMABLE:
             return
         key = _make_key(call, call.resumed_request_id or call.request_id)
         origin = StreamOrigin(entry.service, entry.software_version)
         self._origins.record(read_clock(), key, origin)
-        hint = StreamHint(key, origin.service, origin.software_version)
-        for peer in self._peers.select_peers(key, NEIGHBOURS):
-            self._peers.send(hint, peer)
+        hint = StreamHint(
+            key, origin.service, origin.software_version, call.route.timeout
+        )
+        neighbours = self._peers.select_peers(key, NEIGHBOURS)
+        for receiver in [*neighbours, *self._agents.select(key, AGENTS)]:
+            self._peers.send(hint, receiver)
 
     async def bind(self, call: Call) -> None:
         """Bind a call that resumes a stream to the software version that began it.
 
-        Raises ``CallerError`` if no gateway knows that version: what any other one
-        wrote would not fit.
+        Raises ``CallerError`` if nobody knows that version: what any other one wrote
+        would not fit.
         """
         if call.last_event is None or not call.route.streams:
             return
@@ -140,10 +150,12 @@
         known = self._find_known(key, services, timeout)
         if known is not None:
             return known
+        agents = self._agents.select(key, MAX_ASKED)
         neighbours = self._peers.select_peers(key, NEIGHBOURS)
-        return await self._ask(key, services, timeout, neighbours) or await self._ask(
-            key, services, timeout, self._peers.sample_peers(MAX_ASKED)
-        )
+        others = self._peers.sample_peers(MAX_ASKED)
+        return await self._ask(
+            key, services, timeout, [*neighbours, *agents[:AGENTS]]
+        ) or await self._ask(key, services, timeout, [*others, *agents[AGENTS:]])
 
     def _find_known(
         self, key: bytes, services: list[str], timeout: float
@@ -166,14 +178,14 @@
         return StreamOrigin(services[0], versions.pop()) if len(versions) == 1 else None
 
     async def _ask(
-        self, key: bytes, services: list[str], timeout: float, peers: list[Endpoint]
+        self, key: bytes, services: list[str], timeout: float, asked: list[Endpoint]
     ) -> StreamOrigin | None:
         nonce = next(self._nonces)
         answer: asyncio.Future[StreamOrigin]
         answer = asyncio.get_running_loop().create_future()
         self._queries[nonce] = answer
-        for peer in peers:
-            self._peers.send(StreamQuery(nonce, key, services, timeout), peer)
+        for receiver in asked:
+            self._peers.send(StreamQuery(nonce, key, services, timeout), receiver)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 return await answer
--- a/libraries/proxy/tests/test_stream_versions.py
+++ b/libraries/proxy/tests/test_stream_versions.py
@@ -17,33 +17,62 @@
     VersionHistory,
 )
 from bamboopier_decisions.routing.rendezvous import rank
+from bamboopier_proxy.agent_ring import AgentRing
 from bamboopier_proxy.refusals import CallerError, ErrorCode, ExecutionStatus
 from bamboopier_proxy.settings import Endpoint
+from bamboopier_proxy.stream_records import StreamRecords
 from bamboopier_proxy.stream_versions import NEIGHBOURS, StreamVersions
 
-from .forwarder_builders import SERVICE, Clock, make_call, make_entry, make_route
+from .forwarder_builders import (
+    SERVICE,
+    Clock,
+    make_call,
+    make_declared,
+    make_entry,
+    make_route,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bamboopier_proxy.hints import Hint
     from bamboopier_proxy.messages import Call
 
 OLD, NEW = "v1", "v1.1"
 GATEWAYS = 8
+# Port at which agents receive messages; gateways have another one here.
+AGENT_PORT = 7000
+
+
+def make_agent_host(number: int) -> str:
+    """Return the host of an engine and its agent."""
+    return f"10.0.8.{number}"
 
 
 class Gateway:
     """One of several gateways, whose messages arrive at once."""
 
-    def __init__(self, number: int, network: dict[str, Gateway]) -> None:
+    def __init__(
+        self,
+        number: int,
+        network: dict[str, Gateway],
+        agents: dict[str, StreamRecords],
+    ) -> None:
         self.name = f"g-{number}"
         self.sent: list[Hint] = []
         self._network = network
+        self._agents = agents
         network[self.name] = self
         self.fleet = Fleet()
         self.history = VersionHistory()
         self.list_age = 0.5
         self.versions = StreamVersions(
-            self.fleet, self.history, lambda: self.list_age, self, random.Random(number)
+            self.fleet,
+            self.history,
+            lambda: self.list_age,
+            self,
+            AgentRing(self.fleet, AGENT_PORT),
+            random.Random(number),
         )
 
     @property
@@ -58,10 +87,25 @@
 
     def send(self, hint: Hint, to: Endpoint) -> None:
         self.sent.append(hint)
+        if to.port == AGENT_PORT:
+            self._send_to_agent(hint, to.host)
+            return
         receiver = self._network.get(to.host)
         if receiver is not None:
             receiver.versions.receive(hint, Endpoint(self.name, 1))
 
+    def _send_to_agent(self, hint: Hint, host: str) -> None:
+        if host in self._agents:
+            self._agents[host].receive(hint, (self.name, 1))
+
+    def list_engine(self, number: int) -> None:
+        """List an engine of the service."""
+        entry = make_entry()
+        host = make_agent_host(number)
+        engine = msgspec.structs.replace(entry, name=f"i-{number}", host=host)
+        self.fleet.set_services(make_declared().services)
+        self.fleet.put(0.0, engine)
+
     def list_version(self, now: float, version: str) -> None:
         """List a target of a version of the only service."""
         entry = msgspec.structs.replace(
@@ -74,12 +118,34 @@
 class StreamVersionTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.clock = Clock()
-        for module in ("stream_versions",):
+        for module in ("stream_versions", "stream_records"):
             patch = mock.patch(f"bamboopier_proxy.{module}.read_clock", self.clock.read)
             patch.start()
             self.addCleanup(patch.stop)
         self.network: dict[str, Gateway] = {}
-        self.gateways = [Gateway(n, self.network) for n in range(GATEWAYS)]
+        # By the host of the engine that each runs beside.
+        self.agents: dict[str, StreamRecords] = {}
+        self.gateways = self.start_gateways()
+
+    def start_gateways(self) -> list[Gateway]:
+        """Start gateways that know nothing, in place of those that ran before."""
+        self.network.clear()
+        return [Gateway(n, self.network, self.agents) for n in range(GATEWAYS)]
+
+    def start_agents(self, count: int) -> None:
+        """Start agents that remember streams, and list their engines."""
+        for number in range(count):
+            self.agents[make_agent_host(number)] = StreamRecords(self.deliver)
+        self.list_engines(range(count))
+
+    def list_engines(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            for gateway in self.gateways:
+                gateway.list_engine(number)
+
+    def deliver(self, answer: Hint, to: Endpoint) -> None:
+        """Pass the answer of an agent to the gateway that asked."""
+        self.network[to.host].versions.receive(answer, Endpoint("agent", AGENT_PORT))
 
     def make_call(self, request_id: str, resumes: str | None = None) -> Call:
         """Return a call of a resumable stream, or one that resumes it."""
@@ -215,6 +281,54 @@
         self.gateways[0].versions.record_event(call, make_entry())
         self.assertEqual(self.gateways[0].sent, [])
 
+    async def test_agents_remember_streams_when_all_gateways_are_gone(self) -> None:
+        """Guards against streams that are refused after a power loss of gateways."""
+        self.start_agents(8)
+        for number in range(20):
+            self.begin(self.gateways[number % GATEWAYS], f"request-{number}", OLD)
+        self.gateways = self.start_gateways()
+        self.list_engines(range(8))
+        for number in range(20):
+            call = await self.resume(self.gateways[0], f"request-{number}")
+            self.assertEqual(call.software_version, OLD)
+
+    async def test_streams_are_remembered_while_engines_are_replaced(self) -> None:
+        """Guards against agents that go with their engines, and others that come."""
+        self.start_agents(8)
+        for number in range(20):
+            self.begin(self.gateways[0], f"request-{number}", OLD)
+        for number in range(2):
+            del self.agents[make_agent_host(number)]
+        self.gateways = self.start_gateways()
+        for number in (20, 21):
+            self.agents[make_agent_host(number)] = StreamRecords(self.deliver)
+        self.list_engines([*range(2, 8), 20, 21])
+        for number in range(20):
+            call = await self.resume(self.gateways[0], f"request-{number}")
+            self.assertEqual(call.software_version, OLD)
+
+    async def test_an_agent_answers_only_what_it_was_told(self) -> None:
+        """Guards against a guess where agents know nothing of a stream."""
+        self.start_agents(2)
+        self.gateways = self.start_gateways()
+        self.list_engines(range(2))
+        with self.assertRaises(CallerError):
+            await self.resume(self.gateways[0], "request-1")
+
+    async def test_an_agent_remembers_a_stream_as_long_as_its_route_allows(
+        self,
+    ) -> None:
+        """Guards against a long stream that is taken up late."""
+        self.start_agents(2)
+        call = self.make_call("request-1")
+        call.route = msgspec.structs.replace(call.route, timeout=120.0)
+        self.gateways[0].versions.record_event(call, make_entry())
+        self.gateways = self.start_gateways()
+        self.list_engines(range(2))
+        self.clock.now += 200.0
+        again = await self.resume(self.gateways[0], "request-1")
+        self.assertEqual(again.software_version, make_entry().software_version)
+
     async def test_a_gateway_that_is_alone_refuses_in_time(self) -> None:
         # Guards against a caller that waits for gateways that do not answer.
         for gateway in self.gateways[1:]:
