Check a list as soon as the first of several reported changes is late

Cause: each report of a later change set the time anew from which the watch has 0.9 s to bring it, and no other gateway confirms the list meanwhile. With a change every 0.4 s the check never came due.

Change: the time counts from the first change that is missing. Test: test_further_changes_do_not_delay_the_check, failed before.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
@@ -57,7 +57,7 @@
         self._last_limit = self._draw_last_limit()
         # Place of this gateway in the order of all, from 0, and their number.
         self._rank, self._count = 0, 1
-        # The highest revision that a peer reported, and since when it is known here.
+        # The highest revision that a peer reported, and since when one has been missing.
         self._newer_revision = 0
         self._newer_since = float("-inf")
 
@@ -65,14 +65,18 @@
         """Set the place of this gateway in the order of all ``count``, from 0."""
         self._rank, self._count = rank, count
 
-    def record_newer(self, now: float, revision: int) -> bool:
+    def record_newer(self, now: float, revision: int, known_revision: int) -> bool:
         """Record that a peer received a change at ``revision``.
 
-        Return whether that was not known.
+        Return whether that was not known. Changes up to ``known_revision`` are known
+        here. While an earlier one is missing, its time counts: changes that follow one
+        another would else put off the check for ever.
         """
         if revision <= self._newer_revision:
             return False
-        self._newer_revision, self._newer_since = revision, now
+        if self._newer_revision <= known_revision:
+            self._newer_since = now
+        self._newer_revision = revision
         return True
 
     def record_check(self) -> None:
--- a/libraries/decisions/tests/forwarding/test_confirmation_schedule.py
+++ b/libraries/decisions/tests/forwarding/test_confirmation_schedule.py
@@ -104,7 +104,7 @@
         # Guards against a watch that went silent: a peer has received a change, and
         # requests still go to a target that drains.
         schedule = ConfirmationSchedule(MAX_AGE, random.Random(1))
-        schedule.record_newer(10.0, 7)
+        schedule.record_newer(10.0, 7, 6)
         later = 10.0 + RESPONSE_GRACE_SECONDS
         self.assertFalse(schedule.is_check_due(10.1, 10.1, 6))
         self.assertTrue(schedule.is_check_due(later, later, 6))
@@ -113,10 +113,27 @@
     def test_repeated_reports_do_not_delay_the_check(self) -> None:
         schedule = ConfirmationSchedule(MAX_AGE, random.Random(1))
         for at in (10.0, 10.3, 10.6):
-            schedule.record_newer(at, 7)
+            schedule.record_newer(at, 7, 6)
         later = 10.0 + RESPONSE_GRACE_SECONDS
         self.assertTrue(schedule.is_check_due(later, later, 6))
 
+    def test_further_changes_do_not_delay_the_check(self) -> None:
+        """Guards against a silent watch that is trusted for as long as targets leave.
+
+        Each report tells of a later change than the one before.
+        """
+        schedule = ConfirmationSchedule(MAX_AGE, random.Random(1))
+        for number in range(5):
+            schedule.record_newer(10.0 + 0.4 * number, 7 + number, 6)
+        later = 10.0 + RESPONSE_GRACE_SECONDS
+        self.assertTrue(schedule.is_check_due(later, later, 6))
+
+    def test_a_change_after_those_that_arrived_gets_its_own_time(self) -> None:
+        schedule = ConfirmationSchedule(MAX_AGE, random.Random(1))
+        schedule.record_newer(10.0, 7, 6)
+        schedule.record_newer(10.8, 9, 8)
+        self.assertFalse(schedule.is_check_due(10.9, 10.9, 8))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
@@ -262,7 +262,8 @@
     ) -> None:
         if response.version > self._active_configuration.version:
             schedule = self._schedules[CONFIGURATION]
-            schedule.record_newer(read_clock(), response.version)
+            known = self._active_configuration.version
+            schedule.record_newer(read_clock(), response.version, known)
             self._on_newer(sender)
             return
         self._active_configuration.confirm(
@@ -287,7 +288,7 @@
         follower.confirm(sent_at - found.age_ms / 1000)
         return ListAnswer.CONFIRMED
     if found.changed_revision > follower.revision:
-        if schedule.record_newer(now, found.changed_revision):
+        if schedule.record_newer(now, found.changed_revision, follower.revision):
             log.info(
                 "list changed at another gateway",
                 prefix=follower.prefix,
--- a/tools/safeguards/store_calls.py
+++ b/tools/safeguards/store_calls.py
@@ -49,7 +49,8 @@
     Mutation(
         "an agent asks for weights that a gateway knows and its watch does not bring",
         _PROXY + "store_confirmation.py",
-        "        if schedule.record_newer(now, found.changed_revision):\n",
+        "        if schedule.record_newer(now, found.changed_revision, "
+        "follower.revision):\n",
         "        if False:\n",
         "libraries/proxy",
         f"{_WEIGHTS_TESTS}.test_a_change_that_the_watch_does_not_bring_is_asked_for",
