Take an early response to a watch for no older than the watch

What callers would see: an engine that left, or a key that was revoked, used for longer than allowed. Read from the code, no run of the whole system.

Cause: a response without changes was taken as made when it was read, if that was before the end of the wait. A store may end a watch early, and a process that was suspended meanwhile reads it late. What changed in between was then taken as known, here and at the gateways that this one confirms lists for.

Change: such a response confirms what the sending of the watch does. One function serves lists and the configuration.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
@@ -57,7 +57,7 @@
         self._last_limit = self._draw_last_limit()
         # Place of this gateway in the order of all, from 0, and their number.
         self._rank, self._count = 0, 1
-        # The highest revision that a peer reported, and since when one has been missing.
+        # The highest revision that a peer reported, and since when one is missing.
         self._newer_revision = 0
         self._newer_since = float("-inf")
 
--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -50,6 +50,19 @@
 log = structlog.get_logger()
 
 
+def find_created_at(
+    sent_at: float, seconds: float, now: float, *, has_changes: bool
+) -> float:
+    """Return the earliest time at which the response to a watch was created.
+
+    A response that is read late says nothing about changes after the store created it:
+    at the end of the wait if there are none; but at any time if there are some, or if
+    the store ended the wait early.
+    """
+    waited = not has_changes and now >= sent_at + seconds
+    return sent_at + seconds if waited else sent_at
+
+
 class ObjectObserver(Protocol):
     """Receives the objects below a prefix and their changes."""
 
@@ -226,11 +239,11 @@
             if change.value is None or change.version > self.revision:
                 self._observer.apply_change(change, self.known_until, late=late)
                 self._record_change(change)
-        # A response that is read late says nothing about changes after the store
-        # created it: at once when there are changes, else at the end of the wait.
-        created_at = sent_at if batch.changes else sent_at + seconds
         if batch.revision >= self.revision:
-            self.known_until = max(self.known_until, min(created_at, now))
+            created_at = find_created_at(
+                sent_at, seconds, now, has_changes=bool(batch.changes)
+            )
+            self.known_until = max(self.known_until, created_at)
         if batch.changes:
             self.changed_revision = max(self.changed_revision, batch.revision)
         self.revision = max(self.revision, batch.revision)
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -100,6 +100,15 @@
         reported = await self.follow((4.0, NOTHING), (6.0, failed))
         self.assertLessEqual(reported[1], 102.0)
 
+    async def test_a_watch_that_ended_early_may_hide_changes_since_it_was_sent(
+        self,
+    ) -> None:
+        """Guards against an early response that a suspended process reads late."""
+        # The store ends the watch of two seconds at once; it is read after 1.5 s.
+        failed = Err(PlatformUnavailableError("no response"))
+        reported = await self.follow((1.5, NOTHING), (2.0, failed))
+        self.assertEqual(reported[1], 100.0)
+
     async def test_a_second_change_soon_after_the_first_is_not_late(self) -> None:
         """Guards against targets that all load a second version at the same time."""
         # Only watches confirm anything here. The first brings a change just before it
--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -18,6 +18,7 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.watch_position import WatchPosition
 from bamboopier_objects.errors import WatchGapError
+from bamboopier_objects.object_follower import find_created_at
 from bamboopier_objects.objects import StoredObject
 
 if TYPE_CHECKING:
@@ -216,11 +217,8 @@
         batch = response.ok_value
         if batch.changes:
             return self._apply_changes(sent_at, batch)
-        # Without a change the store creates its response at the end of the wait.
-        response_created_at = min(sent_at + seconds, now)
-        self._loader.confirm(
-            position.record_unchanged(response_created_at, now, batch.revision)
-        )
+        created_at = find_created_at(sent_at, seconds, now, has_changes=False)
+        self._loader.confirm(position.record_unchanged(created_at, now, batch.revision))
         return True
 
     def _apply_changes(self, sent_at: float, batch: ChangeBatch) -> bool:
--- a/libraries/proxy/tests/test_configuration_follower.py
+++ b/libraries/proxy/tests/test_configuration_follower.py
@@ -28,6 +28,45 @@
 LARGE = b"x" * (SMALL_CONFIGURATION_BYTES + 1)
 
 
+class EarlyResponseTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_watch_that_ended_early_confirms_nothing_since_it_was_sent(
+        self,
+    ) -> None:
+        """Guards against a revoked key that works on after a pause of the process.
+
+        The store ends the watch at once; a process that was suspended reads it later.
+        """
+        now = 100.0
+        loader = mock.Mock(revision=5)
+        confirmed = asyncio.Event()
+        loader.confirm.side_effect = lambda _: confirmed.set()
+
+        async def watch(*_: object) -> Ok[ChangeBatch]:
+            nonlocal now
+            if loader.confirm.called:
+                await asyncio.sleep(3600)
+            now += WATCH_SECONDS / 2
+            return Ok(ChangeBatch(5, ()))
+
+        store = mock.AsyncMock(watch_values=watch)
+        store.list.return_value = Ok(Listing(5, (StoredObject("c", 5, LARGE),)))
+        follower = ConfigurationFollower(
+            store,
+            mock.Mock(configuration_key="c"),
+            loader,
+            mock.Mock(),
+            random.Random(1),
+            WATCH_SECONDS,
+        )
+        module = "bamboopier_proxy.configuration_follower.read_clock"
+        with mock.patch(module, lambda: now):
+            task = asyncio.create_task(follower.run())
+            async with asyncio.timeout(5):
+                await confirmed.wait()
+            task.cancel()
+        self.assertLessEqual(loader.confirm.call_args.args[0], 100.0)
+
+
 class LargeConfigurationTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.arrive = asyncio.Event()
