Keep an object that was created again when an old removal arrives

What callers would see: an engine that registered again gets no requests until its entry next changes.

Cause: a check and the watch report the same changes, and a removal was applied whatever was known of a later creation.

Change: a removal older than the known version is passed over. Test: test_an_old_removal_does_not_undo_a_newer_creation, failed before.

--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -236,7 +236,7 @@
         # A check and the watch report the same changes; the older response must not
         # undo what has been applied since.
         for change in batch.changes if batch.revision > self.revision else ():
-            if change.value is None or change.version > self.revision:
+            if self._is_news(change):
                 self._observer.apply_change(change, self.known_until, late=late)
                 self._record_change(change)
         if batch.revision >= self.revision:
@@ -248,6 +248,13 @@
             self.changed_revision = max(self.changed_revision, batch.revision)
         self.revision = max(self.revision, batch.revision)
 
+    def _is_news(self, change: ChangedObject) -> bool:
+        if change.value is not None:
+            return change.version > self.revision
+        # The object may have been created again since.
+        known = self._known.find(change.key)
+        return known is None or change.version >= known
+
     def _record_change(self, change: ChangedObject) -> None:
         if change.value is None:
             self._known.remove(change.key)
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -215,6 +215,18 @@
         applied = [c.args[0].value for c in self.observer.apply_change.call_args_list]
         self.assertEqual(applied, [None, b"2"])
 
+    async def test_an_old_removal_does_not_undo_a_newer_creation(self) -> None:
+        """Guards against a target that is not used though it registered again."""
+        # The check brings the creation at 9; the response to the watch, created after
+        # it, brings the removal before it once more.
+        gone, back = ChangedObject("k/a", 8, None), ChangedObject("k/a", 9, b"2")
+        other = ChangedObject("k/b", 10, b"3")
+        self.checked = [Ok(ChangeBatch(9, (back,))), Ok(ChangeBatch(10, (gone, other)))]
+        await self.follower.check()
+        await self.follower.check()
+        applied = [c.args[0].value for c in self.observer.apply_change.call_args_list]
+        self.assertEqual(applied, [b"2", b"3"])
+
     async def test_a_listed_removal_is_a_change_up_to_the_lists_revision(self) -> None:
         """Guards against a removal that the newest listed object does not show."""
         created = [ChangedObject(f"k/{n}", n, b"v") for n in (8, 9)]
