List again when a check lacks the change that another gateway knows

What callers would see: an engine that left is used until its process ends (DRAIN). It takes a watch that does not see that the store ended it, and a response that left a removal out. Read from the code, no run of it.

Cause: a store that is about to drop its history may leave the last changes out of a response and continue after them; its watches are then ended, and whoever sees that lists. A follower whose watch is silent does not see it, and its checks go on from after the change: each finds nothing, and confirms the old list.

Change: if another process knows other objects and a later change, and the check finds none, the list is read. Tests: the follower, and the expectation at gateways; both failed before. What remains: the response that left a change out confirms up to a second too much, here and for others.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
@@ -79,6 +79,10 @@
         self._newer_revision = revision
         return True
 
+    def expects_change(self, revision: int) -> bool:
+        """Return whether a peer reported a change that is later than ``revision``."""
+        return self._newer_revision > revision
+
     def record_check(self) -> None:
         """Record that the store is asked now."""
         self._last_limit = self._draw_last_limit()
@@ -99,7 +103,7 @@
         All changes until ``known_until`` and up to ``revision`` are known. A change
         that a peer reported is expected within ``grace`` seconds by the watch.
         """
-        if self._newer_revision > revision:
+        if self.expects_change(revision):
             return now - self._newer_since >= grace
         return now - known_until > self._find_limit()
 
--- a/libraries/objects/src/bamboopier_objects/object_follower.py
+++ b/libraries/objects/src/bamboopier_objects/object_follower.py
@@ -147,8 +147,13 @@
         if self.loaded.is_set():
             self.known_until = max(self.known_until, known_until)
 
-    async def check(self) -> None:
-        """Ask the store for changes now, beside the watch in flight."""
+    async def check(self, *, expects_change: bool = False) -> None:
+        """Ask the store for changes now, beside the watch in flight.
+
+        With ``expects_change`` another process knows of a change that is not known
+        here. If the response contains none, an earlier one left it out, as one of a
+        store that is about to drop its history may: the list is read again.
+        """
         if not self.loaded.is_set() or self._failing_since is not None:
             return
         watch_number, revision = self._watch_count, self.revision
@@ -158,8 +163,13 @@
             self._handle_error(sent_at, response.err_value)
             self._abandon_watch(watch_number)
             return
+        fingerprint = self.fingerprint
         self._apply_batch(sent_at, CHECK_SECONDS, response.ok_value)
-        if response.ok_value.changes:
+        if expects_change and self.fingerprint == fingerprint:
+            log.warning("change left out", prefix=self.prefix, revision=self.revision)
+            self._must_list = True
+            self._abandon_watch(watch_number)
+        elif response.ok_value.changes:
             asyncio.get_running_loop().call_later(
                 STALLED_WATCH_SECONDS, self._abandon_watch, watch_number
             )
--- a/libraries/objects/tests/test_object_follower.py
+++ b/libraries/objects/tests/test_object_follower.py
@@ -188,6 +188,23 @@
         await asyncio.sleep(0.01)
         self.assertEqual(self.store.list.await_count, 2)
 
+    async def test_a_check_without_the_change_that_was_reported_lists_again(
+        self,
+    ) -> None:
+        """Guards against a removal that a response left out, and is never told again.
+
+        A store that is about to drop its history may leave out the last changes, and
+        continues after them.
+        """
+        self.checked = [Ok(ChangeBatch(9, ())), Ok(ChangeBatch(9, ()))]
+        await self.follower.check()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.store.list.await_count, 1)
+        self.store.list.return_value = Ok(Listing(9, ()))
+        await self.follower.check(expects_change=True)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.store.list.await_count, 2)
+
     async def test_a_check_that_fails_lists_again(self) -> None:
         # Guards against a long watch that outlives an outage of the store.
         self.checked = [Err(PlatformUnavailableError("away"))]
--- a/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_confirmation.py
@@ -128,11 +128,11 @@
         self._update_order()
         self._check_configuration(now)
         for prefix, follower in self._lists.items():
-            is_due = self._schedules[prefix].is_check_due(
-                now, follower.known_until, follower.revision
-            )
-            if is_due:
-                self._start_check(prefix, follower.check())
+            schedule, revision = self._schedules[prefix], follower.revision
+            if schedule.is_check_due(now, follower.known_until, revision):
+                expects_change = schedule.expects_change(revision)
+                check = follower.check(expects_change=expects_change)
+                self._start_check(prefix, check)
 
     def receive(self, hint: Hint, sender: Endpoint) -> None:
         """Handle a message of another gateway, if it concerns confirmations."""
--- a/libraries/proxy/src/bamboopier_proxy/weights_confirmation.py
+++ b/libraries/proxy/src/bamboopier_proxy/weights_confirmation.py
@@ -96,7 +96,8 @@
         follower = self._follower
         if self._schedule.is_check_due(now, follower.known_until, follower.revision):
             self._schedule.record_check()
-            await follower.check()
+            expects_change = self._schedule.expects_change(follower.revision)
+            await follower.check(expects_change=expects_change)
 
     def _apply(self, now: float, response: FreshnessResponse) -> None:
         if self._asked is None or self._asked[0] != response.nonce:
--- a/libraries/proxy/tests/test_store_confirmation.py
+++ b/libraries/proxy/tests/test_store_confirmation.py
@@ -7,6 +7,9 @@
 import unittest
 from unittest import mock
 
+from bamboopier_decisions.forwarding.confirmation_schedule import (
+    RESPONSE_GRACE_SECONDS,
+)
 from bamboopier_proxy.hints import (
     FreshnessRequest,
     FreshnessResponse,
@@ -140,6 +143,18 @@
         self.active.confirm.assert_not_called()
         self.on_newer.assert_called_once_with(PEER)
 
+    async def test_a_check_for_a_reported_change_expects_it(self) -> None:
+        """Guards against a store that does not tell a change, which peers know."""
+        self.targets.known_until = NOW - 1.2
+        self.confirmation.check(NOW)
+        await asyncio.sleep(0)
+        self.targets.check.assert_awaited_once_with(expects_change=False)
+        self.targets.check.reset_mock()
+        self.answer(ListConfirmation(PREFIX, 6, 40, OTHER_FINGERPRINT))
+        self.confirmation.check(NOW + RESPONSE_GRACE_SECONDS)
+        await asyncio.sleep(0)
+        self.targets.check.assert_awaited_once_with(expects_change=True)
+
     async def test_the_store_is_asked_if_no_peer_has_a_recent_confirmation(
         self,
     ) -> None:
