Keep a second response head out of a stream that is resumed

What callers saw: a status line and headers in the middle of a chunked body (MIXED), when the engine that a stream goes on at answers the resumption with a status below 500 other than 200.

Cause: only responses of 500 and above were kept back once a stream had begun; any other was delivered as a response of its own.

Change: nothing but a stream continues a stream. It goes on elsewhere if it may, or its connection is aborted. Test: test_a_resumption_without_a_stream_is_no_second_response, failed before for 204 and 404.

--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -202,8 +202,9 @@
         result = AttemptResult(ExecutionStatus.EXECUTED, status=response.status)
         result.first_byte = read_clock() - started_at
         buffered = BufferedResponse(response.status, response.headers, body)
-        if response.status >= 500:
-            # A safe request may succeed at another target.
+        if response.status >= 500 or delivery.started:
+            # A safe request may succeed at another target. A stream that goes on here
+            # has its head already, and another one would be a part of its body.
             result.failure = buffered
             return result
         await delivery.send(buffered.status, buffered.headers, buffered.body)
