Promise that a request was not run only where its target says so

Cause: a complete response of 500 and above was returned as it was, and any sealed one below that; whether its status is a promise was never asked.

Change: 408, 421, 429 and 503 without the target's word end the attempt as unknown. What may be repeated goes on elsewhere; else the caller gets 502 of this system's own, without the engine's seal. Counts as a failure of the target and of a version on trial.

--- a/libraries/proxy/src/bamboopier_proxy/attempt_result.py
+++ b/libraries/proxy/src/bamboopier_proxy/attempt_result.py
@@ -10,6 +10,9 @@
 
 from .messages import AttemptMetadata
 
+# Statuses by which callers learn that a request was not run and never will be.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Cause(StrEnum):
     """Why an attempt ended without a response for the caller."""
@@ -31,6 +34,8 @@
     MISDIRECTED = "misdirected"
     BROKEN = "broken"
     UNSEALED = "unsealed"
+    # It ended with a status that promises that it was not run, without that word.
+    UNPROVED = "unproved"
     TIMEOUT = "timeout"
     # Its target stopped responding, and another one may run it.
     MOVED = "moved"
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -11,7 +11,12 @@
 from bamboopier_decisions.quarantine.crashing_parts import SURVIVAL_SECONDS
 from bamboopier_decisions.routing.messages import ExecutionStatus
 
-from .attempt_result import AttemptResult, BufferedResponse, Cause
+from .attempt_result import (
+    NOT_RUN_STATUSES,
+    AttemptResult,
+    BufferedResponse,
+    Cause,
+)
 from .delivery import CallerDisconnectedError
 from .event_splitter import EventSplitter, EventTooLongError
 from .stall_monitor import MonitoredAttempt
@@ -199,6 +204,12 @@
     ) -> AttemptResult:
         body = await response.read_all(MAX_BUFFERED_BYTES)
         await self._check_end(in_flight, response)
+        if response.status in NOT_RUN_STATUSES:
+            # The target may have run it: its caller would have it run again.
+            detail = f"status {response.status} does not say that it was not run"
+            return AttemptResult(
+                ExecutionStatus.UNKNOWN, Cause.UNPROVED, detail, response.status
+            )
         result = AttemptResult(ExecutionStatus.EXECUTED, status=response.status)
         result.first_byte = read_clock() - started_at
         buffered = BufferedResponse(response.status, response.headers, body)
--- a/libraries/proxy/src/bamboopier_proxy/rollouts/answer_log.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/answer_log.py
@@ -22,7 +22,14 @@
 # Ends of an attempt that the software of its target may have caused, though it sent no
 # complete answer.
 FAILURES = frozenset(
-    {Cause.BROKEN, Cause.UNSEALED, Cause.TIMEOUT, Cause.MOVED, Cause.UNANSWERED}
+    {
+        Cause.BROKEN,
+        Cause.UNSEALED,
+        Cause.UNPROVED,
+        Cause.TIMEOUT,
+        Cause.MOVED,
+        Cause.UNANSWERED,
+    }
 )
 # Key of the division of targets into groups: the same at every gateway.
 GROUPS_KEY = b"rollout groups"
--- a/libraries/proxy/src/bamboopier_proxy/target_outcomes.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_outcomes.py
@@ -44,6 +44,8 @@
                 self._crash_monitor.record_completed(
                     call, succeeded=result.status < 400
                 )
+            case Cause.UNPROVED:
+                state.circuit_breaker.record_failure(now)
             case Cause.CONNECT:
                 state.circuit_breaker.record_unreachable(now)
             case Cause.NOT_RUN:
