--- a/libraries/agent/src/bamboopier_agent/lease.py
+++ b/libraries/agent/src/bamboopier_agent/lease.py
@@ -10,6 +10,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.membership.lease import Lease, LeaseRecord, ObservedLease
+from bamboopier_objects.decoding import DECODE_ERRORS
 
 if TYPE_CHECKING:
     import random
@@ -55,7 +56,7 @@
         """Update the lease from the object as it was read."""
         try:
             record = msgspec.json.decode(stored.value, type=LeaseRecord)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             # Not written by this program; treated like a released lease.
             record = None
         self.lease.observe(read_clock(), ObservedLease(stored.version, record))
--- a/libraries/objects/src/bamboopier_objects/http_client.py
+++ b/libraries/objects/src/bamboopier_objects/http_client.py
@@ -16,6 +16,7 @@
 from result import Err, Ok, Result
 
 from .connection_pools import ConnectionPools
+from .decoding import DECODE_ERRORS
 from .errors import (
     MalformedObjectError,
     NotConnectedError,
@@ -172,7 +173,7 @@
         return Err(PlatformUnavailableError(f"status {reply.status}"))
     try:
         return Ok(msgspec.json.decode(reply.body, type=kind))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(MalformedObjectError(str(error)))
 
 
--- a/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
@@ -29,6 +29,7 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.routing.hash_ring import HashRing, compute_points
 from bamboopier_decisions.routing.rendezvous import rank
+from bamboopier_objects.decoding import DECODE_ERRORS
 from bamboopier_objects.errors import PlatformError, VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
@@ -83,7 +84,7 @@
         name = found.key.removeprefix(prefix)
         try:
             entries[name] = msgspec.json.decode(found.value, type=GatewayEntry)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             log.warning("invalid entry ignored", gateway=name, reason=str(error))
     return Ok(entries)
 
--- a/libraries/proxy/src/bamboopier_proxy/hints.py
+++ b/libraries/proxy/src/bamboopier_proxy/hints.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bamboopier_decisions.rollouts.evidence import AnswerCounts, AnswerKey
+from bamboopier_objects.decoding import DECODE_ERRORS
 
 # Larger datagrams are split into fragments, and lost if one fragment is lost.
 MAX_BYTES = 1400
@@ -342,5 +343,5 @@
     """Decode a hint; return None for invalid bytes."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/libraries/proxy/src/bamboopier_proxy/part_relay.py
+++ b/libraries/proxy/src/bamboopier_proxy/part_relay.py
@@ -18,6 +18,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.part_store_index import PartChange, PartUpdate
+from bamboopier_objects.decoding import DECODE_ERRORS
 
 if TYPE_CHECKING:
     from bamboopier_decisions.forwarding.part_store_index import (
@@ -77,7 +78,7 @@
         """Return the updates of all stores whose state is valid here."""
         try:
             positions = _request_decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return web.Response(status=400, text=str(error))
         now = read_clock()
         positions_by_address = {q.address: q for q in positions}
@@ -111,7 +112,7 @@
             return Err(f"status {response.ok_value.status}")
         try:
             updates = _response_decoder.decode(response.ok_value.body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return Err(str(error))
         read_at = read_clock()
         for found in updates:
--- a/libraries/proxy/src/bamboopier_proxy/publish_times.py
+++ b/libraries/proxy/src/bamboopier_proxy/publish_times.py
@@ -21,6 +21,7 @@
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_objects.decoding import DECODE_ERRORS
 from bamboopier_objects.errors import VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
@@ -191,7 +192,7 @@
         try:
             entry = msgspec.json.decode(found.value, type=PublishedAt)
             number = int(version)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except DECODE_ERRORS as error:
             log.warning("invalid entry ignored", key=name, reason=str(error))
             return None
         age = max(0.0, time.time() - entry.seconds) + ENTRY_ERROR_SECONDS
--- a/libraries/proxy/src/bamboopier_proxy/stored_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/stored_records.py
@@ -13,6 +13,7 @@
 import structlog
 from result import Err
 
+from bamboopier_objects.decoding import DECODE_ERRORS
 from bamboopier_objects.errors import VersionConflictError
 from bamboopier_objects.objects import ABSENT
 
@@ -98,7 +99,7 @@
             name = found.key.removeprefix(self._prefix)
             try:
                 entry = msgspec.json.decode(found.value, type=self._entry_type)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 log.warning("invalid entry ignored", key=found.key, reason=str(error))
                 continue
             entries[name] = entry
