--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -59,7 +59,12 @@
 
 def find_suites(pattern: str) -> list[Suite]:
     """Return a suite for each test file, those of the system tests first."""
-    folders = [ROOT, ROOT / "platform", *sorted((ROOT / "libraries").iterdir())]
+    folders = [
+        ROOT,
+        ROOT / "platform",
+        ROOT / "review",
+        *sorted((ROOT / "libraries").iterdir()),
+    ]
     return [
         Suite(f"{name_suite(folder)}.{path.stem.removeprefix('test_')}", folder, path)
         for folder in folders
