Ask for a reported change at once if nothing is confirmed any more

Cause: a gateway that hears of a change it does not know gave its watch 0.9 s to bring it, from then on, although the list had not been confirmed for the maximum age: the report put off the check that was due.

Change: the check is due at the maximum age in any case. A large configuration in transfer is still not asked for twice.

Two tests of the schedule, one failed before; the other holds the exception.

--- a/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
+++ b/libraries/decisions/src/bamboopier_decisions/forwarding/confirmation_schedule.py
@@ -96,16 +96,22 @@
         now: float,
         known_until: float,
         revision: int,
-        grace: float = RESPONSE_GRACE_SECONDS,
+        transfer_seconds: float | None = None,
     ) -> bool:
         """Return whether the store is to be asked.
 
         All changes until ``known_until`` and up to ``revision`` are known. A change
-        that a peer reported is expected within ``grace`` seconds by the watch.
+        that a peer reported is expected by the watch soon, unless nothing has been
+        confirmed for the maximum age: then the watch may be silent, and no peer
+        confirms anything either. A large object that is given ``transfer_seconds`` is
+        not asked for sooner, since it would be transferred twice.
         """
-        if self.expects_change(revision):
-            return now - self._newer_since >= grace
-        return now - known_until > self._find_limit()
+        if not self.expects_change(revision):
+            return now - known_until > self._find_limit()
+        if transfer_seconds is not None:
+            return now - self._newer_since >= transfer_seconds
+        is_late = now - self._newer_since >= RESPONSE_GRACE_SECONDS
+        return is_late or now - known_until >= self._max_age
 
     def _find_limit(self) -> float:
         early = SPREAD_SECONDS * math.log2(max(2, self._count))
--- a/libraries/decisions/tests/forwarding/test_confirmation_schedule.py
+++ b/libraries/decisions/tests/forwarding/test_confirmation_schedule.py
@@ -117,6 +117,24 @@
         later = 10.0 + RESPONSE_GRACE_SECONDS
         self.assertTrue(schedule.is_check_due(later, later, 6))
 
+    def test_a_reported_change_does_not_put_off_a_check_that_is_due(self) -> None:
+        """Guards against a removed target that is used while its removal is awaited.
+
+        The list was last confirmed the maximum age before a peer reports a change.
+        """
+        schedule = ConfirmationSchedule(MAX_AGE, random.Random(1))
+        schedule.record_newer(10.0, 7, 6)
+        self.assertTrue(schedule.is_check_due(10.05, 10.0 - MAX_AGE, 6))
+        self.assertFalse(schedule.is_check_due(10.05, 9.9, 6))
+
+    def test_a_change_in_transfer_is_not_asked_for(self) -> None:
+        """Guards against a second copy of a large object on a weak link."""
+        schedule = ConfirmationSchedule(MAX_AGE, random.Random(1))
+        schedule.record_newer(10.0, 7, 6)
+        old = 10.0 - 2 * MAX_AGE
+        self.assertFalse(schedule.is_check_due(11.9, old, 6, transfer_seconds=2.0))
+        self.assertTrue(schedule.is_check_due(12.1, old, 6, transfer_seconds=2.0))
+
     def test_further_changes_do_not_delay_the_check(self) -> None:
         """Guards against a silent watch that is trusted for as long as targets leave.
 
