Make a read again whose response breaks off

A response that began and broke off ended the read although a new connection would have served it, and counted as a failure of the store. Found in reading the change; test_a_response_that_breaks_off_is_no_response failed before.

--- a/libraries/objects/src/bamboopier_objects/repeated_call.py
+++ b/libraries/objects/src/bamboopier_objects/repeated_call.py
@@ -48,11 +48,13 @@
         try:
             first = self._start(self._call_timeout, new_connection=False)
             outcome = await self._wait(repeat_after)
+            if outcome is None and self._responding is not None:
+                outcome = await first
             if outcome is not None and not _may_repeat(outcome):
                 return outcome
-            if outcome is None and self._responding is not None:
-                return await first
             reason = "no response" if outcome is None else str(outcome.err())
+            # A response that broke off is none.
+            self._responding = None
             left = max(MIN_SECOND_SECONDS, self._call_timeout - repeat_after)
             second = self._start(left, new_connection=True)
             outcome = await self._wait_for_response()
--- a/libraries/objects/tests/test_http_client.py
+++ b/libraries/objects/tests/test_http_client.py
@@ -59,6 +59,8 @@
         self.silent_connections = 0
         # Whether the silent ones are closed instead.
         self.closes_silent = False
+        # The next responses that end within their body.
+        self.breaks_off = 0
         # Numbers of the connections on which calls were answered.
         self.answered_by: list[int] = []
         server = await asyncio.start_server(self.respond, "127.0.0.1", 0)
@@ -80,6 +82,10 @@
                 await asyncio.sleep(0.05)
                 if number <= self.silent_connections and self.closes_silent:
                     break
+                if self.breaks_off:
+                    self.breaks_off -= 1
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+                    break
                 if number > self.silent_connections:
                     self.answered_by.append(number)
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
@@ -128,6 +134,14 @@
             self.assertLess(time.monotonic() - started, CALL_TIMEOUT_SECONDS)
             self.assertTrue(response.is_ok())
 
+    async def test_a_response_that_breaks_off_is_no_response(self) -> None:
+        """Guards against a broken body that ends a read which another call serves."""
+        async with self.client:
+            self.assertTrue((await self.client.call("GET", "/")).is_ok())
+            self.breaks_off = 1
+            response = await self.client.read_quickly("/", REPEAT_SECONDS)
+            self.assertEqual(response.unwrap().body, b"ok")
+
     async def test_a_slow_response_to_the_first_of_two_calls_is_taken(self) -> None:
         """Guards against a slow store that each process connects to again and again."""
         async with self.client:
