--- a/tools/safeguards/software_versions.py
+++ b/tools/safeguards/software_versions.py
@@ -59,8 +59,16 @@
     Mutation(
         "other gateways are told of a stream",
         _PROXY + "stream_versions.py",
-        "            self._peers.send(hint, peer)\n",
-        "            pass\n",
+        "[*neighbours, *self._agents.select(key, AGENTS)]:\n",
+        "self._agents.select(key, AGENTS):\n",
+        "libraries/proxy",
+        "tests.test_stream_versions",
+    ),
+    Mutation(
+        "agents are told of a stream",
+        _PROXY + "stream_versions.py",
+        "[*neighbours, *self._agents.select(key, AGENTS)]:\n",
+        "neighbours:\n",
         "libraries/proxy",
         "tests.test_stream_versions",
     ),
--- a/tools/safeguards/store_calls.py
+++ b/tools/safeguards/store_calls.py
@@ -55,6 +55,16 @@
         "libraries/proxy",
         f"{_WEIGHTS_TESTS}.test_a_change_that_the_watch_does_not_bring_is_asked_for",
     ),
+    Mutation(
+        "a reported change does not put off a check that is due",
+        "libraries/decisions/src/bamboopier_decisions/forwarding/"
+        "confirmation_schedule.py",
+        "        return is_late or now - known_until >= self._max_age\n",
+        "        return is_late\n",
+        "libraries/decisions",
+        "tests.forwarding.test_confirmation_schedule.ReportedChangeTests"
+        ".test_a_reported_change_does_not_put_off_a_check_that_is_due",
+    ),
     Mutation(
         "only a gateway that knows the same objects confirms a list",
         _PROXY + "store_confirmation.py",
