--- a/libraries/objects/src/bamboopier_objects/http_client.py
+++ b/libraries/objects/src/bamboopier_objects/http_client.py
@@ -25,6 +25,7 @@
     PlatformUnavailableError,
 )
 from .repeated_call import RepeatedCall
+from .reply import Reply
 
 if TYPE_CHECKING:
     import ssl
@@ -41,18 +42,6 @@
 MAX_RESPONSE_SECONDS = 16.0
 
 
-class Reply:
-    """A complete response."""
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status: int, body: bytes, headers: dict[str, str]) -> None:
-        self.status = status
-        self.body = body
-        # Names in lower case.
-        self.headers = headers
-
-
 class HttpClient:
     """Makes calls below ``base_url``; close it by leaving the context."""
 
--- a/libraries/objects/src/bamboopier_objects/http_platform.py
+++ b/libraries/objects/src/bamboopier_objects/http_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from urllib.parse import quote
 
 import msgspec
@@ -15,10 +16,13 @@
     VersionConflictError,
     WatchGapError,
 )
-from .http_client import CALL_TIMEOUT_SECONDS, HttpClient, Reply, decode_reply
+from .http_client import CALL_TIMEOUT_SECONDS, HttpClient, decode_reply
 from .objects import MAX_VALUE_BYTES, Change, StoredObject, WatchBatch
 from .vms import Vm, VmListResponse
 
+if TYPE_CHECKING:
+    from .reply import Reply
+
 # ``Reply`` has header names in lower case.
 VERSION_HEADER = "object-version"
 EXPECTED_VERSION_HEADER = "Expected-Version"
--- a/libraries/objects/src/bamboopier_objects/repeated_call.py
+++ b/libraries/objects/src/bamboopier_objects/repeated_call.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from .http_client import Reply
+    from .reply import Reply
 
     Outcome = Result[Reply, PlatformError]
     Call = Callable[..., Coroutine[Any, Any, Outcome]]
--- a/libraries/proxy/tests/test_part_relay.py
+++ b/libraries/proxy/tests/test_part_relay.py
@@ -17,7 +17,8 @@
     PartStoreIndex,
     PartUpdate,
 )
-from bamboopier_objects.http_client import HttpClient, Reply
+from bamboopier_objects.http_client import HttpClient
+from bamboopier_objects.reply import Reply
 from bamboopier_proxy.part_relay import PartRelay
 from bamboopier_proxy.settings import Endpoint
 
