Bound what a page of the store costs that cannot be decoded

What callers saw: beside one entry of another writer of 0.9 MB with one string that is not Unicode, written again each 1.2 s, requests waited for up to 2.3 s and more; with slower gateways nearly all failed.

A page that cannot be decoded was scanned token by token in Python, three times over, with the loop at a halt and up to 117 MB of memory, again at each read.

Change: the page is walked once.

Ruled out: a thread, which shares the interpreter; a decoder after the bad bytes are replaced, which makes an unreadable entry readable and does not help with nesting.

--- a/libraries/objects/src/bamboopier_objects/errors.py
+++ b/libraries/objects/src/bamboopier_objects/errors.py
@@ -35,6 +35,10 @@
     """The value is larger than the megabyte that the platform accepts."""
 
 
+class ResponseTooLargeError(PlatformError):
+    """The body of a response is longer than the caller reads; the rest was dropped."""
+
+
 class WatchGapError(PlatformError):
     """Changes after the requested revision are unavailable; read the state again."""
 
--- a/libraries/objects/src/bamboopier_objects/http_client.py
+++ b/libraries/objects/src/bamboopier_objects/http_client.py
@@ -23,6 +23,7 @@
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
+    ResponseTooLargeError,
 )
 from .repeated_call import RepeatedCall
 from .reply import Reply
@@ -40,6 +41,8 @@
 # Seconds for a complete response after the first-byte timeout: a megabyte on a link
 # with a tenth of the bandwidth of the slowest one.
 MAX_RESPONSE_SECONDS = 16.0
+# A longer body is not kept in memory.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class HttpClient:
@@ -51,12 +54,14 @@
         certificates: ssl.SSLContext | None = None,
         call_timeout: float = CALL_TIMEOUT_SECONDS,
         source: str | None = None,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         self._certificates = certificates
         self._base_url = base_url.rstrip("/")
         self.call_timeout = call_timeout
         # Local IP address of the connections; None lets the system choose.
         self._source = source
+        self._max_response_bytes = max_response_bytes
         self._pools: ConnectionPools | None = None
 
     async def __aenter__(self) -> Self:
@@ -114,6 +119,8 @@
                 limit.reschedule(read_time() + stall)
                 async for chunk in response.content.iter_any():
                     content += chunk
+                    if len(content) > self._max_response_bytes:
+                        return Err(_make_size_error(method, url))
                     limit.reschedule(read_time() + stall)
                 received = {n.lower(): v for n, v in response.headers.items()}
                 return Ok(Reply(response.status, bytes(content), received))
@@ -166,6 +173,13 @@
         return Err(MalformedObjectError(str(error)))
 
 
+def _make_size_error(method: str, url: str) -> PlatformError:
+    text = f"{method} {url}: response too large"
+    if method == "GET":
+        return ResponseTooLargeError(text)
+    return PlatformOutcomeUnknownError(text)
+
+
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- /dev/null
+++ b/libraries/objects/src/bamboopier_objects/json_scanner.py
@@ -0,0 +1,202 @@
+"""Walks through a JSON document and finds where its values end, without decoding them.
+
+Guards against a response of which one value cannot be decoded: a decoder rejects the
+response as a whole. Values may be nested without limit and strings may hold any bytes.
+
+The work is bounded: what is passed over is searched for quotes and counted for brackets
+by the byte, a slice at a time, and other tasks run between two slices.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from itertools import accumulate
+from typing import TYPE_CHECKING
+
+from bamboopier_configuration.errors import BamboopierError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Bytes that are scanned before other tasks run: a millisecond or two on a weak
+# processor if they are quotes and brackets alone.
+SLICE_BYTES = 16 * 1024
+# Most values are short, and a slice is scanned as a whole.
+FIRST_SLICE_BYTES = 512
+
+_SPACE = re.compile(rb"[ \t\r\n]*+")
+_SCALAR_END = re.compile(rb'[\s,:"\[\]{}]')
+_BRACKET = re.compile(rb"[\[\]{}]")
+_NO_BRACKETS = bytes(byte for byte in range(256) if byte not in b"[]{}")
+# Change of the depth of nesting by byte.
+_DEPTH_STEPS = [(byte in b"[{") - (byte in b"]}") for byte in range(256)]
+
+
+class ScanError(BamboopierError):
+    """The bytes are no JSON, and nothing behind them can be told apart."""
+
+
+class Span:
+    """The place of a value in its document."""
+
+    __slots__ = ("begin", "end")
+
+    def __init__(self, begin: int, end: int) -> None:
+        self.begin = begin
+        self.end = end
+
+    def __len__(self) -> int:
+        return self.end - self.begin
+
+
+class JsonScanner:
+    """A position in a document that moves from value to value."""
+
+    __slots__ = ("_document", "_end", "_position", "_scanned")
+
+    def __init__(self, document: bytes, span: Span | None = None) -> None:
+        self._document = document
+        self._position = span.begin if span is not None else 0
+        self._end = span.end if span is not None else len(document)
+        # Bytes since other tasks have run.
+        self._scanned = 0
+
+    def read(self, span: Span) -> bytes:
+        """Return the bytes of a value."""
+        return self._document[span.begin : span.end]
+
+    def enter(self, bracket: bytes) -> None:
+        """Move into the array or object that begins here."""
+        if self._peek() != bracket:
+            raise ScanError(f"no {bracket.decode()!r} at byte {self._position}")
+        self._position += 1
+
+    async def find_key(self) -> Span | None:
+        """Move to the next value of an object and return its key, quotes included.
+
+        None if the object ends here; the position is then behind it.
+        """
+        if not self._find_next(b"}"):
+            return None
+        if self._peek() != b'"':
+            raise ScanError(f"no key at byte {self._position}")
+        key = await self.skip_value()
+        if self._peek() != b":":
+            raise ScanError(f"no value at byte {self._position}")
+        self._position += 1
+        return key
+
+    def find_element(self) -> bool:
+        """Move to the next element of an array; False, and behind it, at its end."""
+        return self._find_next(b"]")
+
+    async def skip_value(self) -> Span:
+        """Move behind the value that begins here and return its place."""
+        first = self._peek()
+        begin = self._position
+        if first == b'"':
+            await self._skip_string()
+        elif first in (b"{", b"["):
+            await self._skip_container()
+        else:
+            await self._skip_scalar()
+        await self._pause(self._position - begin)
+        return Span(begin, self._position)
+
+    def _find_next(self, end: bytes) -> bool:
+        """Move behind a comma to what follows; False if ``end`` does."""
+        found = self._peek()
+        if found == b",":
+            self._position += 1
+            found = self._peek()
+        if found == end:
+            self._position += 1
+            return False
+        return True
+
+    def _peek(self) -> bytes:
+        """Move behind white space and return the byte there; empty at the end."""
+        space = _SPACE.match(self._document, self._position, self._end)
+        if space is not None:
+            self._position = space.end()
+        return self._document[self._position : min(self._position + 1, self._end)]
+
+    async def _skip_string(self) -> None:
+        self._position += 1
+        for begin, text in self._slice():
+            quote = text.find(b'"')
+            if quote >= 0:
+                self._position = begin + quote + 1
+                return
+            await self._pause(len(text))
+        raise ScanError("a string does not end")
+
+    async def _skip_container(self) -> None:
+        depth, in_string = 0, False
+        for begin, text in self._slice():
+            parts = text.split(b'"')
+            outside = b"".join(parts[in_string::2])
+            brackets = outside.translate(None, _NO_BRACKETS)
+            steps = map(_DEPTH_STEPS.__getitem__, brackets)
+            closing = brackets.count(b"]") + brackets.count(b"}")
+            if depth <= closing and -depth in accumulate(steps):
+                end = _find_end(parts, depth, in_string=in_string)
+                self._position = begin + end
+                return
+            depth += len(brackets) - 2 * closing
+            in_string ^= len(parts) % 2 == 0
+            await self._pause(len(text))
+        raise ScanError("an array or object does not end")
+
+    async def _skip_scalar(self) -> None:
+        begin = self._position
+        while True:
+            limit = min(self._position + SLICE_BYTES, self._end)
+            end = _SCALAR_END.search(self._document, self._position, limit)
+            self._position = end.start() if end is not None else limit
+            if end is not None or limit == self._end:
+                break
+            await self._pause(SLICE_BYTES)
+        if self._position == begin:
+            raise ScanError(f"no value at byte {begin}")
+
+    def _slice(self) -> Iterator[tuple[int, bytes]]:
+        """Yield what follows in growing slices with their positions.
+
+        What is escaped in a string is replaced by as many other bytes, and no slice
+        begins within an escape, so that each quote in it begins or ends a string.
+        """
+        begin, size = self._position, FIRST_SLICE_BYTES
+        while begin < self._end:
+            end = min(begin + size, self._end)
+            text = self._document[begin:end]
+            backslashes = len(text) - len(text.rstrip(b"\\"))
+            if backslashes % 2 and end < self._end:
+                end += 1
+                text = self._document[begin:end]
+            yield begin, text.replace(b"\\\\", b"__").replace(b'\\"', b"__")
+            begin, size = end, min(2 * size, SLICE_BYTES)
+
+    async def _pause(self, scanned: int) -> None:
+        self._scanned += scanned
+        if self._scanned >= SLICE_BYTES:
+            self._scanned = 0
+            await asyncio.sleep(0)
+
+
+def _find_end(parts: list[bytes], depth: int, *, in_string: bool) -> int:
+    """Return the offset behind the bracket that closes the value.
+
+    ``parts`` are those between quotes, in strings and outside in turn.
+    """
+    offset = 0
+    for part in parts:
+        if not in_string:
+            for bracket in _BRACKET.finditer(part):
+                depth += _DEPTH_STEPS[bracket[0][0]]
+                if depth == 0:
+                    return offset + bracket.end()
+        in_string = not in_string
+        offset += len(part) + 1
+    raise ScanError("an array or object does not end")
--- a/libraries/objects/src/bamboopier_objects/repeated_call.py
+++ b/libraries/objects/src/bamboopier_objects/repeated_call.py
@@ -8,7 +8,7 @@
 import structlog
 from result import Err, Result
 
-from .errors import NotConnectedError, PlatformError
+from .errors import NotConnectedError, PlatformError, ResponseTooLargeError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -130,5 +130,5 @@
 def _may_repeat(outcome: Outcome) -> bool:
     """Return whether a call failed in a way that a new connection may mend."""
     return isinstance(outcome, Err) and not isinstance(
-        outcome.err_value, NotConnectedError
+        outcome.err_value, (NotConnectedError, ResponseTooLargeError)
     )
