--- a/libraries/objects/src/bamboopier_objects/json_scanner.py
+++ b/libraries/objects/src/bamboopier_objects/json_scanner.py
@@ -29,6 +29,10 @@
 _SCALAR_END = re.compile(rb'[\s,:"\[\]{}]')
 _BRACKET = re.compile(rb"[\[\]{}]")
 _NO_BRACKETS = bytes(byte for byte in range(256) if byte not in b"[]{}")
+# What may stand between strings. Of words, the letters are left.
+_NO_LETTERS = b" \t\r\n,:[]{}0123456789+-."
+_WORDS = re.compile(rb"true|false|null|NaN|Infinity")
+_MAX_WORD_BYTES = 8
 # Change of the depth of nesting by byte.
 _DEPTH_STEPS = [(byte in b"[{") - (byte in b"]}") for byte in range(256)]
 
@@ -144,6 +148,7 @@
                 end = _find_end(parts, depth, in_string=in_string)
                 self._position = begin + end
                 return
+            _check_outside(outside)
             depth += len(brackets) - 2 * closing
             in_string ^= len(parts) % 2 == 0
             await self._pause(len(text))
@@ -165,11 +170,15 @@
         """Yield what follows in growing slices with their positions.
 
         What is escaped in a string is replaced by as many other bytes, and no slice
-        begins within an escape, so that each quote in it begins or ends a string.
+        begins within an escape, so that each quote in it begins or ends a string. None
+        begins within a word either.
         """
         begin, size = self._position, FIRST_SLICE_BYTES
         while begin < self._end:
             end = min(begin + size, self._end)
+            longest = min(end + _MAX_WORD_BYTES, self._end)
+            while end < longest and self._document[end - 1 : end + 1].isalpha():
+                end += 1
             text = self._document[begin:end]
             backslashes = len(text) - len(text.rstrip(b"\\"))
             if backslashes % 2 and end < self._end:
@@ -196,7 +205,21 @@
             for bracket in _BRACKET.finditer(part):
                 depth += _DEPTH_STEPS[bracket[0][0]]
                 if depth == 0:
+                    _check_outside(part[: bracket.start()])
                     return offset + bracket.end()
+            _check_outside(part)
         in_string = not in_string
         offset += len(part) + 1
     raise ScanError("an array or object does not end")
+
+
+def _check_outside(text: bytes) -> None:
+    """Raise an error if ``text`` cannot stand outside strings.
+
+    Guards against a string without an end: the next quote would end it, and what is a
+    string and what is not would be taken for one another until the next such string,
+    with all values between them.
+    """
+    letters = text.translate(None, _NO_LETTERS)
+    if letters and _WORDS.sub(b"", letters).strip(b"eE"):
+        raise ScanError("text outside strings")
--- a/libraries/objects/tests/test_json_scanner.py
+++ b/libraries/objects/tests/test_json_scanner.py
@@ -20,6 +20,7 @@
     "objects": b'{"a":' * (LARGE // 6) + b"1" + b"}" * (LARGE // 6),
     "empty lists": b"[" + b",".join([b"[]"] * (LARGE // 3)) + b"]",
     "empty strings": b"[" + b",".join([b'""'] * (LARGE // 3)) + b"]",
+    "words": b"[" + b",".join([b"false", b"null", b"-1.5e+7"] * (LARGE // 19)) + b"]",
     "one string": b'"' + b"x" * LARGE + b'"',
     "backslashes": b'["' + b"\\" * LARGE + b'"]',
     "escaped quotes": b'["' + b'\\"' * (LARGE // 2) + b'"]',
