Take an unreadable response of the store for no outage

What callers would see: requests to an engine that left for up to 2.2 s more (DRAIN), when a list cannot be read at that moment, or a check finds that the store has dropped its history. Read from the code; no run of the whole system.

Cause: whatever a list or a check failed with counted towards an outage of the store, in which entries may expire though their engines live. But a store that responds serves, and entries do not expire meanwhile.

Change: only calls without a response, or refused, count. Tests: test_an_unreadable_list_is_no_sign_of_an_outage, test_a_check_without_the_history_is_no_sign_of_an_outage; both failed before.

--- a/libraries/objects/src/bamboopier_objects/errors.py
+++ b/libraries/objects/src/bamboopier_objects/errors.py
@@ -45,3 +45,7 @@
 
 class MalformedObjectError(PlatformError):
     """The content of an object does not have the expected format."""
+
+
+# Errors that a response shows: the platform serves this process, whatever it said.
+RESPONSE_ERRORS = (WatchGapError, MalformedObjectError, ResponseTooLargeError)
--- a/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
+++ b/libraries/proxy/src/bamboopier_proxy/configuration_follower.py
@@ -17,7 +17,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.watch_position import WatchPosition
-from bamboopier_objects.errors import WatchGapError
+from bamboopier_objects.errors import RESPONSE_ERRORS, WatchGapError
 from bamboopier_objects.object_follower import find_created_at
 from bamboopier_objects.objects import StoredObject
 
@@ -153,7 +153,10 @@
         response = await self._store.list(self._key)
         now = read_clock()
         if isinstance(response, Err):
-            self._availability.record_failure(sent_at)
+            if isinstance(response.err_value, RESPONSE_ERRORS):
+                self._availability.record_response(sent_at, now)
+            else:
+                self._availability.record_failure(sent_at)
             self._record_failure(sent_at, str(response.err_value))
             return False
         self._availability.record_response(sent_at, now)
--- a/libraries/proxy/src/bamboopier_proxy/monitored_store.py
+++ b/libraries/proxy/src/bamboopier_proxy/monitored_store.py
@@ -7,9 +7,11 @@
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_objects.errors import RESPONSE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import Any
 
     from result import Result
 
@@ -34,7 +36,7 @@
         sent_at = read_clock()
         self._availability.record_sent(sent_at)
         response = await self._store.list(prefix)
-        if isinstance(response, Err):
+        if _shows_failure(response):
             self._availability.record_failure(sent_at)
         else:
             self._availability.record_response(sent_at, read_clock())
@@ -58,9 +60,19 @@
         if is_check:
             self._availability.record_sent(sent_at)
         response = await self._store.watch_values(prefix, after, timeout, on_response)
-        if not isinstance(response, Err):
+        if not _shows_failure(response):
             accepted_at = read_clock() if is_check else sent_at
             self._availability.record_response(sent_at, accepted_at)
         elif is_check:
             self._availability.record_failure(sent_at)
         return response
+
+
+def _shows_failure(response: Result[Any, PlatformError]) -> bool:
+    """Return whether the store may not have served the call.
+
+    An unreadable response is one: entries cannot expire while the store serves.
+    """
+    return isinstance(response, Err) and not isinstance(
+        response.err_value, RESPONSE_ERRORS
+    )
--- a/libraries/proxy/tests/test_store_availability.py
+++ b/libraries/proxy/tests/test_store_availability.py
@@ -12,7 +12,12 @@
 from bamboopier_decisions.forwarding.fleet import Fleet
 from bamboopier_decisions.forwarding.specs import TargetEntry
 from bamboopier_decisions.forwarding.version_history import VersionHistory
-from bamboopier_objects.errors import PlatformUnavailableError
+from bamboopier_objects.errors import (
+    MalformedObjectError,
+    PlatformUnavailableError,
+    ResponseTooLargeError,
+    WatchGapError,
+)
 from bamboopier_objects.objects import (
     ChangeBatch,
     ChangedObject,
@@ -255,6 +260,37 @@
         )
         self.assertTrue(availability.is_recovering(103.5))
 
+    async def test_an_unreadable_list_is_no_sign_of_an_outage(self) -> None:
+        """Guards against a target that left and is kept as after an outage."""
+        listing = Ok(Listing(9, ()))
+        for error in (MalformedObjectError("page"), ResponseTooLargeError("page")):
+            with self.subTest(error):
+                availability = StoreAvailability()
+                availability.record_response(100.0, 100.0)
+                inner = mock.AsyncMock(**{"list.side_effect": [Err(error), listing]})
+                store = MonitoredStore(inner, availability)
+                module = "bamboopier_proxy.monitored_store.read_clock"
+                with mock.patch(module, side_effect=[101.0, 101.0, 103.5, 103.5]):
+                    await store.list("t/")
+                    await store.list("t/")
+                self.assertFalse(availability.is_recovering(103.5))
+
+    async def test_a_check_without_the_history_is_no_sign_of_an_outage(self) -> None:
+        """Guards against the same after the store has dropped its history."""
+        availability = StoreAvailability()
+        availability.record_response(100.0, 100.0)
+        gap = Err(WatchGapError("7"))
+        listing = Ok(Listing(9, ()))
+        inner = mock.AsyncMock(
+            **{"watch_values.return_value": gap, "list.return_value": listing}
+        )
+        store = MonitoredStore(inner, availability)
+        module = "bamboopier_proxy.monitored_store.read_clock"
+        with mock.patch(module, side_effect=[101.0, 101.0, 103.5, 103.5]):
+            await store.watch_values("t/", 7, 0.05)
+            await store.list("t/")
+        self.assertFalse(availability.is_recovering(103.5))
+
 
 if __name__ == "__main__":
     unittest.main()
