Report an entry that cannot be read once a minute, and count them all

What operators saw: a line for each bad entry at each list and each write, thousands where thousands are bad, each of them holding up the process; and `page read by objects`, once a read, which named no entry.

Cause: each observer logged what it passed over, each time.

Change: one place for all of them: a line a minute for an entry and for 100 entries at most, with a cut reason, and the gauge bamboopier_store_invalid_entries. `invalid rollout ignored` is now `invalid entry ignored` as for all other kinds.

--- a/libraries/proxy/src/bamboopier_proxy/counted_store.py
+++ b/libraries/proxy/src/bamboopier_proxy/counted_store.py
@@ -13,6 +13,8 @@
 import prometheus_client
 import structlog
 
+from bamboopier_objects.invalid_entries import open_invalid_entries
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -47,6 +49,12 @@
             ["kind", "verb"],
             registry=registry,
         )
+        invalid_entries = prometheus_client.Gauge(
+            "bamboopier_store_invalid_entries",
+            "Entries that could not be read, counted at each read, since the start",
+            registry=registry,
+        )
+        invalid_entries.set_function(lambda: open_invalid_entries().count)
         # Calls since the last log line.
         self._recent: Counter[str] = Counter()
 
--- a/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
@@ -31,6 +31,7 @@
 from bamboopier_decisions.routing.rendezvous import rank
 from bamboopier_objects.decoding import DECODE_ERRORS
 from bamboopier_objects.errors import PlatformError, VersionConflictError
+from bamboopier_objects.invalid_entries import open_invalid_entries
 from bamboopier_objects.objects import ABSENT
 
 from .settings import Endpoint
@@ -85,7 +86,7 @@
         try:
             entries[name] = msgspec.json.decode(found.value, type=GatewayEntry)
         except DECODE_ERRORS as error:
-            log.warning("invalid entry ignored", gateway=name, reason=str(error))
+            open_invalid_entries().report(found.key, str(error))
     return Ok(entries)
 
 
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_objects.invalid_entries import open_invalid_entries
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -123,7 +124,7 @@
         name = key.removeprefix(self._schema.targets_prefix)
         decoded = self._schema.decode_target(name, value)
         if isinstance(decoded, Err):
-            log.warning("invalid entry ignored", target=name, reason=decoded.err_value)
+            open_invalid_entries().report(key, decoded.err_value, target=name)
             return None
         return decoded.ok_value
 
@@ -196,7 +197,7 @@
         """Apply one version that was published at ``since`` at the earliest."""
         decoded = self._schema.decode_weights(value)
         if isinstance(decoded, Err):
-            log.warning("invalid entry ignored", key=key, reason=decoded.err_value)
+            open_invalid_entries().report(key, decoded.err_value)
             return
         published = decoded.ok_value
         if not self._weights.record_published(
--- a/libraries/proxy/src/bamboopier_proxy/publish_times.py
+++ b/libraries/proxy/src/bamboopier_proxy/publish_times.py
@@ -23,6 +23,7 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_objects.decoding import DECODE_ERRORS
 from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.invalid_entries import open_invalid_entries
 from bamboopier_objects.objects import ABSENT
 
 if TYPE_CHECKING:
@@ -193,7 +194,7 @@
             entry = msgspec.json.decode(found.value, type=PublishedAt)
             number = int(version)
         except DECODE_ERRORS as error:
-            log.warning("invalid entry ignored", key=name, reason=str(error))
+            open_invalid_entries().report(found.key, str(error))
             return None
         age = max(0.0, time.time() - entry.seconds) + ENTRY_ERROR_SECONDS
         return _Entry(model, number, age, entry.guessed)
--- a/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
@@ -14,6 +14,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.quarantine.quarantine import QuarantineEntry
+from bamboopier_objects.invalid_entries import open_invalid_entries
 
 from .stored_records import StoredRecords
 
@@ -107,5 +108,5 @@
     try:
         return bytes.fromhex(name)
     except ValueError:
-        log.warning("invalid entry ignored", key=name, reason="not hexadecimal")
+        open_invalid_entries().report(name, "not hexadecimal")
         return None
--- a/libraries/proxy/src/bamboopier_proxy/rollouts/observer.py
+++ b/libraries/proxy/src/bamboopier_proxy/rollouts/observer.py
@@ -7,6 +7,8 @@
 import structlog
 from result import Err
 
+from bamboopier_objects.invalid_entries import open_invalid_entries
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -68,9 +70,8 @@
     ) -> Rollout | None:
         decoded = self._schema.decode_rollout(name, value, status, revision)
         if isinstance(decoded, Err):
-            log.warning(
-                "invalid rollout ignored", service=name, reason=decoded.err_value
-            )
+            key = f"{self._schema.rollouts_prefix}{name}"
+            open_invalid_entries().report(key, decoded.err_value)
             return None
         return decoded.ok_value
 
--- a/libraries/proxy/src/bamboopier_proxy/stored_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/stored_records.py
@@ -15,6 +15,7 @@
 
 from bamboopier_objects.decoding import DECODE_ERRORS
 from bamboopier_objects.errors import VersionConflictError
+from bamboopier_objects.invalid_entries import open_invalid_entries
 from bamboopier_objects.objects import ABSENT
 
 if TYPE_CHECKING:
@@ -100,7 +101,7 @@
             try:
                 entry = msgspec.json.decode(found.value, type=self._entry_type)
             except DECODE_ERRORS as error:
-                log.warning("invalid entry ignored", key=found.key, reason=str(error))
+                open_invalid_entries().report(found.key, str(error))
                 continue
             entries[name] = entry
             self._stored[name] = entry, found.version
