Bound what thousands of entries cost a process

What callers would see: a gateway that stands still for 0.2 to 0.4 s at each read of a list with 10,000 entries beside 730 engines that cannot be read, and that takes 116 MB more if those are of 9 KB: a gateway of 150 MB ends.

Of a page that is walked, short objects are decoded as one.

--- a/libraries/objects/src/bamboopier_objects/invalid_entries.py
+++ b/libraries/objects/src/bamboopier_objects/invalid_entries.py
@@ -35,6 +35,7 @@
         now = time.monotonic()
         if self._is_silent(key, now):
             return
+        self._reported_at.pop(key, None)
         self._reported_at[key] = now
         log.warning(
             "invalid entry ignored",
@@ -47,13 +48,14 @@
     def _is_silent(self, key: str, now: float) -> bool:
         if now - self._reported_at.get(key, -SILENCE_SECONDS) < SILENCE_SECONDS:
             return True
-        if len(self._reported_at) >= MAX_REPORTED:
-            self._reported_at = {
-                known: at
-                for known, at in self._reported_at.items()
-                if now - at < SILENCE_SECONDS
-            }
-        return len(self._reported_at) >= MAX_REPORTED
+        if len(self._reported_at) < MAX_REPORTED:
+            return False
+        # The table is in the order of the times.
+        oldest = next(iter(self._reported_at))
+        if now - self._reported_at[oldest] < SILENCE_SECONDS:
+            return True
+        del self._reported_at[oldest]
+        return False
 
 
 @cache
--- a/libraries/objects/src/bamboopier_objects/json_scanner.py
+++ b/libraries/objects/src/bamboopier_objects/json_scanner.py
@@ -57,11 +57,12 @@
 class JsonScanner:
     """A position in a document that moves from value to value."""
 
-    __slots__ = ("_document", "_end", "_position", "_scanned")
+    __slots__ = ("_document", "_end", "_scanned", "position")
 
     def __init__(self, document: bytes, span: Span | None = None) -> None:
         self._document = document
-        self._position = span.begin if span is not None else 0
+        # Of the next byte; it may be set back to that of an earlier value.
+        self.position = span.begin if span is not None else 0
         self._end = span.end if span is not None else len(document)
         # Bytes since other tasks have run.
         self._scanned = 0
@@ -73,8 +74,8 @@
     def enter(self, bracket: bytes) -> None:
         """Move into the array or object that begins here."""
         if self._peek() != bracket:
-            raise ScanError(f"no {bracket.decode()!r} at byte {self._position}")
-        self._position += 1
+            raise ScanError(f"no {bracket.decode()!r} at byte {self.position}")
+        self.position += 1
 
     async def find_key(self) -> Span | None:
         """Move to the next value of an object and return its key, quotes included.
@@ -84,11 +85,11 @@
         if not self._find_next(b"}"):
             return None
         if self._peek() != b'"':
-            raise ScanError(f"no key at byte {self._position}")
+            raise ScanError(f"no key at byte {self.position}")
         key = await self.skip_value()
         if self._peek() != b":":
-            raise ScanError(f"no value at byte {self._position}")
-        self._position += 1
+            raise ScanError(f"no value at byte {self.position}")
+        self.position += 1
         return key
 
     def find_element(self) -> bool:
@@ -98,40 +99,52 @@
     async def skip_value(self) -> Span:
         """Move behind the value that begins here and return its place."""
         first = self._peek()
-        begin = self._position
+        begin = self.position
         if first == b'"':
             await self._skip_string()
         elif first in (b"{", b"["):
             await self._skip_container()
         else:
             await self._skip_scalar()
-        await self._pause(self._position - begin)
-        return Span(begin, self._position)
+        await self._pause(self.position - begin)
+        return Span(begin, self.position)
+
+    async def skip_short_value(self, max_bytes: int) -> Span | None:
+        """Move behind the value that begins here if that is near; else stay."""
+        end = min(self.position + max_bytes, self._end)
+        scanner = JsonScanner(self._document, Span(self.position, end))
+        try:
+            span = await scanner.skip_value()
+        except ScanError:
+            return None
+        self.position = span.end
+        await self._pause(len(span))
+        return span
 
     def _find_next(self, end: bytes) -> bool:
         """Move behind a comma to what follows; False if ``end`` does."""
         found = self._peek()
         if found == b",":
-            self._position += 1
+            self.position += 1
             found = self._peek()
         if found == end:
-            self._position += 1
+            self.position += 1
             return False
         return True
 
     def _peek(self) -> bytes:
         """Move behind white space and return the byte there; empty at the end."""
-        space = _SPACE.match(self._document, self._position, self._end)
+        space = _SPACE.match(self._document, self.position, self._end)
         if space is not None:
-            self._position = space.end()
-        return self._document[self._position : min(self._position + 1, self._end)]
+            self.position = space.end()
+        return self._document[self.position : min(self.position + 1, self._end)]
 
     async def _skip_string(self) -> None:
-        self._position += 1
+        self.position += 1
         for begin, text in self._slice():
             quote = text.find(b'"')
             if quote >= 0:
-                self._position = begin + quote + 1
+                self.position = begin + quote + 1
                 return
             await self._pause(len(text))
         raise ScanError("a string does not end")
@@ -146,7 +159,7 @@
             closing = brackets.count(b"]") + brackets.count(b"}")
             if depth <= closing and -depth in accumulate(steps):
                 end = _find_end(parts, depth, in_string=in_string)
-                self._position = begin + end
+                self.position = begin + end
                 return
             _check_outside(outside)
             depth += len(brackets) - 2 * closing
@@ -155,15 +168,15 @@
         raise ScanError("an array or object does not end")
 
     async def _skip_scalar(self) -> None:
-        begin = self._position
+        begin = self.position
         while True:
-            limit = min(self._position + SLICE_BYTES, self._end)
-            end = _SCALAR_END.search(self._document, self._position, limit)
-            self._position = end.start() if end is not None else limit
+            limit = min(self.position + SLICE_BYTES, self._end)
+            end = _SCALAR_END.search(self._document, self.position, limit)
+            self.position = end.start() if end is not None else limit
             if end is not None or limit == self._end:
                 break
             await self._pause(SLICE_BYTES)
-        if self._position == begin:
+        if self.position == begin:
             raise ScanError(f"no value at byte {begin}")
 
     def _slice(self) -> Iterator[tuple[int, bytes]]:
@@ -173,7 +186,7 @@
         begins within an escape, so that each quote in it begins or ends a string. None
         begins within a word either.
         """
-        begin, size = self._position, FIRST_SLICE_BYTES
+        begin, size = self.position, FIRST_SLICE_BYTES
         while begin < self._end:
             end = min(begin + size, self._end)
             longest = min(end + _MAX_WORD_BYTES, self._end)
@@ -199,15 +212,15 @@
 
     ``parts`` are those between quotes, in strings and outside in turn.
     """
-    offset = 0
+    offset, outside = 0, bytearray()
     for part in parts:
         if not in_string:
             for bracket in _BRACKET.finditer(part):
                 depth += _DEPTH_STEPS[bracket[0][0]]
                 if depth == 0:
-                    _check_outside(part[: bracket.start()])
+                    _check_outside(bytes(outside) + part[: bracket.start()])
                     return offset + bracket.end()
-            _check_outside(part)
+            outside += part
         in_string = not in_string
         offset += len(part) + 1
     raise ScanError("an array or object does not end")
--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -47,6 +47,8 @@
         self._availability = availability
         self._history = history
         self._wake = wake
+        # Versions of the entries that name no target, by key.
+        self._invalid: dict[str, int] = {}
 
     def apply_listing(
         self, listing: Listing, outage_seconds: float, known_until: float
@@ -59,8 +61,12 @@
         now = read_clock()
         recovering = self._availability.is_recovering(now)
         entries = []
+        known, self._invalid = self._invalid, {}
         for found in listing.objects:
-            entry = self._decode(found.key, found.value)
+            if known.get(found.key) == found.version:
+                self._invalid[found.key] = found.version
+                continue
+            entry = self._decode(found.key, found.version, found.value)
             if entry is not None:
                 entries.append(entry)
         listed_before = set(self._fleet.names)
@@ -82,6 +88,7 @@
         """Apply an entry that was changed or deleted."""
         now = read_clock()
         name = change.key.removeprefix(self._schema.targets_prefix)
+        self._invalid.pop(change.key, None)
         if change.value is None:
             recovering = self._availability.is_recovering(now)
             self._fleet.remove(now, name, self._availability.find_recovery(now))
@@ -94,7 +101,7 @@
             )
             self._wake()
             return
-        entry = self._decode(change.key, change.value)
+        entry = self._decode(change.key, change.version, change.value)
         if entry is None:
             # Whoever wrote the entry, it describes no target that can be used.
             self._fleet.remove(now, name)
@@ -120,10 +127,11 @@
             "store_accepted_age": round(now - self._availability.last_accepted_at, 3),
         }
 
-    def _decode(self, key: str, value: bytes) -> TargetEntry | None:
+    def _decode(self, key: str, version: int, value: bytes) -> TargetEntry | None:
         name = key.removeprefix(self._schema.targets_prefix)
         decoded = self._schema.decode_target(name, value)
         if isinstance(decoded, Err):
+            self._invalid[key] = version
             open_invalid_entries().report(key, decoded.err_value, target=name)
             return None
         return decoded.ok_value
