Install the build tools of a package without a wheel before it

What a newcomer saw: make demo and make test stopped at installing on arm64, with an empty package cache: hdrhistogram has no wheel there, and its build needs setuptools and pbr, which --no-build-isolation leaves to the environment.

Change: both are installed first, by their pinned versions. Not tried on x86-64, where the wheel is taken.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 LIBRARIES := protocol configuration daemon decisions objects gateway agent proxy replay cli standins
+# What building needs: the libraries here, and hdrhistogram where it has no wheel.
+BUILD_TOOLS := poetry-core setuptools pbr
 empty :=
 space := $(empty) $(empty)
 # The sources of this very checkout go first, so a second worktree may share a VENV.
@@ -55,7 +57,7 @@
 ifeq ($(origin VENV),file)
 $(VENV)/ready: constraints.txt $(wildcard libraries/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
-	$(PYTHON) -m pip install --quiet --constraint constraints.txt poetry-core
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt $(BUILD_TOOLS)
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
 		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library)) --editable platform
 	touch $@
