Take an entry with an address or a number that cannot be for no entry

One with more slots than a float holds failed every request of its service with 500, for as long as it stood there.

Cause: types were checked, values were not. A gateway asks the agent beside each engine by datagram; the socket raises an error of another class for what is no address, and that ended its task and the process. JSON has numbers of any size, and those beyond a float's raise errors where they are divided.

--- a/libraries/decisions/src/bamboopier_decisions/membership/lease.py
+++ b/libraries/decisions/src/bamboopier_decisions/membership/lease.py
@@ -14,10 +14,16 @@
 
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from typing import Annotated
+
+import msgspec
 
 # Clock rates may differ by this share between machines; a holder ends its lease that
 # much earlier.
 CLOCK_RATE_ERROR = 0.01
+# A record with a longer lease is no record: whoever wrote it could keep all others out.
+MAX_LEASE_SECONDS = 3600.0
+Counted = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,11 +33,11 @@
     holder: str
     # Address on which the holder's process listens; only one process at a time can.
     place: str
-    fence: int
+    fence: Counted
     # Seconds from a write until others may take over.
-    duration: float
+    duration: Annotated[float, msgspec.Meta(ge=0, le=MAX_LEASE_SECONDS)]
     # Number of the holder's write; shows which of several has taken effect.
-    serial: int
+    serial: Counted
     released: bool = False
 
 
--- a/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_registry.py
@@ -29,12 +29,12 @@
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.routing.hash_ring import HashRing, compute_points
 from bamboopier_decisions.routing.rendezvous import rank
-from bamboopier_objects.decoding import DECODE_ERRORS
+from bamboopier_objects.decoding import DECODE_ERRORS, BoundedInt
 from bamboopier_objects.errors import PlatformError, VersionConflictError
 from bamboopier_objects.invalid_entries import open_invalid_entries
 from bamboopier_objects.objects import ABSENT
 
-from .settings import Endpoint
+from .settings import Endpoint, is_endpoint
 
 if TYPE_CHECKING:
     import random
@@ -62,7 +62,12 @@
     host: str
     port: int
     # Start time of the gateway in milliseconds since 1970.
-    born: int
+    born: BoundedInt
+
+    def __post_init__(self) -> None:
+        """Reject what no datagram can be sent to."""
+        if not is_endpoint(self.host, self.port):
+            raise ValueError(f"no IP and port: {self.host[:40]!r}, {self.port}")
 
     @property
     def endpoint(self) -> Endpoint:
--- a/libraries/proxy/src/bamboopier_proxy/hint_socket.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_socket.py
@@ -47,8 +47,13 @@
 
     def send(self, hint: Hint, to: Endpoint) -> None:
         """Send a hint without waiting for its delivery."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
             self._transport.sendto(encode(hint), (to.host, to.port))
+        except (OSError, ValueError) as error:
+            # It is lost, as others are on their way: the sender has to live with that.
+            log.debug("hint not sent", to=str(to)[:80], reason=str(error)[:80])
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
--- a/libraries/proxy/src/bamboopier_proxy/limit_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/limit_records.py
@@ -17,6 +17,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.rate_limit import NEVER, LimitUpdate
+from bamboopier_objects.decoding import BoundedFloat, BoundedInt
 
 from .limit_updates import apply_limit_update
 from .stored_records import CHECK_SECONDS, StoredRecords
@@ -37,9 +38,9 @@
     """Rate limit of one instance of a target."""
 
     # Start time of the target in milliseconds since 1970.
-    born: int
+    born: BoundedInt
     # Requests a second from all gateways together.
-    per_second: float
+    per_second: BoundedFloat
 
 
 class LimitRecords:
--- a/libraries/proxy/src/bamboopier_proxy/publish_times.py
+++ b/libraries/proxy/src/bamboopier_proxy/publish_times.py
@@ -21,7 +21,7 @@
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
-from bamboopier_objects.decoding import DECODE_ERRORS
+from bamboopier_objects.decoding import DECODE_ERRORS, BoundedFloat
 from bamboopier_objects.errors import VersionConflictError
 from bamboopier_objects.invalid_entries import open_invalid_entries
 from bamboopier_objects.objects import ABSENT
@@ -67,7 +67,7 @@
 class PublishedAt(msgspec.Struct):
     """Earliest time at which a version was published, in seconds since 1970."""
 
-    seconds: float
+    seconds: BoundedFloat
     # Whether the writer only guessed; the time may be wrong by any amount.
     guessed: bool = False
 
--- a/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/quarantine_records.py
@@ -14,6 +14,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.quarantine.quarantine import QuarantineEntry
+from bamboopier_objects.decoding import BoundedInt
 from bamboopier_objects.invalid_entries import open_invalid_entries
 
 from .stored_records import StoredRecords
@@ -32,7 +33,7 @@
     """What is refused; its name is the fingerprint in hexadecimal."""
 
     # Milliseconds since 1970.
-    until: int
+    until: BoundedInt
 
 
 class Refusals(Protocol):
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import msgspec
 
 from bamboopier_decisions.forwarding.shared_retry_budget import RetryBudgetLimits
@@ -12,6 +14,8 @@
 # Longest duration of a watch as a share of the history that the store keeps.
 WATCH_SHARE = 0.75
 
+MAX_PORT = 65535
+
 
 class Endpoint(msgspec.Struct, frozen=True):
     """An IP address and a TCP or UDP port."""
@@ -23,6 +27,18 @@
         return f"{self.host}:{self.port}"
 
 
+def is_endpoint(host: str, port: int) -> bool:
+    """Return whether these are an IPv4 address and a port.
+
+    Sockets of this system are of that family; a name would have to be looked up.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return 0 < port <= MAX_PORT
+
+
 class ProxySettings(msgspec.Struct, frozen=True):
     """Settings of one process. Times are in seconds."""
 
--- a/libraries/proxy/src/bamboopier_proxy/version_records.py
+++ b/libraries/proxy/src/bamboopier_proxy/version_records.py
@@ -15,6 +15,7 @@
 
 from bamboopier_daemon.clock import read_clock
 from bamboopier_decisions.forwarding.version_history import ServiceVersions
+from bamboopier_objects.decoding import BoundedInt
 
 from .stored_records import StoredRecords
 
@@ -31,10 +32,10 @@
     """Software versions of one service; times are in milliseconds since 1970."""
 
     # Since when no change was missed.
-    complete_since: int
+    complete_since: BoundedInt
     listed: list[str]
     # When versions that are not listed any more were last listed.
-    former: dict[str, int] = {}
+    former: dict[str, BoundedInt] = {}
 
 
 class VersionRecords:
