Take new weights only from the entry of their model

What callers saw: 503 for every request of a model, beside an entry of another writer that is stored under another name, names that model and a version of its own.

Cause: any entry below the weights' prefix published what it said.

--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -203,7 +203,8 @@
 
     def _apply(self, key: str, value: bytes, since: float, guessed: bool) -> None:
         """Apply one version that was published at ``since`` at the earliest."""
-        decoded = self._schema.decode_weights(value)
+        name = key.removeprefix(self._schema.weights_prefix)
+        decoded = self._schema.decode_weights(name, value)
         if isinstance(decoded, Err):
             open_invalid_entries().report(key, decoded.err_value)
             return
--- a/libraries/proxy/src/bamboopier_proxy/store_schema.py
+++ b/libraries/proxy/src/bamboopier_proxy/store_schema.py
@@ -79,7 +79,7 @@
         """Return a target's entry, or why the target cannot be used."""
         ...
 
-    def decode_weights(self, value: bytes) -> Result[PublishedWeights, str]:
+    def decode_weights(self, name: str, value: bytes) -> Result[PublishedWeights, str]:
         """Return a published weight version, or why it is invalid."""
         ...
 
--- a/libraries/proxy/tests/test_publish_times.py
+++ b/libraries/proxy/tests/test_publish_times.py
@@ -144,8 +144,8 @@
         module = "bamboopier_proxy.observers"
         self.enterContext(mock.patch(f"{module}.read_clock", return_value=NOW))
         self.enterContext(mock.patch(f"{module}.log"))
-        schema = mock.Mock()
-        schema.decode_weights.side_effect = lambda value: Ok(
+        schema = mock.Mock(weights_prefix="v/")
+        schema.decode_weights.side_effect = lambda _, value: Ok(
             PublishedWeights("m", int(value))
         )
         observer = WeightsObserver(
@@ -255,8 +255,8 @@
     ) -> list[WeightVersions]:
         """Let gateways receive version 2 in a list, after an outage for all."""
         received, written = [], []
-        schema = mock.Mock()
-        schema.decode_weights.side_effect = lambda value: Ok(
+        schema = mock.Mock(weights_prefix="v/")
+        schema.decode_weights.side_effect = lambda _, value: Ok(
             PublishedWeights("m", int(value))
         )
         for pauses in gateways:
--- a/libraries/proxy/tests/test_weights_observer.py
+++ b/libraries/proxy/tests/test_weights_observer.py
@@ -43,8 +43,8 @@
             mock.patch(f"{module}.read_clock", side_effect=lambda: self.now)
         )
         self.log = self.enterContext(mock.patch(f"{module}.log"))
-        schema = mock.Mock()
-        schema.decode_weights.side_effect = lambda value: Ok(
+        schema = mock.Mock(weights_prefix="v/")
+        schema.decode_weights.side_effect = lambda _, value: Ok(
             PublishedWeights("m", int(value))
         )
         self.pauses = PauseTracker(self.now)
@@ -104,8 +104,8 @@
         )
         self.enterContext(mock.patch(f"{module}.log"))
         self.enterContext(mock.patch("bamboopier_objects.object_follower.log"))
-        schema = mock.Mock()
-        schema.decode_weights.side_effect = lambda value: Ok(
+        schema = mock.Mock(weights_prefix="v/")
+        schema.decode_weights.side_effect = lambda _, value: Ok(
             PublishedWeights("m", int(value))
         )
         self.pauses = PauseTracker(self.now)
