--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -34,6 +34,7 @@
     stalled_targets,
     store_calls,
     target_reports,
+    unreadable_entries,
     weight_loads,
 )
 
@@ -63,6 +64,7 @@
     *rollouts.MUTATIONS,
     *store_calls.MUTATIONS,
     *software_versions.MUTATIONS,
+    *unreadable_entries.MUTATIONS,
 )
 
 
