Read an entry again that a crowded list left out

What callers would see: 503 or slower answers, as if a sound engine were absent, from a list of over 32 MB on until its entry changes. Read from the code; unit test.

Cause: a list of over 32 MB keeps no value above 4 KB. The observer of targets remembered the version of such an entry as one that names no target, so it was not decoded from later, smaller lists either.

Change: an entry without a value is not remembered. Its cost is bounded without that: nothing is there to decode, and reports come once a minute for an entry. Test: test_an_entry_whose_value_was_left_out_is_decoded_again (0 of 2 decoded before).

--- a/libraries/proxy/src/bamboopier_proxy/observers.py
+++ b/libraries/proxy/src/bamboopier_proxy/observers.py
@@ -131,7 +131,9 @@
         name = key.removeprefix(self._schema.targets_prefix)
         decoded = self._schema.decode_target(name, value)
         if isinstance(decoded, Err):
-            self._invalid[key] = version
+            if value:
+                # Without its value, the next read of the list may contain it.
+                self._invalid[key] = version
             open_invalid_entries().report(key, decoded.err_value, target=name)
             return None
         return decoded.ok_value
--- a/libraries/proxy/tests/test_target_observer.py
+++ b/libraries/proxy/tests/test_target_observer.py
@@ -22,11 +22,11 @@
             self.schema, Fleet(), StoreAvailability(), VersionHistory(), mock.Mock()
         )
 
-    def list_entries(self, *versions: int) -> int:
+    def list_entries(self, *versions: int, value: bytes = b"x") -> int:
         """Apply a list of entries of these versions; return how many are decoded."""
         before = self.schema.decode_target.call_count
         objects = (
-            StoredObject(f"t/i-{number}", version, b"x")
+            StoredObject(f"t/i-{number}", version, value)
             for number, version in enumerate(versions)
         )
         self.observer.apply_listing(Listing(9, tuple(objects)), 0.0, 0.0)
@@ -48,6 +48,11 @@
         self.assertEqual(self.list_entries(3), 1)
         self.assertEqual(self.list_entries(4), 1)
 
+    def test_an_entry_whose_value_was_left_out_is_decoded_again(self) -> None:
+        """Guards against a sound target that is not used after a crowded list."""
+        self.assertEqual(self.list_entries(3, 4, value=b""), 2)
+        self.assertEqual(self.list_entries(3, 4), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
