--- a/libraries/proxy/tests/test_store_availability.py
+++ b/libraries/proxy/tests/test_store_availability.py
@@ -155,6 +155,40 @@
         availability.record_response(101.5, 101.5)
         self.assertTrue(availability.is_recovering(101.5))
 
+    def test_an_outage_is_detected_by_a_call_that_fails_after_it(self) -> None:
+        """Guards against entries removed after an outage in which a list was lost."""
+        availability = StoreAvailability()
+        availability.record_response(100.0, 100.0)
+        availability.record_sent(101.0)
+        for sent_at in (101.3, 101.6, 102.0, 102.4):
+            availability.record_response(sent_at, sent_at)
+        self.assertFalse(availability.is_recovering(101.5))
+        availability.record_failure(101.0)
+        availability.record_response(102.5, 102.5)
+        self.assertTrue(availability.is_recovering(102.5))
+        self.assertFalse(availability.is_recovering(103.6))
+
+    def test_a_call_accepted_from_another_process_is_no_outage(self) -> None:
+        """Guards against a connection that was silent and passes for an outage."""
+        availability = StoreAvailability()
+        availability.record_response(100.0, 100.0)
+        availability.record_sent(101.0)
+        availability.record_response(101.3, 101.3)
+        # What another process reports at 101.9.
+        availability.record_response(100.7, 100.7)
+        availability.record_failure(101.0)
+        availability.record_response(102.5, 102.5)
+        self.assertFalse(availability.is_recovering(102.5))
+
+    def test_a_call_lost_long_after_a_gap_is_no_outage(self) -> None:
+        """Guards against gaps that are kept: two calls a second apart are usual."""
+        availability = StoreAvailability()
+        for sent_at in (100.0, 101.1, 102.0, 102.4):
+            availability.record_response(sent_at, sent_at)
+        availability.record_failure(102.2)
+        availability.record_response(102.6, 102.6)
+        self.assertFalse(availability.is_recovering(102.6))
+
     def test_a_read_pending_during_an_outage_reveals_it(self) -> None:
         availability = StoreAvailability()
         availability.record_response(100.0, 100.0)
@@ -275,6 +309,33 @@
                     await store.list("t/")
                 self.assertFalse(availability.is_recovering(103.5))
 
+    async def test_checks_without_the_history_do_not_hide_an_outage(self) -> None:
+        """Guards against targets that get no requests after a short outage.
+
+        Their entries expired, and the store dropped its history. The checks after its
+        recovery are answered with that, until the list lost in the outage has failed.
+        """
+        availability = StoreAvailability()
+        availability.record_response(100.0, 100.0)
+        availability.record_sent(101.0)
+        gap = Err(WatchGapError("7"))
+        inner = mock.AsyncMock(
+            **{
+                "watch_values.return_value": gap,
+                "list.return_value": Ok(Listing(9, ())),
+            }
+        )
+        store = MonitoredStore(inner, availability)
+        module = "bamboopier_proxy.monitored_store.read_clock"
+        times = (101.3, 101.3, 101.6, 101.6, 102.0, 102.0, 102.4, 102.4)
+        with mock.patch(module, side_effect=times):
+            for _ in range(4):
+                await store.watch_values("t/", 7, 0.05)
+        availability.record_failure(101.0)
+        with mock.patch(module, side_effect=(102.5, 102.5)):
+            await store.list("t/")
+        self.assertTrue(availability.is_recovering(102.5))
+
     async def test_a_check_without_the_history_is_no_sign_of_an_outage(self) -> None:
         """Guards against the same after the store has dropped its history."""
         availability = StoreAvailability()
