--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export UV_USE_IO_URING := 0
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: reference demo demo-platform demo-stay test check format types protocol mutations bench bench-load capacity bench-context
+.PHONY: reference demo demo-platform demo-stay test check wheels format types protocol mutations bench bench-load capacity bench-context
 
 demo: $(VENV)/ready
 	$(PYTHON) tools/demo.py
@@ -32,6 +32,10 @@
 	$(PYTHON) tools/reference.py --check
 	$(VENV)/bin/mypy $(SOURCES) tools
 
+# Asks the package index; installs nothing.
+wheels: $(VENV)/ready
+	$(PYTHON) tools/wheels.py
+
 format: $(VENV)/ready
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
@@ -55,12 +59,10 @@
 
 # A VENV given on the command line is used as it is: it may be another worktree's.
 ifeq ($(origin VENV),file)
-$(VENV)/ready: constraints.txt $(wildcard libraries/*/pyproject.toml) platform/pyproject.toml
-	python3 -m venv $(VENV)
-	$(PYTHON) -m pip install --quiet --constraint constraints.txt $(BUILD_TOOLS)
-	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
-		--requirement requirements-dev.txt $(foreach library,$(LIBRARIES),--editable libraries/$(library)) --editable platform
-	touch $@
+$(VENV)/ready: constraints.txt requirements-dev.txt $(wildcard libraries/*/pyproject.toml) platform/pyproject.toml
+	@python3 tools/set_up.py $(VENV) "$(BUILD_TOOLS)" --requirement requirements-dev.txt \
+		$(foreach library,$(LIBRARIES),--editable libraries/$(library)) --editable platform
+	@touch $@
 endif
 
 # Slopes for docs/CAPACITY.md; takes some minutes, writes docs/capacity.json.
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,6 +18,7 @@
 from typing import TYPE_CHECKING
 
 import fire
+from progress import show_progress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -145,7 +146,14 @@
 def main(pattern: str = "test_*.py", only: str = "") -> None:
     """Run the suites whose names start with ``only``, by default all."""
     suites = [s for s in find_suites(pattern) if s.name.startswith(only)]
-    results = run_suites(suites, run_suite)
+    with show_progress(len(suites), "suite") as record:
+
+        def run(suite: Suite) -> SuiteResult:
+            result = run_suite(suite)
+            record(suite.name)
+            return result
+
+        results = run_suites(suites, run)
     red = read_known_red()
     known = red.tests
     failed = {test for result in results for test in result.failed}
