Pass header values on byte for byte

What callers saw: a request with a header value beyond Latin-1, such as a name in a User-Agent, got 500 with `ran` unknown though it never ran; one in UTF-8 within Latin-1 reached the engine as other bytes, and an engine's own came back encoded twice.

Cause: aiohttp reads the bytes of a value as UTF-8 with lone surrogates for all others; heads to engines were written as Latin-1, and those of engines read as Latin-1 and written by aiohttp as UTF-8.

Evidence: 15 values by hand at a real gateway: 500 for four kinds, changed bytes for seven. Ruled out: control characters (400 before and after).

Change: one encoding both ways. Event ids of streams alike.

--- a/libraries/proxy/src/bamboopier_proxy/delivery.py
+++ b/libraries/proxy/src/bamboopier_proxy/delivery.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from bamboopier_daemon.headers import drop_hop_headers
+from bamboopier_daemon.headers import drop_hop_headers, make_text
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -98,7 +98,7 @@
 
     async def _start(self, response: web.StreamResponse, headers: HeaderList) -> None:
         for name, value in drop_hop_headers(headers):
-            response.headers.add(name, value)
+            response.headers.add(name, make_text(value))
         if self.close_connection or self._is_stopping():
             response.force_close()
         self._response = response
--- a/libraries/proxy/src/bamboopier_proxy/event_splitter.py
+++ b/libraries/proxy/src/bamboopier_proxy/event_splitter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bamboopier_daemon.headers import decode_header
+
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 # Maximum bytes of one event. Guards against a target that sends one without end, which
@@ -59,4 +61,4 @@
             line = complete_events[
                 start + len(ID_FIELD) : complete_events.find(b"\n", start)
             ]
-            self.last_event = line.strip().decode("latin-1")
+            self.last_event = decode_header(line.strip())
--- a/libraries/proxy/src/bamboopier_proxy/exchange.py
+++ b/libraries/proxy/src/bamboopier_proxy/exchange.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from bamboopier_daemon.clock import read_clock
+from bamboopier_daemon.headers import encode_header
 from bamboopier_decisions.quarantine.crashing_parts import SURVIVAL_SECONDS
 from bamboopier_decisions.routing.messages import ExecutionStatus
 
@@ -308,4 +309,4 @@
         ]
         if call.body or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             lines.append(f"Content-Length: {len(call.body)}")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        return encode_header("\r\n".join(lines) + "\r\n\r\n")
--- a/libraries/proxy/src/bamboopier_proxy/target_connection.py
+++ b/libraries/proxy/src/bamboopier_proxy/target_connection.py
@@ -17,6 +17,8 @@
 
 import httptools
 
+from bamboopier_daemon.headers import decode_header
+
 from .response_limits import ResponseMeter
 from .target_response import BrokenResponseError, TargetResponse
 
@@ -187,7 +189,7 @@
         """Add a header; those that follow the body are dropped."""
         if not self._meter.count_header(len(name) + len(value)):
             return
-        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        self._headers.append((decode_header(name), decode_header(value)))
 
     def on_headers_complete(self) -> None:
         """Publish the response, or skip it if it belongs to another request."""
