--- a/libraries/proxy/tests/test_store_availability.py
+++ b/libraries/proxy/tests/test_store_availability.py
@@ -189,6 +189,16 @@
         availability.record_response(102.6, 102.6)
         self.assertFalse(availability.is_recovering(102.6))
 
+    def test_gaps_are_kept_for_as_long_as_a_call_takes(self) -> None:
+        """Guards against a list of gaps that grows for as long as a process runs."""
+        availability = StoreAvailability()
+        for number in range(1000):
+            sent_at = 100.0 + 1.1 * number
+            availability.record_response(sent_at, sent_at)
+        started_at = 100.0
+        availability.record_failure(started_at + 0.5)
+        self.assertFalse(availability.is_recovering(started_at + 1.2))
+
     def test_a_read_pending_during_an_outage_reveals_it(self) -> None:
         availability = StoreAvailability()
         availability.record_response(100.0, 100.0)
--- a/tools/safeguards/stalled_targets.py
+++ b/tools/safeguards/stalled_targets.py
@@ -15,6 +15,7 @@
 STALL_MONITOR = f"{PROXY}/stall_monitor.py"
 ATTEMPT_TESTS = "tests.forwarding.test_stalled_attempt.StalledAttemptTests"
 MONITOR_TESTS = "tests.test_stall_monitor.StallMonitorTests"
+MOVE_TESTS = "tests.test_stalled_engines.StalledEngineTests"
 
 MUTATIONS = (
     Mutation(
@@ -138,4 +139,20 @@
         "libraries/decisions",
         f"{TESTS}.StallTests.test_a_stall_is_not_forgotten_when_its_last_response_ends",
     ),
+    Mutation(
+        "a request that was moved may have run",
+        f"{PROXY}/exchange.py",
+        "AttemptResult(ExecutionStatus.UNKNOWN, aborted_for)",
+        "AttemptResult(ExecutionStatus.NOT_EXECUTED, aborted_for)",
+        "platform",
+        f"{MOVE_TESTS}.test_a_moved_request_that_is_refused_elsewhere_may_have_run",
+    ),
+    Mutation(
+        "a request that may run once is not sent again",
+        f"{PROXY}/forwarder.py",
+        "            case RetrySafety.ONCE:\n                return False\n",
+        "            case RetrySafety.ONCE:\n                return True\n",
+        "platform",
+        f"{MOVE_TESTS}.test_a_request_that_may_run_once_is_never_moved",
+    ),
 )
--- a/tools/safeguards/store_calls.py
+++ b/tools/safeguards/store_calls.py
@@ -10,6 +10,8 @@
 _SCHEDULE_TESTS = "tests.forwarding.test_confirmation_schedule.ManyGatewaysTests"
 _REPORTS = _DECISIONS + "rollouts/report_schedule.py"
 _REPORT_TESTS = "tests.rollouts.test_report_schedule.ReportScheduleTests"
+_AVAILABILITY = _PROXY + "store_availability.py"
+_AVAILABILITY_TESTS = "tests.test_store_availability.StoreAvailabilityTests"
 _WEIGHTS_TESTS = "tests.test_weights_confirmation.WeightsConfirmationTests"
 
 MUTATIONS = (
@@ -149,4 +151,36 @@
         "tests.contention.test_overload.ManyGatewaysTests"
         ".test_many_gateways_spread_what_is_carried",
     ),
+    Mutation(
+        "an outage is found by a call that fails after it",
+        _AVAILABILITY,
+        "        self._gaps = [p for p in parts if p.seconds >= MIN_OUTAGE_SECONDS]\n",
+        "        self._gaps = []\n",
+        "libraries/proxy",
+        f"{_AVAILABILITY_TESTS}.test_an_outage_is_detected_by_a_call_that_fails_after_it",
+    ),
+    Mutation(
+        "a call accepted from another process divides a gap",
+        _AVAILABILITY,
+        "[part for gap in gaps for part in gap.divide(sent_at, accepted_at)]",
+        "gaps",
+        "libraries/proxy",
+        f"{_AVAILABILITY_TESTS}.test_a_call_accepted_from_another_process_is_no_outage",
+    ),
+    Mutation(
+        "a failed call says nothing of the time after an accepted one",
+        _AVAILABILITY,
+        "        if sent_at < self.last_accepted_at:\n",
+        "        if sent_at < self._resumed_at:\n",
+        "libraries/proxy",
+        f"{_AVAILABILITY_TESTS}.test_a_call_accepted_from_another_process_is_no_outage",
+    ),
+    Mutation(
+        "a gap is short-lived",
+        _AVAILABILITY,
+        "if accepted_at - g.ended_at < MAX_CALL_SECONDS]\n",
+        "if g]\n",
+        "libraries/proxy",
+        f"{_AVAILABILITY_TESTS}.test_gaps_are_kept_for_as_long_as_a_call_takes",
+    ),
 )
