Pass on a target's header that is no text in the product's own way

What callers saw: "unknown" for a request whose target answers with a header that is no UTF-8: an agent cannot put it into a Protocol Buffers message. Shown by the unit test; no run of the whole way.

Change: such a value is taken for Latin-1. Test: test_a_targets_header_that_is_no_text_is_passed_on_as_text; failed before (ValueError).

--- a/libraries/agent/src/bamboopier_agent/event_builder.py
+++ b/libraries/agent/src/bamboopier_agent/event_builder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bamboopier_daemon.headers import make_text
 from bamboopier_protocol import agent_pb2 as pb
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
         """Return the first event of a response."""
         head = pb.ResponseHead(
             status=status,
-            headers=[pb.Header(name=name, value=value) for name, value in headers],
+            headers=[pb.Header(name=n, value=make_text(v)) for n, v in headers],
             weight_version=weight_version,
             replayed=replayed,
         )
