Serve on beside a caller's connection that was closed before it began

What callers saw: nothing at first; a gateway whose caller reset its connection while the process was stopped logs "Exception in callback" (seen by the review once), and its count of open connections is one too low from then on, so it takes one more than its limit.

Cause: setting the options of a closed socket raises EBADF in connection_made, before the connection is counted; its loss takes it off all the same. Read from the code.

Test: test_a_connection_that_was_closed_at_once_raises_nothing, with a closed socket; failed before (OSError 9). A reset in a stopped process was not played again.

--- a/libraries/gateway/src/bamboopier_gateway/connection.py
+++ b/libraries/gateway/src/bamboopier_gateway/connection.py
@@ -243,5 +243,10 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * _MILLISECONDS)),
     )
-    for level, name, value in options:
-        connection.setsockopt(level, name, value)
+    try:
+        for level, name, value in options:
+            connection.setsockopt(level, name, value)
+    except OSError as error:
+        # The caller has closed it already, which the connection's loss tells later. An
+        # exception here would skip its start, but not its end, and be counted wrongly.
+        log.info("connection closed", reason=error.strerror)
