--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -28,9 +28,11 @@
 SUITE_TIMEOUT_SECONDS = 900
 # Each system test starts about ten processes of its own.
 WORKERS = 5
-# Suites that measure how much real processes carry a second: others beside them take
-# the processor time that they measure.
-ALONE = frozenset({"platform.contention"})
+# Suites that measure how much real processes carry a second, or fill processes with
+# crowds of clients: others beside them would take the processor time of both.
+ALONE = frozenset(
+    {"platform.client_crowds", "platform.contention", "system.client_crowds"}
+)
 # Captures the test's name only; its class and module follow in brackets.
 _FAILED = re.compile(r"^(?:FAIL|ERROR): (\S+) \([\w.]+\)", re.MULTILINE)
 _RAN = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
