Decide which connections give way when a process is full

Callers who came while a crowd held all places of a gateway were refused for as long as the crowd stayed.

--- /dev/null
+++ b/libraries/decisions/src/bamboopier_decisions/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which clients' connections give way when a process is full."""
