Bound what the clients of every listener hold and cost

Causes, all seen in those tests or read in the parser's source: the server's parser got bytes as they came, so each read of an invalid second request was queued with its bytes; pipelined requests and what follows an upgrade were held without a count; each chunk, however small, cost several calls; heads were counted by nothing; the kernel received up to megabytes a connection; the number of connections took no account of descriptors or memory, and the addresses for readiness, metrics and peers had no limits at all; handshakes were not counted; an idle connection kept its last response; the parser allowed 100 fields, which a head of 16 KB exceeds (400 for a sound client).

All connections of a listener share a table of places, bytes of requests and of unread responses, and turns of the event loop; beyond each, those that bring least are closed first. All listeners use it. TLS handshakes have places. Refusals: 431, 413, 400 for good, 503 for what has not run; a counter and a bounded line say why.

Tried, and left: TLS by start_tls (bytes that arrive before it are lost); cancelling a handshake (ended the process once, SIGSEGV in uvloop); gRPC's limit of connections (ended the agent twice, SIGABRT).

The watch forgets the peak of earlier crowds, since the tests of a class share a process.

Limits by default of the product's own gateway are lower, as their sum did not fit any machine of the design: 1,000 connections (10,000), 16 MB of bodies (256). bamboopier_refused_connections is part of bamboopier_closed_connections.

--- a/libraries/agent/src/bamboopier_agent/daemon.py
+++ b/libraries/agent/src/bamboopier_agent/daemon.py
@@ -15,7 +15,7 @@
 from bamboopier_daemon.certificates import Certificates
 from bamboopier_daemon.clock import read_clock
 from bamboopier_daemon.daemon import (
-    GRPC_OPTIONS,
+    GRPC_SERVER_OPTIONS,
     keep_running,
     serve_administration,
 )
@@ -149,7 +149,7 @@
         ):
             await stack.enter_async_context(keep_running(loop))
         checks = [PeerCheck(settings.gateway_name)] if settings.tls else []
-        server = grpc.aio.server(interceptors=checks, options=GRPC_OPTIONS)
+        server = grpc.aio.server(interceptors=checks, options=GRPC_SERVER_OPTIONS)
         stack.push_async_callback(server.stop, None)
         add_AgentServicer_to_server(service, server)
         add_PeerServicer_to_server(PeerService(follower.store, vms), server)
--- a/libraries/configuration/src/bamboopier_configuration/settings.py
+++ b/libraries/configuration/src/bamboopier_configuration/settings.py
@@ -64,10 +64,17 @@
     block_secret: Secret
     # Agents (host:port) that serve the configuration while the platform is unavailable.
     peers: list[str] = []
-    # Limit of callers' connections; further ones are refused at once.
-    max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 10_000
+    # Limit of callers' connections. For a further one, the one that brings least is
+    # closed; if all have a request in progress, the further one is refused.
+    max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1000
     # Total bytes of the request bodies of all open requests.
-    max_held_body_bytes: Annotated[int, msgspec.Meta(ge=64 * 1024)] = 256 * 1024 * 1024
+    max_held_body_bytes: Annotated[int, msgspec.Meta(ge=64 * 1024)] = 16 * 1024 * 1024
+    # Total bytes of the headers of all open requests, as they are held in memory.
+    max_held_head_bytes: Annotated[int, msgspec.Meta(ge=64 * 1024)] = 8 * 1024 * 1024
+    # Total bytes of responses that callers have not read; the oldest are cut above it.
+    max_unread_response_bytes: Annotated[int, msgspec.Meta(ge=64 * 1024)] = (
+        8 * 1024 * 1024
+    )
     # Time limit for a request's headers, from their first byte.
     header_timeout_seconds: Seconds = 10.0
     # Time limit for the body, from the end of the headers.
--- a/libraries/daemon/src/bamboopier_daemon/daemon.py
+++ b/libraries/daemon/src/bamboopier_daemon/daemon.py
@@ -7,15 +7,23 @@
 import os
 import signal
 import sys
-from contextlib import asynccontextmanager, suppress
+import time
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from functools import cache
 from typing import TYPE_CHECKING, Any, TextIO, cast
 
 import msgspec
 import structlog
 from aiohttp import web
-from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
-
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    generate_latest,
+)
+
+from .http.closed_connections import make_closed_counter
+from .http.server import LimitedServer
 from .listening import convert_listen_errors
 from .log_sink import LogSink
 
@@ -24,6 +32,8 @@
 
     from bamboopier_configuration.settings import Address
 
+# Between two texts of the metrics.
+EXPOSITION_SECONDS = 0.05
 MAX_MESSAGE_BYTES = 65 * 1024 * 1024
 # 340 gateways and 730 agents have many idle connections to each other: a ping every
 # five minutes, without a pending call, costs a few bytes a second on each.
@@ -34,6 +44,16 @@
     ("grpc.keepalive_time_ms", KEEPALIVE_MS),
     ("grpc.so_reuseport", 0),
 ]
+# Of a server: streams of a connection, of which each request has one, and their
+# headers. gRPC's own limit of connections is not used: with it, a crowd that exceeds it
+# ends the process by memory that is freed twice.
+MAX_PEER_STREAMS = 1024
+MAX_PEER_METADATA_BYTES = 16 * 1024
+GRPC_SERVER_OPTIONS = [
+    *GRPC_OPTIONS,
+    ("grpc.max_concurrent_streams", MAX_PEER_STREAMS),
+    ("grpc.max_metadata_size", MAX_PEER_METADATA_BYTES),
+]
 
 
 def run(main: Coroutine[Any, Any, None]) -> None:
@@ -110,9 +130,15 @@
 
 @asynccontextmanager
 async def serve_administration(
-    address: Address, registry: CollectorRegistry, is_ready: Callable[[], bool]
+    address: Address,
+    registry: CollectorRegistry,
+    is_ready: Callable[[], bool],
+    closed: Counter | None = None,
 ) -> AsyncIterator[int]:
-    """Serve ``/healthz``, ``/readyz`` and ``/metrics``; yield the bound port."""
+    """Serve ``/healthz``, ``/readyz`` and ``/metrics``; yield the bound port.
+
+    ``closed`` counts closed connections; without it this makes the counter.
+    """
 
     async def answer_health(_: web.Request) -> web.Response:
         return web.Response(text="ok\n")
@@ -122,9 +148,11 @@
             return web.Response(text="ready\n")
         return web.Response(status=503, text="not ready\n")
 
+    exposition = Exposition(registry)
+
     async def answer_metrics(_: web.Request) -> web.Response:
-        content = generate_latest(registry)
-        return web.Response(body=content, headers={"Content-Type": CONTENT_TYPE_LATEST})
+        headers = {"Content-Type": CONTENT_TYPE_LATEST}
+        return web.Response(body=exposition.read(), headers=headers)
 
     application = web.Application()
     application.add_routes(
@@ -136,9 +164,34 @@
     )
     runner = web.AppRunner(application, access_log=None)
     await runner.setup()
-    try:
+    assert runner.server is not None
+    closed = closed or make_closed_counter(registry)
+    server = LimitedServer(
+        "administration", runner.server, address.host, address.port, closed
+    )
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(runner.cleanup)
         with convert_listen_errors("admin", address):
-            await web.TCPSite(runner, address.host, address.port).start()
-        yield runner.addresses[0][1]
-    finally:
-        await runner.cleanup()
+            await stack.enter_async_context(server)
+        yield server.port
+
+
+class Exposition:
+    """The text of all metrics, made at most once in ``EXPOSITION_SECONDS``.
+
+    Guards against clients that ask for it again and again: making it takes
+    milliseconds, in which nothing else is served.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._registry = registry
+        self._content = b""
+        self._made_at = -EXPOSITION_SECONDS
+
+    def read(self) -> bytes:
+        """Return the text."""
+        now = time.monotonic()
+        if now - self._made_at >= EXPOSITION_SECONDS:
+            self._made_at = now
+            self._content = generate_latest(self._registry)
+        return self._content
--- a/libraries/gateway/tests/test_connection.py
+++ b/libraries/daemon/tests/http/test_connection.py
@@ -1,4 +1,4 @@
-"""Connections of callers that are closed before they are served."""
+"""Connections of clients that are closed before they are served."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from bamboopier_gateway.connection import set_dead_peer_timeout
+from bamboopier_daemon.http.connection import set_dead_peer_timeout
 
 
 class SocketOptionTests(unittest.TestCase):
@@ -17,7 +17,7 @@
         connection.close()
         transport = mock.Mock(spec=asyncio.BaseTransport)
         transport.get_extra_info.return_value = connection
-        with mock.patch("bamboopier_gateway.connection.log") as log:
+        with mock.patch("bamboopier_daemon.http.connection.log") as log:
             set_dead_peer_timeout(transport, 5.0)
         log.info.assert_called_once()
 
--- a/libraries/gateway/src/bamboopier_gateway/body.py
+++ b/libraries/gateway/src/bamboopier_gateway/body.py
@@ -9,6 +9,8 @@
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
+from bamboopier_daemon.http.connection import HttpConnection
+
 from .errors import CallerError, ErrorCode
 
 if TYPE_CHECKING:
@@ -17,6 +19,8 @@
     from prometheus_client import Gauge
 
 RETRY_AFTER_SECONDS = 1.0
+# Iterations of the event loop in which a request that gave way returns its bytes.
+YIELD_ITERATIONS = 4
 
 
 class BodyBudget:
@@ -24,7 +28,8 @@
 
     A body is held until its request ends, because it may be resent. The number of
     connections times the largest body is many times a VM's memory, and the process
-    would be killed with all its requests; refusing the next request costs one retry.
+    would be killed with all its requests. Unfinished bodies that bring least give way,
+    and where there are none the next request is refused, which costs one retry.
     """
 
     def __init__(self, limit: int, held_bytes: Gauge) -> None:
@@ -42,9 +47,13 @@
         finally:
             self._held -= share.held
 
+    def fits(self, size: int) -> bool:
+        """Return whether ``size`` more bytes may be acquired."""
+        return self._held + size <= self._limit
+
     def acquire(self, size: int) -> None:
         """Acquire ``size`` more bytes; raises ``CallerError`` above the limit."""
-        if self._held + size > self._limit:
+        if not self.fits(size):
             message = "the bodies of all open requests fill this gateway's memory"
             raise CallerError(
                 ErrorCode.OVERLOADED, message, retry_after=RETRY_AFTER_SECONDS
@@ -61,6 +70,10 @@
         self._budget = budget
         self.held = 0
 
+    def fits(self, size: int) -> bool:
+        """Return whether ``size`` more bytes may be acquired."""
+        return self._budget.fits(size)
+
     def acquire(self, size: int) -> None:
         """Acquire ``size`` more bytes; raises ``CallerError``."""
         self._budget.acquire(size)
@@ -94,6 +107,8 @@
     share = request[BODY_SHARE]
     body = bytearray()
     async for chunk in request.content.iter_any():
+        if not share.fits(len(chunk)):
+            await _make_room(request, len(chunk))
         share.acquire(len(chunk))
         body += chunk
         if len(body) > limit:
@@ -101,6 +116,17 @@
     return bytes(body)
 
 
+async def _make_room(request: web.BaseRequest, size: int) -> None:
+    """Let unfinished requests that bring less give way to ``size`` bytes."""
+    share = request[BODY_SHARE]
+    connection = request.protocol
+    if not isinstance(connection, HttpConnection):
+        return
+    while not share.fits(size) and connection.close_slower(share.held + size):
+        for _ in range(YIELD_ITERATIONS):
+            await asyncio.sleep(0)
+
+
 def _make_too_large_error(found: str, limit: int) -> CallerError:
     message = f"body of {found} bytes; allowed: {limit}"
     return CallerError(ErrorCode.TOO_LARGE, message)
--- a/libraries/gateway/src/bamboopier_gateway/daemon.py
+++ b/libraries/gateway/src/bamboopier_gateway/daemon.py
@@ -103,7 +103,9 @@
             lambda: follower.directory.generation,
         )
         await stack.enter_async_context(
-            serve_administration(settings.admin, metrics.registry, is_ready)
+            serve_administration(
+                settings.admin, metrics.registry, is_ready, metrics.closed_connections
+            )
         )
         log.info("gateway started", vm=settings.vm, listen=str(settings.listen))
         with StopSignals() as signals:
--- a/libraries/gateway/src/bamboopier_gateway/listener.py
+++ b/libraries/gateway/src/bamboopier_gateway/listener.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Self
 
 from aiohttp import web
 
+from bamboopier_daemon.http.closed_connections import ClosedConnections
+from bamboopier_daemon.http.connection_table import ConnectionTable
+from bamboopier_daemon.http.limits import Places, RequestLimits
+from bamboopier_daemon.http.server import listen
+from bamboopier_daemon.http.tls_server import TlsServer
 from bamboopier_daemon.listening import convert_listen_errors
 
-from .connection import CallerConnection, OpenConnections
+from .application import MAX_BODY_BYTES
+from .connection import CallerConnection
+from .error_responses import MAX_HEADER_BYTES
 
 if TYPE_CHECKING:
+    import asyncio
     import ssl
     from types import TracebackType
 
@@ -21,14 +28,16 @@
 
 # Longest request line and longest header.
 MAX_FIELD_BYTES = 8190
-MAX_HEADERS = 100
+MAX_FIELDS = 100
 # For this time the rest of a refused body is read and discarded before the close.
 LINGERING_SECONDS = 2.0
-BACKLOG = 1024
 
 
 class CallerListener:
-    """Listens while its context is open; refuses above ``max_connections``."""
+    """Listens while its context is open.
+
+    Above ``max_connections``, the connections that bring least give way.
+    """
 
     def __init__(
         self,
@@ -40,8 +49,22 @@
         self._settings = settings
         self._metrics = metrics
         self._tls_context = tls_context
-        self._connections = OpenConnections(settings.max_connections)
-        self._server: asyncio.Server | None = None
+        self._limits = RequestLimits(
+            MAX_HEADER_BYTES,
+            MAX_BODY_BYTES,
+            settings.header_timeout_seconds,
+            settings.idle_timeout_seconds,
+            settings.write_timeout_seconds,
+        )
+        places = Places(
+            settings.max_connections,
+            settings.max_held_head_bytes,
+            settings.max_unread_response_bytes,
+        )
+        closed = ClosedConnections("callers", metrics.closed_connections)
+        self._table = ConnectionTable(places, closed)
+        metrics.connections.set_function(lambda: self._table.count)
+        self._server: asyncio.Server | TlsServer | None = None
         self._runner = web.AppRunner(
             application,
             access_log=None,
@@ -51,17 +74,8 @@
 
     async def __aenter__(self) -> Self:
         await self._runner.setup()
-        listen = self._settings.listen
-        loop = asyncio.get_running_loop()
-        with convert_listen_errors("listen", listen):
-            self._server = await loop.create_server(
-                self._make_connection,
-                listen.host,
-                listen.port,
-                ssl=self._tls_context,
-                ssl_handshake_timeout=self._get_handshake_timeout(),
-                backlog=BACKLOG,
-            )
+        with convert_listen_errors("listen", self._settings.listen):
+            self._server = await self._listen()
         return self
 
     async def __aexit__(
@@ -75,7 +89,7 @@
     @property
     def open_connections(self) -> int:
         """Return the number of connections that are not closed yet."""
-        return self._connections.count
+        return self._table.count
 
     async def close_connections(self) -> None:
         """Stop listening, and return once all responses have been sent.
@@ -84,20 +98,7 @@
         reads it slowly.
         """
         await self._stop_listening()
-        await self._connections.wait_until_all_closed()
-
-    def add(self) -> bool:
-        """Count an opened connection; return False when there are too many."""
-        if not self._connections.add():
-            self._metrics.refused_connections.inc()
-            return False
-        self._metrics.connections.set(self._connections.count)
-        return True
-
-    def remove(self) -> None:
-        """Count a closed connection."""
-        self._connections.remove()
-        self._metrics.connections.set(self._connections.count)
+        await self._table.wait_until_all_closed()
 
     async def _stop_listening(self) -> None:
         """Refuse new connections and close the open ones."""
@@ -105,25 +106,29 @@
             self._server.close()
         await self._runner.cleanup()
 
-    def _get_handshake_timeout(self) -> float | None:
+    async def _listen(self) -> asyncio.Server | TlsServer:
+        address = self._settings.listen
         if self._tls_context is None:
-            return None
-        return self._settings.header_timeout_seconds
+            return await listen(address.host, address.port, self._make_connection)
+        return TlsServer(
+            address.host,
+            address.port,
+            self._tls_context,
+            self._settings.header_timeout_seconds,
+            self._table,
+            self._make_connection,
+        )
 
-    def _make_connection(self) -> asyncio.Protocol:
+    def _make_connection(self) -> CallerConnection:
         server = self._runner.server
         if server is None:
             raise RuntimeError("the listener is not open")
         return CallerConnection(
             server,
-            self._settings,
-            self,
-            access_log=None,
+            self._limits,
+            self._table,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
-            max_headers=MAX_HEADERS,
+            max_headers=MAX_FIELDS,
             lingering_time=LINGERING_SECONDS,
-            # A compressed body is forwarded as received: its size is that on the wire,
-            # and a small one cannot expand to gigabytes here.
-            auto_decompress=False,
         )
--- a/libraries/gateway/src/bamboopier_gateway/metrics.py
+++ b/libraries/gateway/src/bamboopier_gateway/metrics.py
@@ -4,6 +4,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from bamboopier_daemon.http.closed_connections import make_closed_counter
+
 FIRST_BYTE_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.68, 1.0, 2.0, 5.0, 10.0, 30.0)
 
 
@@ -59,8 +61,4 @@
             "Callers' connections open now",
             registry=self.registry,
         )
-        self.refused_connections = Counter(
-            "bamboopier_refused_connections",
-            "Connections refused because max_connections was reached",
-            registry=self.registry,
-        )
+        self.closed_connections = make_closed_counter(self.registry)
--- a/libraries/gateway/tests/test_listener.py
+++ b/libraries/gateway/tests/test_listener.py
@@ -32,6 +32,8 @@
         settings: Any = SimpleNamespace(
             listen=Address(HOST, port),
             max_connections=8,
+            max_held_head_bytes=1024 * 1024,
+            max_unread_response_bytes=1024 * 1024,
             header_timeout_seconds=HANG_SECONDS,
             idle_timeout_seconds=HANG_SECONDS,
             write_timeout_seconds=HANG_SECONDS,
--- a/libraries/proxy/src/bamboopier_proxy/caller_listener.py
+++ b/libraries/proxy/src/bamboopier_proxy/caller_listener.py
@@ -2,49 +2,73 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Self
 
-import structlog
 from aiohttp import web
 
-from bamboopier_gateway.connection import CallerConnection, OpenConnections
+from bamboopier_daemon.http.closed_connections import ClosedConnections
+from bamboopier_daemon.http.connection_table import ConnectionTable
+from bamboopier_daemon.http.limits import Places, RequestLimits
+from bamboopier_daemon.http.server import (
+    CLOSE_SECONDS,
+    LimitedServer,
+    listen,
+)
+from bamboopier_gateway.connection import CallerConnection
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Awaitable, Callable
     from types import TracebackType
 
+    from prometheus_client import Counter
+
     from bamboopier_decisions.forwarding.specs import CallerLimits
 
-    from .settings import Endpoint
+    from .settings import Endpoint, ProxySettings
 
     Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-# Connections that may wait to be accepted, as in a burst of callers after a restart.
-BACKLOG = 1024
-# Open connections: the smallest machine has 4,100 file descriptors, which are shared
-# with connections to targets and internal ones.
-MAX_CONNECTIONS = 2800
+# Descriptors for files, of a process's limit; the others are shared by all sockets.
+FILE_DESCRIPTORS = 200
+# Share of the sockets for callers; the others are for targets and internal messages.
+SOCKET_SHARE = 0.7
+# Shares of the process's memory: for open connections, of CONNECTION_BYTES each, for
+# heads and what waits to be parsed, and for responses that callers do not read.
+CONNECTION_SHARE = 0.12
+INPUT_SHARE = 0.06
+OUTPUT_SHARE = 0.06
+# Memory of an open connection that has sent nothing.
+CONNECTION_BYTES = 8000
 # Seconds for which a peer may leave sent bytes unacknowledged.
 WRITE_STALL_SECONDS = 5.0
 # Seconds for which the remainder of a refused body is read and discarded.
 LINGERING_SECONDS = 1.0
-MAX_HEADERS = 100
-# Seconds that a running handler has before it is cancelled.
-CLOSE_SECONDS = 0.2
-
-log = structlog.get_logger()
 
 
-class _Limits:
-    """Adapts ``CallerLimits`` to the attributes that ``CallerConnection`` reads."""
+def make_limits(limits: CallerLimits) -> RequestLimits:
+    """Return the limits of a connection."""
+    return RequestLimits(
+        limits.header_bytes,
+        limits.body_bytes,
+        limits.header_seconds,
+        limits.idle_seconds,
+        WRITE_STALL_SECONDS,
+    )
 
-    __slots__ = ("header_timeout_seconds", "idle_timeout_seconds")
-    write_timeout_seconds = WRITE_STALL_SECONDS
 
-    def __init__(self, limits: CallerLimits) -> None:
-        self.header_timeout_seconds = limits.header_seconds
-        self.idle_timeout_seconds = limits.idle_seconds
+def make_places(settings: ProxySettings) -> Places:
+    """Return what all callers together may hold of a process."""
+    sockets = settings.max_descriptors - FILE_DESCRIPTORS
+    memory = settings.memory_bytes
+    return Places(
+        min(
+            int(sockets * SOCKET_SHARE),
+            int(memory * CONNECTION_SHARE / CONNECTION_BYTES),
+        ),
+        int(memory * INPUT_SHARE),
+        int(memory * OUTPUT_SHARE),
+    )
 
 
 class CallerListener:
@@ -52,23 +76,22 @@
 
     def __init__(
         self,
-        listen: Endpoint,
+        address: Endpoint,
+        places: Places,
         handle: Handle,
         read_limits: Callable[[], CallerLimits],
+        closed_counter: Counter,
     ) -> None:
-        self._listen = listen
+        self._address = address
         self._read_limits = read_limits
         self._server: asyncio.Server | None = None
         self._manager = web.Server(handle, handler_cancellation=True)
-        self._connections = OpenConnections(MAX_CONNECTIONS)
+        closed = ClosedConnections("callers", closed_counter)
+        self._table = ConnectionTable(places, closed)
 
     async def __aenter__(self) -> Self:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._make_connection,
-            self._listen.host,
-            self._listen.port,
-            backlog=BACKLOG,
+        self._server = await listen(
+            self._address.host, self._address.port, self._make_connection
         )
         return self
 
@@ -87,7 +110,7 @@
         reads it slowly.
         """
         await self._stop_listening()
-        await self._connections.wait_until_all_closed()
+        await self._table.wait_until_all_closed()
 
     def close_when_idle(self) -> None:
         """Close idle connections; the others close after their current request."""
@@ -95,21 +118,10 @@
             if isinstance(connection, CallerConnection):
                 connection.close_when_idle()
 
-    def add(self) -> bool:
-        """Count an opened connection; False when ``MAX_CONNECTIONS`` is reached."""
-        if not self._connections.add():
-            log.warning("connection refused", open=self.open_connections)
-            return False
-        return True
-
-    def remove(self) -> None:
-        """Count a closed connection."""
-        self._connections.remove()
-
     @property
     def open_connections(self) -> int:
         """Return the number of connections that are not closed yet."""
-        return self._connections.count
+        return self._table.count
 
     async def _stop_listening(self) -> None:
         """Refuse new connections and close the open ones."""
@@ -118,28 +130,26 @@
         await self._manager.shutdown(CLOSE_SECONDS)
 
     def _make_connection(self) -> asyncio.Protocol:
-        limits = self._read_limits()
         return CallerConnection(
             self._manager,
-            _Limits(limits),
-            self,
-            access_log=None,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            max_headers=MAX_HEADERS,
+            make_limits(self._read_limits()),
+            self._table,
             lingering_time=LINGERING_SECONDS,
-            auto_decompress=False,
         )
 
 
-async def serve_readiness(
-    listen: Endpoint, is_ready: Callable[[], bool]
-) -> asyncio.Server:
-    """Respond to every request with 200 while ``is_ready``, else with 503."""
+def serve_readiness(
+    address: Endpoint, is_ready: Callable[[], bool], closed_counter: Counter
+) -> LimitedServer:
+    """Return a server that responds with 200 while ``is_ready``, else with 503."""
 
     async def respond(_: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if is_ready() else 503)
 
-    manager = web.Server(respond, access_log=None)
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(manager, listen.host, listen.port)
+    return LimitedServer(
+        "readiness",
+        web.Server(respond, access_log=None),
+        address.host,
+        address.port,
+        closed_counter,
+    )
--- a/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
+++ b/libraries/proxy/src/bamboopier_proxy/gateway_daemon.py
@@ -22,7 +22,7 @@
 
 from .attempt_planner import AttemptPlanner
 from .call_retries import RetryAccounts
-from .caller_listener import CallerListener, serve_readiness
+from .caller_listener import CallerListener, make_places, serve_readiness
 from .counted_store import CountedStore
 from .crash_monitor import CrashMonitor
 from .exchange import Exchange
@@ -214,13 +214,21 @@
                     Address(settings.metrics.host, settings.metrics.port),
                     metrics.registry,
                     is_ready,
+                    metrics.closed_connections,
+                )
+            )
+            await stack.enter_async_context(
+                serve_readiness(
+                    settings.readiness, is_ready, metrics.closed_connections
                 )
             )
-            readiness = await serve_readiness(settings.readiness, is_ready)
-            stack.callback(readiness.close)
             listener = await stack.enter_async_context(
                 CallerListener(
-                    settings.callers, ingress.handle, state.find_caller_limits
+                    settings.callers,
+                    make_places(settings),
+                    ingress.handle,
+                    state.find_caller_limits,
+                    metrics.closed_connections,
                 )
             )
             log.info(
--- a/libraries/proxy/src/bamboopier_proxy/hint_socket.py
+++ b/libraries/proxy/src/bamboopier_proxy/hint_socket.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from bamboopier_daemon.line_limit import LineLimit
+
 from .hints import Hint, decode, encode
 
 if TYPE_CHECKING:
@@ -28,6 +30,7 @@
         self._port = port
         self._receive = receive
         self._transport: asyncio.DatagramTransport | None = None
+        self._lines = LineLimit()
 
     async def __aenter__(self) -> Self:
         loop = asyncio.get_running_loop()
@@ -63,7 +66,14 @@
         """Decode a datagram and pass the hint to the receiver."""
         hint = decode(data)
         if hint is None:
-            log.warning("invalid datagram dropped", sender=addr[0], size=len(data))
+            count = self._lines.count("invalid")
+            if count:
+                log.warning(
+                    "invalid datagram dropped",
+                    sender=addr[0],
+                    size=len(data),
+                    count=count,
+                )
             return
         self._receive(hint, addr)
 
--- a/libraries/proxy/src/bamboopier_proxy/ingress.py
+++ b/libraries/proxy/src/bamboopier_proxy/ingress.py
@@ -38,7 +38,7 @@
 # Seconds for which a caller waits if it sends no deadline.
 DEFAULT_DEADLINE_SECONDS = 60.0
 # Share of this process's memory for the bodies of open requests.
-BODY_MEMORY_SHARE = 0.15
+BODY_MEMORY_SHARE = 0.12
 # Retry-After, in seconds, while this process has no configuration yet.
 STARTING_RETRY_SECONDS = 0.5
 # Retry-After, in seconds, while this process is stopping: another one can serve.
--- a/libraries/proxy/src/bamboopier_proxy/metrics.py
+++ b/libraries/proxy/src/bamboopier_proxy/metrics.py
@@ -4,6 +4,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from bamboopier_daemon.http.closed_connections import make_closed_counter
+
 # Seconds; latency objectives are between 0.1 and 0.6 s, deadlines at 12 s.
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 12.0)
 
@@ -92,6 +94,7 @@
             "Bytes of the bodies of open requests",
             registry=self.registry,
         )
+        self.closed_connections = make_closed_counter(self.registry)
         self.open_requests = Gauge(
             "bamboopier_open_requests",
             "Requests without a final response",
--- a/libraries/proxy/src/bamboopier_proxy/peer_server.py
+++ b/libraries/proxy/src/bamboopier_proxy/peer_server.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import structlog
 from aiohttp import web
 
+from bamboopier_daemon.http.limits import Places
+from bamboopier_daemon.http.server import LimitedServer
+from bamboopier_daemon.line_limit import LineLimit
+from bamboopier_gateway.errors import quote
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
     from types import TracebackType
@@ -17,6 +21,9 @@
 
     Handler = Callable[[bytes], web.Response]
 
+# Other gateways get configurations of up to a megabyte, several at a time.
+PLACES = Places(connections=64, input_bytes=512 * 1024, output_bytes=8 * 1024 * 1024)
+
 log = structlog.get_logger()
 
 
@@ -29,18 +36,20 @@
         is_gateway: Callable[[str], bool],
         handlers: Mapping[str, Handler],
     ) -> None:
-        self._listen = listen
         # Returns whether a host belongs to a registered gateway.
         self._is_gateway = is_gateway
         self._handlers = handlers
-        self._server: asyncio.Server | None = None
+        self._lines = LineLimit()
+        self._server = LimitedServer(
+            "peers",
+            web.Server(self._answer, access_log=None),
+            listen.host,
+            listen.port,
+            places=PLACES,
+        )
 
     async def __aenter__(self) -> Self:
-        manager = web.Server(self._answer, access_log=None)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            manager, self._listen.host, self._listen.port
-        )
+        await self._server.__aenter__()
         return self
 
     async def __aexit__(
@@ -49,13 +58,19 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self._server is not None:
-            self._server.close()
+        await self._server.__aexit__(kind, error, traceback)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self._is_gateway(request.remote or ""):
             # A configuration contains keys.
-            log.warning("peer refused", sender=request.remote, path=request.path)
+            count = self._lines.count("refused")
+            if count:
+                log.warning(
+                    "peer refused",
+                    sender=request.remote,
+                    path=quote(request.path),
+                    count=count,
+                )
             return web.Response(status=403)
         handler = self._handlers.get(request.path)
         if handler is None:
--- a/libraries/proxy/src/bamboopier_proxy/settings.py
+++ b/libraries/proxy/src/bamboopier_proxy/settings.py
@@ -76,6 +76,8 @@
     rollout_allowance: Allowance | None = None
     # The whole system starts for the first time: no request was sent before.
     first_start: bool = False
+    # File descriptors that the process may have open.
+    max_descriptors: int = 4096
     # For which the platform's store keeps its changes.
     history_seconds: float = 20.0
 
--- a/tools/crowds.py
+++ b/tools/crowds.py
@@ -22,8 +22,11 @@
 SAMPLE_SECONDS = 0.05
 CONNECT_SECONDS = 5.0
 DATAGRAMS = 40_000
+COME_BACK_SECONDS = 0.01
 _KILOBYTE = 1024
 _LISTENING_STATE = "0A"
+# Lets the kernel forget the peak of a process that an earlier crowd has met.
+_RESET_PEAK = "5"
 
 
 @dataclass(frozen=True)
@@ -36,6 +39,8 @@
     max_bytes: int = 0
     # Seconds between two pieces.
     pause: float = 0.0
+    # Whether it connects again when it is closed, until time is up.
+    comes_back: bool = False
     # Size of the socket's receive buffer, in bytes, of a client that reads nothing.
     receive_buffer: int = 0
 
@@ -83,9 +88,16 @@
     async def _run(self, finished: asyncio.Event) -> None:
         writer = None
         try:
-            with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-                writer = await self._connect()
-                await self._send(writer)
+            while True:
+                with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+                    writer = await self._connect()
+                    await self._send(writer)
+                    break
+                if not self._behaviour.comes_back:
+                    break
+                if writer is not None:
+                    writer.transport.abort()
+                await asyncio.sleep(COME_BACK_SECONDS)
             finished.set()
             await asyncio.Event().wait()
         finally:
@@ -138,6 +150,7 @@
         self.descriptors = 0
 
     async def __aenter__(self) -> Self:
+        (self._folder / "clear_refs").write_text(_RESET_PEAK)
         self._task = asyncio.create_task(self._run())
         return self
 
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -15,7 +15,7 @@
     "configuration": set(),
     "standins": set(),
     "replay": {"configuration"},
-    "daemon": {"configuration"},
+    "daemon": {"configuration", "decisions"},
     "objects": {"configuration", "protocol"},
     "gateway": {"configuration", "daemon", "decisions", "objects", "protocol"},
     "agent": {"configuration", "daemon", "decisions", "objects", "protocol"},
