Spend less on a request that arrives in one piece

A bytearray was filled and copied out again, progress was recorded for requests that are complete at once, and the next request began in an iteration of its own.

--- a/libraries/daemon/src/bamboopier_daemon/http/connection.py
+++ b/libraries/daemon/src/bamboopier_daemon/http/connection.py
@@ -178,14 +178,21 @@
             return
         if self._is_given_up or self._force_close:
             return
+        framing = self._framing
+        had_begun = self.has_begun
+        framing.receive(data)
+        self._pass_on()
+        if framing.stage is not Stage.COMPLETE:
+            self._record_progress(len(data), had_begun=had_begun)
+
+    def _record_progress(self, size: int, *, had_begun: bool) -> None:
+        """Record what was received of a request that is not complete."""
         now = time.monotonic()
-        if not self.has_begun:
+        if not had_begun:
             self.since = now
             self._request_bytes = 0
-        self._request_bytes += len(data)
-        self._pace.add(len(data), now)
-        self._framing.receive(data)
-        self._pass_on()
+        self._request_bytes += size
+        self._pace.add(size, now)
 
     def continue_reading(self) -> None:
         """Process what was received and had to wait."""
@@ -263,7 +270,7 @@
             if isinstance(resp, web.Response):
                 resp.body = None
             self._has_responded = True
-            self._loop.call_soon(self._begin_request)
+            self._begin_request()
 
     def _begin_request(self) -> None:
         """Cut the next request, once the last one and its response are complete."""
@@ -280,7 +287,10 @@
         self.answered += 1
         self.since = time.monotonic()
         self._framing.begin_request()
-        self._pass_on()
+        if self._framing.held_bytes:
+            self._pass_on()
+        else:
+            self._hold(0)
         if self._buffer_paused:
             self._resume_reading_if_drained()
 
@@ -296,12 +306,12 @@
         except FramingError as error:
             self._refuse(error.problem)
             return
-        if self._framing.precedes_garbage and self._messages:
+        if self._messages and self._framing.precedes_garbage:
             self._drop_request()
         self._update_header_timer()
         self._limit_input()
         if self._has_responded:
-            self._loop.call_soon(self._begin_request)
+            self._begin_request()
 
     def _drop_request(self) -> None:
         """Replace a request that no handler has got by the error of what follows it.
@@ -368,6 +378,8 @@
         if self._is_given_up:
             return
         waiting = self._framing.held_bytes
+        if not waiting and self.input_bytes == self._head_cost:
+            return
         if self._must_wait():
             # The kernel goes on receiving until its buffer is full.
             waiting += RECEIVE_BUFFER_BYTES
--- a/libraries/daemon/src/bamboopier_daemon/http/request_framing.py
+++ b/libraries/daemon/src/bamboopier_daemon/http/request_framing.py
@@ -58,7 +58,7 @@
     def __init__(self, head_bytes: int, body_bytes: int) -> None:
         self._head_bytes = head_bytes
         self._body_bytes = body_bytes
-        self._buffer = bytearray()
+        self._buffer = b""
         # Bytes of the buffer in which no head ends.
         self._searched = 0
         # Bytes of empty lines before the current request.
@@ -87,7 +87,7 @@
 
     def receive(self, data: bytes) -> None:
         """Add what was received."""
-        self._buffer += data
+        self._buffer = self._buffer + data if self._buffer else data
 
     def take(self) -> bytes:
         """Return the next bytes for the server's parser, empty if there are none yet.
@@ -122,23 +122,27 @@
 
     def clear(self) -> None:
         """Drop what was received and not taken."""
-        self._buffer = bytearray()
+        self._buffer = b""
 
     def _take_head(self) -> bytes:
         self._skip_empty_lines()
         end = self._find_head_end()
         if end == 0 and self._buffer and self._buffer[0] not in _LETTERS:
             end = len(self._buffer)
-        line_end = self._buffer.find(b"\n", 0, end or len(self._buffer)) + 1
-        fields = (end or len(self._buffer)) - line_end
-        line = line_end or len(self._buffer)
-        if max(line, fields if line_end else 0) > self._head_bytes + len(b"\r\n"):
-            raise FramingError(Problem.HEAD_TOO_LARGE)
+        if (end or len(self._buffer)) > self._head_bytes:
+            self._check_head(end or len(self._buffer))
         if end == 0:
             return b""
         self.stage = Stage.HEAD_TAKEN
         return self._cut(end)
 
+    def _check_head(self, size: int) -> None:
+        """Raise ``FramingError`` if the request line or the fields are too long."""
+        line_end = self._buffer.find(b"\n", 0, size) + 1
+        line = line_end or size
+        if max(line, size - line) > self._head_bytes + len(b"\r\n"):
+            raise FramingError(Problem.HEAD_TOO_LARGE)
+
     def _skip_empty_lines(self) -> None:
         """Drop empty lines before a request; they count as bytes of its head."""
         if self._searched or not self._buffer.startswith((b"\r", b"\n")):
@@ -153,12 +157,11 @@
         """Return the length of a complete head, 0 if it is not complete."""
         start = max(0, self._searched - 2)
         self._searched = len(self._buffer)
-        ends = [
-            found + len(end)
-            for end in _HEAD_ENDS
-            if (found := self._buffer.find(end, start)) >= 0
-        ]
-        return min(ends, default=0)
+        usual, invalid = _HEAD_ENDS
+        found = self._buffer.find(usual, start)
+        end = found + len(usual) if found >= 0 else 0
+        found = self._buffer.find(invalid, start, end or len(self._buffer))
+        return found + len(invalid) if found >= 0 else end
 
     def _take_length(self) -> bytes:
         piece = self._cut(min(self._remaining, len(self._buffer)))
@@ -188,10 +191,6 @@
 
     def _cut(self, size: int) -> bytes:
         """Remove and return the first bytes of the buffer."""
-        if size == len(self._buffer):
-            piece = bytes(self._buffer)
-            self._buffer = bytearray()
-            return piece
-        piece = bytes(self._buffer[:size])
-        del self._buffer[:size]
+        piece = self._buffer[:size]
+        self._buffer = self._buffer[size:]
         return piece
