Send one refusal only, and log what fails at internal addresses

A connection whose refused request was answered and whose body still came could give way and get a second response behind the first; read, not seen. Handlers of readiness, administration and peers that raise were answered without a line, since the bounds replaced aiohttp's own.

--- a/libraries/daemon/src/bamboopier_daemon/http/connection.py
+++ b/libraries/daemon/src/bamboopier_daemon/http/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, cast
 
 import structlog
@@ -232,7 +233,7 @@
             return
         request = self._current_request
         is_responding = request is not None and request.writer.output_size > 0
-        if self._is_handling and not is_responding:
+        if self._is_handling and not is_responding and not self._has_responded:
             transport.write(self.make_refusal(problem))
         self.force_close()
 
@@ -252,9 +253,13 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Answer invalid HTTP; nothing of it is logged, as a client chooses it."""
+        """Answer invalid HTTP, which is not logged, and unhandled exceptions."""
         if request.writer.output_size > 0:
             raise ConnectionError("a response was already started")
+        if isinstance(exc, ConnectionError):
+            raise exc
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            log.error("request failed", path=request.path[:80], exc_info=exc)
         response = web.Response(status=status)
         response.force_close()
         return response
