--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,5 +6,14 @@
 [ -d target/deps/bamboopier_site ] || { echo "run deploy/build first" >&2; exit 2; }
 export PYTHONDONTWRITEBYTECODE=1
 export PYTHONPATH="$PWD/target/deps:$PWD/platform:$PWD/review"
-timeout --kill-after=2 116 python3 -S "$here/case.py"
-case $? in 10) exit 0 ;; 11) exit 1 ;; *) exit 2 ;; esac
+timeout --kill-after=8 108 python3 -S "$here/case.py" &
+running=$!
+trap 'kill -TERM "$running" 2>/dev/null' TERM INT HUP
+wait "$running"
+status=$?
+# A signal ends the first wait; the case then ends what it started.
+while kill -0 "$running" 2>/dev/null; do
+    wait "$running"
+    status=2
+done
+case $status in 10) exit 0 ;; 11) exit 1 ;; *) exit 2 ;; esac
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -74,6 +74,7 @@
 leaseMs = 3000
 versionMs = 12000
 versionAllMs = 17000
+{bounds}
 [provider]
 address = "{store}"
 form = "objects"
@@ -228,8 +229,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for program in self.programs:
-            await program.kill()
+        await asyncio.gather(*(program.kill() for program in self.programs))
         for engine in self.engines:
             engine.crash()
         with suppress(asyncio.TimeoutError):
@@ -266,11 +266,15 @@
         if engine.is_listening:
             await self.register(engine, service, coldMs=0, **changes)
 
-    async def start_gateways(self, count: int) -> list[Program]:
-        """Start gateways, and wait until they are ready and have counted each other."""
+    async def start_gateways(self, count: int, bounds: str = "") -> list[Program]:
+        """Start gateways, and wait until they are ready and have counted each other.
+
+        ``bounds`` are lines of the settings besides those of all.
+        """
         lines = f'front = "{{host}}:{CALLER_PORT}"\nready = "{{host}}:{READY_PORT}"'
         gateways = [
-            await self._start("gateway", "front", listen=lines) for _ in range(count)
+            await self._start("gateway", "front", listen=lines, bounds=bounds)
+            for _ in range(count)
         ]
         async with asyncio.timeout(START_SECONDS):
             for gateway in gateways:
@@ -291,7 +295,12 @@
         return agent
 
     async def _start(
-        self, role: str, machine_class: str, listen: str = "", own: str = ""
+        self,
+        role: str,
+        machine_class: str,
+        listen: str = "",
+        own: str = "",
+        bounds: str = "",
     ) -> Program:
         host = f"{NETWORK}.{next(self._hosts)}"
         for port in (CALLER_PORT, READY_PORT, FIRST_PORT):
@@ -308,6 +317,7 @@
                 store=self.store.address,
                 listen=listen.format(host=host),
                 own=own,
+                bounds=bounds,
             )
         )
         self.programs.append(program)
@@ -371,6 +381,11 @@
 
 
 async def _run(make_case: MakeCase, record: Record) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        # The programs that were started end with the case, however it ends.
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     async with Deployment(record) as deployment:
         case = make_case(deployment, record)
         return await case.run(trouble=os.environ.get("TROUBLE") != "0")
@@ -381,6 +396,8 @@
     record = Record(folder / "record.txt")
     try:
         status = asyncio.run(_run(make_case, record))
+    except asyncio.CancelledError:
+        status = NOT_RUN
     finally:
         record.write()
     sys.exit(status)
